--- /dev/null
+++ b/src/rosemarytrail/cli/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::cli {} // namespace rosemarytrail::cli
--- /dev/null
+++ b/src/rosemarytrail/control/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::control {} // namespace rosemarytrail::control
--- /dev/null
+++ b/src/rosemarytrail/daemon/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::daemon {} // namespace rosemarytrail::daemon
--- /dev/null
+++ b/src/rosemarytrail/documents/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::documents {} // namespace rosemarytrail::documents
--- /dev/null
+++ b/src/rosemarytrail/http/client.hpp
@@ -0,0 +1,105 @@
+#ifndef ROSEMARYTRAIL_HTTP_CLIENT_HPP
+#define ROSEMARYTRAIL_HTTP_CLIENT_HPP
+
+#include <rosemarytrail/core/time.hpp>
+#include <rosemarytrail/http/message.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rosemarytrail::http {
+
+/** @brief How far a request came on the wire. */
+enum class transport_result : std::uint8_t
+{
+    /** @brief A whole answer arrived. */
+    complete,
+    /** @brief No byte of the request was sent, so it did not run. */
+    not_sent,
+    /** @brief The deadline passed after the request was sent. */
+    timed_out,
+    /** @brief The connection ended before a whole answer arrived. */
+    cut_off,
+    /** @brief The answer is larger than allowed. */
+    too_large
+};
+
+/** @brief How a client keeps its connections. */
+struct client_options
+{
+    /** @brief Event-loop threads; a host is always served by the same one. */
+    unsigned threads{1};
+    /** @brief Most connections to one host and port. */
+    long connections_per_host{64};
+    /** @brief Time to connect. */
+    duration connect_timeout{std::chrono::seconds{1}};
+};
+
+/** @brief Request to send. */
+struct client_request
+{
+    std::string method{"GET"};
+    /** @brief Address such as `http://127.0.0.1:8080/v1/state`. */
+    std::string url;
+    std::vector<header> headers;
+    std::string body;
+    /** @brief Time until the answer must be whole. */
+    duration timeout{std::chrono::seconds{5}};
+    /** @brief Largest answer, in bytes. */
+    std::size_t answer_bytes{std::size_t{8} << 20U};
+};
+
+/** @brief What became of a request. */
+struct client_response
+{
+    transport_result transport{transport_result::not_sent};
+    /** @brief The answer; its fields count only if the transport completed. */
+    response answer;
+    /** @brief Time from the call to the end. */
+    duration elapsed{};
+    /** @brief Text of a transport error. */
+    std::string error;
+};
+
+/** @brief Sends requests without blocking the caller. */
+class client
+{
+public:
+    /** @brief Receives the result on a thread of the client. */
+    using callback = std::function<void(client_response)>;
+
+    virtual ~client() = default;
+
+    /**
+     * @brief Sends a request.
+     * @param outgoing Request to send.
+     * @param done Called once, also when the client is destroyed.
+     */
+    virtual void fetch(client_request outgoing, callback done) = 0;
+
+    /**
+     * @brief Sends a request and waits; for command-line programs and tests.
+     * @param outgoing Request to send.
+     * @return What became of it.
+     */
+    [[nodiscard]] client_response fetch_and_wait(client_request outgoing);
+};
+
+/**
+ * @brief Makes a client that runs libcurl's multi interface on own threads.
+ *
+ * A connection whose answer was late, cut off or too large is closed and
+ * never used again. Requests are never repeated by the client itself.
+ * @param options How to keep connections.
+ * @return The client.
+ */
+[[nodiscard]] std::unique_ptr<client>
+make_curl_client(const client_options& options);
+
+} // namespace rosemarytrail::http
+
+#endif
--- /dev/null
+++ b/src/rosemarytrail/http/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::http {} // namespace rosemarytrail::http
--- /dev/null
+++ b/src/rosemarytrail/load/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::load {} // namespace rosemarytrail::load
--- /dev/null
+++ b/src/rosemarytrail/logging/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::logging {} // namespace rosemarytrail::logging
--- /dev/null
+++ b/src/rosemarytrail/metrics/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::metrics {} // namespace rosemarytrail::metrics
--- /dev/null
+++ b/src/rosemarytrail/placement/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::placement {} // namespace rosemarytrail::placement
--- /dev/null
+++ b/src/rosemarytrail/platform/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::platform {} // namespace rosemarytrail::platform
--- /dev/null
+++ b/src/rosemarytrail/proxy/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::proxy {} // namespace rosemarytrail::proxy
--- /dev/null
+++ b/src/rosemarytrail/request/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::request {} // namespace rosemarytrail::request
--- /dev/null
+++ b/src/rosemarytrail/rpc/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::rpc {} // namespace rosemarytrail::rpc
--- /dev/null
+++ b/src/rosemarytrail/settings/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::settings {} // namespace rosemarytrail::settings
--- /dev/null
+++ b/src/rosemarytrail/standin/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::standin {} // namespace rosemarytrail::standin
--- /dev/null
+++ b/src/rosemarytrail/state/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace rosemarytrail::state {} // namespace rosemarytrail::state
--- /dev/null
+++ b/src/rosemarytraild/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
