--- a/src/rosemarytrail/control/peer_network.hpp
+++ b/src/rosemarytrail/control/peer_network.hpp
@@ -5,7 +5,6 @@
 #include <rosemarytrail/core/resources.hpp>
 #include <rosemarytrail/core/result_code.hpp>
 #include <rosemarytrail/platform/log_client.hpp>
-#include <rosemarytrail/request/intent_store.hpp>
 #include <rosemarytrail/request/routing_table.hpp>
 
 #include <cstddef>
@@ -150,27 +149,6 @@
     virtual void
     cancel(const std::string& address, const job_id& job,
            std::function<void(std::optional<cancel_outcome>)> done) = 0;
-
-    /**
-     * @brief Opens an intent at the holder of its partition.
-     * @param address Peer's address.
-     * @param key Identity of the request.
-     * @param done Called once; nothing if it did not answer.
-     */
-    virtual void open_intent(
-        const std::string& address, request::intent_key key,
-        std::function<void(std::optional<request::intent_outcome>)> done) = 0;
-
-    /**
-     * @brief Closes an intent at the holder of its partition.
-     * @param address Peer's address.
-     * @param key Identity of the request.
-     * @param ran Whether it may have run.
-     * @param answer Answer to keep if it ran.
-     */
-    virtual void close_intent(const std::string& address,
-                              const request::intent_key& key, bool ran,
-                              request::kept_answer answer) = 0;
 };
 
 } // namespace rosemarytrail::control
--- a/src/rosemarytrail/request/intent_store.hpp
+++ b/src/rosemarytrail/request/intent_store.hpp
@@ -54,8 +54,11 @@
 };
 
 /**
- * @brief Keeps the intents of requests that run at most once, by the holder of
- * the partition that the key hashes to. Traffic threads call it.
+ * @brief Keeps the intents of requests that run at most once.
+ *
+ * The first record for a key in the order of the log's stream `intents` wins;
+ * only the entry VM that wrote it may dispatch the request, and only after it
+ * has read its record back. Traffic threads call the store.
  */
 class intent_store
 {
--- a/src/rosemarytrail/state/record.hpp
+++ b/src/rosemarytrail/state/record.hpp
@@ -141,12 +141,41 @@
     vm_id vm{};
 };
 
+/** @brief The writer wants to run a request at most once; stream `intents`. */
+struct intent_opened
+{
+    team_id team{};
+    service_id service{};
+    /** @brief Idempotency key that the caller chose. */
+    std::string key;
+    /** @brief Hash of method, path and body. */
+    std::uint64_t fingerprint{};
+};
+
+/** @brief The writer says how a request ended; stream `intents`. */
+struct intent_closed
+{
+    team_id team{};
+    service_id service{};
+    std::string key;
+    /** @brief False if it certainly did not run; frees the key. */
+    bool ran{true};
+    /** @brief False if the request ran but its answer is not known. */
+    bool answered{true};
+    /** @brief Status of the answer, for a repeat of the request. */
+    std::uint32_t status{};
+    std::string content_type;
+    /** @brief Body of the answer. */
+    std::string body;
+};
+
 /** @brief Any record. */
 using record =
     std::variant<member_joined, member_left, document_published,
                  partition_claimed, vm_assigned, vm_handed_over,
                  allowance_handed_over, job_accepted, job_handed_over,
-                 job_cancelled, tasks_finished, job_rejected, vm_declared_lost>;
+                 job_cancelled, tasks_finished, job_rejected, vm_declared_lost,
+                 intent_opened, intent_closed>;
 
 /** @brief Records that one process appended as one log entry. */
 struct batch
