Let daemons call each other over Cap'n Proto RPC

Heartbeats, relays, status and cancellations need one protocol between the daemons. A hand-written framing was ruled out: capnp brings codec, limits and call matching.

--- /dev/null
+++ b/src/rosemarytrail/rpc/internal/conversion.hpp
@@ -0,0 +1,80 @@
+#ifndef ROSEMARYTRAIL_RPC_INTERNAL_CONVERSION_HPP
+#define ROSEMARYTRAIL_RPC_INTERNAL_CONVERSION_HPP
+
+#include <rosemarytrail/control/peer_network.hpp>
+#include <rosemarytrail/rpc/generated/peer.capnp.h>
+
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace rosemarytrail::rpc::internal {
+
+/** @brief Greatest number of a partition that a peer may name. */
+inline constexpr partition_id greatest_partition = 255;
+
+/**
+ * @brief Writes a heartbeat.
+ * @param to Message to write to.
+ * @param value Heartbeat to write.
+ */
+void write(wire::Heartbeat::Builder to, const control::heartbeat& value);
+
+/**
+ * @brief Writes the status of a job.
+ * @param to Message to write to.
+ * @param value Status to write.
+ */
+void write(wire::JobStatus::Builder to, const control::job_status& value);
+
+/**
+ * @brief Writes the outcome of a cancellation.
+ * @param to Message to write to.
+ * @param value Outcome to write.
+ */
+void write(wire::CancelOutcome::Builder to,
+           const control::cancel_outcome& value);
+
+/**
+ * @brief Writes log entries.
+ * @param to List of as many entries.
+ * @param entries Entries to write.
+ */
+void write(capnp::List<wire::LogEntry>::Builder to,
+           std::span<const platform::log_entry> entries);
+
+/**
+ * @brief Reads and checks a heartbeat.
+ * @param from Message of a peer; may be hostile.
+ * @return The heartbeat, or nothing if a field is out of range.
+ */
+[[nodiscard]] std::optional<control::heartbeat>
+read(wire::Heartbeat::Reader from);
+
+/**
+ * @brief Reads and checks the status of a job.
+ * @param from Message of a peer; may be hostile.
+ * @return The status, or nothing if a field is out of range.
+ */
+[[nodiscard]] std::optional<control::job_status>
+read(wire::JobStatus::Reader from);
+
+/**
+ * @brief Reads and checks the outcome of a cancellation.
+ * @param from Message of a peer; may be hostile.
+ * @return The outcome, or nothing if a field is out of range.
+ */
+[[nodiscard]] std::optional<control::cancel_outcome>
+read(wire::CancelOutcome::Reader from);
+
+/**
+ * @brief Reads and checks log entries.
+ * @param from List of a peer; may be hostile.
+ * @return The entries, or nothing unless their offsets follow one another.
+ */
+[[nodiscard]] std::optional<std::vector<platform::log_entry>>
+read(capnp::List<wire::LogEntry>::Reader from);
+
+} // namespace rosemarytrail::rpc::internal
+
+#endif
--- a/src/rosemarytrail/rpc/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::rpc {} // namespace rosemarytrail::rpc
