--- a/src/rosemarytrail/request/intent_store.hpp
+++ b/src/rosemarytrail/request/intent_store.hpp
@@ -3,6 +3,7 @@
 
 #include <rosemarytrail/core/id.hpp>
 #include <rosemarytrail/core/reason.hpp>
+#include <rosemarytrail/core/time.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -24,6 +25,7 @@
 /** @brief Answer that was given to a request; kept to be given again. */
 struct kept_answer
 {
+    /** @brief Status; zero if the request may have run and none is known. */
     int status{};
     std::string content_type;
     std::string body;
@@ -68,9 +70,11 @@
     /**
      * @brief Records the intent to run a request.
      * @param key Its identity.
-     * @param done Called once with the outcome, on any thread.
+     * @param deadline When to give up with `not_run`.
+     * @param done Called once with the outcome, on any thread, perhaps before
+     * this call returns.
      */
-    virtual void open(intent_key key,
+    virtual void open(intent_key key, time_point deadline,
                       std::function<void(intent_outcome)> done) = 0;
 
     /**
--- a/src/rosemarytrail/request/routing_table.hpp
+++ b/src/rosemarytrail/request/routing_table.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,11 @@
     std::map<team_id, double> weights;
     /** @brief Live entry VMs, this one included. */
     std::uint32_t entry_vms{1};
+    /**
+     * @brief Place of this entry VM in the order of live ones, from zero; it
+     * divides slots without a remainder. Unknown: shares are rounded up.
+     */
+    std::optional<std::uint32_t> entry_rank{};
     /** @brief Availability zone of this entry VM. */
     zone_id zone{};
     /** @brief Until when this entry VM may trust its keys. */
