--- /dev/null
+++ b/src/rosemarytrail/daemon/control_plane.hpp
@@ -0,0 +1,92 @@
+#ifndef ROSEMARYTRAIL_DAEMON_CONTROL_PLANE_HPP
+#define ROSEMARYTRAIL_DAEMON_CONTROL_PLANE_HPP
+
+#include <rosemarytrail/control/controller.hpp>
+#include <rosemarytrail/core/reason.hpp>
+#include <rosemarytrail/core/time_source.hpp>
+#include <rosemarytrail/daemon/control_thread.hpp>
+#include <rosemarytrail/daemon/controller_access.hpp>
+#include <rosemarytrail/daemon/shared_view.hpp>
+#include <rosemarytrail/platform/log_client.hpp>
+#include <rosemarytrail/platform/vm_list_client.hpp>
+#include <rosemarytrail/platform/worker_client.hpp>
+#include <rosemarytrail/rpc/peer_client.hpp>
+#include <rosemarytrail/rpc/peer_server.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+namespace rosemarytrail::daemon {
+
+/** @brief Settings of the control state of a daemon. */
+struct control_plane_options
+{
+    control::controller_options controller{};
+    rpc::peer_server_options peer_server{};
+    rpc::peer_client_options peer_client{};
+    control_thread_options thread{};
+};
+
+/** @brief What the control state works with; all outlive it. */
+struct control_plane_ports
+{
+    platform::log_client& log;
+    platform::vm_list_client& vms;
+    platform::worker_client& workers;
+    const time_source& clock;
+    metrics::registry& metrics;
+    /** @brief Receives what traffic threads read. */
+    shared_view& view;
+    /** @brief Receives each table, on the control thread. */
+    std::function<void(std::shared_ptr<const request::routing_table>)> routing;
+    /** @brief Called at each tick, on the control thread. */
+    std::function<void(time_point)> ticked;
+};
+
+/** @brief Control thread with the controller and the peers' RPC on it. */
+class control_plane final : public controller_access
+{
+public:
+    /**
+     * @brief Prepares it; nothing runs yet.
+     * @param options Settings.
+     * @param ports What it works with; their callbacks may come on any thread.
+     */
+    control_plane(control_plane_options options, control_plane_ports ports);
+    control_plane(const control_plane&) = delete;
+    control_plane& operator=(const control_plane&) = delete;
+    ~control_plane() override;
+
+    /**
+     * @brief Starts the control thread and listens to peers.
+     * @param why Set if false.
+     * @return True if it runs.
+     */
+    [[nodiscard]] bool start(reason& why);
+
+    [[nodiscard]] bool post(call it) override;
+
+    /** @brief Begins to give up its partitions and to leave the cell. */
+    void begin_shutdown();
+
+    /** @return True once it holds nothing and has left. */
+    [[nodiscard]] bool shutdown_complete() const noexcept;
+
+    /** @brief Ends the control thread. */
+    void stop();
+
+private:
+    class loop;
+
+    control_plane_options options_;
+    control_plane_ports ports_;
+    control_thread thread_;
+    /** Lives on the control thread; set while that runs. */
+    loop* loop_{nullptr};
+    std::atomic<bool> shutdown_complete_{false};
+};
+
+} // namespace rosemarytrail::daemon
+
+#endif
--- a/src/rosemarytrail/daemon/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::daemon {} // namespace rosemarytrail::daemon
--- /dev/null
+++ b/src/rosemarytrail/daemon/refusal.cpp
@@ -0,0 +1,96 @@
+#include <rosemarytrail/daemon/refusal.hpp>
+
+#include <rosemarytrail/core/result_code.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <charconv>
+#include <cstdint>
+#include <random>
+
+namespace rosemarytrail::daemon {
+
+namespace {
+
+constexpr duration default_retry_after{std::chrono::seconds{1}};
+constexpr std::int64_t milliseconds_per_second = 1000;
+constexpr std::size_t longest_request_id = 128;
+constexpr int too_many_requests = 429;
+constexpr int unavailable = 503;
+
+std::optional<duration> retry_after_of(const reason& why, int status)
+{
+    if (why.retry_after)
+        return why.retry_after;
+    if (status == too_many_requests || status == unavailable)
+        return default_retry_after;
+    return std::nullopt;
+}
+
+void add_retry_after(std::vector<http::header>& headers, duration span)
+{
+    const auto ms = std::max<std::int64_t>(to_milliseconds(span), 1);
+    const auto seconds =
+        (ms + milliseconds_per_second - 1) / milliseconds_per_second;
+    headers.push_back({"Retry-After", std::to_string(seconds)});
+    headers.push_back({"Retry-After-Ms", std::to_string(ms)});
+}
+
+bool is_id_character(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.' ||
+           c == ':';
+}
+
+std::string fresh_request_id()
+{
+    static const std::uint64_t process =
+        (std::uint64_t{std::random_device{}()} << 32U) | std::random_device{}();
+    static std::atomic<std::uint64_t> count{0};
+    constexpr int hexadecimal = 16;
+    std::array<char, 2 * hexadecimal + 1> buf{};
+    auto* const end = buf.data() + buf.size();
+    auto at = std::to_chars(buf.data(), end, process, hexadecimal).ptr;
+    *at++ = '-';
+    at = std::to_chars(at, end, ++count, hexadecimal).ptr;
+    return {buf.data(), at};
+}
+
+} // namespace
+
+http::response to_response(const refusal& value)
+{
+    using nlohmann::json;
+    const auto& row = describe(value.why.code);
+    const auto code = static_cast<unsigned>(row.code);
+    json body{{"code", code},
+              {"reason", row.name},
+              {"detail", value.why.detail.empty() ? std::string{row.meaning}
+                                                  : value.why.detail},
+              {"not_run", value.not_run}};
+    if (value.current)
+        body["current"] = *value.current;
+    http::response answer{
+        .status = row.http_status,
+        .headers = {{"Content-Type", "application/json"},
+                    {"X-Rosemarytrail-Code", std::to_string(code)}},
+        .body = body.dump(-1, ' ', false, json::error_handler_t::replace)};
+    if (const auto span = retry_after_of(value.why, row.http_status))
+        add_retry_after(answer.headers, *span);
+    return answer;
+}
+
+std::string request_id_of(const http::request& head)
+{
+    const auto shown = http::find_header(head.headers, "X-Request-Id");
+    const bool valid = shown && !shown->empty() &&
+                       shown->size() <= longest_request_id &&
+                       std::ranges::all_of(*shown, is_id_character);
+    return valid ? std::string{*shown} : fresh_request_id();
+}
+
+} // namespace rosemarytrail::daemon
