--- /dev/null
+++ b/src/rosemarytrail/control/cell_log.cpp
@@ -0,0 +1,243 @@
+#include <rosemarytrail/control/cell_log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemarytrail::control {
+
+namespace {
+
+/** Longest time that the log may hold a read back for new entries. */
+constexpr duration poll_wait = std::chrono::milliseconds{500};
+/** Bytes of payload in one read. */
+constexpr std::size_t read_bytes = std::size_t{1} << 20U;
+/** Bytes of payload in the read of a snapshot. */
+constexpr std::size_t snapshot_bytes = std::size_t{64} << 20U;
+/** First and longest wait after a failed read. */
+constexpr duration retry_base = std::chrono::milliseconds{100};
+constexpr duration retry_cap = std::chrono::milliseconds{1000};
+/** Failed reads after which the log counts as down. */
+constexpr std::uint32_t failures_until_down = 2;
+/** Bytes of entries kept for peers. */
+constexpr std::size_t kept_limit = std::size_t{8} << 20U;
+/** Entries between two snapshots. */
+constexpr std::uint64_t snapshot_every = 2000;
+
+} // namespace
+
+cell_log::cell_log(platform::log_client& log, const time_source& clock,
+                   std::string stream, cell_log_listener& listener)
+    : log_{log}
+    , clock_{clock}
+    , stream_{std::move(stream)}
+    , listener_{listener}
+{}
+
+std::string cell_log::snapshot_stream() const
+{
+    return stream_ + "-snapshots";
+}
+
+bool cell_log::down() const noexcept
+{
+    return failures_ >= failures_until_down;
+}
+
+void cell_log::tick(time_point now)
+{
+    if (reading_ || now < next_read_) {
+        return;
+    }
+    reading_ = true;
+    switch (stage_) {
+    case stage::find_snapshot:
+        find_snapshot(now);
+        break;
+    case stage::read_snapshot:
+        read_snapshot(now);
+        break;
+    case stage::follow:
+        follow(now);
+        break;
+    }
+}
+
+void cell_log::read_failed()
+{
+    ++failures_;
+    const auto doublings = std::min<std::uint32_t>(failures_ - 1, 8);
+    next_read_ = clock_.now() +
+                 std::min<duration>(retry_base * (1U << doublings), retry_cap);
+}
+
+void cell_log::find_snapshot(time_point)
+{
+    std::weak_ptr<bool> alive = alive_;
+    log_.read({.stream = snapshot_stream(), .from = 0, .bytes = 1},
+              [this, alive](const platform::read_outcome& outcome) {
+                  if (alive.expired()) {
+                      return;
+                  }
+                  reading_ = false;
+                  if (outcome.result == platform::read_result::failed) {
+                      read_failed();
+                      return;
+                  }
+                  failures_ = 0;
+                  stage_ = stage::follow;
+                  if (outcome.next_offset > 0) {
+                      snapshot_offset_ = outcome.next_offset - 1;
+                      stage_ = stage::read_snapshot;
+                  }
+              });
+}
+
+void cell_log::read_snapshot(time_point)
+{
+    std::weak_ptr<bool> alive = alive_;
+    log_.read({.stream = snapshot_stream(),
+               .from = snapshot_offset_,
+               .bytes = snapshot_bytes},
+              [this, alive](const platform::read_outcome& outcome) {
+                  if (!alive.expired()) {
+                      on_snapshot(outcome);
+                  }
+              });
+}
+
+void cell_log::on_snapshot(const platform::read_outcome& outcome)
+{
+    reading_ = false;
+    if (outcome.result == platform::read_result::failed) {
+        read_failed();
+        return;
+    }
+    failures_ = 0;
+    stage_ = stage::follow;
+    if (outcome.entries.empty()) {
+        stage_ = stage::find_snapshot;
+        return;
+    }
+    reason why;
+    auto restored =
+        state::cell_state::restore(outcome.entries.back().payload, why);
+    const bool newer =
+        restored && restored->next_offset() > state_.next_offset();
+    if (!newer) {
+        return;
+    }
+    state_ = std::move(*restored);
+    last_snapshot_ = state_.next_offset();
+    kept_.clear();
+    kept_bytes_ = 0;
+    listener_.on_restored();
+}
+
+void cell_log::follow(time_point now)
+{
+    std::weak_ptr<bool> alive = alive_;
+    log_.read({.stream = stream_,
+               .from = state_.next_offset(),
+               .bytes = read_bytes,
+               .wait = caught_up_ ? poll_wait : duration::zero()},
+              [this, alive, now](const platform::read_outcome& outcome) {
+                  if (!alive.expired()) {
+                      on_entries(outcome, now);
+                  }
+              });
+}
+
+void cell_log::on_entries(const platform::read_outcome& outcome,
+                          time_point asked)
+{
+    reading_ = false;
+    if (outcome.result == platform::read_result::failed) {
+        read_failed();
+        return;
+    }
+    failures_ = 0;
+    if (outcome.result == platform::read_result::trimmed) {
+        stage_ = stage::find_snapshot;
+        return;
+    }
+    for (const auto& it : outcome.entries) {
+        apply_entry(it.offset, it.payload);
+    }
+    if (state_.next_offset() >= outcome.next_offset) {
+        caught_up_ = true;
+        listener_.on_tail(asked, outcome.next_offset);
+    }
+}
+
+void cell_log::apply_entry(std::uint64_t offset, const std::string& payload)
+{
+    if (offset != state_.next_offset()) {
+        return;
+    }
+    applied_entry entry{.offset = offset};
+    std::uint64_t unknown = 0;
+    reason why;
+    if (auto decoded = state::decode(payload, unknown, why)) {
+        entry.records = std::move(*decoded);
+    }
+    entry.verdicts = state_.apply(offset, payload);
+    keep(offset, payload);
+    listener_.on_applied(entry);
+}
+
+void cell_log::keep(std::uint64_t offset, const std::string& payload)
+{
+    kept_bytes_ += payload.size();
+    kept_.push_back({.offset = offset, .payload = payload});
+    while (kept_bytes_ > kept_limit) {
+        kept_bytes_ -= kept_.front().payload.size();
+        kept_.pop_front();
+    }
+}
+
+void cell_log::apply_relayed(std::span<const platform::log_entry> entries)
+{
+    for (const auto& it : entries) {
+        apply_entry(it.offset, it.payload);
+    }
+}
+
+std::vector<platform::log_entry> cell_log::relay(std::uint64_t from,
+                                                 std::size_t bytes) const
+{
+    std::vector<platform::log_entry> out;
+    if (kept_.empty() || from < kept_.front().offset) {
+        return out;
+    }
+    for (auto n = from - kept_.front().offset; n < kept_.size(); ++n) {
+        const auto& it = kept_[n];
+        if (!out.empty() && it.payload.size() > bytes) {
+            break;
+        }
+        bytes -= std::min(bytes, it.payload.size());
+        out.push_back(it);
+    }
+    return out;
+}
+
+void cell_log::maybe_snapshot(time_point)
+{
+    const auto next = state_.next_offset();
+    if (snapshot_in_flight_ || next < last_snapshot_ + snapshot_every) {
+        return;
+    }
+    snapshot_in_flight_ = true;
+    std::weak_ptr<bool> alive = alive_;
+    log_.append(snapshot_stream(), state_.snapshot(),
+                [this, alive, next](const platform::append_outcome& outcome) {
+                    if (alive.expired()) {
+                        return;
+                    }
+                    snapshot_in_flight_ = false;
+                    if (outcome.result == platform::append_result::appended) {
+                        last_snapshot_ = next;
+                    }
+                });
+}
+
+} // namespace rosemarytrail::control
--- /dev/null
+++ b/src/rosemarytrail/control/internal/controller_state.hpp
@@ -0,0 +1,192 @@
+#ifndef ROSEMARYTRAIL_CONTROL_INTERNAL_CONTROLLER_STATE_HPP
+#define ROSEMARYTRAIL_CONTROL_INTERNAL_CONTROLLER_STATE_HPP
+
+#include <rosemarytrail/control/allowance_policy.hpp>
+#include <rosemarytrail/control/cell_log.hpp>
+#include <rosemarytrail/control/claim_policy.hpp>
+#include <rosemarytrail/control/controller.hpp>
+#include <rosemarytrail/control/partition_holder.hpp>
+#include <rosemarytrail/control/peer_table.hpp>
+#include <rosemarytrail/control/record_writer.hpp>
+#include <rosemarytrail/state/freshness.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rosemarytrail::control {
+
+/** @brief Question that waits until a record is applied. */
+struct status_waiter
+{
+    team_id team{};
+    job_id job{};
+    record_number read_from{};
+    time_point deadline{};
+    std::function<void(std::optional<job_status>, reason)> done;
+};
+
+/** @brief Submission or publication that waits for the fold. */
+struct write_waiter
+{
+    time_point deadline{};
+    /** @brief Answers once; a later call does nothing. */
+    std::function<void(const write_outcome*)> finish;
+};
+
+/** @brief Allowance that is on its way out of a partition. */
+struct gift_key
+{
+    partition_id from{};
+    team_id team{};
+
+    [[nodiscard]] friend auto operator<=>(const gift_key&,
+                                          const gift_key&) = default;
+};
+
+/** @brief Everything that a controller knows; see controller.hpp. */
+struct controller::internal_state final : cell_log_listener
+{
+    internal_state(controller_options opts, controller_ports given);
+
+    // Events of the log: events.cpp.
+    void on_applied(const applied_entry& entry) override;
+    void on_restored() override;
+    void on_tail(time_point asked, std::uint64_t next_offset) override;
+    void on_record(const state::record& value, record_number number,
+                   const incarnation_id& writer);
+    void on_claimed(const state::partition_claimed& it, record_number number,
+                    const incarnation_id& writer);
+    void on_vm_moved(const vm_id& vm, partition_id from, partition_id to);
+    void on_job_moved(const state::job_handed_over& it);
+    void on_job_over(const job_id& job);
+    void begin_holding(partition_id partition, record_number claim,
+                       record_number replaced);
+    [[nodiscard]] partition_holder* holder_of(partition_id partition);
+    [[nodiscard]] const partition_holder*
+    holder_of(partition_id partition) const;
+
+    // Membership, claims and hand-over: ownership.cpp.
+    void tick_membership(time_point now);
+    void join(time_point now);
+    void strike_off(time_point now);
+    void tick_claims(time_point now);
+    void claim(partition_id partition);
+    [[nodiscard]] holder_condition condition_of(const incarnation_id& holder,
+                                                time_point now) const;
+    [[nodiscard]] std::set<incarnation_id> region_members() const;
+    [[nodiscard]] bool hears_majority(time_point now) const;
+    void tick_shutdown(time_point now);
+    void assign_vms(time_point now);
+    void tick_hand_over(time_point now);
+    void give_allowances(partition_id partition, partition_holder& holder,
+                         time_point now);
+    void give_jobs(partition_id partition, partition_holder& holder,
+                   time_point now);
+    void give_allowance(partition_id from, partition_holder& holder,
+                        const team_id& team, const allowance_gift& gift);
+    void give_job(partition_id from, partition_holder& holder,
+                  const job_id& job, partition_id to, time_point now);
+    void take_back(const job_id& job, partition_id partition);
+
+    // Peers: exchange.cpp.
+    void tick_peers(time_point now);
+    void call_peer(const incarnation_id& member, const std::string& address,
+                   time_point now);
+    void fetch_from_peer(time_point now);
+    void learn(const heartbeat& theirs, time_point asked, time_point now);
+    void learn_from(const heartbeat& theirs, time_point now);
+    [[nodiscard]] heartbeat own_heartbeat(time_point now) const;
+    [[nodiscard]] std::vector<partition_summary> summaries() const;
+
+    // VM list, teams and the table for traffic: routing.cpp.
+    void tick_vm_list(time_point now);
+    void on_vm_list(const platform::vm_list_outcome& outcome);
+    void refresh_holders(time_point now);
+    void refresh_team(partition_id partition, partition_holder& holder,
+                      const team_id& team, time_point now);
+    void publish_routing(time_point now);
+    [[nodiscard]] placement::fleet_totals fleet() const;
+    [[nodiscard]] resources used_elsewhere(const team_id& team,
+                                           partition_id partition) const;
+
+    // Callers and operators: callers.cpp.
+    void write(state::record value, duration timeout,
+               std::function<void(const write_outcome*)> done, reason& why);
+    void tick_waiters(time_point now);
+    void answer_status(const status_waiter& it);
+    [[nodiscard]] job_status status_from_log(const state::job_state& job) const;
+    [[nodiscard]] std::optional<std::string>
+    peer_address_of(partition_id partition) const;
+
+    [[nodiscard]] const state::cell_state& cell() const noexcept
+    {
+        return log.state();
+    }
+
+    [[nodiscard]] bool may_act(time_point now) const;
+    [[nodiscard]] bool log_down() const noexcept;
+
+    controller_options options;
+    controller_ports ports;
+    metrics::code_counters& task_ends;
+    metrics::code_counters& void_records;
+    metrics::counter& starts;
+    metrics::counter& jobs_accepted;
+    metrics::counter& records_applied;
+    metrics::counter& relayed_entries;
+    metrics::counter& claims;
+    metrics::gauge& held_partitions;
+    metrics::gauge& may_act_gauge;
+    metrics::gauge& log_down_gauge;
+    metrics::gauge& appends_gauge;
+    metrics::gauge& append_bytes_gauge;
+    metrics::summary& start_waits;
+
+    cell_log log;
+    /** Records of a holder and a member; they are never given up. */
+    record_writer writer;
+    /** Records of callers and operators; those not yet sent can be dropped. */
+    record_writer caller_writer;
+    state::freshness fresh;
+    peer_table peers;
+    claim_policy policy{claim_options{}};
+    std::map<partition_id, std::unique_ptr<partition_holder>> holders;
+    std::map<vm_id, platform::vm_entry> vm_list;
+    bool vm_list_in_flight{false};
+    time_point next_vm_list{};
+    bool joining{false};
+    bool joined_once{false};
+    bool leaving{false};
+    bool left{false};
+    bool draining{false};
+    bool was_acting{false};
+    bool was_log_down{false};
+    time_point log_down_since{};
+    bool relay_in_flight{false};
+    time_point next_claims{};
+    time_point next_refresh{};
+    time_point next_hand_over{};
+    time_point next_routing{};
+    time_point behind_since{};
+    std::uint64_t next_job{1};
+    std::set<vm_id> assigning;
+    std::set<incarnation_id> striking;
+    std::set<std::string> giving;
+    std::map<gift_key, resources> pending_gifts;
+    /** Summaries of all partitions at the last refresh. */
+    std::vector<partition_summary> refreshed;
+    std::list<status_waiter> status_waiters;
+    std::list<std::shared_ptr<write_waiter>> write_waiters;
+    std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
+};
+
+} // namespace rosemarytrail::control
+
+#endif
--- /dev/null
+++ b/src/rosemarytrail/control/internal/events.cpp
@@ -0,0 +1,280 @@
+#include <rosemarytrail/control/internal/controller_state.hpp>
+
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace rosemarytrail::control {
+
+namespace {
+
+/** Writer id of records that callers and operators cause. */
+constexpr const char* caller_suffix = "/callers";
+
+} // namespace
+
+controller::internal_state::internal_state(controller_options opts,
+                                           controller_ports given)
+    : options{std::move(opts)}
+    , ports{std::move(given)}
+    , task_ends{ports.metrics.make_code_counters(
+          "rosemarytrail_task_ends_total", "Task ends and refusals by reason")}
+    , void_records{ports.metrics.make_code_counters(
+          "rosemarytrail_records_void_total", "Records that the fold voided")}
+    , starts{ports.metrics.make_counter("rosemarytrail_task_starts_total",
+                                        "Task starts that a worker confirmed")}
+    , jobs_accepted{ports.metrics.make_counter(
+          "rosemarytrail_jobs_accepted_total",
+          "Jobs accepted through this entry VM")}
+    , records_applied{ports.metrics.make_counter(
+          "rosemarytrail_records_applied_total", "Records that took effect")}
+    , relayed_entries{ports.metrics.make_counter(
+          "rosemarytrail_entries_relayed_total",
+          "Log entries learnt from a peer")}
+    , claims{ports.metrics.make_counter("rosemarytrail_claims_total",
+                                        "Claims written by this entry VM")}
+    , held_partitions{ports.metrics.make_gauge("rosemarytrail_partitions_held",
+                                               "Partitions held")}
+    , may_act_gauge{ports.metrics.make_gauge(
+          "rosemarytrail_fresh", "1 while this entry VM may start and renew")}
+    , log_down_gauge{ports.metrics.make_gauge(
+          "rosemarytrail_log_down", "1 while the log does not answer")}
+    , appends_gauge{ports.metrics.make_gauge("rosemarytrail_appends",
+                                             "Appends sent since the start")}
+    , append_bytes_gauge{ports.metrics.make_gauge(
+          "rosemarytrail_append_bytes", "Bytes appended since the start")}
+    , start_waits{ports.metrics.make_summary(
+          "rosemarytrail_start_wait",
+          "Time from acceptance of a job to the start of each task")}
+    , log{ports.log, ports.clock, options.stream, *this}
+    , writer{{.writer = options.self,
+              .appends_per_second = options.appends_per_second},
+             ports.log,
+             ports.clock,
+             options.stream}
+    , caller_writer{{.writer =
+                         incarnation_id{options.self.str() + caller_suffix},
+                     .appends_per_second = options.appends_per_second},
+                    ports.log,
+                    ports.clock,
+                    options.stream}
+    , fresh{options.freshness}
+    , peers{options.peer_timeout}
+{}
+
+bool controller::internal_state::may_act(time_point now) const
+{
+    return log.caught_up() && !left &&
+           fresh.may_act(options.self, region_members(), cell().next_offset(),
+                         now);
+}
+
+bool controller::internal_state::log_down() const noexcept
+{
+    constexpr std::uint32_t append_failures = 2;
+    return log.down() || writer.failures() >= append_failures ||
+           caller_writer.failures() >= append_failures;
+}
+
+void controller::internal_state::on_tail(time_point asked,
+                                         std::uint64_t next_offset)
+{
+    fresh.log_tail_read(asked, next_offset);
+}
+
+void controller::internal_state::on_applied(const applied_entry& entry)
+{
+    const auto now = ports.clock.now();
+    const auto& records = entry.records.records;
+    for (std::size_t n = 0; n < entry.verdicts.size() && n < records.size();
+         ++n) {
+        const auto& verdict = entry.verdicts[n];
+        if (verdict.code != result_code::ok) {
+            void_records.add(verdict.code);
+            continue;
+        }
+        records_applied.add();
+        on_record(records[n], verdict.number, entry.records.writer);
+    }
+    if (entry.verdicts.empty()) {
+        return;
+    }
+    if (entry.records.writer == options.self) {
+        writer.applied(entry.records.sequence, entry.verdicts, now);
+    } else if (entry.records.writer.str() ==
+               options.self.str() + caller_suffix) {
+        caller_writer.applied(entry.records.sequence, entry.verdicts, now);
+    }
+}
+
+void controller::internal_state::on_record(const state::record& value,
+                                           record_number number,
+                                           const incarnation_id& by)
+{
+    const auto now = ports.clock.now();
+    if (const auto* it = std::get_if<state::partition_claimed>(&value)) {
+        on_claimed(*it, number, by);
+    } else if (const auto* vm = std::get_if<state::vm_assigned>(&value)) {
+        assigning.erase(vm->vm);
+        if (auto* holder = holder_of(vm->partition)) {
+            holder->add_vm(vm->vm);
+        }
+        next_refresh = now;
+    } else if (const auto* moved = std::get_if<state::vm_handed_over>(&value)) {
+        on_vm_moved(moved->vm, moved->from, moved->to);
+    } else if (const auto* job = std::get_if<state::job_accepted>(&value)) {
+        if (auto* holder = holder_of(job->partition)) {
+            holder->add_job(*cell().find_job(job->job), now);
+        }
+    } else if (const auto* given =
+                   std::get_if<state::job_handed_over>(&value)) {
+        on_job_moved(*given);
+    } else if (const auto* over = std::get_if<state::job_cancelled>(&value)) {
+        on_job_over(over->job);
+    } else if (const auto* refused = std::get_if<state::job_rejected>(&value)) {
+        on_job_over(refused->job);
+    } else if (const auto* ended = std::get_if<state::tasks_finished>(&value)) {
+        for (const auto& task : ended->tasks) {
+            on_job_over(task.task.job);
+        }
+    } else if (const auto* gone = std::get_if<state::member_left>(&value)) {
+        for (auto& [partition, holder] : holders) {
+            if (gone->member == by) {
+                holder->proof().left_by_itself(gone->member, now);
+            }
+        }
+        left = left || (gone->member == options.self && leaving);
+        striking.erase(gone->member);
+    } else if (const auto* lost =
+                   std::get_if<state::vm_declared_lost>(&value)) {
+        for (auto& [partition, holder] : holders) {
+            holder->proof().declared_lost(lost->vm);
+        }
+    } else {
+        next_refresh = now;
+        next_routing = now;
+    }
+}
+
+partition_holder* controller::internal_state::holder_of(partition_id partition)
+{
+    const auto it = holders.find(partition);
+    return it == holders.end() ? nullptr : it->second.get();
+}
+
+const partition_holder*
+controller::internal_state::holder_of(partition_id partition) const
+{
+    const auto it = holders.find(partition);
+    return it == holders.end() ? nullptr : it->second.get();
+}
+
+void controller::internal_state::on_claimed(const state::partition_claimed& it,
+                                            record_number number,
+                                            const incarnation_id& by)
+{
+    policy.set_pending(it.partition, false);
+    const bool held = holders.erase(it.partition) > 0;
+    if (by != options.self) {
+        if (held) {
+            ports.changed(result_code::not_holder,
+                          "partition " + std::to_string(it.partition) +
+                              " went to " + by.str());
+        }
+        return;
+    }
+    claims.add();
+    ports.changed(result_code::ok, "claimed partition " +
+                                       std::to_string(it.partition) +
+                                       ", epoch " + std::to_string(number));
+    begin_holding(it.partition, number, it.replaces);
+}
+
+void controller::internal_state::begin_holding(partition_id partition,
+                                               record_number claim,
+                                               record_number replaced)
+{
+    const auto now = ports.clock.now();
+    std::set<vm_id> vms;
+    std::vector<std::set<incarnation_id>> sets;
+    if (replaced != 0) {
+        for (const auto& [vm, it] : cell().vms()) {
+            if (it.partition == partition) {
+                vms.insert(vm);
+            }
+        }
+        sets = cell().member_sets_since(options.region, replaced);
+    }
+    state::takeover proof{options.freshness, claim, std::move(vms),
+                          std::move(sets)};
+    proof.claim_applied_by(options.self, now);
+    holder_ports with{.state = cell(),
+                      .writer = writer,
+                      .workers = ports.workers,
+                      .clock = ports.clock,
+                      .task_ends = task_ends,
+                      .starts = starts,
+                      .start_waits = start_waits};
+    holders[partition] = std::make_unique<partition_holder>(
+        holder_options{.partition = partition,
+                       .epoch = claim,
+                       .spans = options.freshness,
+                       .worker_period = options.worker_period,
+                       .scheduler = {.seed = partition + 1U}},
+        with, std::move(proof), now);
+    next_refresh = now;
+}
+
+void controller::internal_state::on_vm_moved(const vm_id& vm, partition_id from,
+                                             partition_id to)
+{
+    const auto now = ports.clock.now();
+    if (auto* holder = holder_of(from)) {
+        holder->remove_vm(vm, now);
+    }
+    if (auto* holder = holder_of(to)) {
+        holder->add_vm(vm);
+    }
+    giving.erase("vm/" + vm.str());
+    next_refresh = now;
+}
+
+void controller::internal_state::on_job_moved(const state::job_handed_over& it)
+{
+    const auto now = ports.clock.now();
+    giving.erase("job/" + it.job.str());
+    if (auto* holder = holder_of(it.from)) {
+        holder->drop_job(it.job, now);
+    }
+    const auto* job = cell().find_job(it.job);
+    if (auto* holder = holder_of(it.to); holder != nullptr && job != nullptr) {
+        holder->add_job(*job, now);
+    }
+}
+
+void controller::internal_state::on_job_over(const job_id& id)
+{
+    const auto* job = cell().find_job(id);
+    if (job != nullptr && job->phase == state::job_phase::accepted) {
+        return;
+    }
+    for (auto& [partition, holder] : holders) {
+        holder->drop_job(id, ports.clock.now());
+    }
+}
+
+void controller::internal_state::on_restored()
+{
+    holders.clear();
+    assigning.clear();
+    giving.clear();
+    const auto& partitions = cell().partitions();
+    for (std::size_t n = 0; n < partitions.size(); ++n) {
+        if (partitions[n].holder == options.self) {
+            begin_holding(static_cast<partition_id>(n), partitions[n].epoch,
+                          partitions[n].epoch);
+        }
+    }
+}
+
+} // namespace rosemarytrail::control
--- /dev/null
+++ b/src/rosemarytrail/control/internal/routing.cpp
@@ -0,0 +1,163 @@
+#include <rosemarytrail/control/internal/controller_state.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemarytrail::control {
+
+namespace {
+
+/** Span between two refreshes of teams and VMs in the holders. */
+constexpr duration refresh_period = std::chrono::milliseconds{100};
+/** Span between two tables for the traffic threads. */
+constexpr duration routing_period = std::chrono::milliseconds{100};
+
+} // namespace
+
+void controller::internal_state::tick_vm_list(time_point now)
+{
+    if (vm_list_in_flight || now < next_vm_list) {
+        return;
+    }
+    vm_list_in_flight = true;
+    next_vm_list = now + options.vm_list_period;
+    std::weak_ptr<bool> guard = alive;
+    ports.vms.fetch([this, guard](const platform::vm_list_outcome& outcome) {
+        if (guard.expired()) {
+            return;
+        }
+        vm_list_in_flight = false;
+        if (outcome.answered) {
+            on_vm_list(outcome);
+        }
+    });
+}
+
+void controller::internal_state::on_vm_list(
+    const platform::vm_list_outcome& outcome)
+{
+    vm_list.clear();
+    for (const auto& it : outcome.vms) {
+        vm_list.emplace(it.vm, it);
+    }
+    next_refresh = time_point{};
+}
+
+placement::fleet_totals controller::internal_state::fleet() const
+{
+    placement::fleet_totals out;
+    for (const auto& [vm, it] : cell().vms()) {
+        if (it.lost != 0) {
+            continue;
+        }
+        out.capacity += it.capacity;
+        if (it.capacity.millicores >= out.largest_vm.millicores) {
+            out.largest_vm = it.capacity;
+        }
+    }
+    return out;
+}
+
+resources
+controller::internal_state::used_elsewhere(const team_id& team,
+                                           partition_id partition) const
+{
+    resources out{};
+    for (const auto& it : refreshed) {
+        if (it.partition == partition) {
+            continue;
+        }
+        for (const auto& usage : it.teams) {
+            if (usage.team == team) {
+                out += usage.used;
+            }
+        }
+    }
+    return out;
+}
+
+void controller::internal_state::refresh_team(partition_id partition,
+                                              partition_holder& holder,
+                                              const team_id& team,
+                                              time_point now)
+{
+    const auto it = cell().teams().find(team);
+    if (it == cell().teams().end()) {
+        return;
+    }
+    auto allowance = cell().allowance(team, partition);
+    allowance -= holder.unseen_use(team, now);
+    if (const auto gift = pending_gifts.find({partition, team});
+        gift != pending_gifts.end()) {
+        allowance -= gift->second;
+    }
+    holder.update_team({.team = team,
+                        .weight = it->second.weight,
+                        .allowance = allowance,
+                        .used_elsewhere = used_elsewhere(team, partition)});
+}
+
+void controller::internal_state::refresh_holders(time_point now)
+{
+    if (now < next_refresh) {
+        return;
+    }
+    next_refresh = now + refresh_period;
+    refreshed = summaries();
+    const auto totals = fleet();
+    for (auto& [partition, holder] : holders) {
+        holder->update_fleet(totals);
+        for (const auto& [team, spec] : cell().teams()) {
+            refresh_team(partition, *holder, team, now);
+        }
+        for (const auto& [vm, it] : cell().vms()) {
+            if (it.partition != partition) {
+                continue;
+            }
+            if (const auto row = vm_list.find(vm); row != vm_list.end()) {
+                holder->update_vm(row->second);
+            } else {
+                holder->vm_unlisted(vm);
+            }
+        }
+    }
+    assign_vms(now);
+}
+
+void controller::internal_state::publish_routing(time_point now)
+{
+    if (now < next_routing) {
+        return;
+    }
+    next_routing = now + routing_period;
+    auto table = std::make_shared<request::routing_table>();
+    for (const auto& it : summaries()) {
+        for (const auto& endpoint : it.endpoints) {
+            table->services[endpoint.service].push_back(endpoint.upstream);
+        }
+    }
+    constexpr std::string_view key_prefix = "key/";
+    for (const auto& [name, document] : cell().documents()) {
+        if (!name.starts_with(key_prefix)) {
+            continue;
+        }
+        const key_id id{name.substr(key_prefix.size())};
+        if (const auto* key = cell().find_key(id)) {
+            table->keys.emplace(id, *key);
+        }
+    }
+    for (const auto& [team, spec] : cell().teams()) {
+        table->weights.emplace(team, spec.weight);
+    }
+    table->entry_vms =
+        1U + static_cast<std::uint32_t>(peers.working(now).size());
+    table->zone = options.zone;
+    table->fresh_until =
+        fresh.acts_until(options.self, region_members(), cell().next_offset());
+    table->draining = draining;
+    table->catching_up = !joined_once;
+    table->applied = cell().next_offset() * records_per_batch;
+    ports.routing(std::move(table));
+}
+
+} // namespace rosemarytrail::control
--- /dev/null
+++ b/src/rosemarytrail/control/peer_table.cpp
@@ -0,0 +1,61 @@
+#include <rosemarytrail/control/peer_table.hpp>
+
+namespace rosemarytrail::control {
+
+void peer_table::follow_members(const std::set<incarnation_id>& members,
+                                const incarnation_id& self, time_point now)
+{
+    for (const auto& it : members) {
+        if (it == self) {
+            continue;
+        }
+        const auto [entry, added] = peers_.try_emplace(it);
+        if (added) {
+            entry->second.known = now;
+        }
+    }
+    std::erase_if(peers_, [&](const auto& it) {
+        return !members.contains(it.first) && !it.second.call_in_flight;
+    });
+}
+
+void peer_table::heard(const heartbeat& value, time_point now)
+{
+    const auto it = peers_.find(value.sender);
+    if (it == peers_.end()) {
+        return;
+    }
+    it->second.last = value;
+    it->second.heard = now;
+    it->second.ever_heard = true;
+}
+
+bool peer_table::alive(const incarnation_id& member, time_point now) const
+{
+    const auto it = peers_.find(member);
+    return it != peers_.end() && it->second.ever_heard &&
+           now - it->second.heard <= timeout_;
+}
+
+duration peer_table::silent_for(const incarnation_id& member,
+                                time_point now) const
+{
+    const auto it = peers_.find(member);
+    if (it == peers_.end()) {
+        return duration::zero();
+    }
+    return now - (it->second.ever_heard ? it->second.heard : it->second.known);
+}
+
+std::set<incarnation_id> peer_table::working(time_point now) const
+{
+    std::set<incarnation_id> out;
+    for (const auto& [member, view] : peers_) {
+        if (alive(member, now) && !view.last.draining) {
+            out.insert(member);
+        }
+    }
+    return out;
+}
+
+} // namespace rosemarytrail::control
--- a/src/rosemarytrail/control/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::control {} // namespace rosemarytrail::control
--- /dev/null
+++ b/src/rosemarytrail/control/worker_link.cpp
@@ -0,0 +1,124 @@
+#include <rosemarytrail/control/worker_link.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemarytrail::control {
+
+namespace {
+
+/** Commands in one batch. */
+constexpr std::size_t batch_limit = 256;
+/** First and longest wait after a batch that was not answered. */
+constexpr duration retry_base = std::chrono::milliseconds{100};
+constexpr duration retry_cap = std::chrono::milliseconds{1000};
+
+} // namespace
+
+worker_link::worker_link(vm_id vm, platform::worker_client& workers,
+                         const time_source& clock,
+                         const state::freshness_options& spans,
+                         callback answered)
+    : vm_{std::move(vm)}
+    , workers_{workers}
+    , clock_{clock}
+    , spans_{spans}
+    , answered_{std::move(answered)}
+{}
+
+void worker_link::set_address(std::string address)
+{
+    address_ = std::move(address);
+}
+
+void worker_link::enqueue(platform::worker_command command)
+{
+    commands_.push_back(std::move(command));
+}
+
+void worker_link::drop_commands()
+{
+    commands_.clear();
+    ++generation_;
+}
+
+bool worker_link::reachable(time_point now) const noexcept
+{
+    return contacted_ && now - last_answer_ <= 2 * spans_.command_bound;
+}
+
+bool worker_link::lapsed(time_point now) const noexcept
+{
+    return contacted_ && now - last_answer_ > spans_.command_bound +
+                                                  spans_.task_lease +
+                                                  spans_.drift_margin;
+}
+
+void worker_link::tick(bool may_act, duration period, time_point now)
+{
+    if (in_flight_ || address_.empty() || epoch_ == 0) {
+        return;
+    }
+    if (now < next_send_ && (commands_.empty() || retry_wait_ > duration{})) {
+        return;
+    }
+    next_send_ = now + period;
+    send(may_act, now);
+}
+
+void worker_link::send(bool may_act, time_point now)
+{
+    platform::worker_batch batch{.epoch = epoch_};
+    if (may_act && token_ != 0) {
+        batch.token = token_;
+        batch.lease = spans_.task_lease;
+        batch.renew = true;
+        const auto n = std::min(commands_.size(), batch_limit);
+        batch.commands.assign(commands_.begin(), commands_.begin() + n);
+    }
+    in_flight_ = true;
+    std::weak_ptr<bool> alive = alive_;
+    const auto sent = batch.commands.size();
+    const auto generation = generation_;
+    workers_.send(address_, std::move(batch),
+                  [this, alive, sent, generation,
+                   now](const platform::worker_outcome& outcome) {
+                      if (alive.expired()) {
+                          return;
+                      }
+                      const bool same = generation == generation_;
+                      on_outcome(outcome, same ? sent : 0, now);
+                  });
+}
+
+void worker_link::on_outcome(const platform::worker_outcome& outcome,
+                             std::size_t sent, time_point asked)
+{
+    in_flight_ = false;
+    const auto now = clock_.now();
+    switch (outcome.code) {
+    case result_code::ok:
+        break;
+    case result_code::worker_token_refused:
+        token_ = outcome.token;
+        last_answer_ = std::max(last_answer_, now);
+        next_send_ = now;
+        return;
+    default:
+        retry_wait_ =
+            std::clamp<duration>(2 * retry_wait_, retry_base, retry_cap);
+        next_send_ = std::max(asked, now) + retry_wait_;
+        return;
+    }
+    retry_wait_ = duration{};
+    token_ = outcome.token;
+    contacted_ = true;
+    last_answer_ = now;
+    const std::vector<platform::worker_command> done(
+        commands_.begin(), commands_.begin() + static_cast<long>(sent));
+    commands_.erase(commands_.begin(),
+                    commands_.begin() + static_cast<long>(sent));
+    answered_(worker_answer{.outcome = outcome, .commands = done}, now);
+}
+
+} // namespace rosemarytrail::control
