--- a/src/rosemarytrail/control/internal/events.cpp
+++ b/src/rosemarytrail/control/internal/events.cpp
@@ -1,6 +1,6 @@
 #include <rosemarytrail/control/internal/controller_state.hpp>
 
-#include <type_traits>
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -174,6 +174,7 @@
                                             const incarnation_id& by)
 {
     policy.set_pending(it.partition, false);
+    const auto former = std::exchange(known_holders[it.partition], by);
     const bool held = holders.erase(it.partition) > 0;
     if (by != options.self) {
         if (held) {
@@ -187,23 +188,25 @@
     ports.changed(result_code::ok, "claimed partition " +
                                        std::to_string(it.partition) +
                                        ", epoch " + std::to_string(number));
-    begin_holding(it.partition, number, it.replaces);
+    const auto from =
+        std::max(it.replaces / records_per_batch, peers.applied_by(former));
+    begin_holding(it.partition, number, it.replaces == 0, from);
 }
 
 void controller::internal_state::begin_holding(partition_id partition,
-                                               record_number claim,
-                                               record_number replaced)
+                                               record_number claim, bool first,
+                                               std::uint64_t from)
 {
     const auto now = ports.clock.now();
     std::set<vm_id> vms;
     std::vector<std::set<incarnation_id>> sets;
-    if (replaced != 0) {
+    if (!first) {
         for (const auto& [vm, it] : cell().vms()) {
             if (it.partition == partition) {
                 vms.insert(vm);
             }
         }
-        sets = cell().member_sets_since(options.region, replaced);
+        sets = cell().member_sets_since(options.region, from);
     }
     state::takeover proof{options.freshness, claim, std::move(vms),
                           std::move(sets)};
@@ -270,9 +273,11 @@
     giving.clear();
     const auto& partitions = cell().partitions();
     for (std::size_t n = 0; n < partitions.size(); ++n) {
+        const auto id = static_cast<partition_id>(n);
+        known_holders[id] = partitions[n].holder;
         if (partitions[n].holder == options.self) {
-            begin_holding(static_cast<partition_id>(n), partitions[n].epoch,
-                          partitions[n].epoch);
+            begin_holding(id, partitions[n].epoch, false,
+                          partitions[n].epoch / records_per_batch);
         }
     }
 }
--- a/src/rosemarytrail/control/internal/ownership.cpp
+++ b/src/rosemarytrail/control/internal/ownership.cpp
@@ -242,6 +242,7 @@
         if (holder->settled(now)) {
             give_allowances(partition, *holder, now);
             give_jobs(partition, *holder, now);
+            give_vms(partition, *holder, now);
         }
     }
 }
@@ -378,6 +379,65 @@
     }
 }
 
+void controller::internal_state::give_vms(partition_id partition,
+                                          partition_holder& holder,
+                                          time_point now)
+{
+    // All VMs flow to the lowest partition that lacks some, so that two gangs
+    // never hold half of each other's VMs.
+    const auto known = summaries();
+    const auto target =
+        std::find_if(known.begin(), known.end(), [](const auto& it) {
+            return it.settled && !it.lacking.is_zero();
+        });
+    if (target == known.end() || target->partition >= partition) {
+        const bool lower = target != known.end() &&
+                           target->partition != partition &&
+                           holder.summary(now).lacking.is_zero();
+        if (!lower) {
+            return;
+        }
+    }
+    auto lacking = target->lacking;
+    for (const auto& vm : holder.idle_vms(now)) {
+        if (lacking.is_zero()) {
+            return;
+        }
+        give_vm(partition, holder, vm, target->partition, now);
+        const auto& size = cell().vms().at(vm).capacity;
+        lacking -= lesser(lacking, size);
+    }
+}
+
+void controller::internal_state::give_vm(partition_id from,
+                                         partition_holder& holder,
+                                         const vm_id& vm, partition_id to,
+                                         time_point now)
+{
+    // Nothing may start on the VM between this record and its verdict.
+    holder.withhold_vm(vm, true, now);
+    std::weak_ptr<bool> guard = alive;
+    const auto keep = [this, guard, vm, from] {
+        auto* still = guard.expired() ? nullptr : holder_of(from);
+        if (still != nullptr) {
+            still->withhold_vm(vm, false, ports.clock.now());
+        }
+    };
+    reason why;
+    const bool queued = writer.push(
+        state::vm_handed_over{
+            .vm = vm, .from = from, .epoch = holder.epoch(), .to = to},
+        [keep](const write_outcome& outcome) {
+            if (outcome.verdict->code != result_code::ok) {
+                keep();
+            }
+        },
+        why);
+    if (!queued) {
+        keep();
+    }
+}
+
 void controller::internal_state::take_back(const job_id& id,
                                            partition_id partition)
 {
--- a/src/rosemarytrail/control/partition_holder.cpp
+++ b/src/rosemarytrail/control/partition_holder.cpp
@@ -133,7 +133,8 @@
         expire(held, now);
     }
     const bool accepting = held.listed && !held.entry.leaving &&
-                           held.link->contacted() && held.link->reachable(now);
+                           !held.withheld && held.link->contacted() &&
+                           held.link->reachable(now);
     scheduler_->upsert_vm({.vm = vm,
                            .rack = held.entry.rack,
                            .zone = held.entry.zone,
@@ -484,6 +485,51 @@
     return lesser(room, asked);
 }
 
+std::vector<vm_id> partition_holder::idle_vms(time_point now) const
+{
+    std::vector<vm_id> out;
+    for (const auto& [vm, held] : vms_) {
+        const bool usable = held.listed && !held.withheld &&
+                            !held.entry.leaving && held.link->reachable(now);
+        const bool used =
+            std::any_of(tasks_.begin(), tasks_.end(),
+                        [&](const auto& it) { return it.second.vm == vm; });
+        if (usable && !used && held.link->waiting() == 0 &&
+            scheduler_->committed_on(vm).is_zero()) {
+            out.push_back(vm);
+        }
+    }
+    return out;
+}
+
+void partition_holder::withhold_vm(const vm_id& vm, bool withheld,
+                                   time_point now)
+{
+    const auto it = vms_.find(vm);
+    if (it == vms_.end()) {
+        return;
+    }
+    it->second.withheld = withheld;
+    refresh_vm(vm, it->second, now);
+}
+
+resources partition_holder::lacking_for_gangs(const resources& capacity) const
+{
+    resources out{};
+    for (const auto& [id, since] : jobs_) {
+        const auto* job = ports_.state.find_job(id);
+        if (job == nullptr || job->spec.policy != job_class::gang || runs(id)) {
+            continue;
+        }
+        const auto need = job->spec.request * job->spec.tasks;
+        const auto more = need - capacity;
+        out = {std::max(out.millicores, more.millicores),
+               std::max(out.memory_mib, more.memory_mib),
+               std::max(out.accelerators, more.accelerators)};
+    }
+    return out;
+}
+
 bool partition_holder::runs(const job_id& job) const
 {
     return std::any_of(tasks_.begin(), tasks_.end(),
@@ -507,6 +553,7 @@
         }
         ++out.vms;
     }
+    out.lacking = lacking_for_gangs(out.capacity);
     for (const auto& team : teams_) {
         team_usage usage{
             .team = team, .used = used_by(team), .queued = queued_by(team)};
--- a/src/rosemarytrail/control/partition_holder.hpp
+++ b/src/rosemarytrail/control/partition_holder.hpp
@@ -151,6 +151,21 @@
     [[nodiscard]] resources unseen_use(const team_id& team,
                                        time_point now) const;
 
+    /**
+     * @brief VMs in contact on which nothing is committed.
+     * @param now Present time.
+     * @return Their names.
+     */
+    [[nodiscard]] std::vector<vm_id> idle_vms(time_point now) const;
+
+    /**
+     * @brief Keeps new tasks off a VM while it is being handed over.
+     * @param vm The VM.
+     * @param withheld Whether to keep tasks off.
+     * @param now Present time.
+     */
+    void withhold_vm(const vm_id& vm, bool withheld, time_point now);
+
     /** @return Number of the claim. */
     [[nodiscard]] record_number epoch() const noexcept
     {
@@ -197,6 +212,7 @@
     {
         platform::vm_entry entry{};
         bool listed{false};
+        bool withheld{false};
         resources capacity{};
         std::uint32_t busy_slots{};
         std::unique_ptr<worker_link> link;
@@ -204,6 +220,7 @@
 
     void make_link(const vm_id& vm);
     void refresh_vm(const vm_id& vm, held_vm& held, time_point now);
+    [[nodiscard]] resources lacking_for_gangs(const resources& capacity) const;
     void expire(held_vm& held, time_point now);
     void carry_out(const placement::decision& it, time_point now);
     void send_start(const placement::decision& it, time_point now);
--- a/src/rosemarytrail/control/peer_network.hpp
+++ b/src/rosemarytrail/control/peer_network.hpp
@@ -46,6 +46,8 @@
     std::uint32_t vms{};
     std::uint32_t queued_tasks{};
     std::uint32_t running_tasks{};
+    /** @brief Capacity that the partition's largest waiting gang lacks. */
+    resources lacking{};
     /** @brief Whether the takeover is complete. */
     bool settled{false};
     std::vector<team_usage> teams;
--- a/src/rosemarytrail/control/peer_table.cpp
+++ b/src/rosemarytrail/control/peer_table.cpp
@@ -1,5 +1,7 @@
 #include <rosemarytrail/control/peer_table.hpp>
 
+#include <algorithm>
+
 namespace rosemarytrail::control {
 
 void peer_table::follow_members(const std::set<incarnation_id>& members,
@@ -19,8 +21,16 @@
     });
 }
 
+std::uint64_t peer_table::applied_by(const incarnation_id& member) const
+{
+    const auto it = applied_.find(member);
+    return it == applied_.end() ? 0 : it->second;
+}
+
 void peer_table::heard(const heartbeat& value, time_point now)
 {
+    auto& applied = applied_[value.sender];
+    applied = std::max(applied, value.next_offset);
     const auto it = peers_.find(value.sender);
     if (it == peers_.end()) {
         return;
--- a/src/rosemarytrail/control/peer_table.hpp
+++ b/src/rosemarytrail/control/peer_table.hpp
@@ -71,6 +71,13 @@
     [[nodiscard]] duration silent_for(const incarnation_id& member,
                                       time_point now) const;
 
+    /**
+     * @brief Newest offset that a peer is known to have applied.
+     * @param member Peer, also one that has left.
+     * @return Offset after that entry; zero if it was never heard.
+     */
+    [[nodiscard]] std::uint64_t applied_by(const incarnation_id& member) const;
+
     /**
      * @brief Live peers that are not shutting down.
      * @param now Present time.
@@ -94,6 +101,7 @@
 private:
     duration timeout_;
     std::map<incarnation_id, peer_view> peers_;
+    std::map<incarnation_id, std::uint64_t> applied_;
 };
 
 } // namespace rosemarytrail::control
