--- a/src/rosemarytrail/control/internal/ownership.cpp
+++ b/src/rosemarytrail/control/internal/ownership.cpp
@@ -390,13 +390,8 @@
         std::find_if(known.begin(), known.end(), [](const auto& it) {
             return it.settled && !it.lacking.is_zero();
         });
-    if (target == known.end() || target->partition >= partition) {
-        const bool lower = target != known.end() &&
-                           target->partition != partition &&
-                           holder.summary(now).lacking.is_zero();
-        if (!lower) {
-            return;
-        }
+    if (target == known.end() || target->partition == partition) {
+        return;
     }
     auto lacking = target->lacking;
     for (const auto& vm : holder.idle_vms(now)) {
