Serve and send HTTP by libmicrohttpd and libcurl

Server: an event loop for each thread (epoll, thread pool); an exchange may be answered later from any thread, its connection is suspended until then. A refusal by the head costs no body; limits answer 413 and 431. Once it stops accepting, answers bear `Connection: close`. A cut-off answer sends part of the announced body, for the stand-ins.

Client: libcurl's multi interface, driven by epoll instead of curl_multi_poll, whose cost grows with all open requests and not only with those that are ready.

libcurl repeats a request by itself when a kept connection ends before the first byte of an answer, a POST too. It asks CURLOPT_PREREQFUNCTION before each time that it sends, and the second time is refused there. Ruled out: a fresh connection for each write (a round trip each), and a seek callback that fails (it misses requests without a body). A fresh connection can still be asked for.

An answer that lacks the expected `X-Request-Id` ends as `crossed`, which is a new transport result, and its connection is closed. An answer that announces no end counts as cut off.

--- a/src/rosemarytrail/http/client.hpp
+++ b/src/rosemarytrail/http/client.hpp
@@ -25,7 +25,10 @@
     /** @brief The connection ended before a whole answer arrived. */
     cut_off,
     /** @brief The answer is larger than allowed. */
-    too_large
+    too_large,
+    /** @brief The answer lacks the header `echo`: it answers another request.
+     */
+    crossed
 };
 
 /** @brief How a client keeps its connections. */
@@ -37,6 +40,8 @@
     long connections_per_host{64};
     /** @brief Time to connect. */
     duration connect_timeout{std::chrono::seconds{1}};
+    /** @brief Connections idle for longer are closed, not used again. */
+    duration idle_limit{std::chrono::seconds{15}};
 };
 
 /** @brief Request to send. */
@@ -51,13 +56,23 @@
     duration timeout{std::chrono::seconds{5}};
     /** @brief Largest answer, in bytes. */
     std::size_t answer_bytes{std::size_t{8} << 20U};
+    /**
+     * @brief Header that the answer must bear with the same value, such as
+     * `X-Request-Id`; no check if its name is empty.
+     */
+    header echo;
+    /**
+     * @brief Whether to send it on a connection of its own. It costs a round
+     * trip, and rules out that the peer closes an idle connection just then.
+     */
+    bool fresh_connection{false};
 };
 
 /** @brief What became of a request. */
 struct client_response
 {
     transport_result transport{transport_result::not_sent};
-    /** @brief The answer; its fields count only if the transport completed. */
+    /** @brief The answer; it counts only if the transport completed. */
     response answer;
     /** @brief Time from the call to the end. */
     duration elapsed{};
@@ -76,8 +91,10 @@
 
     /**
      * @brief Sends a request.
-     * @param outgoing Request to send.
-     * @param done Called once, also when the client is destroyed.
+     * @param outgoing Request to send; it waits while all connections to its
+     * host are in use.
+     * @param done Called once, also when the client is destroyed; not by the
+     * caller's own thread within this call.
      */
     virtual void fetch(client_request outgoing, callback done) = 0;
 
@@ -92,8 +109,10 @@
 /**
  * @brief Makes a client that runs libcurl's multi interface on own threads.
  *
- * A connection whose answer was late, cut off or too large is closed and
- * never used again. Requests are never repeated by the client itself.
+ * A connection whose answer was late, cut off, too large or crossed is closed
+ * and never used again. An answer that announces no end counts as cut off, as
+ * it cannot be told from one that was. Requests are never repeated by the
+ * client itself, also not where the peer closes an idle connection.
  * @param options How to keep connections.
  * @return The client.
  */
--- a/src/rosemarytrail/http/message.hpp
+++ b/src/rosemarytrail/http/message.hpp
@@ -20,7 +20,7 @@
 struct request
 {
     std::string method;
-    /** @brief Path without the query. */
+    /** @brief Path without the query; as written, not decoded. */
     std::string path;
     /** @brief Query without the question mark; not decoded. */
     std::string query;
--- a/src/rosemarytrail/http/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::http {} // namespace rosemarytrail::http
--- a/src/rosemarytrail/http/server.hpp
+++ b/src/rosemarytrail/http/server.hpp
@@ -36,8 +36,9 @@
     /**
      * @brief Closes the connection without a whole answer; stand-ins use it
      * to lose or cut off an answer.
-     * @param partial_bytes Bytes of the body to send before the cut.
-     * @param answer Answer that is cut off.
+     * @param answer Answer that is cut off; its length is announced in full.
+     * @param partial_bytes Bytes of the body to send before the cut; zero sends
+     * nothing at all, not even the status.
      */
     virtual void cut_off(response answer, std::size_t partial_bytes) = 0;
 };
@@ -82,7 +83,13 @@
     duration idle_timeout{std::chrono::seconds{30}};
 };
 
-/** @brief HTTP server with an event loop on each of its threads. */
+/**
+ * @brief HTTP server with an event loop on each of its threads.
+ *
+ * A request whose body is larger than 64 KiB and refused by its head gets the
+ * answer before the body is read, and the connection is closed; a smaller body
+ * is read and dropped, so that the connection can be used again.
+ */
 class server
 {
 public:
@@ -103,13 +110,18 @@
      */
     [[nodiscard]] std::optional<std::uint16_t> start(reason& why);
 
-    /** @brief Closes the listening socket; requests in flight go on. */
+    /**
+     * @brief Listens no more; requests in flight go on.
+     *
+     * Answers from then on bear `Connection: close`, so that callers with an
+     * open connection leave it.
+     */
     void stop_accepting();
 
-    /** @return Requests received and not yet answered. */
+    /** @return Requests whose head has arrived and whose answer is not out. */
     [[nodiscard]] std::size_t in_flight() const noexcept;
 
-    /** @brief Ends all connections and threads. */
+    /** @brief Ends all connections and threads; answers in flight are lost. */
     void stop();
 
 private:
--- /dev/null
+++ b/test/http/exchange.cpp
@@ -0,0 +1,229 @@
+#include <catch2/catch.hpp>
+
+#include <rosemarytrail/http/client.hpp>
+#include <rosemarytrail/http/server.hpp>
+
+#include <test/lib/http_server.hpp>
+
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+using namespace rosemarytrail;       // NOLINT
+using namespace rosemarytrail::http; // NOLINT
+using rosemarytrail::test::http_server;
+
+namespace {
+
+using exchange_pointer = std::shared_ptr<exchange>;
+
+void echo(const exchange_pointer& it)
+{
+    const auto& in = it->incoming();
+    response out{.headers = {{"X-Method", in.method}}};
+    out.body = in.path + "|" + in.query + "|" + in.body;
+    it->respond(std::move(out));
+}
+
+} // namespace
+
+TEST_CASE("An answer given at once arrives whole", "[http]")
+{
+    http_server server{echo};
+    const auto client = make_curl_client({});
+    for (const std::string method : {"GET", "POST", "PUT", "DELETE"}) {
+        const auto result = client->fetch_and_wait(
+            {.method = method, .url = server.base + "/a%2Fb?c=%20d"});
+        REQUIRE(result.transport == transport_result::complete);
+        CHECK(result.answer.status == 200);
+        CHECK(result.answer.body == "/a%2Fb|c=%20d|");
+        CHECK(find_header(result.answer.headers, "x-method") == method);
+    }
+    const auto head =
+        client->fetch_and_wait({.method = "HEAD", .url = server.base + "/h"});
+    CHECK(head.transport == transport_result::complete);
+    CHECK(head.answer.body.empty());
+}
+
+TEST_CASE("Late answers from another thread reach their own callers", "[http]")
+{
+    std::mutex lock;
+    std::vector<exchange_pointer> held;
+    std::promise<void> all_there;
+    constexpr std::size_t requests = 40;
+    http_server server{[&](const exchange_pointer& it) {
+        const std::lock_guard guard{lock};
+        held.push_back(it);
+        if (held.size() == requests) {
+            all_there.set_value();
+        }
+    }};
+    const auto client = make_curl_client({.threads = 2});
+    std::vector<std::promise<client_response>> results(requests);
+    for (std::size_t i = 0; i < requests; ++i) {
+        client->fetch({.method = "POST",
+                       .url = server.base + "/x",
+                       .body = std::to_string(i)},
+                      [&results, i](client_response it) {
+                          results[i].set_value(std::move(it));
+                      });
+    }
+    all_there.get_future().wait();
+    CHECK(server.inner.in_flight() == requests);
+    std::thread answering{[&] {
+        for (auto it = held.rbegin(); it != held.rend(); ++it) {
+            echo(*it);
+            (*it)->respond({.status = 500});
+        }
+        held.clear();
+    }};
+    for (std::size_t i = 0; i < requests; ++i) {
+        const auto result = results[i].get_future().get();
+        REQUIRE(result.transport == transport_result::complete);
+        CHECK(result.answer.status == 200);
+        CHECK(result.answer.body == "/x||" + std::to_string(i));
+    }
+    answering.join();
+}
+
+TEST_CASE("A dropped exchange is answered with 500", "[http]")
+{
+    http_server server{[](const exchange_pointer&) {
+    }};
+    const auto client = make_curl_client({});
+    const auto result = client->fetch_and_wait({.url = server.base + "/"});
+    REQUIRE(result.transport == transport_result::complete);
+    CHECK(result.answer.status == 500);
+}
+
+TEST_CASE("An answer that is cut off never counts as whole", "[http]")
+{
+    const auto partial_bytes = GENERATE(0U, 5U, 99U);
+    std::atomic<int> runs{0};
+    http_server server{[&](const exchange_pointer& it) {
+        ++runs;
+        if (it->incoming().path == "/cut") {
+            it->cut_off({.body = std::string(100, 'x')}, partial_bytes);
+            return;
+        }
+        echo(it);
+    }};
+    const auto client = make_curl_client({.connections_per_host = 1});
+    // The first request leaves a connection that the second one uses again.
+    // libcurl by itself would repeat the second on a fresh one.
+    REQUIRE(client->fetch_and_wait({.url = server.base + "/"}).transport ==
+            transport_result::complete);
+    for (const std::string method : {"GET", "POST"}) {
+        runs = 0;
+        const auto result = client->fetch_and_wait(
+            {.method = method, .url = server.base + "/cut", .body = ""});
+        CHECK(result.transport == transport_result::cut_off);
+        CHECK(runs == 1);
+        CHECK(client->fetch_and_wait({.url = server.base + "/"}).transport ==
+              transport_result::complete);
+    }
+}
+
+TEST_CASE("A late answer never reaches the next request", "[http]")
+{
+    std::mutex lock;
+    std::vector<exchange_pointer> held;
+    http_server server{[&](const exchange_pointer& it) {
+        const std::lock_guard guard{lock};
+        if (it->incoming().path == "/late") {
+            held.push_back(it);
+            return;
+        }
+        for (const auto& late : held) {
+            late->respond({.body = "late"});
+        }
+        held.clear();
+        echo(it);
+    }};
+    const auto client = make_curl_client({.connections_per_host = 1});
+    const auto late =
+        client->fetch_and_wait({.url = server.base + "/late",
+                                .timeout = std::chrono::milliseconds{50}});
+    CHECK(late.transport == transport_result::timed_out);
+    for (int i = 0; i < 3; ++i) {
+        const auto next = client->fetch_and_wait({.url = server.base + "/n"});
+        CHECK(next.answer.body == "/n||");
+    }
+}
+
+TEST_CASE("An answer that bears another request's id is dropped", "[http]")
+{
+    http_server server{[](const exchange_pointer& it) {
+        const auto wanted = it->incoming().query;
+        response out{.body = "x"};
+        if (!wanted.empty()) {
+            out.headers.push_back({"X-Request-Id", wanted});
+        }
+        it->respond(std::move(out));
+    }};
+    const auto client = make_curl_client({});
+    const auto ask = [&](const std::string& query) {
+        client_request out{.url = server.base + "/?" + query};
+        out.echo = {"X-Request-Id", "7"};
+        return client->fetch_and_wait(std::move(out)).transport;
+    };
+    CHECK(ask("7") == transport_result::complete);
+    CHECK(ask("8") == transport_result::crossed);
+    CHECK(ask("") == transport_result::crossed);
+}
+
+TEST_CASE("Requests that were never sent are told from lost ones", "[http]")
+{
+    std::string dead;
+    {
+        http_server server{echo};
+        dead = server.base;
+    }
+    const auto client = make_curl_client({});
+    CHECK(client->fetch_and_wait({.url = dead}).transport ==
+          transport_result::not_sent);
+    client_request split{.url = dead};
+    split.headers = {{"A", "b\r\nC: d"}};
+    CHECK(client->fetch_and_wait(split).transport ==
+          transport_result::not_sent);
+}
+
+TEST_CASE("A request that waits for a connection keeps its deadline", "[http]")
+{
+    std::promise<exchange_pointer> first;
+    http_server server{[&](const exchange_pointer& it) {
+        first.set_value(it);
+    }};
+    const auto client = make_curl_client({.connections_per_host = 1});
+    std::promise<client_response> answered;
+    client->fetch({.url = server.base + "/first"}, [&](client_response it) {
+        answered.set_value(std::move(it));
+    });
+    const auto held = first.get_future().get();
+    const auto waiting = client->fetch_and_wait(
+        {.url = server.base + "/", .timeout = std::chrono::milliseconds{30}});
+    CHECK(waiting.transport == transport_result::not_sent);
+    held->respond({});
+    CHECK(answered.get_future().get().transport == transport_result::complete);
+}
+
+TEST_CASE("A client that ends reports each request once", "[http]")
+{
+    std::promise<exchange_pointer> first;
+    http_server server{[&](const exchange_pointer& it) {
+        first.set_value(it);
+    }};
+    auto client = make_curl_client({.connections_per_host = 1});
+    std::vector<transport_result> results;
+    const auto note = [&](const client_response& it) {
+        results.push_back(it.transport);
+    };
+    client->fetch({.url = server.base + "/sent"}, note);
+    const auto held = first.get_future().get();
+    client->fetch({.url = server.base + "/queued"}, note);
+    client.reset();
+    CHECK(results ==
+          std::vector{transport_result::cut_off, transport_result::not_sent});
+}
