--- a/src/rosemarytrail/state/append_queue.hpp
+++ b/src/rosemarytrail/state/append_queue.hpp
@@ -80,18 +80,54 @@
     void failed(std::optional<duration> retry_after, time_point now);
 
     /**
-     * @brief Drops records that are not in flight.
-     * @param sequence Batch whose records are given up; one that was ever sent
-     * cannot be dropped.
+     * @brief Drops all records of a batch that was never sent.
+     * @param sequence Batch whose records are given up, those of other callers
+     * too; one that was ever sent cannot be dropped.
      * @return True if they will never be in the log.
      */
     [[nodiscard]] bool drop(std::uint64_t sequence);
 
+    /**
+     * @brief Drops some records of a batch that was never sent.
+     * @param sequence Batch that holds the records.
+     * @param which Tells whether a record is given up.
+     * @return True if at least one was there and none of them will ever be in
+     * the log.
+     */
+    [[nodiscard]] bool drop(std::uint64_t sequence,
+                            const std::function<bool(const record&)>& which);
+
     /** @return Records that wait, those in flight included. */
     [[nodiscard]] std::size_t waiting() const noexcept;
 
 private:
-    // The owner of this module lays out the members.
+    /** @brief Batch that was never sent. */
+    struct open_batch
+    {
+        batch value;
+        std::size_t bytes{};
+    };
+
+    /** @brief Batch that was sent at least once. */
+    struct sent_batch
+    {
+        pending_append entry;
+        std::size_t records{};
+        /** @brief Whether its answer is awaited. */
+        bool awaited{};
+    };
+
+    [[nodiscard]] bool has_room(std::size_t bytes) const noexcept;
+    void send_front();
+
+    append_queue_options options_;
+    std::deque<open_batch> open_;
+    std::optional<sent_batch> sent_;
+    std::size_t waiting_{};
+    std::uint64_t next_sequence_{1};
+    /** @brief Before this nothing is sent. */
+    time_point not_before_{};
+    duration retry_wait_{};
 };
 
 } // namespace rosemarytrail::state
--- a/src/rosemarytrail/state/cell_state.hpp
+++ b/src/rosemarytrail/state/cell_state.hpp
@@ -5,6 +5,8 @@
 #include <rosemarytrail/core/job_spec.hpp>
 #include <rosemarytrail/core/reason.hpp>
 #include <rosemarytrail/core/resources.hpp>
+#include <rosemarytrail/state/cell_types.hpp>
+#include <rosemarytrail/state/internal/cell_data.hpp>
 #include <rosemarytrail/state/record.hpp>
 
 #include <cstddef>
@@ -14,86 +16,10 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace rosemarytrail::state {
 
-/** @brief Daemon that has joined and not left. */
-struct member_state
-{
-    incarnation_id member{};
-    std::string peer_address;
-    std::string api_address;
-    std::string region;
-    zone_id zone{};
-    /** @brief Number of its join record. */
-    record_number joined{};
-};
-
-/** @brief Partition and its current claim. */
-struct partition_state
-{
-    /** @brief Holder, empty if never claimed. */
-    incarnation_id holder{};
-    /** @brief Number of the claim record; zero if never claimed. */
-    record_number epoch{};
-};
-
-/** @brief VM and the partition that it is in. */
-struct vm_state
-{
-    partition_id partition{};
-    /** @brief Record that last gave it to a partition. */
-    record_number assigned{};
-    resources capacity{};
-    /** @brief Record of an operator's word that it is lost; zero if none. */
-    record_number lost{};
-};
-
-/** @brief How far a job has come. */
-enum class job_phase : std::uint8_t
-{
-    accepted,
-    finished,
-    cancelled,
-    rejected
-};
-
-/** @brief Accepted job. */
-struct job_state
-{
-    job_id job{};
-    job_spec spec{};
-    partition_id partition{};
-    /** @brief Number of the record that accepted it. */
-    record_number accepted{};
-    job_phase phase{job_phase::accepted};
-    /** @brief Why it was rejected. */
-    result_code code{result_code::ok};
-    /** @brief Tasks that ended for good, by index. */
-    std::map<std::uint32_t, result_code> finished{};
-};
-
-/** @brief Published document in force. */
-struct document_state
-{
-    std::string content;
-    /** @brief Number of its record. */
-    record_number revision{};
-};
-
-/** @brief What became of one record. */
-struct record_verdict
-{
-    record_number number{};
-    /** @brief `ok` if applied, else why it is void. */
-    result_code code{result_code::ok};
-    /** @brief Revision or epoch in force, for the loser of a race. */
-    record_number current{};
-    std::string detail;
-};
-
 /**
  * @brief State of the cell: a pure fold over the records of the log.
  *
@@ -106,7 +32,9 @@
      * @brief Applies the next entry.
      * @param offset Offset of the entry; must equal `next_offset()`.
      * @param bytes Bytes of the entry.
-     * @return A verdict for each record; none for a repeat or a torn entry.
+     * @return A verdict for each record of a known kind; none for a repeat or
+     * a torn entry, nor for an entry that is not the next one, which changes
+     * nothing.
      */
     std::vector<record_verdict> apply(std::uint64_t offset,
                                       std::string_view bytes);
@@ -189,6 +117,42 @@
     [[nodiscard]] const std::map<result_code, std::uint64_t>&
     passed_over() const noexcept;
 
+    /**
+     * @brief Newest batch of a writer that was applied.
+     * @param writer Writer to look up.
+     * @return Its sequence number; zero if none is known. A batch with this or
+     * a lower number will never be applied again.
+     */
+    [[nodiscard]] std::uint64_t
+    last_sequence(const incarnation_id& writer) const;
+
+    /**
+     * @brief Sets of members of a region, as `takeover` needs them.
+     * @param region Region of the former holder.
+     * @param next_offset Offset up to which the former holder is known to have
+     * applied the log; zero if nothing is known.
+     * @return The set before that offset and after each change from it on, the
+     * present one last. Empty if the history that is kept does not reach back
+     * so far: then there is no wait-out, only the fence.
+     */
+    [[nodiscard]] std::vector<std::set<incarnation_id>>
+    member_sets_since(std::string_view region, std::uint64_t next_offset) const;
+
+    /**
+     * @brief Tells whether a member wrote its own leave record.
+     * @param member Member to look up.
+     * @return False if it is a member, was struck off, or is unknown.
+     */
+    [[nodiscard]] bool left_by_itself(const incarnation_id& member) const;
+
+    /**
+     * @brief Region of a member, or of one that left not long ago.
+     * @param member Member to look up.
+     * @return The region, or nothing if it is unknown.
+     */
+    [[nodiscard]] std::optional<std::string>
+    region_of(const incarnation_id& member) const;
+
     /** @return Snapshot from which `restore` makes an equal state. */
     [[nodiscard]] std::string snapshot() const;
 
@@ -202,7 +166,10 @@
     restore(std::string_view bytes, reason& why);
 
 private:
-    // The owner of this module lays out the members.
+    std::vector<record_verdict> apply_records(std::uint64_t offset,
+                                              const batch& entry);
+
+    internal::cell_data data_;
 };
 
 } // namespace rosemarytrail::state
--- a/src/rosemarytrail/state/freshness.hpp
+++ b/src/rosemarytrail/state/freshness.hpp
@@ -6,7 +6,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
+#include <vector>
 
 namespace rosemarytrail::state {
 
@@ -52,6 +54,12 @@
     void peer_heard(const incarnation_id& peer, time_point asked,
                     std::uint64_t next_offset);
 
+    /**
+     * @brief Forgets peers that are no members any more.
+     * @param members Members of its region.
+     */
+    void keep_only(const std::set<incarnation_id>& members);
+
     /**
      * @brief Tells whether the process may start and renew.
      * @param self This process.
@@ -69,14 +77,30 @@
      * @param self This process.
      * @param members Members of its region, itself included.
      * @param applied Offset after the last entry applied here.
-     * @return That moment; the start of the clock if it may not act at all.
+     * @return That moment; the start of the clock if it may not act at all,
+     * the end of the clock if it is the only member of its region.
      */
     [[nodiscard]] time_point acts_until(const incarnation_id& self,
                                         const std::set<incarnation_id>& members,
                                         std::uint64_t applied) const;
 
 private:
-    // The owner of this module lays out the members.
+    /** @brief What one answer proves once its offset is applied. */
+    struct news
+    {
+        time_point asked{};
+        std::uint64_t next_offset{};
+    };
+    /** @brief Answers of one source, by question and offset ascending. */
+    using news_list = std::vector<news>;
+
+    static void add(news_list& list, const news& value);
+    [[nodiscard]] static std::optional<time_point>
+    newest(const news_list& list, std::uint64_t applied);
+
+    freshness_options options_;
+    news_list log_;
+    std::map<incarnation_id, news_list> peers_;
 };
 
 } // namespace rosemarytrail::state
--- /dev/null
+++ b/src/rosemarytrail/state/internal/rules_documents.cpp
@@ -0,0 +1,103 @@
+#include <rosemarytrail/documents/document.hpp>
+#include <rosemarytrail/state/internal/allowance_split.hpp>
+#include <rosemarytrail/state/internal/rules.hpp>
+
+#include <variant>
+
+namespace rosemarytrail::state::internal {
+
+namespace {
+
+std::string name_of(const team_spec& value)
+{
+    return "team/" + value.team.str();
+}
+
+std::string name_of(const key_spec& value)
+{
+    return "key/" + value.key.str();
+}
+
+/** @brief Why a document must not come into force; empty if it may. */
+std::string find_fault(const cell_data& /*data*/, const team_spec& value)
+{
+    return value.limit.is_valid() ? "" : "limit is below zero";
+}
+
+std::string find_fault(const cell_data& data, const key_spec& value)
+{
+    const auto it = data.withdrawn.find(value.key);
+    const bool returns = !value.withdrawn && it != data.withdrawn.end() &&
+                         it->second.contains(value.hash);
+    return returns ? "hash was withdrawn; give the key a new secret" : "";
+}
+
+void put_in_force(cell_data& data, const team_spec& value)
+{
+    data.teams[value.team] = value;
+    std::vector<resources>& parts = data.allowances[value.team];
+    parts.resize(data.partitions.size());
+    fit_to_limit(parts, value.limit);
+}
+
+void put_in_force(cell_data& data, const key_spec& value)
+{
+    key_spec& key = data.keys[value.key];
+    if (value.withdrawn) {
+        std::set<std::string>& hashes = data.withdrawn[value.key];
+        hashes.insert(value.hash);
+        if (!key.key.empty()) {
+            hashes.insert(key.hash);
+        }
+    }
+    key = value;
+}
+
+} // namespace
+
+void cell_data::set_partitions(std::uint32_t n)
+{
+    partitions.resize(n);
+    jobs.set_partitions(n);
+    for (const auto& it : teams) {
+        std::vector<resources>& parts = allowances[it.first];
+        parts.resize(n);
+        fit_to_limit(parts, it.second.limit);
+    }
+}
+
+record_verdict fold(cell_data& data, const document_published& value,
+                    const record_context& context)
+{
+    const auto it = data.documents.find(value.name);
+    const record_number current =
+        it == data.documents.end() ? 0 : it->second.revision;
+    if (value.replaces != current) {
+        return make_void(result_code::record_void_revision,
+                         value.name + " has another revision", current);
+    }
+    reason why;
+    const auto parsed = documents::parse_published(value.content, why);
+    if (!parsed) {
+        return make_void(result_code::record_void_document,
+                         std::move(why.detail), current);
+    }
+    return std::visit(
+        [&](const auto& document) -> record_verdict {
+            std::string fault = name_of(document) == value.name
+                                    ? find_fault(data, document)
+                                    : "the document is " + name_of(document) +
+                                          ", its name " + value.name;
+            if (!fault.empty()) {
+                return make_void(result_code::record_void_document,
+                                 std::move(fault), current);
+            }
+            put_in_force(data, document);
+            data.documents[value.name] = {.content = value.content,
+                                          .revision = context.number};
+            return {.current = context.number};
+        },
+        *parsed);
+}
+
+} // namespace rosemarytrail::state::internal
--- a/src/rosemarytrail/state/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::state {} // namespace rosemarytrail::state
--- a/src/rosemarytrail/state/record.hpp
+++ b/src/rosemarytrail/state/record.hpp
@@ -6,6 +6,7 @@
 #include <rosemarytrail/core/resources.hpp>
 #include <rosemarytrail/core/result_code.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -184,8 +185,20 @@
     /** @brief Grows by one with each batch of the writer, from one. */
     std::uint64_t sequence{};
     std::vector<record> records;
+    /**
+     * @brief Index of each record in the entry, if some were left out; empty
+     * if the index is the place in `records`. Only `decode` sets it.
+     */
+    std::vector<std::uint32_t> indices;
 };
 
+/**
+ * @brief Estimates what a record adds to an entry.
+ * @param value Record to weigh.
+ * @return Bytes, never too few.
+ */
+[[nodiscard]] std::size_t encoded_size(const record& value) noexcept;
+
 /**
  * @brief Encodes a batch with Cap'n Proto.
  * @param value Batch of at most `records_per_batch` records.
@@ -195,6 +208,9 @@
 
 /**
  * @brief Decodes a batch; records of unknown kinds are left out.
+ *
+ * An entry starts with a checksum, so that one that was torn or changed on its
+ * way is told from a whole one.
  * @param bytes Bytes from the log.
  * @param unknown Raised by the number of records left out.
  * @param why Set if nothing is returned: `record_torn`.
--- a/src/rosemarytrail/state/takeover.hpp
+++ b/src/rosemarytrail/state/takeover.hpp
@@ -6,7 +6,6 @@
 #include <rosemarytrail/state/freshness.hpp>
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -27,7 +26,8 @@
      * @param vms VMs of the partition.
      * @param member_sets Sets of members of the former holder's region, one
      * for each change since its last known offset, the present one last. The
-     * claim must reach a majority of every one of them.
+     * claim must reach a majority of every one of them. An empty vector means
+     * that the sets are not known: then there is no wait-out.
      */
     takeover(const freshness_options& options, record_number claim,
              std::set<vm_id> vms,
@@ -63,7 +63,8 @@
      * @brief Tells whether the former holder can do nothing more on a VM.
      * @param vm VM to ask about.
      * @param now Present time.
-     * @return True if it is fenced, lost, or waited out.
+     * @return True if it is fenced, lost, or waited out, or came into the
+     * partition after the claim.
      */
     [[nodiscard]] bool is_safe(const vm_id& vm, time_point now) const;
 
@@ -74,6 +75,12 @@
      */
     [[nodiscard]] bool complete(time_point now) const;
 
+    /** @return Number of the claim record. */
+    [[nodiscard]] record_number claim() const noexcept;
+
+    /** @return VMs that are neither fenced nor lost. */
+    [[nodiscard]] const std::set<vm_id>& unsafe_vms() const noexcept;
+
     /**
      * @brief Moment at which the wait ends.
      * @return Nothing while the claim has not reached the majorities.
@@ -81,7 +88,15 @@
     [[nodiscard]] std::optional<time_point> waited_out_at() const;
 
 private:
-    // The owner of this module lays out the members.
+    void reach(const incarnation_id& member, time_point now);
+    [[nodiscard]] bool reached_majorities() const;
+
+    freshness_options options_;
+    record_number claim_{};
+    std::set<vm_id> unsafe_vms_;
+    std::vector<std::set<incarnation_id>> member_sets_;
+    std::set<incarnation_id> reached_;
+    std::optional<time_point> majorities_at_;
 };
 
 } // namespace rosemarytrail::state
