Decide admission, choice, retries and intents of requests

Pure parts take the present time; what traffic threads share has its own short lock. Intents are a fold over the log's stream: the first opening of a key wins and only its writer may dispatch, after it has read its own record back.

--- a/src/rosemarytrail/core/result_code.hpp
+++ b/src/rosemarytrail/core/result_code.hpp
@@ -65,6 +65,9 @@
     idempotency_key_missing = 313,
     upstream_ejected = 314,
     request_id_reused = 315,
+    upstream_unreachable = 316,
+    read_offset_not_reached = 317,
+    upstream_failed = 318,
 
     // 400: why a task waits or a job cannot run
     waiting_for_turn = 400,
--- a/src/rosemarytrail/request/fwd.hpp
+++ b/src/rosemarytrail/request/fwd.hpp
@@ -1,13 +1,32 @@
 #ifndef ROSEMARYTRAIL_REQUEST_FWD_HPP
 #define ROSEMARYTRAIL_REQUEST_FWD_HPP
 
+#include <cstdint>
+
 namespace rosemarytrail::request {
 
+enum class answer_verdict : std::uint8_t;
+enum class intent_verdict : std::uint8_t;
+
 struct upstream_view;
 struct routing_table;
-struct key_table;
+struct admission_options;
+struct health_options;
+struct selector_options;
+struct upstream_choice;
+struct retry_case;
+struct intent_key;
+struct intent_outcome;
+struct intent_log_options;
 
+class admission;
+class health_tracker;
+class intent_log;
 class intent_store;
+class intent_table;
+class retry_budget;
+class token_bucket;
+class upstream_selector;
 
 } // namespace rosemarytrail::request
 
--- /dev/null
+++ b/src/rosemarytrail/request/intent_log.cpp
@@ -0,0 +1,559 @@
+#include <rosemarytrail/request/intent_log.hpp>
+
+#include <rosemarytrail/state/record.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace rosemarytrail::request {
+
+namespace {
+
+constexpr duration down_wait{std::chrono::seconds{1}};
+constexpr duration busy_wait{std::chrono::milliseconds{200}};
+
+intent_name name_of(const intent_key& key)
+{
+    return {.team = key.team, .service = key.service, .key = key.key};
+}
+
+intent_outcome not_run(result_code code, std::string detail, duration wait)
+{
+    return {.verdict = intent_verdict::not_run,
+            .why = {.code = code,
+                    .detail = std::move(detail),
+                    .retry_after = wait}};
+}
+
+intent_outcome with_verdict(intent_verdict verdict, result_code code,
+                            std::string detail)
+{
+    return {.verdict = verdict,
+            .why = {.code = code, .detail = std::move(detail)}};
+}
+
+intent_outcome reused()
+{
+    return with_verdict(intent_verdict::not_run, result_code::request_id_reused,
+                        "the key was used with another method, path or body");
+}
+
+intent_outcome in_progress()
+{
+    auto it = with_verdict(intent_verdict::in_progress,
+                           result_code::request_in_progress, {});
+    it.why.retry_after = busy_wait;
+    return it;
+}
+
+intent_outcome ran_without_answer(int status)
+{
+    return with_verdict(intent_verdict::unknown, result_code::outcome_unknown,
+                        "it ran with status " + std::to_string(status) +
+                            "; its answer is not kept");
+}
+
+} // namespace
+
+struct intent_log::internal_state : std::enable_shared_from_this<internal_state>
+{
+    using callback = std::function<void(intent_outcome)>;
+
+    /** @brief Opening that was queued and not read back yet. */
+    struct pending_open
+    {
+        intent_key key;
+        std::uint64_t sequence{};
+        time_point deadline{};
+        callback done;
+    };
+
+    /** @brief Close by this daemon that the fold has not applied yet. */
+    struct pending_close
+    {
+        std::uint64_t sequence{};
+        std::uint64_t fingerprint{};
+        bool ran{};
+        kept_answer answer;
+    };
+
+    /** @brief What is to be done once the lock is released. */
+    struct actions
+    {
+        std::vector<std::pair<callback, intent_outcome>> calls;
+        std::optional<state::pending_append> append;
+        std::optional<platform::read_options> read;
+    };
+
+    internal_state(const intent_log_options& chosen, platform::log_client& to,
+                   const time_source& source, liveness query)
+        : options{chosen}
+        , log{to}
+        , clock{source}
+        , alive{std::move(query)}
+        , table{chosen.table}
+        , queue{chosen.appends}
+    {}
+
+    void perform(actions todo);
+    void plan_io(actions& todo, time_point now);
+    void on_append(const platform::append_outcome& outcome);
+    void on_read(const platform::read_outcome& outcome);
+    void apply(const platform::log_entry& entry, actions& todo, time_point now);
+    void resolve(const opening& it, std::uint64_t sequence, actions& todo,
+                 time_point now);
+    void start_over(std::uint64_t from, actions& todo);
+
+    std::optional<intent_outcome> known(const intent_name& name,
+                                        std::uint64_t fingerprint) const;
+    intent_outcome judge(const intent_state& it,
+                         std::uint64_t fingerprint) const;
+    intent_outcome judge(const pending_close& it,
+                         std::uint64_t fingerprint) const;
+    std::optional<intent_outcome> refuse() const;
+    void open(intent_key key, time_point deadline, callback done,
+              actions& todo);
+    void close(const intent_key& key, bool ran, kept_answer answer);
+    void push_unsent();
+    void give_up(const pending_open& it, result_code code, actions& todo);
+    void expire(actions& todo, time_point now);
+    void note_failures(actions& todo);
+    bool is_down() const
+    {
+        return append_failures >= options.failures_until_down ||
+               read_failures >= options.failures_until_down;
+    }
+
+    intent_log_options options;
+    platform::log_client& log;
+    const time_source& clock;
+    liveness alive;
+
+    mutable std::mutex mutex;
+    intent_table table;
+    state::append_queue queue;
+    std::unordered_map<intent_name, pending_open, intent_name_hash> opens;
+    std::unordered_map<intent_name, pending_close, intent_name_hash> closes;
+    std::deque<state::intent_closed> unsent;
+    std::uint64_t next_offset{};
+    time_point next_read{};
+    std::uint32_t append_failures{};
+    std::uint32_t read_failures{};
+    bool append_in_flight{false};
+    bool read_in_flight{false};
+    bool caught_up{false};
+};
+
+void intent_log::internal_state::perform(actions todo)
+{
+    const auto weak = weak_from_this();
+    if (todo.append) {
+        log.append(options.stream, std::move(todo.append->payload),
+                   [weak](const platform::append_outcome& outcome) {
+                       if (const auto self = weak.lock()) {
+                           self->on_append(outcome);
+                       }
+                   });
+    }
+    if (todo.read) {
+        log.read(std::move(*todo.read),
+                 [weak](const platform::read_outcome& outcome) {
+                     if (const auto self = weak.lock()) {
+                         self->on_read(outcome);
+                     }
+                 });
+    }
+    for (auto& [done, outcome] : todo.calls) {
+        done(std::move(outcome));
+    }
+}
+
+void intent_log::internal_state::plan_io(actions& todo, time_point now)
+{
+    push_unsent();
+    if (!append_in_flight) {
+        todo.append = queue.next(now);
+        append_in_flight = todo.append.has_value();
+    }
+    if (!read_in_flight && now >= next_read) {
+        read_in_flight = true;
+        const auto wait = caught_up ? options.read_wait : duration{};
+        todo.read = platform::read_options{
+            .stream = options.stream, .from = next_offset, .wait = wait};
+    }
+}
+
+void intent_log::internal_state::on_append(
+    const platform::append_outcome& outcome)
+{
+    actions todo;
+    {
+        const std::lock_guard lock{mutex};
+        const auto now = clock.now();
+        append_in_flight = false;
+        if (outcome.result == platform::append_result::appended) {
+            append_failures = 0;
+            queue.appended(now);
+        } else {
+            queue.failed(outcome.retry_after, now);
+            append_failures += outcome.retry_after ? 0 : 1;
+            note_failures(todo);
+        }
+        plan_io(todo, now);
+    }
+    perform(std::move(todo));
+}
+
+void intent_log::internal_state::on_read(const platform::read_outcome& outcome)
+{
+    actions todo;
+    {
+        const std::lock_guard lock{mutex};
+        const auto now = clock.now();
+        read_in_flight = false;
+        switch (outcome.result) {
+        case platform::read_result::read:
+            read_failures = 0;
+            for (const auto& entry : outcome.entries) {
+                apply(entry, todo, now);
+            }
+            caught_up = caught_up || next_offset >= outcome.next_offset;
+            break;
+        case platform::read_result::trimmed:
+            start_over(outcome.first_offset, todo);
+            break;
+        case platform::read_result::failed:
+            ++read_failures;
+            next_read = now + options.read_retry;
+            note_failures(todo);
+            break;
+        }
+        plan_io(todo, now);
+    }
+    perform(std::move(todo));
+}
+
+void intent_log::internal_state::apply(const platform::log_entry& entry,
+                                       actions& todo, time_point now)
+{
+    if (entry.offset < next_offset) {
+        return;
+    }
+    next_offset = entry.offset + 1;
+    std::uint64_t unknown = 0;
+    reason why;
+    const auto batch = state::decode(entry.payload, unknown, why);
+    if (!batch) {
+        return;
+    }
+    const auto result = table.apply(entry.offset, *batch);
+    if (batch->writer != options.appends.writer || result.repeated) {
+        return;
+    }
+    for (const auto& name : result.closed) {
+        const auto it = closes.find(name);
+        if (it != closes.end() && it->second.sequence == batch->sequence) {
+            closes.erase(it);
+        }
+    }
+    for (const auto& it : result.opened) {
+        resolve(it, batch->sequence, todo, now);
+    }
+}
+
+void intent_log::internal_state::resolve(const opening& it,
+                                         std::uint64_t sequence, actions& todo,
+                                         time_point now)
+{
+    const auto found = opens.find(it.name);
+    if (found == opens.end() || found->second.sequence != sequence) {
+        return;
+    }
+    auto waiting = std::move(found->second);
+    opens.erase(found);
+    if (it.won && now >= waiting.deadline) {
+        give_up(waiting, result_code::deadline_passed, todo);
+        return;
+    }
+    const auto* const state = table.find(it.name);
+    auto outcome = it.won || state == nullptr
+                       ? intent_outcome{.verdict = intent_verdict::run}
+                       : judge(*state, waiting.key.fingerprint);
+    if (!it.won && state == nullptr) {
+        outcome = not_run(result_code::request_not_run,
+                          "another entry VM had opened it and did not run it",
+                          busy_wait);
+    }
+    todo.calls.emplace_back(std::move(waiting.done), std::move(outcome));
+}
+
+void intent_log::internal_state::start_over(std::uint64_t from, actions& todo)
+{
+    // The records between are lost to this daemon; its openings among them
+    // were never dispatched.
+    for (auto& [name, it] : opens) {
+        give_up(it, result_code::log_trimmed, todo);
+    }
+    opens.clear();
+    next_offset = std::max(from, next_offset + 1);
+}
+
+intent_outcome
+intent_log::internal_state::judge(const intent_state& it,
+                                  std::uint64_t fingerprint) const
+{
+    if (it.fingerprint != fingerprint) {
+        return reused();
+    }
+    switch (it.phase) {
+    case intent_phase::answered:
+        return {.verdict = intent_verdict::answered, .answer = it.answer};
+    case intent_phase::ran:
+        return ran_without_answer(it.answer.status);
+    case intent_phase::unknown:
+        return with_verdict(intent_verdict::unknown,
+                            result_code::outcome_unknown, {});
+    case intent_phase::open:
+        break;
+    }
+    if (it.writer == options.appends.writer || alive(it.writer)) {
+        return in_progress();
+    }
+    return with_verdict(intent_verdict::unknown, result_code::outcome_unknown,
+                        "the entry VM that may have run it is gone");
+}
+
+std::optional<intent_outcome>
+intent_log::internal_state::known(const intent_name& name,
+                                  std::uint64_t fingerprint) const
+{
+    const auto waiting = opens.find(name);
+    if (waiting != opens.end()) {
+        const bool same = waiting->second.key.fingerprint == fingerprint;
+        return same ? in_progress() : reused();
+    }
+    const auto closed = closes.find(name);
+    if (closed != closes.end() && closed->second.ran) {
+        return judge(closed->second, fingerprint);
+    }
+    const auto* const state = table.find(name);
+    if (state == nullptr) {
+        return std::nullopt;
+    }
+    // Its own close, still on the way to the log, frees the key.
+    const bool own = state->writer == options.appends.writer;
+    if (own && closed != closes.end()) {
+        return std::nullopt;
+    }
+    return judge(*state, fingerprint);
+}
+
+intent_outcome
+intent_log::internal_state::judge(const pending_close& it,
+                                  std::uint64_t fingerprint) const
+{
+    if (it.fingerprint != fingerprint) {
+        return reused();
+    }
+    if (it.answer.status == 0) {
+        return with_verdict(intent_verdict::unknown,
+                            result_code::outcome_unknown, {});
+    }
+    return {.verdict = intent_verdict::answered, .answer = it.answer};
+}
+
+std::optional<intent_outcome> intent_log::internal_state::refuse() const
+{
+    if (!caught_up) {
+        return not_run(result_code::catching_up,
+                       "the stream of intents is still being read", busy_wait);
+    }
+    if (is_down()) {
+        return not_run(result_code::log_down,
+                       "the intent cannot be recorded now", down_wait);
+    }
+    // Half of the queue is kept for closes, which must not be lost.
+    if (queue.waiting() >= options.appends.waiting_records / 2) {
+        return not_run(result_code::queue_full, "too many intents wait",
+                       busy_wait);
+    }
+    return std::nullopt;
+}
+
+void intent_log::internal_state::open(intent_key key, time_point deadline,
+                                      callback done, actions& todo)
+{
+    const auto name = name_of(key);
+    auto outcome = known(name, key.fingerprint);
+    if (!outcome) {
+        outcome = refuse();
+    }
+    if (outcome) {
+        todo.calls.emplace_back(std::move(done), std::move(*outcome));
+        return;
+    }
+    reason why;
+    const auto sequence =
+        queue.push(state::intent_opened{.team = key.team,
+                                        .service = key.service,
+                                        .key = key.key,
+                                        .fingerprint = key.fingerprint},
+                   why);
+    if (!sequence) {
+        todo.calls.emplace_back(std::move(done),
+                                not_run(why.code, why.detail, busy_wait));
+        return;
+    }
+    const auto limit = clock.now() + options.open_timeout;
+    opens.insert_or_assign(name,
+                           pending_open{.key = std::move(key),
+                                        .sequence = *sequence,
+                                        .deadline = std::min(deadline, limit),
+                                        .done = std::move(done)});
+}
+
+void intent_log::internal_state::close(const intent_key& key, bool ran,
+                                       kept_answer answer)
+{
+    const bool small = answer.body.size() <= options.kept_body_bytes;
+    const bool answered = ran && answer.status != 0 && small;
+    state::intent_closed record{.team = key.team,
+                                .service = key.service,
+                                .key = key.key,
+                                .ran = ran,
+                                .answered = answered,
+                                .status =
+                                    static_cast<std::uint32_t>(answer.status)};
+    if (answered) {
+        record.content_type = answer.content_type;
+        record.body = answer.body;
+    }
+    closes.insert_or_assign(name_of(key),
+                            pending_close{.fingerprint = key.fingerprint,
+                                          .ran = ran,
+                                          .answer = std::move(answer)});
+    unsent.push_back(std::move(record));
+    push_unsent();
+}
+
+void intent_log::internal_state::push_unsent()
+{
+    while (!unsent.empty()) {
+        auto& record = unsent.front();
+        const intent_name name{
+            .team = record.team, .service = record.service, .key = record.key};
+        reason why;
+        const auto sequence = queue.push(record, why);
+        if (!sequence) {
+            return;
+        }
+        const auto it = closes.find(name);
+        if (it != closes.end()) {
+            it->second.sequence = *sequence;
+        }
+        unsent.pop_front();
+    }
+}
+
+void intent_log::internal_state::give_up(const pending_open& it,
+                                         result_code code, actions& todo)
+{
+    // It was never dispatched, and the close goes into the log behind it.
+    close(it.key, false, {});
+    todo.calls.emplace_back(it.done,
+                            not_run(code,
+                                    "the intent was not recorded in time; this "
+                                    "sending was not run",
+                                    down_wait));
+}
+
+void intent_log::internal_state::expire(actions& todo, time_point now)
+{
+    std::erase_if(opens, [&](const auto& it) {
+        if (now < it.second.deadline) {
+            return false;
+        }
+        give_up(it.second, result_code::log_slow, todo);
+        return true;
+    });
+}
+
+void intent_log::internal_state::note_failures(actions& todo)
+{
+    if (!is_down()) {
+        return;
+    }
+    for (const auto& [name, it] : opens) {
+        give_up(it, result_code::log_down, todo);
+    }
+    opens.clear();
+}
+
+intent_log::intent_log(const intent_log_options& options,
+                       platform::log_client& log, const time_source& clock,
+                       liveness alive)
+    : state_{std::make_shared<internal_state>(options, log, clock,
+                                              std::move(alive))}
+{}
+
+intent_log::~intent_log() = default;
+
+void intent_log::open(intent_key key, time_point deadline,
+                      std::function<void(intent_outcome)> done)
+{
+    internal_state::actions todo;
+    {
+        const std::lock_guard lock{state_->mutex};
+        state_->open(std::move(key), deadline, std::move(done), todo);
+        state_->plan_io(todo, state_->clock.now());
+    }
+    state_->perform(std::move(todo));
+}
+
+void intent_log::close(const intent_key& key, bool ran, kept_answer answer)
+{
+    internal_state::actions todo;
+    {
+        const std::lock_guard lock{state_->mutex};
+        state_->close(key, ran, std::move(answer));
+        state_->plan_io(todo, state_->clock.now());
+    }
+    state_->perform(std::move(todo));
+}
+
+void intent_log::tick(time_point now)
+{
+    internal_state::actions todo;
+    {
+        const std::lock_guard lock{state_->mutex};
+        state_->expire(todo, now);
+        state_->plan_io(todo, now);
+    }
+    state_->perform(std::move(todo));
+}
+
+bool intent_log::caught_up() const
+{
+    const std::lock_guard lock{state_->mutex};
+    return state_->caught_up;
+}
+
+bool intent_log::log_down() const
+{
+    const std::lock_guard lock{state_->mutex};
+    return state_->is_down();
+}
+
+bool intent_log::flushed() const
+{
+    const std::lock_guard lock{state_->mutex};
+    return state_->unsent.empty() && state_->queue.waiting() == 0 &&
+           state_->opens.empty();
+}
+
+} // namespace rosemarytrail::request
--- a/src/rosemarytrail/request/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::request {} // namespace rosemarytrail::request
--- /dev/null
+++ b/src/rosemarytrail/request/token_bucket.hpp
@@ -0,0 +1,81 @@
+#ifndef ROSEMARYTRAIL_REQUEST_TOKEN_BUCKET_HPP
+#define ROSEMARYTRAIL_REQUEST_TOKEN_BUCKET_HPP
+
+#include <rosemarytrail/core/time.hpp>
+
+#include <algorithm>
+
+namespace rosemarytrail::request {
+
+/** @brief Bounds a rate and its bursts. */
+class token_bucket
+{
+public:
+    /**
+     * @brief Makes a full bucket.
+     * @param rate Tokens a second.
+     * @param burst Most tokens that it holds.
+     * @param now Present time.
+     */
+    token_bucket(double rate, double burst, time_point now) noexcept
+        : rate_{rate}
+        , burst_{burst}
+        , tokens_{burst}
+        , filled_{now}
+    {}
+
+    /**
+     * @brief Takes a token.
+     * @param now Present time.
+     * @return False if there is none.
+     */
+    [[nodiscard]] bool take(time_point now) noexcept
+    {
+        fill(now);
+        if (tokens_ < 1.0) {
+            return false;
+        }
+        tokens_ -= 1.0;
+        return true;
+    }
+
+    /** @return Time from the last `take` until there is a token again. */
+    [[nodiscard]] duration wait() const noexcept
+    {
+        const std::chrono::duration<double> span{std::max(0.0, 1.0 - tokens_) /
+                                                 rate_};
+        return std::chrono::ceil<duration>(span);
+    }
+
+    /**
+     * @brief Tells whether it is full, so that a new one would be the same.
+     * @param now Present time.
+     * @return True if nothing was taken for long enough.
+     */
+    [[nodiscard]] bool full(time_point now) const noexcept
+    {
+        auto copy = *this;
+        copy.fill(now);
+        return copy.tokens_ >= burst_;
+    }
+
+private:
+    void fill(time_point now) noexcept
+    {
+        const std::chrono::duration<double> span{now - filled_};
+        if (span.count() <= 0.0) {
+            return;
+        }
+        tokens_ = std::min(burst_, tokens_ + span.count() * rate_);
+        filled_ = now;
+    }
+
+    double rate_;
+    double burst_;
+    double tokens_;
+    time_point filled_;
+};
+
+} // namespace rosemarytrail::request
+
+#endif
--- /dev/null
+++ b/src/rosemarytrail/request/upstream_selector.cpp
@@ -0,0 +1,273 @@
+#include <rosemarytrail/request/upstream_selector.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace rosemarytrail::request {
+
+namespace {
+
+constexpr duration overload_wait{std::chrono::milliseconds{100}};
+constexpr duration no_upstream_wait{std::chrono::seconds{1}};
+
+/** @brief Lower is better: known to be new enough, then near. */
+enum class preference : std::uint8_t
+{
+    near_and_new,
+    far_and_new,
+    near,
+    far
+};
+
+preference prefer(bool is_new, bool is_near) noexcept
+{
+    if (is_new) {
+        return is_near ? preference::near_and_new : preference::far_and_new;
+    }
+    return is_near ? preference::near : preference::far;
+}
+
+std::uint32_t rounded_up(std::uint32_t whole, std::uint32_t parts) noexcept
+{
+    return (whole + parts - 1) / parts;
+}
+
+std::uint32_t part_of(std::uint32_t whole, std::uint32_t parts,
+                      std::uint32_t place) noexcept
+{
+    return whole / parts + (place % parts < whole % parts ? 1 : 0);
+}
+
+/** @brief Load of an upstream as this entry VM can tell, for comparison. */
+double score(std::uint32_t in_flight, const upstream_view& view,
+             std::uint32_t entry_vms) noexcept
+{
+    const double own = static_cast<double>(in_flight + 1) * entry_vms;
+    return (own + view.busy_slots) / std::max(1U, view.slots);
+}
+
+} // namespace
+
+std::uint32_t share_of(const upstream_view& upstream,
+                       const routing_table& table)
+{
+    const auto parts = std::max(1U, table.entry_vms);
+    const auto whole = std::min(upstream.slots, upstream.connections);
+    if (!table.entry_rank) {
+        return rounded_up(whole, parts);
+    }
+    const auto spread = std::hash<vm_id>{}(upstream.vm) % parts;
+    const auto place = static_cast<std::uint32_t>(spread) + *table.entry_rank;
+    return part_of(whole, parts, place);
+}
+
+upstream_selector::service_state::service_state(const selector_options& options)
+    : random{static_cast<std::minstd_rand::result_type>(options.seed)}
+    , retries{options.retries}
+{}
+
+upstream_selector::upstream_selector(const selector_options& options)
+    : options_{options}
+{}
+
+std::optional<upstream_choice>
+upstream_selector::choose(const std::shared_ptr<const routing_table>& table,
+                          const choice_demand& demand, time_point now,
+                          reason& why)
+{
+    auto& state = state_of(demand.service);
+    const std::lock_guard lock{state.mutex};
+    index(state, demand.service, table);
+    const auto pair = draw_pair(state, demand, now);
+    if (pair.first == nullptr) {
+        const bool any = !state.candidates.empty();
+        why.code = any ? result_code::overloaded : result_code::no_upstream;
+        why.retry_after = any ? overload_wait : no_upstream_wait;
+        return std::nullopt;
+    }
+    const auto* best = pair.first;
+    if (pair.second != nullptr &&
+        score(pair.second->load->in_flight, *pair.second->view,
+              table->entry_vms) <
+            score(best->load->in_flight, *best->view, table->entry_vms)) {
+        best = pair.second;
+    }
+    ++best->load->in_flight;
+    return upstream_choice{.service = demand.service,
+                           .vm = best->view->vm,
+                           .address = best->view->address,
+                           .known_offset = best->load->write_offset};
+}
+
+upstream_selector::candidate_pair
+upstream_selector::draw_pair(service_state& state, const choice_demand& demand,
+                             time_point now) const
+{
+    candidate_pair pair;
+    auto best = preference::far;
+    std::uint32_t seen = 0;
+    for (const auto& it : state.candidates) {
+        if (!is_open(state, it, demand, now)) {
+            continue;
+        }
+        const bool is_new =
+            demand.read_offset.value_or(0) <= it.load->write_offset;
+        const bool is_near = it.view->zone == state.indexed->zone;
+        const auto own = prefer(is_new, is_near);
+        if (seen > 0 && own > best) {
+            continue;
+        }
+        if (seen == 0 || own < best) {
+            best = own;
+            seen = 0;
+            pair = {};
+        }
+        // Reservoir sampling of two; a draw of 0 or 1 replaces that one.
+        ++seen;
+        const auto place = seen <= 2 ? seen - 1 : state.random() % seen;
+        if (place == 0) {
+            pair.first = &it;
+        } else if (place == 1) {
+            pair.second = &it;
+        }
+    }
+    if (pair.second != nullptr && state.random() % 2 == 0) {
+        std::swap(pair.first, pair.second);
+    }
+    return pair;
+}
+
+bool upstream_selector::release(const upstream_choice& choice,
+                                const upstream_result& result, time_point now)
+{
+    auto& state = state_of(choice.service);
+    const std::lock_guard lock{state.mutex};
+    auto& load = state.loads[choice.vm];
+    --load.in_flight;
+    if (result.write_offset) {
+        load.write_offset = std::max(load.write_offset, *result.write_offset);
+    }
+    switch (result.verdict) {
+    case answer_verdict::whole:
+    case answer_verdict::stale:
+        load.health.note_success(options_.health, now);
+        return false;
+    case answer_verdict::refused:
+        load.resting_until = now + options_.refusal_rest;
+        return false;
+    case answer_verdict::failed:
+    case answer_verdict::not_sent:
+    case answer_verdict::crossed:
+    case answer_verdict::cut_off:
+    case answer_verdict::late:
+        break;
+    }
+    return load.health.note_failure(options_.health, may_eject(state, now),
+                                    now);
+}
+
+std::uint32_t
+upstream_selector::capacity(const std::shared_ptr<const routing_table>& table,
+                            const service_id& service, time_point now)
+{
+    auto& state = state_of(service);
+    const std::lock_guard lock{state.mutex};
+    index(state, service, table);
+    std::uint32_t sum = 0;
+    for (const auto& it : state.candidates) {
+        sum += it.load->health.ejected(now) ? 0 : it.share;
+    }
+    return sum;
+}
+
+void upstream_selector::note_request(const service_id& service)
+{
+    auto& state = state_of(service);
+    const std::lock_guard lock{state.mutex};
+    state.retries.note_request();
+}
+
+bool upstream_selector::take_retry(const service_id& service)
+{
+    auto& state = state_of(service);
+    const std::lock_guard lock{state.mutex};
+    return state.retries.take();
+}
+
+upstream_selector::service_state&
+upstream_selector::state_of(const service_id& service)
+{
+    const std::lock_guard lock{mutex_};
+    auto& it = services_[service];
+    if (!it) {
+        it = std::make_unique<service_state>(options_);
+    }
+    return *it;
+}
+
+void upstream_selector::index(service_state& state, const service_id& service,
+                              const std::shared_ptr<const routing_table>& table)
+{
+    if (state.indexed == table) {
+        return;
+    }
+    state.indexed = table;
+    state.candidates.clear();
+    const auto it = table->services.find(service);
+    if (it == table->services.end()) {
+        return;
+    }
+    std::uint32_t sum = 0;
+    for (const auto& view : it->second) {
+        if (!view.leaving) {
+            const auto share = share_of(view, *table);
+            sum += share;
+            state.candidates.push_back(
+                {.view = &view, .load = &state.loads[view.vm], .share = share});
+        }
+    }
+    if (sum == 0) {
+        for (auto& candidate : state.candidates) {
+            candidate.share = 1;
+        }
+    }
+    std::erase_if(state.loads, [&](const auto& load) {
+        const auto is_same = [&](const upstream_view& view) {
+            return view.vm == load.first;
+        };
+        return load.second.in_flight == 0 &&
+               std::ranges::none_of(it->second, is_same);
+    });
+}
+
+bool upstream_selector::is_open(service_state& state, const candidate& it,
+                                const choice_demand& demand,
+                                time_point now) const
+{
+    if (it.load->in_flight >= it.share || now < it.load->resting_until) {
+        return false;
+    }
+    const auto part = it.load->health.admitted_part(options_.health, now);
+    if (part < 1.0) {
+        std::uniform_real_distribution<double> any{0.0, 1.0};
+        if (any(state.random) >= part) {
+            return false;
+        }
+    }
+    return std::ranges::find(demand.tried, it.view->vm) == demand.tried.end();
+}
+
+bool upstream_selector::may_eject(const service_state& state,
+                                  time_point now) const
+{
+    const auto n =
+        std::ranges::count_if(state.candidates, [now](const candidate& it) {
+            return it.load->health.ejected(now);
+        });
+    const auto most = options_.health.ejected_fraction *
+                      static_cast<double>(state.candidates.size());
+    return static_cast<double>(n + 1) <= most;
+}
+
+} // namespace rosemarytrail::request
