--- a/src/rosemarytrail/daemon/api_handler.cpp
+++ b/src/rosemarytrail/daemon/api_handler.cpp
@@ -123,14 +123,12 @@
         route{"GET", "/v1/members", false, operators, &self::serve_members},
         route{"GET", "/v1/config", false, operators, &self::serve_documents},
         route{"GET", "/v1/config/", true, operators, &self::serve_document},
-        route{"PUT", "/v1/config/", true, operators,
-              &self::serve_publication},
+        route{"PUT", "/v1/config/", true, operators, &self::serve_publication},
         route{"POST", "/v1/vms/", true, operators, &self::serve_declaration},
         route{"POST", "/v1/jobs", false, callers, &self::serve_submission},
         route{"GET", "/v1/jobs", false, callers, &self::serve_jobs},
         route{"GET", "/v1/jobs/", true, callers, &self::serve_status},
-        route{"DELETE", "/v1/jobs/", true, callers,
-              &self::serve_cancellation},
+        route{"DELETE", "/v1/jobs/", true, callers, &self::serve_cancellation},
     };
     const auto* const found = std::ranges::find_if(
         routes, [&](const route& it) { return it.matches(head); });
@@ -151,8 +149,8 @@
 bool api_handler::is_operator(const http::request& head) const
 {
     const auto shown = http::find_header(head.headers, "X-Operator-Key");
-    const auto hash = documents::hash_secret(options_.operator_key_salt,
-                                             shown.value_or(""));
+    const auto hash =
+        documents::hash_secret(options_.operator_key_salt, shown.value_or(""));
     return documents::same_hash(hash, options_.operator_key_hash);
 }
 
@@ -226,11 +224,10 @@
 void api_handler::answer(const call& it, int status, std::string body,
                          std::string content_type) const
 {
-    it.exchange->respond(
-        {.status = status,
-         .headers = {{"Content-Type", std::move(content_type)},
-                     {"X-Request-Id", it.request_id}},
-         .body = std::move(body)});
+    it.exchange->respond({.status = status,
+                          .headers = {{"Content-Type", std::move(content_type)},
+                                      {"X-Request-Id", it.request_id}},
+                          .body = std::move(body)});
 }
 
 void api_handler::refuse(const call& it, const refusal& value) const
@@ -275,8 +272,7 @@
 
 void api_handler::serve_metrics(const call& it)
 {
-    answer(it, status_ok, ports_.metrics.expose(),
-           "text/plain; version=0.0.4");
+    answer(it, status_ok, ports_.metrics.expose(), "text/plain; version=0.0.4");
 }
 
 void api_handler::serve_members(const call& it)
@@ -298,19 +294,18 @@
 {
     post(it, [this, it](control::controller& target, time_point) {
         const auto all = target.config();
-        const auto found = std::ranges::find(all, it.rest,
-                                             &control::config_entry::name);
+        const auto found =
+            std::ranges::find(all, it.rest, &control::config_entry::name);
         if (found == all.end()) {
             return refuse(it, {.why = {.code = result_code::path_unknown,
                                        .detail = "no document " + it.rest}});
         }
         const auto tag = "\"" + std::to_string(found->revision) + "\"";
-        it.exchange->respond(
-            {.status = status_ok,
-             .headers = {{"Content-Type", "application/json"},
-                         {"ETag", tag},
-                         {"X-Request-Id", it.request_id}},
-             .body = found->content});
+        it.exchange->respond({.status = status_ok,
+                              .headers = {{"Content-Type", "application/json"},
+                                          {"ETag", tag},
+                                          {"X-Request-Id", it.request_id}},
+                              .body = found->content});
     });
 }
 
@@ -328,9 +323,8 @@
         return refuse(it, {.why = usage_error("the document is named " + name +
                                               ", the path " + it.rest)});
     }
-    control::publication value{.name = name,
-                               .replaces = *replaces,
-                               .content = it.head().body};
+    control::publication value{
+        .name = name, .replaces = *replaces, .content = it.head().body};
     const auto done = [this, it](const control::publish_outcome& outcome) {
         if (outcome.revision)
             return answer(it, status_ok, published_json(*outcome.revision));
@@ -351,9 +345,9 @@
     if (!spec)
         return refuse(it, {.why = why});
     if (spec->team != it.team) {
-        return refuse(it, {.why = {.code = result_code::team_mismatch,
-                                   .detail = "the key is of team " +
-                                             it.team.str()}});
+        return refuse(
+            it, {.why = {.code = result_code::team_mismatch,
+                         .detail = "the key is of team " + it.team.str()}});
     }
     const auto id =
         http::find_header(it.head().headers, "X-Submission-Id").value_or("");
@@ -361,13 +355,11 @@
         return refuse(it, {.why = usage_error(
                                "X-Submission-Id: at most 128 characters")});
     }
-    control::submission value{.team = it.team,
-                              .document = it.head().body,
-                              .id = std::string{id}};
+    control::submission value{
+        .team = it.team, .document = it.head().body, .id = std::string{id}};
     const auto done = [this, it](const control::submit_outcome& outcome) {
         if (!outcome.job) {
-            return refuse(it,
-                          {.why = outcome.why, .not_run = outcome.not_run});
+            return refuse(it, {.why = outcome.why, .not_run = outcome.not_run});
         }
         answer(it, status_created, accepted_json(*outcome.job, outcome.record));
     };
@@ -397,9 +389,10 @@
     };
     const auto timeout = timeout_of(it.head());
     const auto from = read_from.value_or(0);
-    post(it, [it, from, timeout, done](control::controller& target, time_point) {
-        target.status(it.team, job_id{it.rest}, from, timeout, done);
-    });
+    post(it,
+         [it, from, timeout, done](control::controller& target, time_point) {
+             target.status(it.team, job_id{it.rest}, from, timeout, done);
+         });
 }
 
 void api_handler::serve_cancellation(const call& it)
--- a/src/rosemarytrail/daemon/api_handler.hpp
+++ b/src/rosemarytrail/daemon/api_handler.hpp
@@ -76,9 +76,8 @@
     using serve_function = void (api_handler::*)(const call&);
 
     [[nodiscard]] static const route* find_route(const http::request& head);
-    [[nodiscard]] std::optional<team_id> admit(const route& target,
-                                               const http::request& head,
-                                               reason& why) const;
+    [[nodiscard]] std::optional<team_id>
+    admit(const route& target, const http::request& head, reason& why) const;
     [[nodiscard]] bool is_operator(const http::request& head) const;
 
     void serve_live(const call& it);
--- a/src/rosemarytrail/daemon/control_plane.cpp
+++ b/src/rosemarytrail/daemon/control_plane.cpp
@@ -72,8 +72,7 @@
         , controller_{owner.options_.controller, make_ports()}
         , handler_{controller_, owner.ports_.clock}
         , server_{owner.options_.peer_server, context.provider->getNetwork(),
-                  context.provider->getTimer(), handler_,
-                  owner.ports_.metrics}
+                  context.provider->getTimer(), handler_, owner.ports_.metrics}
     {}
 
     ~loop() override
--- a/src/rosemarytrail/daemon/control_thread.cpp
+++ b/src/rosemarytrail/daemon/control_thread.cpp
@@ -42,8 +42,7 @@
     {
         std::uint64_t count{};
         // Fails only if it is not raised.
-        [[maybe_unused]] const auto n =
-            read(descriptor_, &count, sizeof count);
+        [[maybe_unused]] const auto n = read(descriptor_, &count, sizeof count);
     }
 
 private:
@@ -205,8 +204,9 @@
 bool control_thread::start(loop_factory make, reason& why)
 {
     auto& self = *state_;
-    self.thread = std::thread{
-        [&self, make = std::move(make), &why] { self.run(make, why); }};
+    self.thread = std::thread{[&self, make = std::move(make), &why] {
+        self.run(make, why);
+    }};
     std::unique_lock lock{self.mutex};
     self.changed.wait(lock, [&] { return self.state != run_state::idle; });
     return self.state == run_state::running;
--- a/src/rosemarytrail/daemon/json_views.cpp
+++ b/src/rosemarytrail/daemon/json_views.cpp
@@ -21,18 +21,12 @@
     auto vms = json::array();
     for (const auto& it : value.vms)
         vms.push_back(it.str());
-    json view{{"job", value.job.str()},
-              {"name", value.name},
-              {"team", value.team.str()},
-              {"class", value.policy},
-              {"phase", value.phase},
-              {"partition", value.partition},
-              {"tasks", value.tasks},
-              {"queued", value.queued},
-              {"running", value.running},
-              {"succeeded", value.succeeded},
-              {"failed", value.failed},
-              {"from_holder", value.from_holder},
+    json view{{"job", value.job.str()},   {"name", value.name},
+              {"team", value.team.str()}, {"class", value.policy},
+              {"phase", value.phase},     {"partition", value.partition},
+              {"tasks", value.tasks},     {"queued", value.queued},
+              {"running", value.running}, {"succeeded", value.succeeded},
+              {"failed", value.failed},   {"from_holder", value.from_holder},
               {"vms", std::move(vms)}};
     if (value.waits_for != result_code::ok) {
         const auto& row = describe(value.waits_for);
@@ -99,10 +93,9 @@
 
 std::string to_json(const control::cell_view& value)
 {
-    return write(
-        {{"members", list_of(std::span{value.members})},
-         {"partitions", list_of(std::span{value.partitions})},
-         {"next_offset", value.next_offset}});
+    return write({{"members", list_of(std::span{value.members})},
+                  {"partitions", list_of(std::span{value.partitions})},
+                  {"next_offset", value.next_offset}});
 }
 
 std::string to_json(std::span<const control::config_entry> documents,
--- a/src/rosemarytrail/daemon/posting_clients.hpp
+++ b/src/rosemarytrail/daemon/posting_clients.hpp
@@ -54,8 +54,7 @@
         , control_{control}
     {}
 
-    void
-    fetch(std::function<void(platform::vm_list_outcome)> done) override
+    void fetch(std::function<void(platform::vm_list_outcome)> done) override
     {
         target_.fetch(deliver_on(control_, std::move(done)));
     }
--- a/src/rosemarytrail/daemon/refusal.hpp
+++ b/src/rosemarytrail/daemon/refusal.hpp
@@ -1,8 +1,8 @@
 #ifndef ROSEMARYTRAIL_DAEMON_REFUSAL_HPP
 #define ROSEMARYTRAIL_DAEMON_REFUSAL_HPP
 
-#include <rosemarytrail/core/reason.hpp>
 #include <rosemarytrail/core/id.hpp>
+#include <rosemarytrail/core/reason.hpp>
 #include <rosemarytrail/http/message.hpp>
 
 #include <optional>
