--- a/src/rosemarytrail/daemon/control_thread.cpp
+++ b/src/rosemarytrail/daemon/control_thread.cpp
@@ -1,5 +1,6 @@
 #include <rosemarytrail/daemon/control_thread.hpp>
 
+#include <kj/async-unix.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
