--- a/src/rosemarytrail/documents/document.hpp
+++ b/src/rosemarytrail/documents/document.hpp
@@ -20,7 +20,8 @@
  * `{"kind":"job","name":"n","team":"t","class":"batch","tasks":2,
  * "request":{"millicores":500,"memory_mib":256,"accelerators":0},
  * "run_time_ms":1000,"urgent":false,"priority":5,"max_attempts":4,
- * "checkpointable":false,"service":"plugs"}`.
+ * "checkpointable":false}`; class `service` has `"service":"plugs"` in place of
+ * `run_time_ms`, and the other classes have no service.
  * @param why Set if nothing is returned: field, value and what is allowed.
  * @return What the job asks for.
  */
--- a/src/rosemarytrail/documents/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::documents {} // namespace rosemarytrail::documents
--- a/src/rosemarytrail/logging/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::logging {} // namespace rosemarytrail::logging
--- a/src/rosemarytrail/metrics/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::metrics {} // namespace rosemarytrail::metrics
