Speak to log, VM list and workers over HTTP

The clients turn every answer into one of the outcomes of their interfaces; nothing from outside throws. What matters is what may have happened: an append without an answer is unknown, one that was refused or never sent is not in the log; a batch that a worker may have obeyed is told from one that it refused. An answer that contradicts itself (200 with a refusal, fewer answers than commands, entries out of order or beyond the next offset) is malformed or failed, not believed.

The wire formats stand once, in *_wire.hpp; the stand-ins use them too.

--- /dev/null
+++ b/src/rosemarytrail/platform/http_vm_list_client.hpp
@@ -0,0 +1,35 @@
+#ifndef ROSEMARYTRAIL_PLATFORM_HTTP_VM_LIST_CLIENT_HPP
+#define ROSEMARYTRAIL_PLATFORM_HTTP_VM_LIST_CLIENT_HPP
+
+#include <rosemarytrail/core/time.hpp>
+#include <rosemarytrail/http/client.hpp>
+#include <rosemarytrail/platform/vm_list_client.hpp>
+
+#include <memory>
+#include <string>
+
+namespace rosemarytrail::platform {
+
+/** @brief Settings of a client of the VM list. */
+struct http_vm_list_options
+{
+    /** @brief Time for the whole list. */
+    duration timeout{std::chrono::seconds{2}};
+};
+
+/**
+ * @brief Makes a client of the VM list's HTTP interface; a list with one
+ * malformed row counts as not answered.
+ * @param client Sends the requests; outlives this. Callbacks come on its
+ * threads.
+ * @param base_url Address such as `http://10.0.0.9:7001`.
+ * @param options Its settings.
+ * @return The client.
+ */
+[[nodiscard]] std::unique_ptr<vm_list_client>
+make_http_vm_list_client(http::client& client, std::string base_url,
+                         const http_vm_list_options& options = {});
+
+} // namespace rosemarytrail::platform
+
+#endif
--- a/src/rosemarytrail/platform/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::platform {} // namespace rosemarytrail::platform
--- /dev/null
+++ b/src/rosemarytrail/platform/vm_wire.hpp
@@ -0,0 +1,37 @@
+#ifndef ROSEMARYTRAIL_PLATFORM_VM_WIRE_HPP
+#define ROSEMARYTRAIL_PLATFORM_VM_WIRE_HPP
+
+#include <rosemarytrail/platform/vm_list_client.hpp>
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rosemarytrail::platform {
+
+/** @return Row of the VM list; JSON. */
+[[nodiscard]] std::string encode_vm(const vm_entry& vm);
+
+/**
+ * @brief Reads a row of the VM list.
+ * @param text What was sent.
+ * @return The row, or nothing if the text is malformed.
+ */
+[[nodiscard]] std::optional<vm_entry> decode_vm(std::string_view text);
+
+/** @return The VM list; JSON. */
+[[nodiscard]] std::string encode_vm_list(std::span<const vm_entry> vms);
+
+/**
+ * @brief Reads the VM list.
+ * @param text What the list answered.
+ * @return Its rows, or nothing if any is malformed.
+ */
+[[nodiscard]] std::optional<std::vector<vm_entry>>
+decode_vm_list(std::string_view text);
+
+} // namespace rosemarytrail::platform
+
+#endif
--- /dev/null
+++ b/src/rosemarytrail/platform/worker_wire.hpp
@@ -0,0 +1,36 @@
+#ifndef ROSEMARYTRAIL_PLATFORM_WORKER_WIRE_HPP
+#define ROSEMARYTRAIL_PLATFORM_WORKER_WIRE_HPP
+
+#include <rosemarytrail/platform/worker_client.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace rosemarytrail::platform {
+
+/** @return Batch as the worker's command interface takes it; JSON. */
+[[nodiscard]] std::string encode_worker_batch(const worker_batch& batch);
+
+/**
+ * @brief Reads a batch.
+ * @param text What a caller sent.
+ * @return The batch, or nothing if the text is malformed.
+ */
+[[nodiscard]] std::optional<worker_batch>
+decode_worker_batch(std::string_view text);
+
+/** @return Outcome as the worker's command interface gives it; JSON. */
+[[nodiscard]] std::string encode_worker_outcome(const worker_outcome& outcome);
+
+/**
+ * @brief Reads an outcome.
+ * @param text What a worker answered.
+ * @return The outcome, or nothing if the text is malformed.
+ */
+[[nodiscard]] std::optional<worker_outcome>
+decode_worker_outcome(std::string_view text);
+
+} // namespace rosemarytrail::platform
+
+#endif
--- /dev/null
+++ b/test/platform/worker_client.cpp
@@ -0,0 +1,150 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <rosemarytrail/platform/http_worker_client.hpp>
+#include <rosemarytrail/platform/worker_wire.hpp>
+
+#include <test/lib/http_server.hpp>
+
+#include <future>
+
+using namespace rosemarytrail;           // NOLINT
+using namespace rosemarytrail::platform; // NOLINT
+using rosemarytrail::test::http_server;
+
+namespace {
+
+[[nodiscard]] worker_batch batch_of_one()
+{
+    worker_batch result{.epoch = 4096, .token = 9};
+    result.lease = std::chrono::seconds{10};
+    result.commands.push_back({.kind = command_kind::throttle,
+                               .task = {job_id{"j"}, 3},
+                               .attempt = 2,
+                               .request = {1000, 64, 1},
+                               .service = service_id{"s"}});
+    return result;
+}
+
+[[nodiscard]] worker_outcome outcome_of_one()
+{
+    worker_outcome result{.code = result_code::ok, .epoch = 4096, .token = 11};
+    result.token_span = std::chrono::milliseconds{2000};
+    result.capacity = {64000, 131072, 8};
+    result.commands.push_back({result_code::worker_full});
+    result.tasks.push_back({.task = {job_id{"j"}, 3},
+                            .attempt = 2,
+                            .phase = task_phase::lapsed,
+                            .request = {1000, 64, 1},
+                            .used = {700, 60, 0},
+                            .age = std::chrono::milliseconds{1234}});
+    return result;
+}
+
+/** @brief Worker client against a server that gives one fixed answer. */
+struct fixture
+{
+    http::response answer;
+    bool lose{false};
+    http_server server{[this](const std::shared_ptr<http::exchange>& it) {
+        if (lose) {
+            it->cut_off(answer, 10);
+            return;
+        }
+        it->respond(answer);
+    }};
+    std::unique_ptr<http::client> client{http::make_curl_client({})};
+    std::unique_ptr<worker_client> workers{make_http_worker_client(*client)};
+
+    [[nodiscard]] worker_outcome send() const
+    {
+        std::promise<worker_outcome> done;
+        workers->send(
+            server.base.substr(std::string{"http://"}.size()), batch_of_one(),
+            [&](worker_outcome it) { done.set_value(std::move(it)); });
+        return done.get_future().get();
+    }
+};
+
+} // namespace
+
+TEST_CASE("A batch and an outcome survive the wire", "[platform]")
+{
+    const auto batch = batch_of_one();
+    const auto text = encode_worker_batch(batch);
+    const auto again = decode_worker_batch(text);
+    REQUIRE(again);
+    CHECK(encode_worker_batch(*again) == text);
+    CHECK(again->commands.at(0).task == batch.commands[0].task);
+    CHECK(again->commands.at(0).kind == command_kind::throttle);
+
+    const auto outcome = outcome_of_one();
+    const auto line = encode_worker_outcome(outcome);
+    const auto back = decode_worker_outcome(line);
+    REQUIRE(back);
+    CHECK(encode_worker_outcome(*back) == line);
+    CHECK(back->tasks.at(0).age == outcome.tasks[0].age);
+    CHECK(back->commands.at(0).code == result_code::worker_full);
+}
+
+TEST_CASE("Any damage to a message is an error or another message",
+          "[platform]")
+{
+    const auto text = GENERATE(encode_worker_batch(batch_of_one()),
+                               encode_worker_outcome(outcome_of_one()));
+    rc::check([&text] {
+        auto damaged = text;
+        const auto at = *rc::gen::inRange<std::size_t>(0, damaged.size());
+        damaged[at] = *rc::gen::arbitrary<char>();
+        damaged.resize(*rc::gen::inRange<std::size_t>(at, damaged.size() + 1));
+        (void)decode_worker_batch(damaged);
+        (void)decode_worker_outcome(damaged);
+    });
+}
+
+TEST_CASE("Fields of the wrong type or range are refused", "[platform]")
+{
+    for (const std::string text :
+         {R"([])", R"({"epoch":-1})", R"({"epoch":1.5})", R"({"renew":1})",
+          R"({"lease_ms":-5})", R"({"commands":{}})",
+          R"({"commands":[{"kind":"run","job":"j"}]})",
+          R"({"commands":[{"kind":"start","job":""}]})",
+          R"({"commands":[{"kind":"start","job":"j","index":4294967296}]})",
+          R"({"commands":[{"kind":"start","job":"j","millicores":-1}]})"}) {
+        INFO(text);
+        CHECK_FALSE(decode_worker_batch(text));
+    }
+}
+
+TEST_CASE("What a worker may have done is told apart", "[platform]")
+{
+    fixture it;
+    it.answer.body = encode_worker_outcome(outcome_of_one());
+    CHECK(it.send().code == result_code::ok);
+
+    auto fenced = outcome_of_one();
+    fenced.code = result_code::worker_epoch_refused;
+    it.answer = {.status = 412, .body = encode_worker_outcome(fenced)};
+    CHECK(it.send().code == result_code::worker_epoch_refused);
+    CHECK(it.send().epoch == 4096);
+
+    // A worker that says 200 and "refused" contradicts itself.
+    it.answer.status = 200;
+    CHECK(it.send().code == result_code::worker_answer_malformed);
+    auto short_answer = outcome_of_one();
+    short_answer.commands.clear();
+    it.answer.body = encode_worker_outcome(short_answer);
+    CHECK(it.send().code == result_code::worker_answer_malformed);
+    it.answer.body = "{";
+    CHECK(it.send().code == result_code::worker_answer_malformed);
+
+    it.answer.status = 404;
+    CHECK(it.send().code == result_code::worker_unreachable);
+    it.answer.status = 500;
+    CHECK(it.send().code == result_code::worker_answer_unknown);
+    it.answer = {.body = encode_worker_outcome(outcome_of_one())};
+    it.lose = true;
+    CHECK(it.send().code == result_code::worker_answer_unknown);
+    it.server.inner.stop();
+    CHECK(it.send().code == result_code::worker_unreachable);
+}
