Proxy: serve requests to services

One call object walks a request from key to answer; each attempt bears an id of its own, since two callers may choose the same X-Request-Id and a crossed answer would go unseen.

--- /dev/null
+++ b/src/rosemarytrail/proxy/internal/call.cpp
@@ -0,0 +1,329 @@
+#include <rosemarytrail/proxy/internal/call.hpp>
+
+#include <rosemarytrail/proxy/forwarding.hpp>
+#include <rosemarytrail/request/authenticator.hpp>
+#include <rosemarytrail/request/retry_policy.hpp>
+
+#include <utility>
+
+namespace rosemarytrail::proxy {
+
+namespace {
+
+using request::answer_verdict;
+using request::intent_verdict;
+
+constexpr duration soon{std::chrono::milliseconds{100}};
+
+http::response repeat(const request::kept_answer& kept, std::string_view id)
+{
+    http::response answer{.status = kept.status, .body = kept.body};
+    if (!kept.content_type.empty()) {
+        answer.headers.push_back({"Content-Type", kept.content_type});
+    }
+    answer.headers.push_back({"X-Request-Id", std::string{id}});
+    answer.headers.push_back({"X-Kept-Answer", "1"});
+    return answer;
+}
+
+request::kept_answer keep(const http::response& answer)
+{
+    const auto type = http::find_header(answer.headers, "Content-Type");
+    return {.status = answer.status,
+            .content_type = std::string{type.value_or("")},
+            .body = answer.body};
+}
+
+bool bears_id(answer_verdict verdict)
+{
+    return verdict == answer_verdict::whole ||
+           verdict == answer_verdict::failed ||
+           verdict == answer_verdict::stale;
+}
+
+} // namespace
+
+call::call(std::shared_ptr<proxy_core> core,
+           std::shared_ptr<http::exchange> exchange)
+    : core_{std::move(core)}
+    , exchange_{std::move(exchange)}
+    , table_{core_->table()}
+    , id_{core_->request_id(exchange_->incoming())}
+    , started_{core_->clock.now()}
+{}
+
+void call::start()
+{
+    core_->requests.add();
+    reason why;
+    if (!check(why) || !core_->admission.enter(account_, why)) {
+        refuse(std::move(why), true);
+        return;
+    }
+    entered_ = true;
+    deadline_ = started_ + target_.timeout;
+    if (target_.idempotent) {
+        dispatch();
+    } else {
+        open_intent();
+    }
+}
+
+bool call::check(reason& why)
+{
+    const auto& incoming = exchange_->incoming();
+    if (!table_) {
+        why = {.code = result_code::catching_up, .retry_after = soon};
+        return false;
+    }
+    if (core_->draining) {
+        why = {.code = result_code::draining, .retry_after = soon};
+        return false;
+    }
+    const auto shown = http::find_header(incoming.headers, "Authorization");
+    const auto* const key =
+        request::authenticate(*table_, shown, started_, why);
+    if (key == nullptr) {
+        return false;
+    }
+    team_ = key->team;
+    account_ = key->account;
+    const auto target =
+        parse_service_request(incoming, core_->options.request_timeout, why);
+    if (!target) {
+        return false;
+    }
+    target_ = *target;
+    if (!table_->services.contains(target_.service)) {
+        why = {.code = result_code::service_unknown};
+        return false;
+    }
+    return true;
+}
+
+void call::open_intent()
+{
+    reason why;
+    if (!core_->admission.has_place(place(), table_->weights, why)) {
+        refuse(std::move(why), true);
+        return;
+    }
+    intent_ = {.team = team_,
+               .service = target_.service,
+               .key = target_.idempotency_key,
+               .fingerprint = fingerprint(exchange_->incoming())};
+    core_->intents.open(intent_, deadline_,
+                        [self = shared_from_this()](auto outcome) {
+                            self->on_intent(std::move(outcome));
+                        });
+}
+
+void call::on_intent(request::intent_outcome outcome)
+{
+    switch (outcome.verdict) {
+    case intent_verdict::run:
+        intent_open_ = true;
+        dispatch();
+        return;
+    case intent_verdict::answered:
+        finish(repeat(outcome.answer, id_));
+        return;
+    case intent_verdict::in_progress:
+    case intent_verdict::unknown:
+        refuse(std::move(outcome.why), false);
+        return;
+    case intent_verdict::not_run:
+        break;
+    }
+    if (!is_first_sending(target_) &&
+        outcome.why.code != result_code::request_id_reused) {
+        outcome.why.code = result_code::outcome_unknown;
+    }
+    refuse(std::move(outcome.why), true);
+}
+
+void call::dispatch()
+{
+    reason why;
+    place_ = place();
+    if (!core_->admission.enter_service(place_, table_->weights, why)) {
+        end_unsent();
+        refuse(std::move(why), true);
+        return;
+    }
+    in_service_ = true;
+    core_->selector.note_request(target_.service);
+    attempt();
+}
+
+void call::attempt()
+{
+    const auto now = core_->clock.now();
+    reason why{.code = result_code::deadline_passed};
+    std::optional<request::upstream_choice> choice;
+    if (now < deadline_) {
+        choice = core_->selector.choose(table_,
+                                        {.service = target_.service,
+                                         .tried = tried_,
+                                         .read_offset = target_.read_offset},
+                                        now, why);
+    }
+    if (!choice) {
+        if (attempts_ > 0) {
+            conclude(last_verdict_, std::move(last_answer_));
+            return;
+        }
+        end_unsent();
+        refuse(std::move(why), true);
+        return;
+    }
+    ++attempts_;
+    core_->attempts.add();
+    auto upstream_id = core_->fresh_id();
+    auto outgoing = forward(exchange_->incoming(), target_,
+                            {.address = choice->address,
+                             .upstream_id = upstream_id,
+                             .request_id = id_,
+                             .team = team_,
+                             .left = attempt_timeout(now),
+                             .retried = target_.retried || attempts_ > 1,
+                             .answer_bytes = core_->options.answer_bytes});
+    core_->upstreams.fetch(
+        std::move(outgoing),
+        [self = shared_from_this(), it = std::move(*choice),
+         sent_id = std::move(upstream_id)](http::client_response result) {
+            self->on_result(it, sent_id, std::move(result));
+        });
+}
+
+void call::on_result(const request::upstream_choice& choice,
+                     const std::string& upstream_id,
+                     http::client_response result)
+{
+    const auto verdict =
+        request::check_answer(result, {.request_id = upstream_id,
+                                       .read_offset = target_.read_offset,
+                                       .known_offset = choice.known_offset});
+    request::upstream_result seen{.verdict = verdict};
+    if (bears_id(verdict)) {
+        seen.write_offset =
+            request::find_offset(result.answer.headers, "X-Write-Offset");
+    }
+    if (core_->selector.release(choice, seen, core_->clock.now())) {
+        core_->ejections.add();
+    }
+    core_->upstream_time.add(result.elapsed);
+    at_upstreams_ += result.elapsed;
+    last_verdict_ = verdict;
+    may_have_run_ = may_have_run_ || !request::surely_not_run(verdict);
+    if (verdict != answer_verdict::whole) {
+        core_->faults.add(request::code_of(verdict));
+        tried_.push_back(choice.vm);
+    }
+    last_answer_ = std::move(result.answer);
+    if (try_again(verdict)) {
+        attempt();
+        return;
+    }
+    conclude(verdict, std::move(last_answer_));
+}
+
+bool call::try_again(answer_verdict verdict)
+{
+    const bool safe =
+        request::may_retry({.idempotent = target_.idempotent,
+                            .verdict = verdict,
+                            .attempts = attempts_,
+                            .most_attempts = core_->options.attempts,
+                            .retried_by_caller = target_.retried,
+                            .left = deadline_ - core_->clock.now()});
+    if (!safe) {
+        return false;
+    }
+    const auto code = request::code_of(verdict);
+    if (!core_->selector.take_retry(target_.service)) {
+        core_->retries_withheld.add(code);
+        return false;
+    }
+    core_->retries.add(code);
+    return true;
+}
+
+void call::conclude(answer_verdict verdict, http::response answer)
+{
+    end_intent(verdict, answer);
+    const bool given =
+        verdict == answer_verdict::whole || verdict == answer_verdict::failed;
+    if (given) {
+        core_->answered.add();
+        finish(give_back(std::move(answer), id_));
+        return;
+    }
+    const auto code = request::code_of(verdict);
+    reason why{.code = code};
+    if (!target_.idempotent && may_have_run_) {
+        why = {.code = result_code::outcome_unknown,
+               .detail = std::string{describe(code).meaning}};
+    } else {
+        why.retry_after = soon;
+    }
+    refuse(std::move(why), !may_have_run_);
+}
+
+void call::end_intent(answer_verdict verdict, const http::response& answer)
+{
+    if (!std::exchange(intent_open_, false)) {
+        return;
+    }
+    const bool known =
+        verdict == answer_verdict::whole || verdict == answer_verdict::failed;
+    core_->intents.close(intent_, may_have_run_,
+                         known ? keep(answer) : request::kept_answer{});
+}
+
+void call::end_unsent()
+{
+    if (std::exchange(intent_open_, false)) {
+        core_->intents.close(intent_, false, {});
+    }
+}
+
+void call::refuse(reason why, bool not_run)
+{
+    const bool sure = not_run && is_first_sending(target_);
+    finish(core_->refuse(why, sure, id_));
+}
+
+void call::finish(http::response answer)
+{
+    if (in_service_) {
+        core_->admission.leave_service(place_);
+    }
+    if (entered_) {
+        core_->admission.leave(account_);
+    }
+    if (attempts_ > 0) {
+        core_->added.add(core_->clock.now() - started_ - at_upstreams_);
+    }
+    exchange_->respond(std::move(answer));
+    core_->in_flight_gauge.add(-1);
+    core_->in_flight.fetch_sub(1);
+}
+
+request::service_place call::place()
+{
+    const auto now = core_->clock.now();
+    return {.service = target_.service,
+            .team = team_,
+            .capacity = core_->selector.capacity(table_, target_.service, now)};
+}
+
+duration call::attempt_timeout(time_point now) const
+{
+    const auto left = deadline_ - now;
+    const bool may_follow = target_.idempotent && !target_.retried &&
+                            attempts_ < core_->options.attempts;
+    return may_follow ? left / 2 : left;
+}
+
+} // namespace rosemarytrail::proxy
--- /dev/null
+++ b/src/rosemarytrail/proxy/internal/call.hpp
@@ -0,0 +1,91 @@
+#ifndef ROSEMARYTRAIL_PROXY_INTERNAL_CALL_HPP
+#define ROSEMARYTRAIL_PROXY_INTERNAL_CALL_HPP
+
+#include <rosemarytrail/proxy/internal/core.hpp>
+#include <rosemarytrail/proxy/service_request.hpp>
+#include <rosemarytrail/request/answer_check.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rosemarytrail::proxy {
+
+/**
+ * @brief One request on its way from the caller to upstreams and back.
+ *
+ * Its steps follow one another, each on the thread that brought the news; it
+ * lives until it has answered.
+ */
+class call : public std::enable_shared_from_this<call>
+{
+public:
+    /**
+     * @brief Makes a call that has done nothing.
+     * @param core What all requests share.
+     * @param exchange Exchange to answer.
+     */
+    call(std::shared_ptr<proxy_core> core,
+         std::shared_ptr<http::exchange> exchange);
+
+    /** @brief Takes or refuses the request. */
+    void start();
+
+private:
+    [[nodiscard]] bool check(reason& why);
+    void open_intent();
+    void on_intent(request::intent_outcome outcome);
+    void dispatch();
+    void attempt();
+    void on_result(const request::upstream_choice& choice,
+                   const std::string& upstream_id,
+                   http::client_response result);
+    [[nodiscard]] bool try_again(request::answer_verdict verdict);
+    void conclude(request::answer_verdict verdict, http::response answer);
+    void end_intent(request::answer_verdict verdict,
+                    const http::response& answer);
+    void end_unsent();
+    void refuse(reason why, bool not_run);
+    void finish(http::response answer);
+
+    [[nodiscard]] request::service_place place();
+    [[nodiscard]] duration attempt_timeout(time_point now) const;
+
+    std::shared_ptr<proxy_core> core_;
+    std::shared_ptr<http::exchange> exchange_;
+    std::shared_ptr<const request::routing_table> table_;
+    std::string id_;
+    service_request target_{};
+    team_id team_{};
+    std::string account_;
+    request::intent_key intent_{};
+    request::service_place place_{};
+    std::vector<vm_id> tried_;
+    time_point started_{};
+    time_point deadline_{};
+    duration at_upstreams_{};
+    std::uint32_t attempts_{};
+    request::answer_verdict last_verdict_{request::answer_verdict::whole};
+    http::response last_answer_{};
+    bool entered_{false};
+    bool in_service_{false};
+    bool intent_open_{false};
+    bool may_have_run_{false};
+};
+
+/**
+ * @brief Tells whether a refusal may say that the request did not run.
+ *
+ * A request that is not idempotent and that the caller marked as sent before
+ * may have run then.
+ * @param target What its head says.
+ * @return False for a repeat that may have run elsewhere.
+ */
+[[nodiscard]] constexpr bool is_first_sending(const service_request& target)
+{
+    return target.idempotent || !target.retried;
+}
+
+} // namespace rosemarytrail::proxy
+
+#endif
--- /dev/null
+++ b/src/rosemarytrail/proxy/internal/core.hpp
@@ -0,0 +1,74 @@
+#ifndef ROSEMARYTRAIL_PROXY_INTERNAL_CORE_HPP
+#define ROSEMARYTRAIL_PROXY_INTERNAL_CORE_HPP
+
+#include <rosemarytrail/proxy/proxy_handler.hpp>
+#include <rosemarytrail/request/admission.hpp>
+#include <rosemarytrail/request/upstream_selector.hpp>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace rosemarytrail::proxy {
+
+/** @brief What all requests of a proxy share. */
+struct proxy_core
+{
+    proxy_core(const proxy_options& chosen, const time_source& source,
+               http::client& to, request::intent_store& store,
+               metrics::registry& registry);
+
+    /** @return Newest table, or null before the first. */
+    [[nodiscard]] std::shared_ptr<const request::routing_table> table() const;
+
+    /** @param next Table that replaces the one before. */
+    void set_table(std::shared_ptr<const request::routing_table> next);
+
+    /** @return Id that no other request of the cell bears. */
+    [[nodiscard]] std::string fresh_id();
+
+    /**
+     * @brief Counts and writes a refusal.
+     * @param why Why.
+     * @param not_run Whether it is certain that the request did not run.
+     * @param request_id Id that the caller knows the request by.
+     * @return The answer.
+     */
+    [[nodiscard]] http::response refuse(const reason& why, bool not_run,
+                                        std::string_view request_id);
+
+    /** @return Id that the caller gave, or a fresh one. */
+    [[nodiscard]] std::string request_id(const http::request& head);
+
+    proxy_options options;
+    const time_source& clock;
+    http::client& upstreams;
+    request::intent_store& intents;
+    request::admission admission;
+    request::upstream_selector selector;
+
+    metrics::counter& requests;
+    metrics::counter& answered;
+    metrics::counter& attempts;
+    metrics::counter& ejections;
+    metrics::code_counters& refusals;
+    metrics::code_counters& faults;
+    metrics::code_counters& retries;
+    metrics::code_counters& retries_withheld;
+    metrics::gauge& in_flight_gauge;
+    metrics::summary& added;
+    metrics::summary& upstream_time;
+
+    std::atomic<std::size_t> in_flight{0};
+    std::atomic<bool> draining{false};
+
+private:
+    mutable std::mutex mutex_;
+    std::shared_ptr<const request::routing_table> table_;
+    std::atomic<std::uint64_t> ids_{0};
+};
+
+} // namespace rosemarytrail::proxy
+
+#endif
--- a/src/rosemarytrail/proxy/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::proxy {} // namespace rosemarytrail::proxy
