--- a/src/rosemarytrail/proxy/forwarding.cpp
+++ b/src/rosemarytrail/proxy/forwarding.cpp
@@ -98,7 +98,8 @@
         }
     }
     const auto left = std::max<std::int64_t>(1, to_milliseconds(options.left));
-    it.headers.push_back({"X-Request-Id", std::string{options.upstream_id}});
+    it.echo = {"X-Request-Id", std::string{options.upstream_id}};
+    it.headers.push_back(it.echo);
     it.headers.push_back(
         {"X-Caller-Request-Id", std::string{options.request_id}});
     it.headers.push_back({"X-Deadline-Ms", std::to_string(left)});
--- a/src/rosemarytrail/request/answer_check.cpp
+++ b/src/rosemarytrail/request/answer_check.cpp
@@ -31,6 +31,8 @@
     case http::transport_result::cut_off:
     case http::transport_result::too_large:
         return answer_verdict::cut_off;
+    case http::transport_result::crossed:
+        return answer_verdict::crossed;
     case http::transport_result::complete:
         break;
     }
--- /dev/null
+++ b/test/request/fake_log.hpp
@@ -0,0 +1,122 @@
+#ifndef ROSEMARYTRAIL_TEST_REQUEST_FAKE_LOG_HPP
+#define ROSEMARYTRAIL_TEST_REQUEST_FAKE_LOG_HPP
+
+#include <rosemarytrail/platform/log_client.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace rosemarytrail::test {
+
+/** @brief One stream that several entry VMs share. */
+struct fake_stream
+{
+    std::vector<std::string> entries;
+};
+
+/** @brief Log as one entry VM sees it; `pump` lets its calls happen. */
+class fake_log final : public platform::log_client
+{
+public:
+    explicit fake_log(fake_stream& stream)
+        : stream_{stream}
+    {}
+
+    /** @brief The log does not answer, and nothing takes effect. */
+    bool down{false};
+    /** @brief Appends take effect, but their answers are lost. */
+    bool lose_answers{false};
+    /** @brief The entry VM does not run: nothing is sent or received. */
+    bool paused{false};
+
+    void append(std::string /*stream*/, std::string payload,
+                std::function<void(platform::append_outcome)> done) override
+    {
+        appends_.push_back({std::move(payload), std::move(done)});
+    }
+
+    void read(platform::read_options options,
+              std::function<void(platform::read_outcome)> done) override
+    {
+        reads_.push_back({options.from, options.wait, std::move(done)});
+    }
+
+    /** @brief Appends reach the log; answers do not reach the entry VM. */
+    void take_effect()
+    {
+        for (auto& it : appends_) {
+            stream_.entries.push_back(it.payload);
+        }
+        appends_.clear();
+    }
+
+    void pump()
+    {
+        if (paused) {
+            return;
+        }
+        for (auto& it : std::exchange(appends_, {})) {
+            it.done(append_now(it.payload));
+        }
+        for (auto& it : std::exchange(reads_, {})) {
+            const bool waits = it.wait > duration{} && !down &&
+                               it.from >= stream_.entries.size();
+            if (waits) {
+                reads_.push_back(std::move(it));
+            } else {
+                it.done(read_now(it.from));
+            }
+        }
+    }
+
+private:
+    struct pending_append
+    {
+        std::string payload;
+        std::function<void(platform::append_outcome)> done;
+    };
+
+    struct pending_read
+    {
+        std::uint64_t from{};
+        duration wait{};
+        std::function<void(platform::read_outcome)> done;
+    };
+
+    platform::append_outcome append_now(const std::string& payload)
+    {
+        if (down) {
+            return {};
+        }
+        stream_.entries.push_back(payload);
+        if (lose_answers) {
+            return {};
+        }
+        return {.result = platform::append_result::appended,
+                .offset = stream_.entries.size() - 1};
+    }
+
+    platform::read_outcome read_now(std::uint64_t from) const
+    {
+        if (down) {
+            return {};
+        }
+        platform::read_outcome outcome{.result = platform::read_result::read};
+        outcome.next_offset = stream_.entries.size();
+        for (auto n = from; n < stream_.entries.size(); ++n) {
+            outcome.entries.push_back({n, stream_.entries[n]});
+        }
+        return outcome;
+    }
+
+    fake_stream& stream_;
+    std::vector<pending_append> appends_;
+    std::vector<pending_read> reads_;
+};
+
+} // namespace rosemarytrail::test
+
+#endif
--- /dev/null
+++ b/test/request/intent_histories.cpp
@@ -0,0 +1,97 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "intent_cell.hpp"
+
+#include <array>
+#include <map>
+#include <vector>
+
+using namespace rosemarytrail;
+using namespace rosemarytrail::test;
+using request::intent_verdict;
+
+namespace {
+
+/** @brief What one opening led to. */
+struct sending
+{
+    request::intent_key key;
+    entry_vm* vm{};
+    std::shared_ptr<std::optional<request::intent_outcome>> outcome;
+    bool ended{false};
+};
+
+struct history
+{
+    intent_cell cell;
+    std::vector<sending> sendings;
+    std::map<std::string, int> runs;
+
+    /** @brief Runs what may be run, and ends it as `draw` says. */
+    void dispatch(int draw)
+    {
+        for (auto& it : sendings) {
+            const bool may = it.outcome->has_value() &&
+                             (*it.outcome)->verdict == intent_verdict::run;
+            if (it.ended || !may || it.vm->log.paused || draw == 0) {
+                continue;
+            }
+            it.ended = true;
+            const bool ran = draw != 1;
+            runs[it.key.key] += ran ? 1 : 0;
+            it.vm->store->close(it.key, ran,
+                                {.status = draw == 2 ? 0 : 200, .body = "x"});
+        }
+    }
+
+    void act(int what, int draw)
+    {
+        auto& vm = draw % 2 == 0 ? cell.a : cell.b;
+        const auto key = booking("k" + std::to_string(draw % 3));
+        switch (what) {
+        case 0:
+        case 1:
+        case 2:
+            if (!vm.log.paused) {
+                sendings.push_back({key, &vm, cell.open(vm, key)});
+            }
+            break;
+        case 3:
+            vm.log.down = !vm.log.down;
+            break;
+        case 4:
+            vm.log.lose_answers = !vm.log.lose_answers;
+            break;
+        case 5:
+            vm.log.paused = !vm.log.paused;
+            vm.alive = !vm.log.paused;
+            break;
+        case 6:
+            vm.log.take_effect();
+            break;
+        default:
+            dispatch(draw % 4);
+            break;
+        }
+        cell.run(draw);
+    }
+};
+
+} // namespace
+
+TEST_CASE("No history of faults runs a key twice", "[request]")
+{
+    CHECK(rc::check([] {
+        history it;
+        const auto acts = *rc::gen::container<std::vector<std::pair<int, int>>>(
+            60,
+            rc::gen::pair(rc::gen::inRange(0, 10), rc::gen::inRange(0, 12)));
+        for (const auto& [what, draw] : acts) {
+            it.act(what, draw);
+        }
+        for (const auto& [key, n] : it.runs) {
+            RC_ASSERT(n <= 1);
+        }
+    }));
+}
