--- a/src/rosemarytrail/control/internal/events.cpp
+++ b/src/rosemarytrail/control/internal/events.cpp
@@ -208,9 +208,17 @@
         }
         sets = cell().member_sets_since(options.region, from);
     }
+    const auto known_sets = sets;
     state::takeover proof{options.freshness, claim, std::move(vms),
                           std::move(sets)};
     proof.claim_applied_by(options.self, now);
+    for (const auto& members : known_sets) {
+        for (const auto& it : members) {
+            if (cell().left_by_itself(it)) {
+                proof.left_by_itself(it, now);
+            }
+        }
+    }
     holder_ports with{.state = cell(),
                       .writer = writer,
                       .workers = ports.workers,
--- a/src/rosemarytrail/control/internal/ownership.cpp
+++ b/src/rosemarytrail/control/internal/ownership.cpp
@@ -50,6 +50,7 @@
         members.insert(id);
     }
     peers.follow_members(members, options.self, now);
+    fresh.keep_only(members);
     if (!log.caught_up()) {
         return;
     }
