--- /dev/null
+++ b/test/control/cell.cpp
@@ -0,0 +1,86 @@
+#include <catch2/catch.hpp>
+
+#include <test/lib/cell.hpp>
+
+#include <chrono>
+
+using namespace std::chrono_literals;
+using rosemarytrail::job_class;
+using rosemarytrail::job_spec;
+using rosemarytrail::resources;
+using rosemarytrail::service_id;
+using rosemarytrail::team_id;
+using rosemarytrail::test::cell;
+using rosemarytrail::test::cell_options;
+
+namespace {
+
+constexpr resources one_core{.millicores = 1000, .memory_mib = 512};
+constexpr resources wide_limit{.millicores = 100'000, .memory_mib = 100'000};
+
+[[nodiscard]] job_spec batch_job(std::uint32_t tasks)
+{
+    return {.name = "nightly",
+            .team = team_id{"salmon"},
+            .policy = job_class::batch,
+            .tasks = tasks,
+            .request = one_core,
+            .run_time = 2s};
+}
+
+} // namespace
+
+TEST_CASE("A cell runs a job of each class to its end", "[control]")
+{
+    cell it{cell_options{}};
+    REQUIRE(it.settle());
+    REQUIRE(it.publish_team("salmon", wide_limit));
+    const auto batch = it.submit(0, batch_job(6));
+    INFO(batch.why.detail);
+    REQUIRE(batch.job);
+    auto gang = batch_job(4);
+    gang.policy = job_class::gang;
+    const auto together = it.submit(1, gang);
+    REQUIRE(together.job);
+    job_spec service{.name = "plugs",
+                     .team = team_id{"salmon"},
+                     .policy = job_class::service,
+                     .service = service_id{"plugs"},
+                     .tasks = 2,
+                     .request = one_core};
+    const auto standing = it.submit(2, service);
+    REQUIRE(standing.job);
+
+    CHECK(it.run_until(30s, [&] {
+        const auto status = it.status(2, team_id{"salmon"}, *batch.job);
+        return status && status->phase == "finished";
+    }));
+    CHECK(it.run_until(30s, [&] {
+        const auto status = it.status(2, team_id{"salmon"}, *together.job);
+        return status && status->phase == "finished";
+    }));
+    const auto running = it.status(0, team_id{"salmon"}, *standing.job);
+    REQUIRE(running);
+    CHECK(running->running == 2);
+    CHECK(it.daemons[1].table->services.at(service_id{"plugs"}).size() == 2);
+    CHECK(it.broken().empty());
+}
+
+TEST_CASE("A killed daemon's partitions are taken over and its tasks go on",
+          "[control]")
+{
+    cell it{cell_options{}};
+    REQUIRE(it.settle());
+    REQUIRE(it.publish_team("salmon", wide_limit));
+    auto spec = batch_job(12);
+    spec.run_time = 20s;
+    const auto job = it.submit(0, spec);
+    REQUIRE(job.job);
+    it.run_for(3s);
+    it.kill(1);
+    CHECK(it.run_until(60s, [&] {
+        const auto status = it.status(2, team_id{"salmon"}, *job.job);
+        return status && status->phase == "finished";
+    }));
+    CHECK(it.broken().empty());
+}
--- /dev/null
+++ b/test/lib/cell.hpp
@@ -0,0 +1,252 @@
+#ifndef ROSEMARYTRAIL_TEST_LIB_CELL_HPP
+#define ROSEMARYTRAIL_TEST_LIB_CELL_HPP
+
+#include <rosemarytrail/control/controller.hpp>
+#include <rosemarytrail/control/peer_network.hpp>
+#include <rosemarytrail/core/job_spec.hpp>
+#include <rosemarytrail/metrics/registry.hpp>
+#include <rosemarytrail/platform/log_client.hpp>
+#include <rosemarytrail/platform/vm_list_client.hpp>
+#include <rosemarytrail/platform/worker_client.hpp>
+#include <rosemarytrail/request/routing_table.hpp>
+#include <rosemarytrail/standin/log_store.hpp>
+#include <rosemarytrail/standin/vm_list_model.hpp>
+#include <rosemarytrail/standin/worker_model.hpp>
+#include <test/lib/event_queue.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rosemarytrail::test {
+
+/** @brief Moment in the life of a message between two processes. */
+enum class message_stage : std::uint8_t
+{
+    sent,
+    taken_effect,
+    answered
+};
+
+/** @brief Who the other end of a message is. */
+enum class message_peer : std::uint8_t
+{
+    log_append,
+    log_read,
+    worker,
+    peer,
+    vm_list
+};
+
+/** @brief Message that a test may interfere with. */
+struct message_event
+{
+    message_peer to{message_peer::log_append};
+    message_stage stage{message_stage::sent};
+    /** @brief Daemon that sent it. */
+    std::size_t daemon{};
+    /** @brief VM, for a worker. */
+    vm_id vm{};
+    /** @brief Batch, for a worker. */
+    const platform::worker_batch* batch{};
+    /** @brief Entry, for an append. */
+    const std::string* payload{};
+};
+
+/** @brief What becomes of the message under way. */
+struct message_fate
+{
+    /** @brief Its answer never arrives. */
+    bool lose_answer{false};
+    /** @brief Its answer arrives this much later. */
+    duration delay{};
+    /** @brief It takes effect a second time, this much later. */
+    std::optional<duration> repeat_after{};
+};
+
+/** @brief Size and links of a cell in memory. */
+struct cell_options
+{
+    std::size_t daemons{3};
+    std::size_t vms{6};
+    std::size_t vms_per_rack{2};
+    resources vm_capacity{
+        .millicores = 4000, .memory_mib = 4096, .accelerators = 1};
+    std::uint32_t partitions{4};
+    state::freshness_options freshness{};
+    /** @brief One way, to anything. */
+    duration latency{std::chrono::milliseconds{1}};
+    /** @brief Span after which a call without answer fails. */
+    duration call_timeout{std::chrono::milliseconds{1000}};
+    /** @brief Span between two ticks of a controller. */
+    duration tick{std::chrono::milliseconds{20}};
+};
+
+class cell;
+
+/** @brief One daemon: a controller and the ends of its links. */
+struct cell_daemon
+{
+    std::unique_ptr<metrics::registry> metrics;
+    std::unique_ptr<platform::log_client> log;
+    std::unique_ptr<platform::vm_list_client> vms;
+    std::unique_ptr<platform::worker_client> workers;
+    std::unique_ptr<control::peer_network> peers;
+    std::unique_ptr<control::controller> controller;
+    std::shared_ptr<const request::routing_table> table;
+    std::uint64_t generation{};
+    bool paused{false};
+    bool log_cut{false};
+    bool workers_cut{false};
+    /** @brief Daemons that it cannot send to. */
+    std::set<std::size_t> peers_cut;
+    /** @brief Answers that came while it was paused. */
+    std::deque<std::function<void()>> inbox;
+};
+
+/** @brief Worker and what a test does to it. */
+struct cell_worker
+{
+    platform::vm_entry entry;
+    std::unique_ptr<standin::worker_model> model;
+    /** @brief No message reaches it or comes back. */
+    bool cut{false};
+    bool dead{false};
+};
+
+/**
+ * @brief A cell in one thread and virtual time: real controllers, models of
+ * the platform, and messages that a test can lose, delay or repeat.
+ */
+class cell
+{
+public:
+    /** @brief Sees each message and may change its fate. */
+    using tap = std::function<void(const message_event&, message_fate&)>;
+
+    /** @param options Size and links. */
+    explicit cell(const cell_options& options);
+    ~cell();
+
+    /** @param span Virtual time to run for. */
+    void run_for(duration span);
+
+    /**
+     * @brief Runs until a condition holds.
+     * @param limit Longest span.
+     * @param condition Looked at after each tick.
+     * @return True if it held within the limit.
+     */
+    [[nodiscard]] bool run_until(duration limit,
+                                 const std::function<bool()>& condition);
+
+    /** @brief Runs until all partitions are held and settled. */
+    [[nodiscard]] bool settle();
+
+    /** @brief Publishes a team and waits for the verdict. */
+    [[nodiscard]] bool publish_team(const std::string& team,
+                                    const resources& limit, double weight = 1);
+
+    /** @brief Publishes a document through a daemon and waits. */
+    [[nodiscard]] control::publish_outcome publish(std::size_t daemon,
+                                                   const std::string& name,
+                                                   record_number replaces,
+                                                   const std::string& content);
+
+    /** @brief Submits a job through a daemon and waits for the answer. */
+    [[nodiscard]] control::submit_outcome
+    submit(std::size_t daemon, const job_spec& spec,
+           const std::string& submission = "");
+
+    /** @brief Asks a daemon for the status of a job. */
+    [[nodiscard]] std::optional<control::job_status>
+    status(std::size_t daemon, const team_id& team, const job_id& job,
+           record_number read_from = 0);
+
+    /** @brief Kills a daemon: its controller is gone at once. */
+    void kill(std::size_t daemon);
+    /** @brief Starts a new incarnation in the place of a killed daemon. */
+    void start(std::size_t daemon);
+    /** @brief Stops the threads of a daemon; answers wait. */
+    void pause(std::size_t daemon);
+    void resume(std::size_t daemon);
+
+    /** @brief Ends a VM and everything on it. */
+    void kill_vm(std::size_t vm);
+    /** @brief Starts an empty worker in the place of a dead one. */
+    void restart_vm(std::size_t vm);
+    void set_leaving(std::size_t vm, bool leaving);
+
+    /** @return True if the daemon runs and is not paused. */
+    [[nodiscard]] bool running(std::size_t daemon) const;
+
+    /** @return Promises broken so far, one line each. */
+    [[nodiscard]] const std::set<std::string>& broken() const noexcept
+    {
+        return broken_;
+    }
+
+    /** @param text Promise that a test found broken. */
+    void report_broken(const std::string& text) { broken_.insert(text); }
+
+    /** @return Number of workers on which a task runs now. */
+    [[nodiscard]] std::size_t places_of(const task_ref& task) const;
+
+    /** @return What a team has running on all workers. */
+    [[nodiscard]] resources running_of(const team_id& team) const;
+
+    event_queue time;
+    cell_options options;
+    standin::log_store log;
+    standin::vm_list_model vm_list;
+    std::vector<cell_daemon> daemons;
+    std::vector<cell_worker> workers;
+    /** @brief Looked at for every message. */
+    tap on_message;
+    /** @brief Limits that `check` holds running work against. */
+    std::map<team_id, resources> limits;
+    /** @brief Until when a limit may still be passed after it was lowered. */
+    std::map<team_id, time_point> limit_grace;
+
+    // Used by the links.
+    [[nodiscard]] message_fate see(const message_event& event) const;
+    void deliver(std::size_t daemon, std::uint64_t generation,
+                 std::function<void()> call);
+    void wake_readers(const std::string& stream);
+    void wait_for_entries(const std::string& stream,
+                          std::function<void()> wake);
+    void note_start(const task_ref& task, const resources& request,
+                    const vm_id& vm);
+    [[nodiscard]] std::optional<std::size_t>
+    daemon_at(const std::string& peer_address) const;
+
+private:
+    void tick_all();
+    void check();
+    void check_capacity();
+    void check_single_run();
+    void check_limits();
+
+    struct known_task
+    {
+        resources request{};
+        team_id team{};
+    };
+
+    std::map<std::string, std::vector<std::function<void()>>> readers_;
+    std::map<task_ref, known_task> known_tasks_;
+    std::map<job_id, team_id> teams_of_jobs_;
+    std::set<std::string> broken_;
+};
+
+} // namespace rosemarytrail::test
+
+#endif
