Decide placements over dense tables with committed resources

Cause: the placement module had an interface and no scheduler behind it. The ledger is the only place that moves tasks among VMs, teams and jobs, so their sums agree; policies for services, batch and gangs stand behind one interface; teams are taken by weighted dominant share, jobs by priority and age. A decision that the caller has not seen yet can be taken back.

Ruled out: handing out a start after its VM left or lost its fence (the history test found it: a start still in the outbox was handed out after remove_vm), and a stop for a task that had ended meanwhile (found likewise).

team_view gains limit; zero means that it is not known.

--- /dev/null
+++ b/src/rosemarytrail/placement/internal/gang_policy.hpp
@@ -0,0 +1,18 @@
+#ifndef ROSEMARYTRAIL_PLACEMENT_INTERNAL_GANG_POLICY_HPP
+#define ROSEMARYTRAIL_PLACEMENT_INTERNAL_GANG_POLICY_HPP
+
+#include <rosemarytrail/placement/internal/placement_policy.hpp>
+
+namespace rosemarytrail::placement::internal {
+
+/** @brief Starts all tasks of a job or none, in one rack if it has the room. */
+class gang_policy final : public placement_policy
+{
+public:
+    [[nodiscard]] bool choose(const vm_table& vms, const job_state& job,
+                              std::vector<index>& chosen) const override;
+};
+
+} // namespace rosemarytrail::placement::internal
+
+#endif
--- /dev/null
+++ b/src/rosemarytrail/placement/internal/vm_table.cpp
@@ -0,0 +1,196 @@
+#include <rosemarytrail/placement/internal/vm_table.hpp>
+
+#include <algorithm>
+
+namespace rosemarytrail::placement::internal {
+
+namespace {
+
+constexpr resources no_room{-1, -1, -1};
+
+[[nodiscard]] float inverse_of(std::int64_t n) noexcept
+{
+    return n > 0 ? 1.0F / static_cast<float>(n) : 0.0F;
+}
+
+[[nodiscard]] resources not_below_zero(const resources& value) noexcept
+{
+    return {std::max<std::int64_t>(value.millicores, 0),
+            std::max<std::int64_t>(value.memory_mib, 0),
+            std::max<std::int64_t>(value.accelerators, 0)};
+}
+
+} // namespace
+
+index vm_table::intern(const vm_id& vm)
+{
+    const index n = ids_.intern(vm);
+    if (n >= vms_.size()) {
+        vms_.resize(n + 1);
+        room_.resize(n + 1, no_room);
+        inverse_.resize(n + 1);
+    }
+    vms_[n].view.vm = vm;
+    return n;
+}
+
+index vm_table::upsert(const vm_view& view)
+{
+    const index n = intern(view.vm);
+    auto& vm = vms_[n];
+    count(n, false);
+    vm.view = view;
+    vm.rack = racks_.intern(view.rack);
+    vm.zone = zones_.intern(view.zone);
+    vm.present = true;
+    inverse_[n] = {.millicores = inverse_of(view.capacity.millicores),
+                   .memory = inverse_of(view.capacity.memory_mib),
+                   .accelerators = inverse_of(view.capacity.accelerators)};
+    count(n, true);
+    refresh(n);
+    return n;
+}
+
+void vm_table::remove(const vm_id& vm)
+{
+    const index n = ids_.find(vm);
+    if (n == no_index) {
+        return;
+    }
+    count(n, false);
+    vms_[n].present = false;
+    refresh(n);
+    release_if_gone(n);
+}
+
+void vm_table::commit(index vm, task_key task, const resources& amount)
+{
+    count(vm, false);
+    vms_[vm].committed += amount;
+    vms_[vm].tasks.push_back(task);
+    count(vm, true);
+    refresh(vm);
+}
+
+void vm_table::release(index vm, task_key task, const resources& amount)
+{
+    auto& state = vms_[vm];
+    const auto it = std::find(state.tasks.begin(), state.tasks.end(), task);
+    if (it == state.tasks.end()) {
+        return;
+    }
+    count(vm, false);
+    *it = state.tasks.back();
+    state.tasks.pop_back();
+    state.committed -= amount;
+    count(vm, true);
+    refresh(vm);
+    release_if_gone(vm);
+}
+
+void vm_table::hold(index vm, const resources& amount)
+{
+    vms_[vm].held += amount;
+    refresh(vm);
+    release_if_gone(vm);
+}
+
+void vm_table::set_aside(index vm, bool value)
+{
+    count(vm, false);
+    vms_[vm].set_aside = value;
+    count(vm, true);
+    refresh(vm);
+}
+
+void vm_table::set_suspect(index vm, bool value)
+{
+    vms_[vm].suspect = value;
+}
+
+void vm_table::pause_until(index vm, time_point until)
+{
+    if (vms_[vm].paused_until == time_point{}) {
+        paused_.push_back(vm);
+    }
+    vms_[vm].paused_until = until;
+    refresh(vm);
+}
+
+bool vm_table::end_pauses(time_point now)
+{
+    const auto is_over = [&](index vm) {
+        return vms_[vm].paused_until <= now;
+    };
+    const auto rest = std::partition(paused_.begin(), paused_.end(),
+                                     [&](index vm) { return !is_over(vm); });
+    const bool any = rest != paused_.end();
+    for (auto it = rest; it != paused_.end(); ++it) {
+        vms_[*it].paused_until = {};
+        refresh(*it);
+    }
+    paused_.erase(rest, paused_.end());
+    return any;
+}
+
+bool vm_table::is_open(index vm) const noexcept
+{
+    const auto& state = vms_[vm];
+    return state.present && state.view.accepting && state.view.fenced &&
+           !state.set_aside && state.paused_until == time_point{};
+}
+
+resources vm_table::room_with_held(index vm) const
+{
+    return is_open(vm) ? room_[vm] + vms_[vm].held : no_room;
+}
+
+float vm_table::leftover(index vm, const resources& request) const
+{
+    const auto rest = room_[vm] - request;
+    const auto& by = inverse_[vm];
+    return static_cast<float>(rest.millicores) * by.millicores +
+           static_cast<float>(rest.memory_mib) * by.memory +
+           static_cast<float>(rest.accelerators) * by.accelerators;
+}
+
+void vm_table::refresh(index vm)
+{
+    const auto& state = vms_[vm];
+    room_[vm] = is_open(vm) ? state.view.capacity - state.committed - state.held
+                            : no_room;
+}
+
+void vm_table::count(index vm, bool add)
+{
+    const auto& state = vms_[vm];
+    if (!state.present) {
+        return;
+    }
+    const std::size_t one = add ? 1 : static_cast<std::size_t>(-1);
+    present_ += one;
+    accepting_ += state.view.accepting ? one : 0;
+    aside_ += state.set_aside ? one : 0;
+    if (state.view.fenced) {
+        return;
+    }
+    unfenced_ += one;
+    const auto rest = not_below_zero(state.view.capacity - state.committed);
+    unknown_ += rest * (add ? 1 : -1);
+}
+
+void vm_table::release_if_gone(index vm)
+{
+    const auto& state = vms_[vm];
+    const bool is_gone =
+        !state.present && state.tasks.empty() && state.held.is_zero();
+    if (!is_gone) {
+        return;
+    }
+    ids_.release(vm_id{state.view.vm});
+    std::erase(paused_, vm);
+    vms_[vm] = {};
+    room_[vm] = no_room;
+}
+
+} // namespace rosemarytrail::placement::internal
--- a/src/rosemarytrail/placement/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::placement {} // namespace rosemarytrail::placement
--- a/src/rosemarytrail/placement/scheduler.hpp
+++ b/src/rosemarytrail/placement/scheduler.hpp
@@ -42,6 +42,8 @@
     resources allowance{};
     /** @brief In use by the team in other partitions; lags. */
     resources used_elsewhere{};
+    /** @brief Most in the whole fleet; zero if it is not known. */
+    resources limit{};
 };
 
 /** @brief Size of the whole fleet; shares are measured against it. */
