--- a/src/rosemarytrail/state/internal/codec.cpp
+++ b/src/rosemarytrail/state/internal/codec.cpp
@@ -6,11 +6,16 @@
 
 namespace rosemarytrail::state::internal {
 
+std::uint64_t checksum(const void* data, std::size_t size) noexcept
+{
+    return XXH3_64bits(data, size);
+}
+
 std::string seal(capnp::MessageBuilder& message)
 {
     const auto words = capnp::messageToFlatArray(message);
     const auto body = words.asBytes();
-    const std::uint64_t sum = XXH3_64bits(body.begin(), body.size());
+    const std::uint64_t sum = checksum(body.begin(), body.size());
     std::string out(checksum_bytes + body.size(), '\0');
     std::memcpy(out.data(), &sum, checksum_bytes);
     std::memcpy(out.data() + checksum_bytes, body.begin(), body.size());
@@ -26,7 +31,7 @@
     std::uint64_t sum{};
     std::memcpy(&sum, bytes.data(), checksum_bytes);
     bytes.remove_prefix(checksum_bytes);
-    if (sum != XXH3_64bits(bytes.data(), bytes.size())) {
+    if (sum != checksum(bytes.data(), bytes.size())) {
         return std::nullopt;
     }
     auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
--- a/src/rosemarytrail/state/internal/codec.hpp
+++ b/src/rosemarytrail/state/internal/codec.hpp
@@ -30,6 +30,15 @@
 /** @brief Depth of pointers that a reader may follow. */
 inline constexpr int nesting_limit = 16;
 
+/**
+ * @brief Checksum of the bytes of a message.
+ * @param data First byte.
+ * @param size Number of bytes.
+ * @return Checksum, in the byte order of the machine.
+ */
+[[nodiscard]] std::uint64_t checksum(const void* data,
+                                     std::size_t size) noexcept;
+
 /**
  * @brief Writes a message behind its checksum.
  * @param message Message to write.
--- /dev/null
+++ b/test/state/ownership.cpp
@@ -0,0 +1,65 @@
+#include <catch2/catch.hpp>
+
+#include <rosemarytrail/state/ownership.hpp>
+
+#include <algorithm>
+#include <string>
+
+namespace {
+
+using namespace rosemarytrail;        // NOLINT(google-build-using-namespace)
+using namespace rosemarytrail::state; // NOLINT(google-build-using-namespace)
+
+std::set<incarnation_id> members(int n)
+{
+    std::set<incarnation_id> out;
+    for (int i = 0; i < n; ++i) {
+        out.insert(incarnation_id{"daemon-" + std::to_string(i)});
+    }
+    return out;
+}
+
+TEST_CASE("every partition has a live holder and no member exceeds the cap")
+{
+    CHECK(wanted_holders({}, 16).empty());
+    for (int n = 1; n <= 20; ++n) {
+        const auto live = members(n);
+        const auto holders = wanted_holders(live, 16);
+        REQUIRE(holders.size() == 16);
+        for (const incarnation_id& it : live) {
+            CHECK(std::count(holders.begin(), holders.end(), it) <=
+                  (16 + n - 1) / n);
+        }
+        for (const incarnation_id& it : holders) {
+            CHECK(live.contains(it));
+        }
+    }
+}
+
+TEST_CASE("a member that goes moves few partitions of the others")
+{
+    int moved = 0;
+    const auto live = members(9);
+    const auto before = wanted_holders(live, 64);
+    for (const incarnation_id& gone : live) {
+        auto rest = live;
+        rest.erase(gone);
+        const auto after = wanted_holders(rest, 64);
+        for (std::size_t i = 0; i < before.size(); ++i) {
+            moved += before[i] != gone && before[i] != after[i] ? 1 : 0;
+        }
+    }
+    CHECK(moved < 9 * 64 / 4);
+}
+
+TEST_CASE("racks go to partitions that exist, the same ones each time")
+{
+    for (int i = 0; i < 100; ++i) {
+        const rack_id rack{"rack-" + std::to_string(i)};
+        CHECK(partition_of_rack(rack, 16) < 16);
+        CHECK(partition_of_rack(rack, 16) == partition_of_rack(rack, 16));
+    }
+    CHECK(partition_of_rack(rack_id{"r"}, 0) == 0);
+}
+
+} // namespace
