--- a/src/rosemarytrail/settings/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::settings {} // namespace rosemarytrail::settings
