--- /dev/null
+++ b/test/request/authenticator.cpp
@@ -0,0 +1,45 @@
+#include <catch2/catch.hpp>
+
+#include <rosemarytrail/documents/key_secret.hpp>
+#include <rosemarytrail/request/authenticator.hpp>
+
+#include <string>
+
+using namespace rosemarytrail;
+using request::authenticate;
+
+TEST_CASE("Only a key in force on a fresh entry VM is taken", "[request]")
+{
+    const time_point now{std::chrono::seconds{100}};
+    const auto salt = documents::make_salt();
+    request::routing_table table{.fresh_until = now + duration{1},
+                                 .catching_up = false};
+    table.keys[key_id{"k"}] = {.key = key_id{"k"},
+                               .team = team_id{"t"},
+                               .account = "a",
+                               .salt = salt,
+                               .hash = documents::hash_secret(salt, "s")};
+    reason why;
+    const auto shown = [&](std::optional<std::string_view> text) {
+        why = {};
+        const auto* key = authenticate(table, text, now, why);
+        return key != nullptr ? result_code::ok : why.code;
+    };
+    CHECK(shown("Bearer k.s") == result_code::ok);
+    CHECK(shown(std::nullopt) == result_code::key_missing);
+    CHECK(shown("Basic k.s") == result_code::key_missing);
+    CHECK(shown("Bearer k") == result_code::key_unknown);
+    CHECK(shown("Bearer k.") == result_code::key_unknown);
+    CHECK(shown("Bearer k.t") == result_code::key_unknown);
+    CHECK(shown("Bearer l.s") == result_code::key_unknown);
+    table.keys[key_id{"k"}].withdrawn = true;
+    CHECK(shown("Bearer k.s") == result_code::key_withdrawn);
+    // A wrong secret does not learn that the key was withdrawn.
+    CHECK(shown("Bearer k.t") == result_code::key_unknown);
+    table.fresh_until = now;
+    CHECK(shown("Bearer k.s") == result_code::not_fresh);
+    table.catching_up = true;
+    CHECK(shown("Bearer k.s") == result_code::catching_up);
+    table.draining = true;
+    CHECK(shown("Bearer k.s") == result_code::draining);
+}
--- a/test/request/fake_log.hpp
+++ b/test/request/fake_log.hpp
@@ -44,13 +44,13 @@
         reads_.push_back({options.from, options.wait, std::move(done)});
     }
 
-    /** @brief Appends reach the log; answers do not reach the entry VM. */
+    /** @brief Appends reach the log; their answers are lost. */
     void take_effect()
     {
-        for (auto& it : appends_) {
+        for (auto& it : std::exchange(appends_, {})) {
             stream_.entries.push_back(it.payload);
+            lost_.push_back(std::move(it));
         }
-        appends_.clear();
     }
 
     void pump()
@@ -58,6 +58,9 @@
         if (paused) {
             return;
         }
+        for (auto& it : std::exchange(lost_, {})) {
+            it.done({});
+        }
         for (auto& it : std::exchange(appends_, {})) {
             it.done(append_now(it.payload));
         }
@@ -114,6 +117,7 @@
 
     fake_stream& stream_;
     std::vector<pending_append> appends_;
+    std::vector<pending_append> lost_;
     std::vector<pending_read> reads_;
 };
 
--- /dev/null
+++ b/test/request/upstream_selector.cpp
@@ -0,0 +1,210 @@
+#include <catch2/catch.hpp>
+
+#include <rosemarytrail/request/retry_policy.hpp>
+#include <rosemarytrail/request/upstream_selector.hpp>
+
+#include <test/lib/manual_time_source.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace rosemarytrail;
+using namespace rosemarytrail::request;
+
+namespace {
+
+const service_id plugs{"plugs"};
+
+routing_table table_of(std::uint32_t upstreams, std::uint32_t entry_vms)
+{
+    routing_table table{.entry_vms = entry_vms, .zone = zone_id{"z0"}};
+    for (std::uint32_t n = 0; n < upstreams; ++n) {
+        table.services[plugs].push_back(
+            {.vm = vm_id{"vm" + std::to_string(n)},
+             .zone = zone_id{"z" + std::to_string(n % 3)},
+             .address = "10.0.0." + std::to_string(n) + ":80"});
+    }
+    return table;
+}
+
+std::shared_ptr<const routing_table> share(routing_table table)
+{
+    return std::make_shared<const routing_table>(std::move(table));
+}
+
+struct fixture
+{
+    std::optional<upstream_choice> choose(const choice_demand& demand = {})
+    {
+        auto full = demand;
+        full.service = plugs;
+        return selector.choose(table, full, clock.now(), why);
+    }
+
+    void end(const upstream_choice& choice, answer_verdict verdict)
+    {
+        selector.release(choice, {.verdict = verdict}, clock.now());
+    }
+
+    std::shared_ptr<const routing_table> table;
+    upstream_selector selector{{}};
+    test::manual_time_source clock;
+    reason why;
+};
+
+} // namespace
+
+TEST_CASE("Slots are divided between entry VMs without a rest", "[request]")
+{
+    for (const std::uint32_t entry_vms : {1U, 6U, 8U, 9U}) {
+        auto table = table_of(48, entry_vms);
+        for (const auto& upstream : table.services[plugs]) {
+            std::uint32_t sum = 0;
+            for (std::uint32_t rank = 0; rank < entry_vms; ++rank) {
+                table.entry_rank = rank;
+                sum += share_of(upstream, table);
+            }
+            CHECK(sum == upstream.slots);
+        }
+    }
+}
+
+TEST_CASE("The nearest zone is used while it has room", "[request]")
+{
+    fixture it{.table = share(table_of(6, 2))};
+    std::map<std::string, int> zones;
+    for (int n = 0; n < 8; ++n) {
+        const auto choice = it.choose();
+        REQUIRE(choice);
+        for (const auto& view : it.table->services.at(plugs)) {
+            zones[view.zone.str()] += view.vm == choice->vm ? 1 : 0;
+        }
+    }
+    CHECK(zones["z0"] == 8);
+    for (int n = 0; n < 16; ++n) {
+        CHECK(it.choose());
+    }
+    CHECK_FALSE(it.choose());
+    CHECK(it.why.code == result_code::overloaded);
+    CHECK(it.why.retry_after.has_value());
+}
+
+TEST_CASE("A leaving upstream gets nothing", "[request]")
+{
+    auto table = table_of(2, 1);
+    table.services[plugs][0].leaving = true;
+    fixture it{.table = share(table)};
+    for (int n = 0; n < 8; ++n) {
+        CHECK(it.choose()->vm == vm_id{"vm1"});
+    }
+    CHECK_FALSE(it.choose());
+    table.services[plugs][1].leaving = true;
+    it.table = share(table);
+    CHECK_FALSE(it.choose());
+    CHECK(it.why.code == result_code::no_upstream);
+}
+
+TEST_CASE("Failing upstreams are ejected up to a cap and return slowly",
+          "[request]")
+{
+    fixture it{.table = share(table_of(6, 1))};
+    const auto is_bad = [](const upstream_choice& choice) {
+        return choice.vm <= vm_id{"vm3"};
+    };
+    for (int n = 0; n < 400; ++n) {
+        const auto choice = it.choose();
+        it.end(*choice, is_bad(*choice) ? answer_verdict::cut_off
+                                        : answer_verdict::whole);
+    }
+    // Half of six may be ejected, though four fail.
+    CHECK(it.selector.capacity(it.table, plugs, it.clock.now()) == 24);
+
+    it.clock.advance(std::chrono::milliseconds{2100});
+    int early = 0;
+    for (int n = 0; n < 200; ++n) {
+        const auto choice = it.choose();
+        early += is_bad(*choice) ? 1 : 0;
+        it.end(*choice, answer_verdict::whole);
+    }
+    it.clock.advance(std::chrono::seconds{6});
+    int late = 0;
+    for (int n = 0; n < 200; ++n) {
+        const auto choice = it.choose();
+        late += is_bad(*choice) ? 1 : 0;
+        it.end(*choice, answer_verdict::whole);
+    }
+    CHECK(early > 0);
+    CHECK(early < late / 2);
+}
+
+TEST_CASE("A read goes to the upstream that has the write", "[request]")
+{
+    fixture it{.table = share(table_of(6, 1))};
+    const auto written = it.choose();
+    it.selector.release(*written, {.write_offset = 7}, it.clock.now());
+    for (int n = 0; n < 8; ++n) {
+        const auto choice = it.choose({.read_offset = 7});
+        CHECK(choice->vm == written->vm);
+        CHECK(choice->known_offset == 7);
+    }
+}
+
+TEST_CASE("Retries stay below a tenth of the requests", "[request]")
+{
+    upstream_selector selector{{}};
+    int retries = 0;
+    for (int n = 0; n < 10000; ++n) {
+        selector.note_request(plugs);
+        retries += selector.take_retry(plugs) ? 1 : 0;
+        retries += selector.take_retry(plugs) ? 1 : 0;
+    }
+    CHECK(retries <= 1010);
+    CHECK(retries >= 990);
+}
+
+TEST_CASE("Only what is safe is tried again", "[request]")
+{
+    const retry_case safe{.idempotent = true,
+                          .verdict = answer_verdict::cut_off,
+                          .left = std::chrono::seconds{1}};
+    CHECK(may_retry(safe));
+    auto it = safe;
+    it.idempotent = false;
+    CHECK_FALSE(may_retry(it));
+    it.verdict = answer_verdict::refused;
+    CHECK(may_retry(it));
+    it.verdict = answer_verdict::failed;
+    CHECK_FALSE(may_retry(it));
+    it = safe;
+    it.retried_by_caller = true;
+    CHECK_FALSE(may_retry(it));
+    it = safe;
+    it.left = duration{};
+    CHECK_FALSE(may_retry(it));
+    it = safe;
+    it.attempts = it.most_attempts;
+    CHECK_FALSE(may_retry(it));
+    CHECK_FALSE(is_idempotent("POST"));
+    CHECK_FALSE(is_idempotent("PATCH"));
+}
+
+TEST_CASE("Only an answer with the id of the request counts", "[request]")
+{
+    http::client_response result{.transport = http::transport_result::complete};
+    const answer_demand demand{.request_id = "a-1", .read_offset = 5};
+    CHECK(check_answer(result, demand) == answer_verdict::crossed);
+    result.answer.headers = {{"x-request-id", "a-2"}};
+    CHECK(check_answer(result, demand) == answer_verdict::crossed);
+    result.answer.headers = {{"x-request-id", "a-1"}};
+    CHECK(check_answer(result, demand) == answer_verdict::stale);
+    result.answer.headers.push_back({"X-Write-Offset", "5"});
+    CHECK(check_answer(result, demand) == answer_verdict::whole);
+    result.answer.status = 503;
+    CHECK(check_answer(result, demand) == answer_verdict::failed);
+    result.answer.headers.push_back({"X-Not-Run", "1"});
+    CHECK(check_answer(result, demand) == answer_verdict::refused);
+    result.transport = http::transport_result::cut_off;
+    CHECK(check_answer(result, demand) == answer_verdict::cut_off);
+}
