--- /dev/null
+++ b/test/request/intent_table.cpp
@@ -0,0 +1,76 @@
+#include <catch2/catch.hpp>
+
+#include <rosemarytrail/request/intent_table.hpp>
+
+#include <string>
+
+using namespace rosemarytrail;
+using namespace rosemarytrail::request;
+
+namespace {
+
+const intent_name name{
+    .team = team_id{"t"}, .service = service_id{"s"}, .key = "k"};
+
+state::batch opens(const std::string& writer, std::uint64_t sequence,
+                   const std::string& key = "k")
+{
+    return {.writer = incarnation_id{writer},
+            .sequence = sequence,
+            .records = {state::intent_opened{
+                .team = name.team, .service = name.service, .key = key}}};
+}
+
+state::batch closes(const std::string& writer, std::uint64_t sequence, bool ran)
+{
+    return {.writer = incarnation_id{writer},
+            .sequence = sequence,
+            .records = {state::intent_closed{.team = name.team,
+                                             .service = name.service,
+                                             .key = name.key,
+                                             .ran = ran,
+                                             .status = 200,
+                                             .body = "answer"}}};
+}
+
+} // namespace
+
+TEST_CASE("A batch that arrives again late opens nothing", "[request]")
+{
+    intent_table table{{}};
+    CHECK(table.apply(0, opens("a", 1)).opened.at(0).won);
+    table.apply(1, closes("a", 2, false));
+    CHECK(table.find(name) == nullptr);
+    CHECK(table.apply(2, opens("a", 1)).repeated);
+    CHECK(table.find(name) == nullptr);
+}
+
+TEST_CASE("Only the writer of an intent closes it, once", "[request]")
+{
+    intent_table table{{}};
+    table.apply(0, opens("a", 1));
+    CHECK_FALSE(table.apply(1, opens("b", 1)).opened.at(0).won);
+    table.apply(2, closes("b", 2, false));
+    REQUIRE(table.find(name) != nullptr);
+    CHECK(table.find(name)->phase == intent_phase::open);
+    table.apply(3, closes("a", 2, true));
+    CHECK(table.find(name)->phase == intent_phase::answered);
+    table.apply(4, closes("a", 3, false));
+    REQUIRE(table.find(name) != nullptr);
+    CHECK(table.find(name)->answer.body == "answer");
+}
+
+TEST_CASE("Keys and bodies are bounded, the oldest go first", "[request]")
+{
+    intent_table table{{.kept_keys = 3, .kept_bytes = 5}};
+    table.apply(0, opens("a", 1));
+    table.apply(1, closes("a", 2, true));
+    // Six bytes of body are over the bound, but that it ran is kept.
+    REQUIRE(table.find(name) != nullptr);
+    CHECK(table.find(name)->phase == intent_phase::ran);
+    for (std::uint64_t n = 0; n < 3; ++n) {
+        table.apply(2 + n, opens("a", 3 + n, "k" + std::to_string(n)));
+    }
+    CHECK(table.find(name) == nullptr);
+    CHECK(table.size() == 3);
+}
