--- a/src/rosemarytrail/core/result_code.cpp
+++ b/src/rosemarytrail/core/result_code.cpp
@@ -205,6 +205,9 @@
                     "the task was cancelled"},
     result_code_row{result_code::vm_lost, "vm_lost", 200,
                     "an operator declared the VM lost"},
+    result_code_row{result_code::worker_attempt_refused,
+                    "worker_attempt_refused", 409,
+                    "the attempt is over, or another one is on the worker"},
 };
 
 } // namespace
--- a/src/rosemarytrail/core/result_code.hpp
+++ b/src/rosemarytrail/core/result_code.hpp
@@ -114,7 +114,8 @@
     vm_list_down = 607,
     worker_answer_malformed = 608,
     task_cancelled = 609,
-    vm_lost = 610
+    vm_lost = 610,
+    worker_attempt_refused = 611
 };
 
 /** @brief Row of the table of result codes. */
--- a/src/rosemarytrail/platform/http_log_client.cpp
+++ b/src/rosemarytrail/platform/http_log_client.cpp
@@ -1,6 +1,6 @@
 #include <rosemarytrail/platform/http_log_client.hpp>
 
-#include <rosemarytrail/platform/internal/json_fields.hpp>
+#include <rosemarytrail/platform/json_fields.hpp>
 #include <rosemarytrail/platform/log_wire.hpp>
 
 #include <charconv>
@@ -73,9 +73,9 @@
     if (it.answer.status != status_ok) {
         return {};
     }
-    const auto value = internal::parse(it.answer.body);
+    const auto value = parse_json(it.answer.body);
     append_outcome result{.result = append_result::appended};
-    internal::field_reader fields{value};
+    field_reader fields{value};
     fields.read("offset", result.offset);
     if (!fields.good() || fields.find("offset") == nullptr) {
         return {};
--- a/src/rosemarytrail/platform/internal/json_fields.hpp
+++ b/src/rosemarytrail/platform/json_fields.hpp
@@ -1,5 +1,5 @@
-#ifndef ROSEMARYTRAIL_PLATFORM_INTERNAL_JSON_FIELDS_HPP
-#define ROSEMARYTRAIL_PLATFORM_INTERNAL_JSON_FIELDS_HPP
+#ifndef ROSEMARYTRAIL_PLATFORM_JSON_FIELDS_HPP
+#define ROSEMARYTRAIL_PLATFORM_JSON_FIELDS_HPP
 
 #include <rosemarytrail/core/id.hpp>
 #include <rosemarytrail/core/resources.hpp>
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <utility>
 
-namespace rosemarytrail::platform::internal {
+namespace rosemarytrail::platform {
 
 using json = nlohmann::json;
 
@@ -22,13 +22,13 @@
  * @param text JSON, or anything else.
  * @return The value; a discarded one if the text is no JSON.
  */
-[[nodiscard]] inline json parse(std::string_view text)
+[[nodiscard]] inline json parse_json(std::string_view text)
 {
     return json::parse(text, nullptr, false);
 }
 
 /** @return Text of a value; bytes that are no UTF-8 are replaced. */
-[[nodiscard]] inline std::string dump(const json& value)
+[[nodiscard]] inline std::string dump_json(const json& value)
 {
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -190,13 +190,13 @@
 };
 
 /** @brief Adds an amount to an object. */
-inline void write(json& object, const resources& amount)
+inline void write_resources(json& object, const resources& amount)
 {
     object["millicores"] = amount.millicores;
     object["memory_mib"] = amount.memory_mib;
     object["accelerators"] = amount.accelerators;
 }
 
-} // namespace rosemarytrail::platform::internal
+} // namespace rosemarytrail::platform
 
 #endif
--- a/src/rosemarytrail/platform/vm_wire.cpp
+++ b/src/rosemarytrail/platform/vm_wire.cpp
@@ -1,14 +1,11 @@
 #include <rosemarytrail/platform/vm_wire.hpp>
 
-#include <rosemarytrail/platform/internal/json_fields.hpp>
+#include <rosemarytrail/platform/json_fields.hpp>
 
 namespace rosemarytrail::platform {
 
 namespace {
 
-using internal::field_reader;
-using internal::json;
-
 [[nodiscard]] json to_json(const vm_entry& vm)
 {
     json result;
@@ -16,7 +13,7 @@
     result["rack"] = vm.rack.str();
     result["zone"] = vm.zone.str();
     result["region"] = vm.region;
-    internal::write(result, vm.capacity);
+    write_resources(result, vm.capacity);
     result["worker_address"] = vm.worker_address;
     result["service_address"] = vm.service_address;
     result["slots"] = vm.slots;
@@ -45,13 +42,13 @@
 
 std::string encode_vm(const vm_entry& vm)
 {
-    return internal::dump(to_json(vm));
+    return dump_json(to_json(vm));
 }
 
 std::optional<vm_entry> decode_vm(std::string_view text)
 {
     vm_entry result;
-    if (!from_json(internal::parse(text), result)) {
+    if (!from_json(parse_json(text), result)) {
         return std::nullopt;
     }
     return result;
@@ -64,12 +61,12 @@
     for (const auto& it : vms) {
         rows.push_back(to_json(it));
     }
-    return internal::dump(result);
+    return dump_json(result);
 }
 
 std::optional<std::vector<vm_entry>> decode_vm_list(std::string_view text)
 {
-    const auto value = internal::parse(text);
+    const auto value = parse_json(text);
     std::vector<vm_entry> result;
     field_reader fields{value};
     fields.read_list("vms", [&result](const json& it) {
--- a/src/rosemarytrail/platform/worker_wire.cpp
+++ b/src/rosemarytrail/platform/worker_wire.cpp
@@ -1,6 +1,6 @@
 #include <rosemarytrail/platform/worker_wire.hpp>
 
-#include <rosemarytrail/platform/internal/json_fields.hpp>
+#include <rosemarytrail/platform/json_fields.hpp>
 
 #include <array>
 #include <cstddef>
@@ -10,9 +10,6 @@
 
 namespace {
 
-using internal::field_reader;
-using internal::json;
-
 /** @brief Names in the order of the enumeration. */
 constexpr std::array<std::string_view, 5> command_names{
     "start", "checkpoint", "stop", "throttle", "acknowledge"};
@@ -56,7 +53,7 @@
     result["job"] = command.task.job.str();
     result["index"] = command.task.index;
     result["attempt"] = command.attempt;
-    internal::write(result, command.request);
+    write_resources(result, command.request);
     result["run_time_ms"] = to_milliseconds(command.run_time);
     result["service"] = command.service.str();
     return result;
@@ -82,7 +79,7 @@
     result["index"] = task.task.index;
     result["attempt"] = task.attempt;
     result["phase"] = phase_names.at(static_cast<std::size_t>(task.phase));
-    internal::write(result, task.request);
+    write_resources(result, task.request);
     result["used_millicores"] = task.used.millicores;
     result["used_memory_mib"] = task.used.memory_mib;
     result["age_ms"] = to_milliseconds(task.age);
@@ -118,12 +115,12 @@
     for (const auto& it : batch.commands) {
         commands.push_back(to_json(it));
     }
-    return internal::dump(result);
+    return dump_json(result);
 }
 
 std::optional<worker_batch> decode_worker_batch(std::string_view text)
 {
-    const auto value = internal::parse(text);
+    const auto value = parse_json(text);
     worker_batch result;
     field_reader fields{value};
     fields.read("epoch", result.epoch);
@@ -146,7 +143,7 @@
     result["epoch"] = outcome.epoch;
     result["token"] = outcome.token;
     result["token_span_ms"] = to_milliseconds(outcome.token_span);
-    internal::write(result, outcome.capacity);
+    write_resources(result, outcome.capacity);
     result["busy_slots"] = outcome.busy_slots;
     auto& commands = result["commands"] = json::array();
     for (const auto& it : outcome.commands) {
@@ -156,12 +153,12 @@
     for (const auto& it : outcome.tasks) {
         tasks.push_back(to_json(it));
     }
-    return internal::dump(result);
+    return dump_json(result);
 }
 
 std::optional<worker_outcome> decode_worker_outcome(std::string_view text)
 {
-    const auto value = internal::parse(text);
+    const auto value = parse_json(text);
     worker_outcome result;
     field_reader fields{value};
     read_code(fields, result.code);
--- a/src/rosemarytrail/standin/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::standin {} // namespace rosemarytrail::standin
