--- a/src/rosemarytraild/main.cpp
+++ b/src/rosemarytraild/main.cpp
@@ -110,7 +110,7 @@
         }
         before = is_value ? std::string_view{} : shown;
     }
-    absl::SetProgramUsageMessage(usage);
+    absl::SetProgramUsageMessage(usage.data());
     absl::ParseCommandLine(argc, argv);
     const auto path = absl::GetFlag(FLAGS_settings);
     if (path.empty()) {
