--- a/src/rosemarytrail/load/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::load {} // namespace rosemarytrail::load
--- a/src/rosemarytrail_load/main.cpp
+++ b/src/rosemarytrail_load/main.cpp
@@ -1,4 +1,6 @@
-int main()
+#include <rosemarytrail/load/program.hpp>
+
+int main(int argc, char** argv)
 {
-    return 0;
+    return rosemarytrail::load::run_program(argc, argv);
 }
