Let a caller name the upstream that has its write

Another entry VM has not seen the write's X-Write-Offset and would have to find the upstream by trial; X-Upstream of the answer, sent back as X-Read-Upstream, tells it without a call between entry VMs.

--- a/src/rosemarytrail/proxy/forwarding.cpp
+++ b/src/rosemarytrail/proxy/forwarding.cpp
@@ -110,14 +110,17 @@
     return it;
 }
 
-http::response give_back(http::response answer, std::string_view request_id)
+http::response give_back(http::response answer, std::string_view request_id,
+                         const vm_id& upstream)
 {
     std::erase_if(answer.headers, [](const http::header& it) {
         return is_one_of(it.name, connection_headers) ||
                same_name(it.name, "x-request-id") ||
-               same_name(it.name, "date") || same_name(it.name, "server");
+               same_name(it.name, "x-upstream") || same_name(it.name, "date") ||
+               same_name(it.name, "server");
     });
     answer.headers.push_back({"X-Request-Id", std::string{request_id}});
+    answer.headers.push_back({"X-Upstream", upstream.str()});
     return answer;
 }
 
--- a/src/rosemarytrail/proxy/forwarding.hpp
+++ b/src/rosemarytrail/proxy/forwarding.hpp
@@ -48,10 +48,12 @@
  * @brief Makes the answer that the caller gets from that of an upstream.
  * @param answer Whole answer of the upstream.
  * @param request_id Id that the caller knows the request by.
+ * @param upstream Upstream that gave it.
  * @return Answer without the headers of the connection.
  */
 [[nodiscard]] http::response give_back(http::response answer,
-                                       std::string_view request_id);
+                                       std::string_view request_id,
+                                       const vm_id& upstream);
 
 } // namespace rosemarytrail::proxy
 
--- a/src/rosemarytrail/proxy/internal/call.cpp
+++ b/src/rosemarytrail/proxy/internal/call.cpp
@@ -165,7 +165,8 @@
         choice = core_->selector.choose(table_,
                                         {.service = target_.service,
                                          .tried = tried_,
-                                         .read_offset = target_.read_offset},
+                                         .read_offset = target_.read_offset,
+                                         .preferred = target_.read_upstream},
                                         now, why);
     }
     if (!choice) {
@@ -221,6 +222,7 @@
         tried_.push_back(choice.vm);
     }
     last_answer_ = std::move(result.answer);
+    last_upstream_ = choice.vm;
     if (try_again(verdict)) {
         attempt();
         return;
@@ -256,7 +258,7 @@
         verdict == answer_verdict::whole || verdict == answer_verdict::failed;
     if (given) {
         core_->answered.add();
-        finish(give_back(std::move(answer), id_));
+        finish(give_back(std::move(answer), id_, last_upstream_));
         return;
     }
     const auto code = request::code_of(verdict);
--- a/src/rosemarytrail/proxy/internal/call.hpp
+++ b/src/rosemarytrail/proxy/internal/call.hpp
@@ -67,6 +67,7 @@
     std::uint32_t attempts_{};
     request::answer_verdict last_verdict_{request::answer_verdict::whole};
     http::response last_answer_{};
+    vm_id last_upstream_{};
     bool entered_{false};
     bool in_service_{false};
     bool intent_open_{false};
--- a/src/rosemarytrail/proxy/service_request.cpp
+++ b/src/rosemarytrail/proxy/service_request.cpp
@@ -69,6 +69,8 @@
     it.path = slash == std::string_view::npos ? "" : rest.substr(slash + 1);
     it.idempotent = request::is_idempotent(head.method);
     it.retried = http::find_header(head.headers, "X-Retried").has_value();
+    const auto upstream = http::find_header(head.headers, "X-Read-Upstream");
+    it.read_upstream = vm_id{std::string{upstream.value_or("")}};
     std::optional<std::uint64_t> deadline;
     if (!read_number(head, "X-Deadline-Ms", deadline, why) ||
         !read_number(head, "X-Read-Offset", it.read_offset, why) ||
--- a/src/rosemarytrail/proxy/service_request.hpp
+++ b/src/rosemarytrail/proxy/service_request.hpp
@@ -25,6 +25,8 @@
     std::string idempotency_key;
     /** @brief Write offset that a read must have reached. */
     std::optional<std::uint64_t> read_offset{};
+    /** @brief Upstream at which the caller saw the write; may be empty. */
+    vm_id read_upstream{};
     /** @brief Span within which the caller wants the answer. */
     duration timeout{};
     /** @brief The caller sent it before; it is not retried here. */
--- a/src/rosemarytrail/request/upstream_selector.cpp
+++ b/src/rosemarytrail/request/upstream_selector.cpp
@@ -79,20 +79,13 @@
     auto& state = state_of(demand.service);
     const std::lock_guard lock{state.mutex};
     index(state, demand.service, table);
-    const auto pair = draw_pair(state, demand, now);
-    if (pair.first == nullptr) {
+    const auto* const best = best_of(state, demand, now);
+    if (best == nullptr) {
         const bool any = !state.candidates.empty();
         why.code = any ? result_code::overloaded : result_code::no_upstream;
         why.retry_after = any ? overload_wait : no_upstream_wait;
         return std::nullopt;
     }
-    const auto* best = pair.first;
-    if (pair.second != nullptr &&
-        score(pair.second->load->in_flight, *pair.second->view,
-              table->entry_vms) <
-            score(best->load->in_flight, *best->view, table->entry_vms)) {
-        best = pair.second;
-    }
     ++best->load->in_flight;
     return upstream_choice{.service = demand.service,
                            .vm = best->view->vm,
@@ -100,6 +93,30 @@
                            .known_offset = best->load->write_offset};
 }
 
+const upstream_selector::candidate*
+upstream_selector::best_of(service_state& state, const choice_demand& demand,
+                           time_point now) const
+{
+    if (demand.read_offset && !demand.preferred.empty()) {
+        const auto it =
+            std::ranges::find_if(state.candidates, [&](const candidate& other) {
+                return other.view->vm == demand.preferred;
+            });
+        if (it != state.candidates.end() && is_open(state, *it, demand, now)) {
+            return &*it;
+        }
+    }
+    const auto pair = draw_pair(state, demand, now);
+    if (pair.second == nullptr) {
+        return pair.first;
+    }
+    const auto n = state.indexed->entry_vms;
+    const auto first = score(pair.first->load->in_flight, *pair.first->view, n);
+    const auto second =
+        score(pair.second->load->in_flight, *pair.second->view, n);
+    return second < first ? pair.second : pair.first;
+}
+
 upstream_selector::candidate_pair
 upstream_selector::draw_pair(service_state& state, const choice_demand& demand,
                              time_point now) const
--- a/src/rosemarytrail/request/upstream_selector.hpp
+++ b/src/rosemarytrail/request/upstream_selector.hpp
@@ -40,6 +40,8 @@
     std::span<const vm_id> tried{};
     /** @brief Write offset that a read must have reached, if any. */
     std::optional<std::uint64_t> read_offset{};
+    /** @brief Upstream that the caller saw the write at; may be empty. */
+    vm_id preferred{};
 };
 
 /** @brief Upstream that was chosen; `release` gives its place back. */
@@ -162,6 +164,9 @@
         const candidate* second{};
     };
 
+    [[nodiscard]] const candidate* best_of(service_state& state,
+                                           const choice_demand& demand,
+                                           time_point now) const;
     [[nodiscard]] candidate_pair draw_pair(service_state& state,
                                            const choice_demand& demand,
                                            time_point now) const;
--- a/test/request/upstream_selector.cpp
+++ b/test/request/upstream_selector.cpp
@@ -149,6 +149,13 @@
         CHECK(choice->vm == written->vm);
         CHECK(choice->known_offset == 7);
     }
+    // Another entry VM has not seen it, but the caller has.
+    upstream_selector other{{}};
+    const auto choice = other.choose(
+        it.table,
+        {.service = plugs, .read_offset = 7, .preferred = written->vm},
+        it.clock.now(), it.why);
+    CHECK(choice->vm == written->vm);
 }
 
 TEST_CASE("Retries stay below a tenth of the requests", "[request]")
