--- a/src/rosemarytraild/main.cpp
+++ b/src/rosemarytraild/main.cpp
@@ -47,9 +47,15 @@
     const auto start = shown.find_first_not_of('-');
     if (start == std::string_view::npos || start > 2 || start == 0)
         return false;
-    const auto name = shown.substr(start, shown.find('=') - start);
-    return name == "settings" || name == "check_settings" ||
-           name == "nocheck_settings";
+    const auto equals = shown.find('=');
+    const auto name = shown.substr(start, equals - start);
+    if (name == "settings")
+        return true;
+    if (name != "check_settings")
+        return false;
+    const bool valued = equals != std::string_view::npos;
+    const auto value = valued ? shown.substr(equals + 1) : "true";
+    return value == "true" || value == "false";
 }
 
 /** Blocks the signals that end the process, in all threads to come. */
