--- /dev/null
+++ b/bench/percentile.hpp
@@ -0,0 +1,30 @@
+#ifndef ROSEMARYTRAIL_BENCH_PERCENTILE_HPP
+#define ROSEMARYTRAIL_BENCH_PERCENTILE_HPP
+
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+namespace rosemarytrail::bench {
+
+/**
+ * @brief Value below which a fraction of the values lies.
+ * @param values Values in any order.
+ * @param fraction Fraction from 0 to 1.
+ * @return The value; zero if there are none.
+ */
+[[nodiscard]] inline double percentile(std::vector<double> values,
+                                       double fraction)
+{
+    if (values.empty()) {
+        return 0.0;
+    }
+    const auto last = static_cast<double>(values.size() - 1);
+    const auto n = static_cast<std::ptrdiff_t>(last * fraction);
+    std::nth_element(values.begin(), values.begin() + n, values.end());
+    return values[static_cast<std::size_t>(n)];
+}
+
+} // namespace rosemarytrail::bench
+
+#endif
