--- a/src/rosemarytrail/daemon/entry_daemon.cpp
+++ b/src/rosemarytrail/daemon/entry_daemon.cpp
@@ -98,6 +98,20 @@
             .body_bytes = from.body_bytes};
 }
 
+/**
+ * Table for requests to services: these are served until the balancer has seen
+ * that the daemon is not ready, and `begin_drain` refuses them after that.
+ */
+std::shared_ptr<const request::routing_table>
+serving_table(std::shared_ptr<const request::routing_table> table)
+{
+    if (!table->draining)
+        return table;
+    auto copy = std::make_shared<request::routing_table>(*table);
+    copy->draining = false;
+    return copy;
+}
+
 } // namespace
 
 incarnation_id make_incarnation(const zone_id& zone)
@@ -146,7 +160,7 @@
                 .view = view,
                 .routing =
                     [this](std::shared_ptr<const request::routing_table> it) {
-                        services.set_table(std::move(it));
+                        services.set_table(serving_table(std::move(it)));
                     },
                 .ticked =
                     [this](time_point now) {
