--- a/src/rosemarytrail/proxy/internal/call.cpp
+++ b/src/rosemarytrail/proxy/internal/call.cpp
@@ -50,6 +50,7 @@
     , table_{core_->table()}
     , id_{core_->request_id(exchange_->incoming())}
     , started_{core_->clock.now()}
+    , sent_before_{was_sent_before(exchange_->incoming())}
 {}
 
 void call::start()
@@ -135,8 +136,7 @@
     case intent_verdict::not_run:
         break;
     }
-    if (!is_first_sending(target_) &&
-        outcome.why.code != result_code::request_id_reused) {
+    if (sent_before_ && outcome.why.code != result_code::request_id_reused) {
         outcome.why.code = result_code::outcome_unknown;
     }
     refuse(std::move(outcome.why), true);
@@ -292,8 +292,7 @@
 
 void call::refuse(reason why, bool not_run)
 {
-    const bool sure = not_run && is_first_sending(target_);
-    finish(core_->refuse(why, sure, id_));
+    finish(core_->refuse(why, not_run && !sent_before_, id_));
 }
 
 void call::finish(http::response answer)
--- a/src/rosemarytrail/proxy/internal/call.hpp
+++ b/src/rosemarytrail/proxy/internal/call.hpp
@@ -72,21 +72,10 @@
     bool in_service_{false};
     bool intent_open_{false};
     bool may_have_run_{false};
+    /** @brief The caller sent it before; that sending may have run. */
+    bool sent_before_{false};
 };
 
-/**
- * @brief Tells whether a refusal may say that the request did not run.
- *
- * A request that is not idempotent and that the caller marked as sent before
- * may have run then.
- * @param target What its head says.
- * @return False for a repeat that may have run elsewhere.
- */
-[[nodiscard]] constexpr bool is_first_sending(const service_request& target)
-{
-    return target.idempotent || !target.retried;
-}
-
 } // namespace rosemarytrail::proxy
 
 #endif
--- a/src/rosemarytrail/proxy/proxy_handler.cpp
+++ b/src/rosemarytrail/proxy/proxy_handler.cpp
@@ -43,7 +43,6 @@
         if (!target) {
             return false;
         }
-        first_sending_ = is_first_sending(*target);
         if (!table_->services.contains(target->service)) {
             why = {.code = result_code::service_unknown};
             return false;
@@ -52,8 +51,6 @@
                has_place(*key, *target, why);
     }
 
-    [[nodiscard]] bool first_sending() const noexcept { return first_sending_; }
-
 private:
     [[nodiscard]] bool has_place(const key_spec& key,
                                  const service_request& target, reason& why)
@@ -69,7 +66,6 @@
     const http::request& head_;
     std::shared_ptr<const request::routing_table> table_;
     time_point now_;
-    bool first_sending_{true};
 };
 
 } // namespace
@@ -105,7 +101,7 @@
     if (check.passes(why)) {
         return std::nullopt;
     }
-    return core.refuse(why, check.first_sending(), core.request_id(head));
+    return core.refuse(why, !was_sent_before(head), core.request_id(head));
 }
 
 void proxy_handler::on_request(std::shared_ptr<http::exchange> it)
--- a/src/rosemarytrail/proxy/service_request.cpp
+++ b/src/rosemarytrail/proxy/service_request.cpp
@@ -68,7 +68,7 @@
     it.service = service_id{std::string{rest.substr(0, slash)}};
     it.path = slash == std::string_view::npos ? "" : rest.substr(slash + 1);
     it.idempotent = request::is_idempotent(head.method);
-    it.retried = http::find_header(head.headers, "X-Retried").has_value();
+    it.retried = was_sent_before(head);
     const auto upstream = http::find_header(head.headers, "X-Read-Upstream");
     it.read_upstream = vm_id{std::string{upstream.value_or("")}};
     std::optional<std::uint64_t> deadline;
@@ -85,6 +85,11 @@
     return it;
 }
 
+bool was_sent_before(const http::request& head) noexcept
+{
+    return http::find_header(head.headers, "X-Retried").has_value();
+}
+
 std::uint64_t fingerprint(const http::request& incoming)
 {
     std::uint64_t it = hash_on(0, incoming.method);
--- a/src/rosemarytrail/proxy/service_request.hpp
+++ b/src/rosemarytrail/proxy/service_request.hpp
@@ -44,6 +44,16 @@
 [[nodiscard]] std::optional<service_request>
 parse_service_request(const http::request& head, duration longest, reason& why);
 
+/**
+ * @brief Tells whether the caller marked a request as sent before.
+ *
+ * Such a sending is never told that it did not run, since the one before may
+ * have run.
+ * @param head Request, with or without its body.
+ * @return True if it bears `X-Retried`.
+ */
+[[nodiscard]] bool was_sent_before(const http::request& head) noexcept;
+
 /**
  * @brief Hashes what tells requests with the same idempotency key apart.
  * @param incoming Whole request.
