--- a/test/lib/cell.cpp
+++ b/test/lib/cell.cpp
@@ -22,6 +22,13 @@
 constexpr const char* caller_secret = "secret";
 constexpr const char* caller_salt = "00112233445566778899aabbccddeeff";
 
+[[nodiscard]] incarnation_id intents_writer(std::size_t daemon,
+                                            std::uint64_t generation)
+{
+    return incarnation_id{"d" + std::to_string(daemon) + "-" +
+                          std::to_string(generation) + "/intents"};
+}
+
 /** Exchange of a caller in the same thread. */
 class cell_exchange final : public http::exchange
 {
@@ -131,10 +138,31 @@
         .changed =
             [](result_code, const std::string&) {
             }};
+    it.upstreams =
+        std::make_unique<cell_upstream_link>(*this, daemon, it.generation);
+    it.intents = std::make_unique<request::intent_log>(
+        request::intent_log_options{
+            .appends = {.writer = intents_writer(daemon, it.generation)}},
+        *it.log, time,
+        [this](const incarnation_id& writer) { return writes(writer); });
+    it.proxy = std::make_unique<proxy::proxy_handler>(
+        proxy::proxy_options{.self = opts.self, .seed = daemon + 1}, time,
+        *it.upstreams, *it.intents, *it.metrics);
     it.controller =
         std::make_unique<control::controller>(std::move(opts), ports);
 }
 
+bool cell::writes(const incarnation_id& writer) const
+{
+    for (std::size_t n = 0; n < daemons.size(); ++n) {
+        if (daemons[n].controller != nullptr &&
+            writer == intents_writer(n, daemons[n].generation)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void cell::kill(std::size_t daemon)
 {
     auto& it = daemons[daemon];
--- a/test/lib/cell.hpp
+++ b/test/lib/cell.hpp
@@ -292,6 +292,7 @@
     void check_capacity();
     void check_single_run();
     void check_limits();
+    [[nodiscard]] bool writes(const incarnation_id& writer) const;
     void check_config();
     void check_keys();
 
