--- a/src/rosemarytrail/control/cell_log.cpp
+++ b/src/rosemarytrail/control/cell_log.cpp
@@ -20,8 +20,6 @@
 constexpr std::uint32_t failures_until_down = 2;
 /** Bytes of entries kept for peers. */
 constexpr std::size_t kept_limit = std::size_t{8} << 20U;
-/** Entries between two snapshots. */
-constexpr std::uint64_t snapshot_every = 2000;
 
 } // namespace
 
@@ -220,10 +218,10 @@
     return out;
 }
 
-void cell_log::maybe_snapshot(time_point)
+void cell_log::maybe_snapshot(std::uint64_t every)
 {
     const auto next = state_.next_offset();
-    if (snapshot_in_flight_ || next < last_snapshot_ + snapshot_every) {
+    if (snapshot_in_flight_ || next < last_snapshot_ + every) {
         return;
     }
     snapshot_in_flight_ = true;
--- a/src/rosemarytrail/control/cell_log.hpp
+++ b/src/rosemarytrail/control/cell_log.hpp
@@ -101,9 +101,9 @@
 
     /**
      * @brief Writes a snapshot if enough entries came since the last one.
-     * @param now Present time.
+     * @param every Entries between two snapshots.
      */
-    void maybe_snapshot(time_point now);
+    void maybe_snapshot(std::uint64_t every);
 
 private:
     enum class stage : std::uint8_t
--- a/src/rosemarytrail/control/controller.hpp
+++ b/src/rosemarytrail/control/controller.hpp
@@ -40,6 +40,8 @@
     duration worker_period{std::chrono::milliseconds{500}};
     duration vm_list_period{std::chrono::seconds{1}};
     state::freshness_options freshness{};
+    /** @brief Log entries between two snapshots. */
+    std::uint64_t snapshot_entries{2000};
 };
 
 /** @brief What a controller works with; all outlive it. */
--- a/test/lib/cell.cpp
+++ b/test/lib/cell.cpp
@@ -119,7 +119,8 @@
         .region = "region-1",
         .zone = zone_id{"zone-" + std::to_string(daemon % 2)},
         .partitions = options.partitions,
-        .freshness = options.freshness};
+        .freshness = options.freshness,
+        .snapshot_entries = options.snapshot_entries};
     control::controller_ports ports{
         .log = *it.log,
         .vms = *it.vms,
@@ -275,16 +276,18 @@
     return std::nullopt;
 }
 
-void cell::note_start(const task_ref& task, const resources& request,
+void cell::note_start(const platform::worker_command& start,
                       const cell_worker& worker)
 {
+    const auto& task = start.task;
+    most_attempts_ = std::max(most_attempts_, start.attempt);
     const auto grace = in_force_within + vm_list.faults().lag;
     if (worker.leaving_since && time.now() > *worker.leaving_since + grace) {
         broken_.insert("promise 8: started on leaving " +
                        worker.entry.vm.str());
     }
     auto& it = known_tasks_[task];
-    it.request = request;
+    it.request = start.request;
     if (const auto job = teams_of_jobs_.find(task.job);
         job != teams_of_jobs_.end()) {
         it.team = job->second;
--- a/test/lib/cell.hpp
+++ b/test/lib/cell.hpp
@@ -88,6 +88,7 @@
     resources vm_capacity{
         .millicores = 4000, .memory_mib = 4096, .accelerators = 1};
     std::uint32_t partitions{4};
+    std::uint64_t snapshot_entries{20};
     state::freshness_options freshness{};
     /** @brief One way, to anything. */
     duration latency{std::chrono::milliseconds{1}};
@@ -242,6 +243,12 @@
     /** @param text Promise that a test found broken. */
     void report_broken(const std::string& text) { broken_.insert(text); }
 
+    /** @return Greatest attempt number of any start. */
+    [[nodiscard]] std::uint32_t most_attempts() const noexcept
+    {
+        return most_attempts_;
+    }
+
     /** @return Records of the cell's stream, in order. */
     [[nodiscard]] std::vector<state::record> records() const;
 
@@ -281,7 +288,7 @@
     void wake_readers(const std::string& stream);
     void wait_for_entries(const std::string& stream,
                           std::function<void()> wake);
-    void note_start(const task_ref& task, const resources& request,
+    void note_start(const platform::worker_command& start,
                     const cell_worker& worker);
     [[nodiscard]] std::optional<std::size_t>
     daemon_at(const std::string& peer_address) const;
@@ -311,6 +318,7 @@
     std::map<std::string, std::vector<std::function<void()>>> readers_;
     std::vector<seen_revision> seen_;
     time_point next_slow_check_{};
+    std::uint32_t most_attempts_{};
     std::map<task_ref, known_task> known_tasks_;
     std::map<job_id, team_id> teams_of_jobs_;
     std::set<std::string> broken_;
--- a/test/lib/cell_links.cpp
+++ b/test/lib/cell_links.cpp
@@ -168,7 +168,7 @@
     }
     for (const auto& command : batch.commands) {
         if (command.kind == platform::command_kind::start) {
-            it.note_start(command.task, command.request, worker);
+            it.note_start(command, worker);
         }
     }
     const auto outcome = worker.model->apply(batch, it.time.now());
