Accept connections ourselves, and refuse stale ones before sending

MHD_quiesce_daemon() ended the test program in 2 of about 100 runs, on a busy machine: "Failed to remove listen FD from epoll set". It and the daemon's threads both take the listening socket out of the epoll set, and the later one aborts. A graceful shutdown could so have cut off everything. Ruled out: shutdown() of the socket under the daemon (its epoll loop spins), a panic handler (the library goes on to undefined behaviour).

libcurl uses a kept connection also when something is to be read on it before anything was sent: an answer that came twice was taken for the answer to the next request. Such a connection is now closed and the request goes out on a fresh one; nothing had been sent, so this repeats nothing. libcurl does not tell the socket at that moment, so a table finds it by its ports. Without it, "An answer that comes twice does not reach the next request" fails.

One worker process may host many VMs, each below its own prefix.

--- a/src/rosemarytrail/http/client.hpp
+++ b/src/rosemarytrail/http/client.hpp
@@ -112,7 +112,9 @@
  * A connection whose answer was late, cut off, too large or crossed is closed
  * and never used again. An answer that announces no end counts as cut off, as
  * it cannot be told from one that was. Requests are never repeated by the
- * client itself, also not where the peer closes an idle connection.
+ * client itself, also not where the peer closes an idle connection. A kept
+ * connection on which something is to be read before the request was sent is
+ * closed, and the request goes out on a fresh one.
  * @param options How to keep connections.
  * @return The client.
  */
--- a/src/rosemarytrail/http/internal/curl_loop.cpp
+++ b/src/rosemarytrail/http/internal/curl_loop.cpp
@@ -217,7 +217,7 @@
 {
     ++host.active;
     auto* easy = take_easy();
-    it->prepare(easy, options_, boot_clock::now());
+    it->prepare(easy, options_, sockets_, boot_clock::now());
     active_.emplace(easy, std::move(it));
     curl_multi_add_handle(multi_, easy);
 }
@@ -232,12 +232,19 @@
         auto* easy = message->easy_handle;
         const auto code = message->data.result;
         auto node = active_.extract(easy);
-        const auto it = std::move(node.mapped());
+        auto it = std::move(node.mapped());
         curl_multi_remove_handle(multi_, easy);
         const std::string name{it->host()};
-        it->finish(code, boot_clock::now());
+        auto& host = hosts_[name];
+        --host.active;
+        if (it->met_stale_connection()) {
+            it->renew();
+            host.queued.push_front(std::move(it));
+            ++queued_;
+        } else {
+            it->finish(code, boot_clock::now());
+        }
         keep_easy(easy);
-        --hosts_[name].active;
         start_queued(name);
     }
 }
--- a/src/rosemarytrail/http/internal/curl_loop.hpp
+++ b/src/rosemarytrail/http/internal/curl_loop.hpp
@@ -3,6 +3,7 @@
 
 #include <rosemarytrail/http/client.hpp>
 #include <rosemarytrail/http/internal/curl_transfer.hpp>
+#include <rosemarytrail/http/internal/socket_table.hpp>
 
 #include <curl/curl.h>
 
@@ -64,6 +65,7 @@
     void keep_easy(CURL* easy);
 
     client_options options_;
+    socket_table sockets_;
     CURLM* multi_{};
     int epoll_{-1};
     int wake_{-1};
--- a/src/rosemarytrail/http/internal/curl_transfer.cpp
+++ b/src/rosemarytrail/http/internal/curl_transfer.cpp
@@ -1,5 +1,8 @@
 #include <rosemarytrail/http/internal/curl_transfer.hpp>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -117,9 +120,10 @@
 }
 
 void curl_transfer::prepare(CURL* easy, const client_options& options,
-                            time_point now)
+                            socket_table& sockets, time_point now)
 {
     easy_ = easy;
+    sockets_ = &sockets;
     add_headers();
     set(easy, CURLOPT_PRIVATE, this);
     set(easy, CURLOPT_URL, outgoing_.url.c_str());
@@ -143,6 +147,10 @@
     set(easy, CURLOPT_WRITEDATA, this);
     set(easy, CURLOPT_PREREQFUNCTION, &curl_transfer::on_send);
     set(easy, CURLOPT_PREREQDATA, this);
+    set(easy, CURLOPT_OPENSOCKETFUNCTION, &curl_transfer::on_open);
+    set(easy, CURLOPT_OPENSOCKETDATA, this);
+    set(easy, CURLOPT_CLOSESOCKETFUNCTION, &curl_transfer::on_close);
+    set(easy, CURLOPT_CLOSESOCKETDATA, &sockets);
     if (bears_body(outgoing_)) {
         set(easy, CURLOPT_POST, 1L);
         set(easy, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -157,12 +165,46 @@
 // libcurl repeats a request by itself when a connection that it kept ends
 // before the first byte of an answer, also if the request may have run. It
 // asks here before each time that it sends; the second time is refused.
-int curl_transfer::on_send(void* self, char* /*peer*/, char* /*local*/,
-                           int /*peer_port*/, int /*local_port*/)
+int curl_transfer::on_send(void* self, char* peer, char* /*local*/,
+                           int peer_port, int local_port)
 {
     auto& it = *static_cast<curl_transfer*>(self);
     ++it.sends_;
-    return it.sends_ > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+    if (it.sends_ > 1) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    connection_key key{peer, peer_port, local_port};
+    if (local_port_of(it.opened_) == local_port) {
+        it.sockets_->add(std::move(key), it.opened_);
+        return CURL_PREREQFUNC_OK;
+    }
+    it.stale_ = it.sockets_->is_stale(key);
+    return it.stale_ ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+curl_socket_t curl_transfer::on_open(void* self, curlsocktype /*purpose*/,
+                                     curl_sockaddr* address)
+{
+    auto& it = *static_cast<curl_transfer*>(self);
+    it.opened_ = ::socket(address->family, address->socktype | SOCK_CLOEXEC,
+                          address->protocol);
+    return it.opened_;
+}
+
+int curl_transfer::on_close(void* sockets, curl_socket_t socket)
+{
+    static_cast<socket_table*>(sockets)->remove(socket);
+    return ::close(socket);
+}
+
+void curl_transfer::renew()
+{
+    curl_slist_free_all(lines_);
+    lines_ = nullptr;
+    easy_ = nullptr;
+    sends_ = 0;
+    stale_ = false;
+    outgoing_.fresh_connection = true;
 }
 
 std::size_t curl_transfer::on_header(char* data, std::size_t size,
--- a/src/rosemarytrail/http/internal/curl_transfer.hpp
+++ b/src/rosemarytrail/http/internal/curl_transfer.hpp
@@ -2,6 +2,7 @@
 #define ROSEMARYTRAIL_HTTP_INTERNAL_CURL_TRANSFER_HPP
 
 #include <rosemarytrail/http/client.hpp>
+#include <rosemarytrail/http/internal/socket_table.hpp>
 
 #include <curl/curl.h>
 
@@ -40,9 +41,17 @@
      * @brief Sets an easy handle up for this request.
      * @param easy Handle without options.
      * @param options Options of the client.
+     * @param sockets Sockets of the connections; outlives the connections.
      * @param now Present time.
      */
-    void prepare(CURL* easy, const client_options& options, time_point now);
+    void prepare(CURL* easy, const client_options& options,
+                 socket_table& sockets, time_point now);
+
+    /** @return True if it met a stale connection; nothing was sent then. */
+    [[nodiscard]] bool met_stale_connection() const noexcept { return stale_; }
+
+    /** @brief Makes ready to be prepared again, for a fresh connection. */
+    void renew();
 
     /** @return Handle that the request goes through, or null. */
     [[nodiscard]] CURL* easy() const noexcept { return easy_; }
@@ -66,7 +75,11 @@
                                  void* self);
     static std::size_t on_body(char* data, std::size_t size, std::size_t n,
                                void* self);
-    static int on_send(void* self, char*, char*, int, int);
+    static int on_send(void* self, char* peer, char* local, int peer_port,
+                       int local_port);
+    static curl_socket_t on_open(void* self, curlsocktype purpose,
+                                 curl_sockaddr* address);
+    static int on_close(void* sockets, curl_socket_t socket);
 
     [[nodiscard]] bool take_header(std::string_view line);
     [[nodiscard]] bool take_end_of_head();
@@ -79,8 +92,12 @@
     response answer_;
     time_point start_;
     CURL* easy_{};
+    socket_table* sockets_{};
+    /** @brief Socket opened for this request, if any. */
+    curl_socket_t opened_{CURL_SOCKET_BAD};
     curl_slist* lines_{};
     unsigned sends_{};
+    bool stale_{false};
     bool too_large_{false};
     bool crossed_{false};
     bool endless_{false};
--- a/src/rosemarytrail/http/internal/exchange_state.cpp
+++ b/src/rosemarytrail/http/internal/exchange_state.cpp
@@ -1,5 +1,7 @@
 #include <rosemarytrail/http/internal/exchange_state.hpp>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <cstring>
 #include <string>
@@ -55,27 +57,46 @@
         announced, block_bytes, read_cut_body, kept, free_cut_body);
 }
 
-[[nodiscard]] MHD_Result send(MHD_Connection* connection,
-                              planned_answer planned, bool last)
+/** @return An answer as it stands on the wire. */
+[[nodiscard]] std::string to_wire(const response& whole)
+{
+    auto result = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                  std::to_string(whole.body.size());
+    for (const auto& it : whole.headers) {
+        result += "\r\n" + it.name + ": " + it.value;
+    }
+    return result + "\r\n\r\n" + whole.body;
+}
+
+[[nodiscard]] MHD_Response* make_response(planned_answer planned)
 {
     auto& whole = planned.whole;
-    const bool cut = planned.cut_after.has_value();
-    if (cut && (*planned.cut_after == 0 || whole.body.empty())) {
+    if (planned.cut_after) {
+        return make_cut(std::move(whole.body), *planned.cut_after);
+    }
+    return make_whole(std::move(whole.body));
+}
+
+[[nodiscard]] MHD_Result queue(MHD_Connection* connection,
+                               planned_answer planned, bool last)
+{
+    const auto& whole = planned.whole;
+    if (planned.cut_after && (*planned.cut_after == 0 || whole.body.empty())) {
         return MHD_NO;
     }
-    auto* out = cut ? make_cut(std::move(whole.body), *planned.cut_after)
-                    : make_whole(std::move(whole.body));
+    const auto headers = whole.headers;
+    const auto status = static_cast<unsigned>(whole.status);
+    auto* out = make_response(std::move(planned));
     if (out == nullptr) {
         return MHD_NO;
     }
-    for (const auto& it : whole.headers) {
+    for (const auto& it : headers) {
         MHD_add_response_header(out, it.name.c_str(), it.value.c_str());
     }
     if (last) {
         MHD_add_response_header(out, MHD_HTTP_HEADER_CONNECTION, "close");
     }
-    const auto result = MHD_queue_response(
-        connection, static_cast<unsigned>(whole.status), out);
+    const auto result = MHD_queue_response(connection, status, out);
     MHD_destroy_response(out);
     return result;
 }
@@ -186,7 +207,10 @@
         return MHD_NO;
     }
     if (planned_) {
-        return send(connection_, std::move(*planned_), last_of_connection);
+        if (planned_->twice) {
+            uncalled_ = to_wire(planned_->whole);
+        }
+        return queue(connection_, std::move(*planned_), last_of_connection);
     }
     if (!waiting.add(*this)) {
         return MHD_NO;
@@ -199,7 +223,21 @@
 void exchange_state::end()
 {
     const std::lock_guard guard{lock_};
+    if (connection_ != nullptr && !uncalled_.empty()) {
+        send_uncalled();
+    }
     connection_ = nullptr;
 }
 
+// libmicrohttpd sends one answer to a request, so the second goes by hand.
+void exchange_state::send_uncalled() const
+{
+    const auto* info =
+        MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info != nullptr) {
+        ::send(info->connect_fd, uncalled_.data(), uncalled_.size(),
+               MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+}
+
 } // namespace rosemarytrail::http::internal
--- a/src/rosemarytrail/http/internal/exchange_state.hpp
+++ b/src/rosemarytrail/http/internal/exchange_state.hpp
@@ -10,6 +10,8 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <unordered_set>
 #include <vector>
 
@@ -49,6 +51,8 @@
     response whole;
     /** @brief Bytes after which the connection is cut, if it is. */
     std::optional<std::size_t> cut_after{};
+    /** @brief Whether the answer is sent once more on the connection. */
+    bool twice{false};
 };
 
 /** @brief One request on one connection of libmicrohttpd. */
@@ -109,11 +113,15 @@
     bool handed_over{false};
 
 private:
+    void send_uncalled() const;
+
     std::mutex lock_;
     MHD_Connection* connection_{};
     request incoming_;
     std::size_t dropped_{};
     std::optional<planned_answer> planned_;
+    /** @brief Second answer, sent behind the first. */
+    std::string uncalled_;
     bool abandoned_{false};
     bool suspended_{false};
 };
--- a/src/rosemarytrail/http/server.cpp
+++ b/src/rosemarytrail/http/server.cpp
@@ -1,11 +1,10 @@
 #include <rosemarytrail/http/server.hpp>
 
+#include <rosemarytrail/http/internal/acceptor.hpp>
 #include <rosemarytrail/http/internal/exchange_state.hpp>
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
@@ -52,6 +51,11 @@
             {.whole = std::move(answer), .cut_after = partial_bytes});
     }
 
+    void respond_twice(response answer) override
+    {
+        state_->answer({.whole = std::move(answer), .twice = true});
+    }
+
 private:
     state_pointer state_;
 };
@@ -105,7 +109,7 @@
     server_options options;
     handler& target;
     MHD_Daemon* daemon{};
-    int listen_socket{-1};
+    internal::acceptor acceptor;
     std::atomic<bool> draining{false};
     std::atomic<std::size_t> in_flight{0};
     internal::waiting_exchanges waiting;
@@ -117,6 +121,8 @@
     static void completed(void* context, MHD_Connection* connection,
                           void** slot, MHD_RequestTerminationCode code);
 
+    [[nodiscard]] MHD_Daemon* start_daemon();
+    void add_connection(int socket) const;
     [[nodiscard]] MHD_Result on_head(exchange_state& it);
     [[nodiscard]] MHD_Result on_body(exchange_state& it,
                                      std::string_view part) const;
@@ -243,68 +249,72 @@
     stop();
 }
 
-std::optional<std::uint16_t> server::start(reason& why)
+void server::internal_state::add_connection(int socket) const
 {
-    const auto& options = state_->options;
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(options.port);
-    if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
-        why = {.code = result_code::settings_field_range,
-               .detail = "address " + options.address + " is no IP number"};
-        return std::nullopt;
-    }
+    sockaddr_in peer{};
+    socklen_t size = sizeof(peer);
+    auto* generic = reinterpret_cast<sockaddr*>(&peer);
+    ::getpeername(socket, generic, &size);
+    // It closes the socket if there are too many connections.
+    MHD_add_connection(daemon, socket, generic, size);
+}
 
+MHD_Daemon* server::internal_state::start_daemon()
+{
     const auto idle_seconds =
         std::chrono::ceil<std::chrono::seconds>(options.idle_timeout).count();
-    // A pool of one thread is the daemon's own thread.
-    const unsigned pool = options.threads > 1 ? options.threads : 0;
-    const unsigned connections =
-        std::max(options.connections, std::max(options.threads, 1U));
+    const unsigned threads = std::max(options.threads, 1U);
+    const unsigned connections = std::max(options.connections, threads);
     std::vector<MHD_OptionItem> items{
-        {MHD_OPTION_SOCK_ADDR, 0, &address},
         {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(connections),
          nullptr},
         {MHD_OPTION_CONNECTION_TIMEOUT, static_cast<intptr_t>(idle_seconds),
          nullptr},
         {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
          static_cast<intptr_t>(connection_memory_bytes), nullptr},
-        {MHD_OPTION_LISTEN_BACKLOG_SIZE, SOMAXCONN, nullptr},
         {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&on_uri),
          nullptr},
         {MHD_OPTION_NOTIFY_COMPLETED,
-         reinterpret_cast<intptr_t>(&internal_state::completed), state_.get()}};
-    if (pool > 0) {
+         reinterpret_cast<intptr_t>(&internal_state::completed), this}};
+    // A pool of one thread is the daemon's own thread.
+    if (threads > 1) {
         items.push_back({MHD_OPTION_THREAD_POOL_SIZE,
-                         static_cast<intptr_t>(pool), nullptr});
+                         static_cast<intptr_t>(threads), nullptr});
     }
     items.push_back({MHD_OPTION_END, 0, nullptr});
+    constexpr unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD |
+                               MHD_ALLOW_SUSPEND_RESUME |
+                               MHD_USE_NO_LISTEN_SOCKET;
+    return MHD_start_daemon(flags, 0, nullptr, nullptr, &internal_state::access,
+                            this, MHD_OPTION_ARRAY, items.data(),
+                            MHD_OPTION_END);
+}
 
-    state_->daemon = MHD_start_daemon(
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, options.port,
-        nullptr, nullptr, &internal_state::access, state_.get(),
-        MHD_OPTION_ARRAY, items.data(), MHD_OPTION_END);
+std::optional<std::uint16_t> server::start(reason& why)
+{
+    state_->daemon = state_->start_daemon();
     if (state_->daemon == nullptr) {
         why = {.code = result_code::unreachable,
-               .detail = "cannot listen on " + options.address + ":" +
-                         std::to_string(options.port)};
+               .detail = "cannot start the threads of the server"};
         return std::nullopt;
     }
-    const auto* info =
-        MHD_get_daemon_info(state_->daemon, MHD_DAEMON_INFO_BIND_PORT);
-    return info == nullptr ? options.port : info->port;
+    const auto& options = state_->options;
+    const auto port = state_->acceptor.start(
+        options.address, options.port,
+        [state = state_.get()](int socket) { state->add_connection(socket); },
+        why);
+    if (!port) {
+        stop();
+    }
+    return port;
 }
 
 void server::stop_accepting()
 {
-    if (state_->daemon == nullptr || state_->draining.exchange(true)) {
+    if (state_->draining.exchange(true)) {
         return;
     }
-    // The daemon's threads may still use the socket: it is closed in stop().
-    state_->listen_socket = MHD_quiesce_daemon(state_->daemon);
-    if (state_->listen_socket >= 0) {
-        ::shutdown(state_->listen_socket, SHUT_RDWR);
-    }
+    state_->acceptor.stop();
 }
 
 std::size_t server::in_flight() const noexcept
@@ -321,9 +331,6 @@
     state_->waiting.abandon_all();
     MHD_stop_daemon(state_->daemon);
     state_->daemon = nullptr;
-    if (state_->listen_socket >= 0) {
-        ::close(state_->listen_socket);
-    }
 }
 
 } // namespace rosemarytrail::http
--- a/src/rosemarytrail/http/server.hpp
+++ b/src/rosemarytrail/http/server.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace rosemarytrail::http {
 
@@ -41,6 +42,13 @@
      * nothing at all, not even the status.
      */
     virtual void cut_off(response answer, std::size_t partial_bytes) = 0;
+
+    /**
+     * @brief Answers the request, and sends the same answer once more, which
+     * nobody asked for; stand-ins use it.
+     * @param answer Answer to send twice.
+     */
+    virtual void respond_twice(response answer) { respond(std::move(answer)); }
 };
 
 /** @brief Receives the requests of a server, on its threads. */
@@ -73,7 +81,7 @@
     std::uint16_t port{};
     /** @brief Event-loop threads. */
     unsigned threads{2};
-    /** @brief Most connections at once. */
+    /** @brief Most connections at once; more are closed. */
     unsigned connections{1024};
     /** @brief Largest body, in bytes; a larger one is refused with 413. */
     std::size_t body_bytes{std::size_t{1} << 20U};
@@ -111,7 +119,8 @@
     [[nodiscard]] std::optional<std::uint16_t> start(reason& why);
 
     /**
-     * @brief Listens no more; requests in flight go on.
+     * @brief Listens no more; requests in flight go on. Connections that the
+     * system had queued are still accepted.
      *
      * Answers from then on bear `Connection: close`, so that callers with an
      * open connection leave it.
--- /dev/null
+++ b/src/rosemarytrail/standin/upstream_service.hpp
@@ -0,0 +1,73 @@
+#ifndef ROSEMARYTRAIL_STANDIN_UPSTREAM_SERVICE_HPP
+#define ROSEMARYTRAIL_STANDIN_UPSTREAM_SERVICE_HPP
+
+#include <rosemarytrail/core/id.hpp>
+#include <rosemarytrail/http/server.hpp>
+#include <rosemarytrail/standin/delay_queue.hpp>
+#include <rosemarytrail/standin/upstream_model.hpp>
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace rosemarytrail::standin {
+
+/** @brief Counter of runs that several upstreams share. */
+struct shared_run_counter
+{
+    std::mutex lock;
+    run_counter counter;
+};
+
+/** @brief Serves one upstream over HTTP. */
+class upstream_service
+{
+public:
+    /**
+     * @brief Makes an idle upstream.
+     * @param vm VM that it answers for.
+     * @param options How it is built.
+     * @param runs Counts the runs.
+     * @param delays Holds answers back; is stopped before this ends.
+     */
+    upstream_service(vm_id vm, const upstream_options& options,
+                     shared_run_counter& runs, delay_queue& delays);
+
+    /**
+     * @brief Serves a request.
+     * @param it Exchange to answer.
+     * @param path Path below the prefix of this upstream.
+     */
+    void serve(const std::shared_ptr<http::exchange>& it,
+               std::string_view path);
+
+    /** @param faults What goes wrong from now on. */
+    void set_faults(const upstream_faults& faults);
+
+    /** @return Requests in slots. */
+    [[nodiscard]] std::uint32_t busy();
+
+private:
+    [[nodiscard]] std::optional<http::response>
+    answer_page(const http::request& incoming, std::string_view path);
+    void finish(const std::shared_ptr<http::exchange>& it,
+                const upstream_reply& reply, const service_id& service,
+                const std::string& path);
+
+    vm_id vm_;
+    shared_run_counter& runs_;
+    delay_queue& delays_;
+    upstream_model model_;
+};
+
+/** @return Answer of an upstream that did not run the request. */
+[[nodiscard]] http::response not_run_answer(const http::request& incoming);
+
+/** @return Service that a path such as `/plugs/a/b` names. */
+[[nodiscard]] service_id service_of(std::string_view path);
+
+} // namespace rosemarytrail::standin
+
+#endif
--- /dev/null
+++ b/src/rosemarytrail/standin/vm_list_service.cpp
@@ -0,0 +1,75 @@
+#include <rosemarytrail/standin/vm_list_service.hpp>
+
+#include <rosemarytrail/platform/vm_wire.hpp>
+#include <rosemarytrail/standin/control_page.hpp>
+
+#include <string_view>
+#include <utility>
+
+namespace rosemarytrail::standin {
+
+namespace {
+
+constexpr std::string_view list_path = "/v1/vms";
+constexpr std::string_view row_path = "/v1/vms/";
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+
+} // namespace
+
+vm_list_service::vm_list_service(const vm_list_faults& faults)
+    : model_{faults}
+{}
+
+std::optional<http::response>
+vm_list_service::on_head(const http::request& /*head*/)
+{
+    return std::nullopt;
+}
+
+void vm_list_service::on_request(std::shared_ptr<http::exchange> it)
+{
+    const std::lock_guard guard{lock_};
+    it->respond(answer(it->incoming()));
+}
+
+http::response vm_list_service::answer(const http::request& incoming)
+{
+    if (auto page = answer_common(incoming, incoming.path, model_)) {
+        return std::move(*page);
+    }
+    if (incoming.path == list_path && incoming.method == "GET") {
+        return list();
+    }
+    if (incoming.path.starts_with(row_path)) {
+        return change(incoming);
+    }
+    return json_answer(status_not_found, "{}");
+}
+
+http::response vm_list_service::list()
+{
+    const auto result = model_.list(boot_clock::now());
+    if (!result.answered) {
+        return json_answer(status_unavailable, "{}");
+    }
+    return json_answer(200, platform::encode_vm_list(result.vms));
+}
+
+http::response vm_list_service::change(const http::request& incoming)
+{
+    const vm_id vm{incoming.path.substr(row_path.size())};
+    if (incoming.method == "DELETE") {
+        model_.remove(vm, boot_clock::now());
+        return json_answer(200, "{}");
+    }
+    const auto row = platform::decode_vm(incoming.body);
+    if (incoming.method != "PUT" || !row || row->vm != vm) {
+        return json_answer(status_bad_request, "{}");
+    }
+    model_.upsert(*row, boot_clock::now());
+    return json_answer(200, "{}");
+}
+
+} // namespace rosemarytrail::standin
--- /dev/null
+++ b/standin/vm_list.cpp
@@ -0,0 +1,27 @@
+#include <rosemarytrail/standin/program.hpp>
+#include <rosemarytrail/standin/vm_list_service.hpp>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include <cstdlib>
+
+ABSL_FLAG(std::string, address, "127.0.0.1", "IP number to listen on");
+ABSL_FLAG(std::uint16_t, port, 0, "port; 0 lets the system choose");
+ABSL_FLAG(std::string, control, "", "faults from the start, in JSON");
+
+int main(int argc, char** argv)
+{
+    using namespace rosemarytrail; // NOLINT
+    absl::ParseCommandLine(argc, argv);
+    standin::block_signals();
+    const auto faults = standin::faults_of_flag<standin::vm_list_faults>(
+        absl::GetFlag(FLAGS_control));
+    if (!faults) {
+        return EXIT_FAILURE;
+    }
+    standin::vm_list_service service{*faults};
+    return standin::serve_until_signal({.address = absl::GetFlag(FLAGS_address),
+                                        .port = absl::GetFlag(FLAGS_port)},
+                                       service);
+}
--- a/test/http/exchange.cpp
+++ b/test/http/exchange.cpp
@@ -174,6 +174,34 @@
     CHECK(ask("") == transport_result::crossed);
 }
 
+TEST_CASE("An answer that comes twice does not reach the next request",
+          "[http]")
+{
+    http_server server{[](const exchange_pointer& it) {
+        const auto& path = it->incoming().path;
+        response out{.headers = {{"X-Path", path}}, .body = path};
+        if (path == "/twice") {
+            it->respond_twice(std::move(out));
+            return;
+        }
+        it->respond(std::move(out));
+    }};
+    const auto client = make_curl_client({.connections_per_host = 1});
+    for (int i = 0; i < 5; ++i) {
+        for (const std::string path : {"/twice", "/once"}) {
+            client_request out{.method = "POST", .url = server.base + path};
+            out.echo = {"X-Path", path};
+            // The second answer is out when nothing is in flight any more.
+            while (server.inner.in_flight() > 0) {
+                std::this_thread::yield();
+            }
+            const auto result = client->fetch_and_wait(std::move(out));
+            REQUIRE(result.transport == transport_result::complete);
+            CHECK(result.answer.body == path);
+        }
+    }
+}
+
 TEST_CASE("Requests that were never sent are told from lost ones", "[http]")
 {
     std::string dead;
--- a/test/standin/worker_model.cpp
+++ b/test/standin/worker_model.cpp
@@ -9,7 +9,6 @@
 using namespace rosemarytrail::standin; // NOLINT
 using platform::command_kind;
 using platform::task_phase;
-using platform::worker_batch;
 using platform::worker_command;
 using platform::worker_outcome;
 
