--- /dev/null
+++ b/test/state/history.hpp
@@ -0,0 +1,84 @@
+#ifndef ROSEMARYTRAIL_TEST_STATE_HISTORY_HPP
+#define ROSEMARYTRAIL_TEST_STATE_HISTORY_HPP
+
+#include <rosemarytrail/state/cell_state.hpp>
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace rosemarytrail::test {
+
+/** @brief Document of a team with a limit. */
+[[nodiscard]] std::string team_document(const std::string& team,
+                                        const resources& limit);
+
+/** @brief Document of a key. */
+[[nodiscard]] std::string key_document(const std::string& key,
+                                       const std::string& team,
+                                       const std::string& hash, bool withdrawn);
+
+/** @brief Document of a batch job. */
+[[nodiscard]] std::string job_document(const std::string& team, int tasks);
+
+/** @brief Log with a state that follows it, for tests of single rules. */
+class followed_log
+{
+public:
+    /**
+     * @brief Appends one record and applies it.
+     * @param writer Writer of the record.
+     * @param value Record.
+     * @return Verdict on it.
+     */
+    state::record_verdict append(const std::string& writer,
+                                 state::record value);
+
+    /** @brief Appends bytes and applies them. */
+    std::vector<state::record_verdict> append_bytes(std::string bytes);
+
+    /** @return Sequence number for the next batch of a writer. */
+    std::uint64_t next_sequence(const std::string& writer);
+
+    state::cell_state cell;
+    std::vector<std::string> entries;
+
+private:
+    std::map<std::string, std::uint64_t> sequences_;
+};
+
+/**
+ * @brief Makes random histories: right records, late ones, repeats, gaps, torn
+ * entries and races.
+ */
+class random_history
+{
+public:
+    explicit random_history(std::uint32_t seed);
+
+    /** @brief Appends one entry with some records. */
+    void step();
+
+    followed_log log;
+    /** @brief Records that took effect, by kind. */
+    std::map<std::size_t, std::uint64_t> applied;
+
+private:
+    [[nodiscard]] std::uint32_t below(std::uint32_t n);
+    [[nodiscard]] bool chance(std::uint32_t percent);
+    [[nodiscard]] state::record any_record(const std::string& writer);
+    [[nodiscard]] state::record any_team();
+    [[nodiscard]] state::record any_key();
+    [[nodiscard]] state::record any_tasks(partition_id partition,
+                                          record_number epoch);
+    [[nodiscard]] std::string any_member();
+    [[nodiscard]] job_id any_job();
+    [[nodiscard]] resources any_amount(std::int64_t most);
+
+    std::mt19937 random_;
+};
+
+} // namespace rosemarytrail::test
+
+#endif
