--- a/src/rosemarytrail/cli/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace rosemarytrail::cli {} // namespace rosemarytrail::cli
