--- a/src/rosemarytrail/core/result_code.cpp
+++ b/src/rosemarytrail/core/result_code.cpp
@@ -109,6 +109,13 @@
                     "an upstream was set aside after failures"},
     result_code_row{result_code::request_id_reused, "request_id_reused", 409,
                     "the idempotency key was used with another request"},
+    result_code_row{result_code::upstream_unreachable, "upstream_unreachable",
+                    503, "no connection to the upstream was had; not run"},
+    result_code_row{result_code::read_offset_not_reached,
+                    "read_offset_not_reached", 503,
+                    "no upstream shows the write that the read asks for"},
+    result_code_row{result_code::upstream_failed, "upstream_failed", 502,
+                    "the upstream answered with a status over 499"},
     result_code_row{result_code::waiting_for_turn, "waiting_for_turn", 200,
                     "other work goes first by share, class or age"},
     result_code_row{result_code::waiting_for_room, "waiting_for_room", 200,
@@ -205,6 +212,9 @@
                     "the task was cancelled"},
     result_code_row{result_code::vm_lost, "vm_lost", 200,
                     "an operator declared the VM lost"},
+    result_code_row{result_code::worker_attempt_refused,
+                    "worker_attempt_refused", 409,
+                    "the attempt is over, or another one is on the worker"},
 };
 
 } // namespace
