Demonstration: takeover after a kill; fix how the command line reads booleans

The demonstration showed it: `cancel` printed "in effect: no" for an answer that said true. nlohmann's json{true} is an array of one element, so the comparison never held. The same slip had made the generated values of two property tests arrays; they are now of the types that they name, and the settings test asks for the code of range or type that fits.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -97,6 +97,17 @@
     done
 }
 
+# taken_over ENTRY: no partition is held by that entry VM, and all are settled.
+taken_over() {
+    cli members --entry "${entries[1]}" --json | python3 -c '
+import json, sys
+cell = json.load(sys.stdin)
+left = {it["member"] for it in cell["members"]
+        if it["api_address"] != sys.argv[1]}
+sys.exit(not all(it["holder"] in left and it["settled"]
+                 for it in cell["partitions"]))' "$1"
+}
+
 # start NAME COMMAND...: starts a process in the background.
 start() {
     local name=$1
@@ -220,7 +231,7 @@
 # Requests
 answers() { out=$(cli request plugs /quay/7 --entry "${entries[1]}" --json); grep -q '"service":"plugs"' <<<"$out" && echo "$out"; }
 step "request to the service by entry 2" 0 within 10 answers
-expect "  its answer is whole" '"path":"/quay/7"'
+expect "  its answer is whole" '"path":"quay/7"'
 step "booking that runs at most once, by entry 3" 0 cli request plugs /book --method POST \
     --idempotency_key box-881 --data '{"box":881}' --entry "${entries[2]}" --json
 expect "  it ran once" '"run":1'
@@ -238,9 +249,12 @@
 step "killed daemon is told as unreachable" 3 cli list --entry "${entries[0]}"
 step "next entry VM is tried" 0 cli list --entry "$all_entries"
 step "service still answers by entry 3" 0 cli request plugs /quay/8 --entry "${entries[2]}" --json
+step "its partitions are taken over" 0 within 60 taken_over "${entries[0]}"
+step "service runs on, seen at entry 2" 0 cli status "$plugs" --entry "${entries[1]}" --wait running --timeout 60s
 
 # Shutdown
 step "cancel the service" 0 cli cancel "$plugs" --entry "${entries[1]}"
+expect "  in effect and recorded" "in effect: yes, recorded: yes"
 for n in 1 2; do kill -TERM "${daemon_pids[n]}"; done
 for n in 1 2; do
     step "daemon $((n + 1)) ends on SIGTERM" 0 within 25 is_gone "${daemon_pids[n]}"
--- a/src/rosemarytrail/cli/job_commands.cpp
+++ b/src/rosemarytrail/cli/job_commands.cpp
@@ -134,7 +134,7 @@
     } else {
         it.out.write("job " + object.at("job").get<std::string>() +
                      " is accepted; record " +
-                     object.value("offset", json{}).dump());
+                     object.value("offset", json()).dump());
     }
     return exit_code::ok;
 }
@@ -185,7 +185,7 @@
         return exit_code::ok;
     }
     const auto yes_or_no = [&object](const char* name) {
-        return object.value(name, json{}) == json{true} ? "yes" : "no";
+        return object.value(name, json()) == json(true) ? "yes" : "no";
     };
     it.out.write("job " + job +
                  " is cancelled; in effect: " + yes_or_no("in_effect") +
--- a/src/rosemarytrail/cli/job_status.cpp
+++ b/src/rosemarytrail/cli/job_status.cpp
@@ -52,7 +52,7 @@
                   .succeeded = number_in<std::uint32_t>(object, "succeeded"),
                   .failed = number_in<std::uint32_t>(object, "failed"),
                   .from_holder =
-                      object.value("from_holder", json{}) == json{true},
+                      object.value("from_holder", json()) == json(true),
                   .vms = texts_in(object, "vms")};
     const auto wait = object.find("waits_for");
     if (wait != object.end() && wait->is_object()) {
--- a/test/cli/commands.cpp
+++ b/test/cli/commands.cpp
@@ -211,6 +211,25 @@
     CHECK(late.run({"status", "j", "--wait=over", "--timeout=1ms", two}) == 4);
 }
 
+TEST_CASE("Answers are read as they are meant", "[cli]")
+{
+    cli_run cancelled;
+    cancelled.client.answer(200, R"({"in_effect":true,"recorded":false})");
+    CHECK(cancelled.run({"cancel", "j", two}) == 0);
+    CHECK(cancelled.out.str() ==
+          "job j is cancelled; in effect: yes, recorded: no\n");
+    cli_run waiting;
+    waiting.client.answer(200, R"({"job":"j","phase":"accepted","tasks":2,
+"queued":2,"from_holder":true,"waits_for":{"code":401,
+"reason":"waiting_for_room","meaning":"no VM has room","detail":"",
+"since_ms":7}})");
+    CHECK(waiting.run({"explain", "j", two}) == 0);
+    CHECK(waiting.out.str() ==
+          "job j is accepted: 0 of 2 tasks running, 2 queued, 0 succeeded, 0 "
+          "failed\nit waits for 401 waiting_for_room, for 7 ms: no VM has "
+          "room\n");
+}
+
 TEST_CASE("Counters are filtered", "[cli]")
 {
     cli_run it;
--- a/test/documents/document.cpp
+++ b/test/documents/document.cpp
@@ -160,10 +160,11 @@
         const auto names = rc::gen::element<std::string>(
             "kind", "name", "team", "class", "tasks", "request", "run_time_ms",
             "urgent", "priority", "service", "x\n\xc3\xa6");
+        // Parentheses: braces would make arrays.
         const auto values = rc::gen::element<json>(
-            json{}, json{true}, json{-1}, json{1e300}, json{"x\ny"},
+            json(nullptr), json(true), json(-1), json(1e300), json("x\ny"),
             json::array({1}), json::object({{"a\nb", 1}}),
-            json{std::string(500, 'x')}, json{18446744073709551615ULL});
+            json(std::string(500, 'x')), json(18446744073709551615ULL));
         document[*names] = *values;
         auto text = document.dump();
         if (*rc::gen::inRange(0, 4) == 0) {
--- a/test/settings/daemon_settings.cpp
+++ b/test/settings/daemon_settings.cpp
@@ -43,9 +43,11 @@
 json wrong_value(const field_rule& rule, bool of_type)
 {
     if (rule.type == field_type::text) {
-        return of_type ? json{"no such value!"} : json{17};
+        return of_type ? json("no such value!") : json(17);
     }
-    return of_type ? json{rule.most + 1.0} : json{"17"};
+    // A whole number stays one, so that only the range can refuse it.
+    const auto beyond = static_cast<std::int64_t>(rule.most) + 1;
+    return of_type ? json(beyond) : json("17");
 }
 
 } // namespace
@@ -125,8 +127,8 @@
         document[std::string{rules[n].name}] = wrong_value(rules[n], of_type);
         reason why;
         RC_ASSERT(!parse_daemon_settings(document.dump(), why));
-        RC_ASSERT(why.code == result_code::settings_field_type ||
-                  (of_type && why.code == result_code::settings_field_range));
+        RC_ASSERT(why.code == (of_type ? result_code::settings_field_range
+                                       : result_code::settings_field_type));
         RC_ASSERT(why.detail.starts_with("field " + std::string{rules[n].name} +
                                          " is "));
         RC_ASSERT(why.detail.find('\n') == std::string::npos);
