--- a/src/rosemarytrail/daemon/entry_daemon.cpp
+++ b/src/rosemarytrail/daemon/entry_daemon.cpp
@@ -98,20 +98,6 @@
             .body_bytes = from.body_bytes};
 }
 
-/**
- * Table for requests to services: these are served until the balancer has seen
- * that the daemon is not ready, and `begin_drain` refuses them after that.
- */
-std::shared_ptr<const request::routing_table>
-serving_table(std::shared_ptr<const request::routing_table> table)
-{
-    if (!table->draining)
-        return table;
-    auto copy = std::make_shared<request::routing_table>(*table);
-    copy->draining = false;
-    return copy;
-}
-
 } // namespace
 
 incarnation_id make_incarnation(const zone_id& zone)
@@ -160,7 +146,7 @@
                 .view = view,
                 .routing =
                     [this](std::shared_ptr<const request::routing_table> it) {
-                        services.set_table(serving_table(std::move(it)));
+                        services.set_table(std::move(it));
                     },
                 .ticked =
                     [this](time_point now) {
@@ -241,8 +227,10 @@
     logging::change(logging::level::info, result_code::draining,
                     "shutting down");
     self.view.begin_drain();
-    self.plane.begin_shutdown();
+    // Until the balancer has seen that, the daemon serves as before: one that
+    // has left the cell may no longer trust its keys and refuses.
     self.wait_until(began + accepting, false);
+    self.plane.begin_shutdown();
     self.services.begin_drain();
     self.server.stop_accepting();
     const bool clean = self.wait_until(began + span, true);
--- a/src/rosemarytrail/daemon/entry_daemon.hpp
+++ b/src/rosemarytrail/daemon/entry_daemon.hpp
@@ -41,9 +41,9 @@
     /**
      * @brief Shuts down gracefully, within the bound of the settings.
      *
-     * The daemon is not ready at once and hands over what it holds; it takes
-     * connections until the balancer has had time to see that, and then
-     * finishes what is in flight.
+     * The daemon is not ready at once and serves until the balancer has had
+     * time to see that; then it takes nothing new, hands over what it holds
+     * and finishes what is in flight.
      * @return False if the bound passed first; the process should then end
      * without destroying the daemon.
      */
--- a/src/rosemarytrail/daemon/refusal.cpp
+++ b/src/rosemarytrail/daemon/refusal.cpp
@@ -20,6 +20,13 @@
 constexpr std::size_t longest_request_id = 128;
 constexpr int too_many_requests = 429;
 constexpr int unavailable = 503;
+constexpr int least_error = 400;
+
+/** Status of a refusal; codes that say why a task waits have none of theirs. */
+int status_of(const result_code_row& row)
+{
+    return row.http_status < least_error ? unavailable : row.http_status;
+}
 
 std::optional<duration> retry_after_of(const reason& why, int status)
 {
@@ -75,11 +82,11 @@
     if (value.current)
         body["current"] = *value.current;
     http::response answer{
-        .status = row.http_status,
+        .status = status_of(row),
         .headers = {{"Content-Type", "application/json"},
                     {"X-Rosemarytrail-Code", std::to_string(code)}},
         .body = body.dump(-1, ' ', false, json::error_handler_t::replace)};
-    if (const auto span = retry_after_of(value.why, row.http_status))
+    if (const auto span = retry_after_of(value.why, answer.status))
         add_retry_after(answer.headers, *span);
     return answer;
 }
--- a/test/daemon/api_handler.cpp
+++ b/test/daemon/api_handler.cpp
@@ -231,6 +231,14 @@
                   result_code::draining);
 }
 
+TEST_CASE("a refusal never bears the status of a success")
+{
+    for (const auto& row : result_code_table()) {
+        const auto answer = to_response({.why = {.code = row.code}});
+        CHECK(answer.status >= 400);
+    }
+}
+
 TEST_CASE("requests to services go on with the caller's id")
 {
     fixture it;
