Ready only once the peers were heard; an open service is never unknown

A restarted daemon was ready as soon as it had read the log and joined, before the first heartbeats told it of upstreams, so it refused requests to a running service with 404 service_unknown: 35 of 3683 in a rolling restart of three daemons. Now it waits for each peer's first heartbeat or the peer timeout, and the table lists every service of an open job.

--- a/src/rosemarytrail/control/controller.cpp
+++ b/src/rosemarytrail/control/controller.cpp
@@ -157,6 +157,11 @@
                                     : "reads the log",
                       .retry_after = ready_retry_after};
     }
+    if (!self.peers_known) {
+        return reason{.code = result_code::catching_up,
+                      .detail = "waits for the peers' first heartbeats",
+                      .retry_after = ready_retry_after};
+    }
     if (!self.may_act(now)) {
         return reason{.code = result_code::isolated,
                       .detail = "hears neither the log nor a majority of its "
--- a/src/rosemarytrail/control/internal/controller_state.hpp
+++ b/src/rosemarytrail/control/internal/controller_state.hpp
@@ -115,6 +115,8 @@
     void refresh_holders(time_point now);
     void refresh_team(partition_id partition, partition_holder& holder,
                       const team_id& team, time_point now);
+    void refresh_services(time_point now);
+    void note_peers_known(time_point now);
     void publish_routing(time_point now);
     [[nodiscard]] placement::fleet_totals fleet() const;
     [[nodiscard]] resources used_elsewhere(const team_id& team,
@@ -168,6 +170,11 @@
     time_point next_vm_list{};
     bool joining{false};
     bool joined_once{false};
+    /** Each peer was heard or had its time; upstreams are known then. */
+    bool peers_known{false};
+    /** Services of jobs that are not over. */
+    std::set<service_id> open_services;
+    time_point next_services{};
     bool leaving{false};
     bool left{false};
     bool draining{false};
--- a/src/rosemarytrail/control/internal/routing.cpp
+++ b/src/rosemarytrail/control/internal/routing.cpp
@@ -11,6 +11,7 @@
 constexpr duration refresh_period = std::chrono::milliseconds{100};
 /** Span between two tables for the traffic threads. */
 constexpr duration routing_period = std::chrono::milliseconds{100};
+constexpr duration services_period = std::chrono::seconds{1};
 
 } // namespace
 
@@ -124,13 +125,48 @@
     assign_vms(now);
 }
 
+void controller::internal_state::refresh_services(time_point now)
+{
+    if (now < next_services) {
+        return;
+    }
+    // While it still reads the log, what it knows grows with each look.
+    next_services = joined_once ? now + services_period : now;
+    open_services.clear();
+    for (partition_id it = 0; it < cell().partition_count(); ++it) {
+        for (const auto& job : cell().open_jobs(it)) {
+            const auto* const state = cell().find_job(job);
+            if (state != nullptr && !state->spec.service.empty()) {
+                open_services.insert(state->spec.service);
+            }
+        }
+    }
+}
+
+void controller::internal_state::note_peers_known(time_point now)
+{
+    if (peers_known || !joined_once) {
+        return;
+    }
+    peers_known = std::ranges::all_of(peers.peers(), [&](const auto& it) {
+        return it.second.ever_heard ||
+               peers.silent_for(it.first, now) > options.peer_timeout;
+    });
+}
+
 void controller::internal_state::publish_routing(time_point now)
 {
     if (now < next_routing) {
         return;
     }
     next_routing = now + routing_period;
+    refresh_services(now);
+    note_peers_known(now);
     auto table = std::make_shared<request::routing_table>();
+    // A service whose upstreams are not known now is no unknown service.
+    for (const auto& it : open_services) {
+        table->services.try_emplace(it);
+    }
     for (const auto& it : summaries()) {
         for (const auto& endpoint : it.endpoints) {
             table->services[endpoint.service].push_back(endpoint.upstream);
@@ -155,7 +191,7 @@
     table->fresh_until =
         fresh.acts_until(options.self, region_members(), cell().next_offset());
     table->draining = draining;
-    table->catching_up = !joined_once;
+    table->catching_up = !joined_once || !peers_known;
     table->applied = cell().next_offset() * records_per_batch;
     ports.routing(std::move(table));
 }
