--- a/test/faults/scenario.cpp
+++ b/test/faults/scenario.cpp
@@ -278,12 +278,12 @@
                 continue;
             }
             world.daemons[n].controller->status(
-                it.id.empty() ? team_id{} : team_id{"salmon"}, *it.outcome.job,
-                it.outcome.record, 1s,
+                it.team, *it.outcome.job, it.outcome.record, 1s,
                 [this](const std::optional<control::job_status>& status,
                        const reason& why) {
                     if (!status && why.code == result_code::job_unknown) {
-                        broken.insert("promise 5: an own write is unknown");
+                        broken.insert("promise 5: an own write is unknown: " +
+                                      why.detail);
                     }
                 });
         }
--- a/test/faults/scenario.hpp
+++ b/test/faults/scenario.hpp
@@ -87,7 +87,9 @@
     record_number key_revision{};
     std::vector<tracked_submission> submissions;
     std::vector<tracked_request> bookings;
+    /** @brief Job that its caller cancelled. */
     std::optional<job_id> cancelled;
+    /** @brief Whether the caller was told that it takes effect. */
     bool cancel_in_effect{false};
     bool armed{false};
     bool struck{false};
--- a/test/faults/steps.cpp
+++ b/test/faults/steps.cpp
@@ -86,6 +86,7 @@
 void cancel_one(scenario& it)
 {
     it.actor = 1;
+    it.armed = false;
     it.submit(1, small_job(3, 60s));
     const auto& last = it.submissions.back().outcome;
     if (!last.job) {
@@ -93,12 +94,11 @@
     }
     it.world.run_for(1s);
     it.cancelled = last.job;
-    it.armed = true;
+    it.armed = it.step.is_step != nullptr;
     it.world.daemons[1].controller->cancel(
         team_id{"salmon"}, *last.job, [&it](control::cancel_outcome out) {
             it.cancel_in_effect = out.in_effect;
         });
-    it.world.run_for(2s);
 }
 
 void submit_urgent(scenario& it)
--- a/test/lib/cell.cpp
+++ b/test/lib/cell.cpp
@@ -105,12 +105,14 @@
     ++it.generation;
     it.paused = false;
     it.inbox.clear();
+    retired_.insert(retired_.end(),
+                    {it.log, it.vms, it.workers, it.peers, it.upstreams});
     it.metrics = std::make_unique<metrics::registry>();
-    it.log = std::make_unique<cell_log_link>(*this, daemon, it.generation);
-    it.vms = std::make_unique<cell_vm_list_link>(*this, daemon, it.generation);
+    it.log = std::make_shared<cell_log_link>(*this, daemon, it.generation);
+    it.vms = std::make_shared<cell_vm_list_link>(*this, daemon, it.generation);
     it.workers =
-        std::make_unique<cell_worker_link>(*this, daemon, it.generation);
-    it.peers = std::make_unique<cell_peer_link>(*this, daemon, it.generation);
+        std::make_shared<cell_worker_link>(*this, daemon, it.generation);
+    it.peers = std::make_shared<cell_peer_link>(*this, daemon, it.generation);
     control::controller_options opts{
         .self = incarnation_id{"d" + std::to_string(daemon) + "-" +
                                std::to_string(it.generation)},
@@ -140,7 +142,7 @@
             [](result_code, const std::string&) {
             }};
     it.upstreams =
-        std::make_unique<cell_upstream_link>(*this, daemon, it.generation);
+        std::make_shared<cell_upstream_link>(*this, daemon, it.generation);
     it.intents = std::make_unique<request::intent_log>(
         request::intent_log_options{
             .appends = {.writer = intents_writer(daemon, it.generation)}},
--- a/test/lib/cell.hpp
+++ b/test/lib/cell.hpp
@@ -111,11 +111,11 @@
 struct cell_daemon
 {
     std::unique_ptr<metrics::registry> metrics;
-    std::unique_ptr<platform::log_client> log;
-    std::unique_ptr<platform::vm_list_client> vms;
-    std::unique_ptr<platform::worker_client> workers;
-    std::unique_ptr<control::peer_network> peers;
-    std::unique_ptr<http::client> upstreams;
+    std::shared_ptr<platform::log_client> log;
+    std::shared_ptr<platform::vm_list_client> vms;
+    std::shared_ptr<platform::worker_client> workers;
+    std::shared_ptr<control::peer_network> peers;
+    std::shared_ptr<http::client> upstreams;
     std::unique_ptr<control::controller> controller;
     std::unique_ptr<request::intent_log> intents;
     std::unique_ptr<proxy::proxy_handler> proxy;
@@ -317,6 +317,8 @@
 
     std::map<std::string, std::vector<std::function<void()>>> readers_;
     std::vector<seen_revision> seen_;
+    /** Links of dead incarnations, which messages under way still name. */
+    std::vector<std::shared_ptr<void>> retired_;
     time_point next_slow_check_{};
     std::uint32_t most_attempts_{};
     std::map<task_ref, known_task> known_tasks_;
