Keep a partition's upstreams over a planned hand-over

A new holder learns of the upstreams VM by VM, and until then its summary named none, so callers were refused with no_upstream: 22 to 53 of about 2900 requests in each of four rolling restarts of three daemons (scripts/process_faults.sh rolling). A service accepted at one entry VM is known at the others within 250 ms, before its first heartbeat.

--- a/scripts/process_faults.py
+++ b/scripts/process_faults.py
@@ -124,6 +124,9 @@
         self.service = self.accepted(self.submit(
             self.cell.daemons[0], "service", 3, name="service"))
         wait_until(lambda: self.running(self.service) == 3, 15)
+        wait_until(lambda: all(
+            it.call("GET", "/v1/services/plugs/x", headers=KEY).status == 200
+            for it in self.cell.daemons), 5)
         # Three waves on six VMs, so that starts fall into the fault.
         self.batch = self.accepted(self.submit(
             self.cell.daemons[1], "batch", BATCH_TASKS, 2500, name="batch",
@@ -155,6 +158,16 @@
                                  if d.port == port), None)
         return None
 
+    def ends(self):
+        """Ends of tasks by their reason; a restarted daemon counts anew."""
+        sums = {}
+        for it in self.cell.daemons:
+            for name, value in metrics(it).items():
+                if name.startswith("rosemarytrail_task_ends_total") and value:
+                    reason = name.split('reason="')[-1].split('"')[0]
+                    sums[reason] = sums.get(reason, 0) + int(value)
+        return ", ".join(f"{n} {it}" for it, n in sorted(sums.items()))
+
     def end(self):
         took = wait_until(lambda: self.finished(self.batch), 40)
         value = self.status(self.batch)
@@ -165,6 +178,7 @@
             lambda: self.running(self.service) == 3, 15) is not None,
             f"the service has {self.running(self.service)} of 3 tasks")
         self.watch.stop()
+        self.note("ends seen: " + (self.ends() or "none"))
         self.note(f"{self.watch.looks} looks at the workers")
         restarted = sum(len(it) > 1 for it in self.watch.starts.values())
         self.note(f"{restarted} tasks seen at a further attempt")
@@ -204,7 +218,7 @@
 
 def pause_a_holder(run):
     victim = run.holder_of(run.batch)
-    before = metrics(victim).get("rosemarytrail_tasks_started_total")
+    before = metrics(victim).get("rosemarytrail_task_starts_total")
     victim.send(signal.SIGSTOP)
     others = [it for it in run.cell.daemons if it is not victim]
     took = wait_until(lambda: run.holder_of(run.batch, others)
@@ -267,7 +281,7 @@
 
 
 def restart_all_in_turn(run):
-    answers = {"whole": 0, "not run": 0, "lost": []}
+    answers = {"whole": 0, "not run": {}, "lost": []}
     ended = threading.Event()
 
     def ask(n):
@@ -280,7 +294,8 @@
                 if got.status == 200:
                     answers["whole"] += 1
                 elif got.status == 503 and got.json().get("not_run"):
-                    answers["not run"] += 1
+                    why = got.json()["reason"]
+                    answers["not run"][why] = answers["not run"].get(why, 0) + 1
                 else:
                     answers["lost"].append((got.status, got.body[:200]))
             time.sleep(0.01)
@@ -303,8 +318,9 @@
     for it in threads:
         it.join()
     run.check(not answers["lost"], f"requests lost: {answers['lost'][:3]}")
-    run.note(f"requests: {answers['whole']} whole, {answers['not run']} "
-             f"refused as not run, {len(answers['lost'])} lost")
+    refused = ", ".join(f"{n} {it}" for it, n in answers["not run"].items())
+    run.note(f"requests: {answers['whole']} whole, refused as not run: "
+             f"{refused or 'none'}, {len(answers['lost'])} lost")
 
 
 FAULTS = [("kill -9 of a holder", kill_a_holder),
--- a/src/rosemarytrail/control/internal/controller_state.hpp
+++ b/src/rosemarytrail/control/internal/controller_state.hpp
@@ -50,6 +50,16 @@
                                           const gift_key&) = default;
 };
 
+/** @brief Upstreams of a partition as its holder last told of them. */
+struct told_endpoints
+{
+    std::vector<service_endpoint> endpoints;
+    /** @brief When its holder last told of it. */
+    time_point listed{};
+    /** @brief When its holder last told of it and knew all its VMs. */
+    time_point settled{};
+};
+
 /** @brief Everything that a controller knows; see controller.hpp. */
 struct controller::internal_state final : cell_log_listener
 {
@@ -116,6 +126,7 @@
     void refresh_team(partition_id partition, partition_holder& holder,
                       const team_id& team, time_point now);
     void refresh_services(time_point now);
+    void remember_endpoints(time_point now);
     void note_peers_known(time_point now);
     void publish_routing(time_point now);
     [[nodiscard]] placement::fleet_totals fleet() const;
@@ -174,7 +185,9 @@
     bool peers_known{false};
     /** Services of jobs that are not over. */
     std::set<service_id> open_services;
+    std::uint64_t services_offset{0};
     time_point next_services{};
+    std::map<partition_id, told_endpoints> known_endpoints;
     bool leaving{false};
     bool left{false};
     bool draining{false};
--- a/src/rosemarytrail/control/internal/routing.cpp
+++ b/src/rosemarytrail/control/internal/routing.cpp
@@ -11,7 +11,9 @@
 constexpr duration refresh_period = std::chrono::milliseconds{100};
 /** Span between two tables for the traffic threads. */
 constexpr duration routing_period = std::chrono::milliseconds{100};
-constexpr duration services_period = std::chrono::seconds{1};
+constexpr duration services_period = std::chrono::milliseconds{250};
+/** How long upstreams are used that a partition's former holder told of. */
+constexpr duration endpoints_memory = std::chrono::seconds{3};
 
 } // namespace
 
@@ -127,11 +129,12 @@
 
 void controller::internal_state::refresh_services(time_point now)
 {
-    if (now < next_services) {
+    const auto offset = cell().next_offset();
+    if (now < next_services || offset == services_offset) {
         return;
     }
-    // While it still reads the log, what it knows grows with each look.
-    next_services = joined_once ? now + services_period : now;
+    next_services = now + services_period;
+    services_offset = offset;
     open_services.clear();
     for (partition_id it = 0; it < cell().partition_count(); ++it) {
         for (const auto& job : cell().open_jobs(it)) {
@@ -143,6 +146,24 @@
     }
 }
 
+void controller::internal_state::remember_endpoints(time_point now)
+{
+    for (auto& it : summaries()) {
+        auto& known = known_endpoints[it.partition];
+        known.listed = now;
+        if (it.settled) {
+            known.settled = now;
+        } else if (now - known.settled < endpoints_memory) {
+            // A new holder learns of the upstreams VM by VM.
+            continue;
+        }
+        known.endpoints = std::move(it.endpoints);
+    }
+    std::erase_if(known_endpoints, [&](const auto& it) {
+        return now - it.second.listed >= endpoints_memory;
+    });
+}
+
 void controller::internal_state::note_peers_known(time_point now)
 {
     if (peers_known || !joined_once) {
@@ -167,7 +188,8 @@
     for (const auto& it : open_services) {
         table->services.try_emplace(it);
     }
-    for (const auto& it : summaries()) {
+    remember_endpoints(now);
+    for (const auto& [partition, it] : known_endpoints) {
         for (const auto& endpoint : it.endpoints) {
             table->services[endpoint.service].push_back(endpoint.upstream);
         }
