--- a/src/rosemarytrail/daemon/entry_daemon.cpp
+++ b/src/rosemarytrail/daemon/entry_daemon.cpp
@@ -227,8 +227,10 @@
     logging::change(logging::level::info, result_code::draining,
                     "shutting down");
     self.view.begin_drain();
-    self.plane.begin_shutdown();
+    // Until the balancer has seen that, the daemon serves as before: one that
+    // has left the cell may no longer trust its keys and refuses.
     self.wait_until(began + accepting, false);
+    self.plane.begin_shutdown();
     self.services.begin_drain();
     self.server.stop_accepting();
     const bool clean = self.wait_until(began + span, true);
