--- a/scripts/doxygen_check.py
+++ b/scripts/doxygen_check.py
@@ -71,7 +71,7 @@
     names = [it for it in map(parameter_name, parameters) if it]
     if not returns and not names:
         return
-    if "@copydoc" in doc:
+    if "@copydoc" in doc or "@copydetails" in doc:
         return
     if not doc:
         yield f"{name}: no comment"
@@ -81,19 +81,25 @@
             yield f"{name}: no @param {it}"
     if returns not in ("", "void") and "@return" not in doc:
         yield f"{name}: no @return"
-    if len(doc.strip().splitlines()) > 1 and "@brief" not in doc:
+    if not re.search(r"@brief|^/\*\* @(return|param)", doc):
         yield f"{name}: no @brief"
 
 
 class scanner:
     def __init__(self):
-        self.scopes = [True]  # whether declarations are public
+        # Each scope: whether its declarations are public, and whether it is.
+        self.scopes = [(True, True)]
+        self.documented = set()
         self.statement = ""
         self.doc = ""
         self.faults = []
 
     def end_statement(self, line):
-        if self.scopes[-1] and self.statement.strip():
+        function = self.scopes[-1][0] and parse_function(self.statement)
+        if function and self.doc:
+            self.documented.add(function[1])
+        # A definition after its declaration needs no second comment.
+        if function and (self.doc or function[1] not in self.documented):
             self.faults += [(line, it) for it in faults_of(self.statement, self.doc)]
         self.statement = ""
         self.doc = ""
@@ -101,20 +107,20 @@
     def open_scope(self, line):
         text = strip_angles(re.sub(r"^\s*template\s*<", "<", self.statement)).strip()
         text = re.sub(r"\[\[[^\]]*\]\]", "", text).strip()
+        visible = self.scopes[-1][0]
         if re.match(r"(inline\s+)?namespace\b", text):
-            public = self.scopes[-1] and "internal" not in text
-        elif re.match(r"(struct|union)\b", text) and "(" not in text:
-            public = self.scopes[-1]
-        else:
-            public = False
-        is_class = re.match(r"class\b", text) and "(" not in text
+            visible = visible and "internal" not in text
+        elif not re.match(r"(struct|union|class)\b", text) or "(" in text:
+            visible = False
+        is_class = re.match(r"class\b", text)
         self.end_statement(line)
-        self.scopes.append(None if is_class and self.scopes[-1] else public)
+        self.scopes.append((visible and not is_class, visible))
 
     def see_access(self):
         """Follows `public:` and its kin at the start of a statement."""
         while found := re.match(r"\s*(public|private|protected):(?!:)", self.statement):
-            self.scopes[-1] = found.group(1) == "public"
+            visible = self.scopes[-1][1]
+            self.scopes[-1] = (visible and found.group(1) == "public", visible)
             self.statement = self.statement[found.end():]
 
     def scan(self, text):
--- a/src/rosemarytrail/control/partition_holder.hpp
+++ b/src/rosemarytrail/control/partition_holder.hpp
@@ -135,10 +135,18 @@
     [[nodiscard]] job_status status(const state::job_state& job,
                                     time_point now) const;
 
-    /** @return What a team has committed here. */
+    /**
+     * @brief Adds up the running tasks of a team.
+     * @param team Team to look up.
+     * @return What it has committed here.
+     */
     [[nodiscard]] resources used_by(const team_id& team) const;
 
-    /** @return What a team has queued here. */
+    /**
+     * @brief Adds up the queued tasks of a team.
+     * @param team Team to look up.
+     * @return What it has queued here.
+     */
     [[nodiscard]] resources queued_by(const team_id& team) const;
 
     /**
@@ -182,7 +190,11 @@
         return proof_.complete(now);
     }
 
-    /** @return True if a task of the job may be running here. */
+    /**
+     * @brief Tells whether a job has started here.
+     * @param job Job to look up.
+     * @return True if a task of the job may be running here.
+     */
     [[nodiscard]] bool runs(const job_id& job) const;
 
     /** @return Jobs with no task running, each with its time of arrival. */
--- a/src/rosemarytrail/load/runner.hpp
+++ b/src/rosemarytrail/load/runner.hpp
@@ -33,7 +33,11 @@
 [[nodiscard]] std::vector<phase_result> run(const experiment& it,
                                             const runner_ports& ports);
 
-/** @brief Makes the wait of `runner_ports` for a clock: sleeps, then spins. */
+/**
+ * @brief Makes the wait of `runner_ports` for a clock: sleeps, then spins.
+ * @param clock Clock to wait on; outlives the function.
+ * @return Function that waits until a time.
+ */
 [[nodiscard]] std::function<void(time_point)>
 make_wait(const time_source& clock);
 
--- a/src/rosemarytrail/placement/scheduler.hpp
+++ b/src/rosemarytrail/placement/scheduler.hpp
@@ -133,7 +133,10 @@
 public:
     virtual ~scheduler() = default;
 
-    /** @brief Adds a VM or replaces what is known of it. */
+    /**
+     * @brief Adds a VM or replaces what is known of it.
+     * @param vm VM to add.
+     */
     virtual void upsert_vm(const vm_view& vm) = 0;
 
     /**
@@ -142,10 +145,16 @@
      */
     virtual void remove_vm(const vm_id& vm) = 0;
 
-    /** @brief Adds a team or replaces what is known of it. */
+    /**
+     * @brief Adds a team or replaces what is known of it.
+     * @param team Team to add.
+     */
     virtual void upsert_team(const team_view& team) = 0;
 
-    /** @brief Replaces the totals of the fleet. */
+    /**
+     * @brief Replaces the totals of the fleet.
+     * @param totals New totals.
+     */
     virtual void set_fleet(const fleet_totals& totals) = 0;
 
     /**
@@ -218,13 +227,25 @@
     [[nodiscard]] virtual std::optional<wait_report>
     explain(const job_id& job, time_point now) const = 0;
 
-    /** @return What a team has committed in this partition. */
+    /**
+     * @brief Adds up the running tasks of a team.
+     * @param team Team to look up.
+     * @return What it has committed in this partition.
+     */
     [[nodiscard]] virtual resources used_by(const team_id& team) const = 0;
 
-    /** @return What a team has queued in this partition. */
+    /**
+     * @brief Adds up the queued tasks of a team.
+     * @param team Team to look up.
+     * @return What it has queued in this partition.
+     */
     [[nodiscard]] virtual resources queued_by(const team_id& team) const = 0;
 
-    /** @return What is committed on a VM. */
+    /**
+     * @brief Adds up the tasks on a VM.
+     * @param vm VM to look up.
+     * @return What is committed on it.
+     */
     [[nodiscard]] virtual resources committed_on(const vm_id& vm) const = 0;
 };
 
--- a/src/rosemarytrail/platform/json_fields.hpp
+++ b/src/rosemarytrail/platform/json_fields.hpp
@@ -27,7 +27,11 @@
     return json::parse(text, nullptr, false);
 }
 
-/** @return Text of a value; bytes that are no UTF-8 are replaced. */
+/**
+ * @brief Writes a value on one line.
+ * @param value Value to write.
+ * @return Its text; bytes that are no UTF-8 are replaced.
+ */
 [[nodiscard]] inline std::string dump_json(const json& value)
 {
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -54,7 +58,11 @@
     /** @brief Notes a fault that the caller found. */
     void fail() noexcept { good_ = false; }
 
-    /** @return Field, or null if it is not there. */
+    /**
+     * @brief Looks a field up.
+     * @param name Name of the field.
+     * @return Field, or null if it is not there.
+     */
     [[nodiscard]] const json* find(const char* name) const
     {
         if (!object_.is_object()) {
@@ -64,7 +72,11 @@
         return it == object_.end() ? nullptr : &*it;
     }
 
-    /** @brief Reads a whole number that must fit the type. */
+    /**
+     * @brief Reads a whole number that must fit the type.
+     * @param name Name of the field.
+     * @param out Set if the field is there and right.
+     */
     template <std::integral Number>
     requires(!std::same_as<Number, bool>) void read(const char* name,
                                                     Number& out)
@@ -82,7 +94,11 @@
         }
     }
 
-    /** @brief Reads true or false. */
+    /**
+     * @brief Reads true or false.
+     * @param name Name of the field.
+     * @param out Set if the field is there and right.
+     */
     void read(const char* name, bool& out)
     {
         const auto* field = find(name);
@@ -96,7 +112,11 @@
         out = field->get<bool>();
     }
 
-    /** @brief Reads a number that may have a fraction. */
+    /**
+     * @brief Reads a number that may have a fraction.
+     * @param name Name of the field.
+     * @param out Set if the field is there and right.
+     */
     void read(const char* name, double& out)
     {
         const auto* field = find(name);
@@ -110,7 +130,11 @@
         out = field->get<double>();
     }
 
-    /** @brief Reads a text. */
+    /**
+     * @brief Reads a text.
+     * @param name Name of the field.
+     * @param out Set if the field is there and right.
+     */
     void read(const char* name, std::string& out)
     {
         const auto* field = find(name);
@@ -124,7 +148,11 @@
         out = field->get_ref<const std::string&>();
     }
 
-    /** @brief Reads an id. */
+    /**
+     * @brief Reads an id.
+     * @param name Name of the field.
+     * @param out Set if the field is there and right.
+     */
     template <typename Tag>
     void read(const char* name, basic_id<Tag>& out)
     {
@@ -133,7 +161,11 @@
         out = basic_id<Tag>{std::move(text)};
     }
 
-    /** @brief Reads whole milliseconds; none below zero. */
+    /**
+     * @brief Reads whole milliseconds; none below zero.
+     * @param name Name of the field.
+     * @param out Set if the field is there and right.
+     */
     void read_milliseconds(const char* name, duration& out)
     {
         constexpr std::int64_t most_ms = std::int64_t{1} << 50U;
@@ -148,7 +180,10 @@
         }
     }
 
-    /** @brief Reads an amount; none below zero. */
+    /**
+     * @brief Reads an amount; none below zero.
+     * @param out Set from the fields that are there.
+     */
     void read(resources& out)
     {
         read("millicores", out.millicores);
@@ -157,7 +192,11 @@
         good_ = good_ && out.is_valid();
     }
 
-    /** @brief Reads a list; each item is passed to a function. */
+    /**
+     * @brief Reads a list; each item is passed to a function.
+     * @param name Name of the field.
+     * @param take Takes an item; false if the item is wrong.
+     */
     template <typename Function>
     void read_list(const char* name, Function&& take)
     {
@@ -189,7 +228,11 @@
     bool good_;
 };
 
-/** @brief Adds an amount to an object. */
+/**
+ * @brief Adds an amount to an object.
+ * @param object Object that gets the fields.
+ * @param amount Amount to add.
+ */
 inline void write_resources(json& object, const resources& amount)
 {
     object["millicores"] = amount.millicores;
--- a/src/rosemarytrail/platform/vm_wire.hpp
+++ b/src/rosemarytrail/platform/vm_wire.hpp
@@ -11,7 +11,11 @@
 
 namespace rosemarytrail::platform {
 
-/** @return Row of the VM list; JSON. */
+/**
+ * @brief Writes a row of the VM list.
+ * @param vm Row to write.
+ * @return JSON on one line.
+ */
 [[nodiscard]] std::string encode_vm(const vm_entry& vm);
 
 /**
@@ -21,7 +25,11 @@
  */
 [[nodiscard]] std::optional<vm_entry> decode_vm(std::string_view text);
 
-/** @return The VM list; JSON. */
+/**
+ * @brief Writes the VM list.
+ * @param vms Rows to write.
+ * @return JSON on one line.
+ */
 [[nodiscard]] std::string encode_vm_list(std::span<const vm_entry> vms);
 
 /**
--- a/src/rosemarytrail/platform/worker_wire.hpp
+++ b/src/rosemarytrail/platform/worker_wire.hpp
@@ -9,7 +9,11 @@
 
 namespace rosemarytrail::platform {
 
-/** @return Batch as the worker's command interface takes it; JSON. */
+/**
+ * @brief Writes a batch as the worker's command interface takes it.
+ * @param batch Batch to write.
+ * @return JSON on one line.
+ */
 [[nodiscard]] std::string encode_worker_batch(const worker_batch& batch);
 
 /**
@@ -20,7 +24,11 @@
 [[nodiscard]] std::optional<worker_batch>
 decode_worker_batch(std::string_view text);
 
-/** @return Outcome as the worker's command interface gives it; JSON. */
+/**
+ * @brief Writes an outcome as the worker's command interface gives it.
+ * @param outcome Outcome to write.
+ * @return JSON on one line.
+ */
 [[nodiscard]] std::string encode_worker_outcome(const worker_outcome& outcome);
 
 /**
--- a/src/rosemarytrail/request/health_tracker.hpp
+++ b/src/rosemarytrail/request/health_tracker.hpp
@@ -51,7 +51,11 @@
     bool note_failure(const health_options& options, bool may_eject,
                       time_point now) noexcept;
 
-    /** @return True while it gets no request at all. */
+    /**
+     * @brief Tells whether the upstream is set aside.
+     * @param now Present time.
+     * @return True while it gets no request at all.
+     */
     [[nodiscard]] bool ejected(time_point now) const noexcept;
 
     /**
--- a/src/rosemarytrail/standin/fault_fields.hpp
+++ b/src/rosemarytrail/standin/fault_fields.hpp
@@ -177,7 +177,11 @@
     return faults;
 }
 
-/** @return Faults as a JSON object. */
+/**
+ * @brief Writes faults.
+ * @param faults Faults to write.
+ * @return JSON object that sets them.
+ */
 template <typename Faults>
 [[nodiscard]] std::string describe_faults(Faults faults)
 {
--- a/src/rosemarytrail/standin/log_store.hpp
+++ b/src/rosemarytrail/standin/log_store.hpp
@@ -68,7 +68,11 @@
     [[nodiscard]] platform::read_outcome
     read(const platform::read_options& options) const;
 
-    /** @return Offset that the next append to a stream will get. */
+    /**
+     * @brief Tells where a stream ends.
+     * @param stream Stream to look up.
+     * @return Offset that its next append will get.
+     */
     [[nodiscard]] std::uint64_t next_offset(const std::string& stream) const;
 
 private:
--- a/src/rosemarytrail/standin/program.hpp
+++ b/src/rosemarytrail/standin/program.hpp
@@ -43,11 +43,19 @@
 template <typename Faults>
 [[nodiscard]] std::optional<Faults> faults_of_flag(const std::string& text);
 
-/** @brief Serves one handler until a signal; the body of most stand-ins. */
+/**
+ * @brief Serves one handler until a signal; the body of most stand-ins.
+ * @param options How to listen.
+ * @param target Receives the requests.
+ * @return Exit code of the program.
+ */
 [[nodiscard]] int serve_until_signal(const http::server_options& options,
                                      http::handler& target);
 
-/** @brief Writes one line on the standard error. */
+/**
+ * @brief Writes one line on the standard error.
+ * @param text Line to write.
+ */
 void complain(const std::string& text);
 
 template <typename Faults>
--- a/src/rosemarytrail/standin/upstream_model.hpp
+++ b/src/rosemarytrail/standin/upstream_model.hpp
@@ -108,7 +108,11 @@
      */
     std::uint64_t add(const std::string& key);
 
-    /** @return How often a key has run. */
+    /**
+     * @brief Reads the count of a key.
+     * @param key Idempotency key.
+     * @return How often it has run.
+     */
     [[nodiscard]] std::uint64_t runs(const std::string& key) const;
 
     /** @return Most runs of any key; 1 is what callers rely on. */
--- a/src/rosemarytrail/standin/upstream_service.hpp
+++ b/src/rosemarytrail/standin/upstream_service.hpp
@@ -62,10 +62,18 @@
     upstream_model model_;
 };
 
-/** @return Answer of an upstream that did not run the request. */
+/**
+ * @brief Makes the answer of an upstream that did not run a request.
+ * @param incoming Request that was not run.
+ * @return Answer that says so.
+ */
 [[nodiscard]] http::response not_run_answer(const http::request& incoming);
 
-/** @return Service that a path such as `/plugs/a/b` names. */
+/**
+ * @brief Reads the service off a path.
+ * @param path Path such as `/plugs/a/b`.
+ * @return Service that it names.
+ */
 [[nodiscard]] service_id service_of(std::string_view path);
 
 } // namespace rosemarytrail::standin
--- a/src/rosemarytrail/standin/worker_model.hpp
+++ b/src/rosemarytrail/standin/worker_model.hpp
@@ -105,10 +105,18 @@
     /** @return Epoch that the worker holds. */
     [[nodiscard]] record_number epoch() const noexcept { return epoch_; }
 
-    /** @return True if a task of the service runs; call advance() before. */
+    /**
+     * @brief Tells whether a service runs here; call advance() before.
+     * @param service Service to look up.
+     * @return True if a task of the service runs.
+     */
     [[nodiscard]] bool serves(const service_id& service) const;
 
-    /** @return True if any attempt of the task runs. */
+    /**
+     * @brief Tells whether a task runs here.
+     * @param task Task to look up.
+     * @return True if any attempt of the task runs.
+     */
     [[nodiscard]] bool runs(const task_ref& task) const;
 
     /** @param n Requests in the slots of the VM, for its reports. */
--- a/src/rosemarytrail/standin/worker_service.hpp
+++ b/src/rosemarytrail/standin/worker_service.hpp
@@ -42,7 +42,11 @@
     void serve_command(const std::shared_ptr<http::exchange>& it,
                        std::string_view path);
 
-    /** @brief Serves requests to the services whose tasks run here. */
+    /**
+     * @brief Serves requests to the services whose tasks run here.
+     * @param it Exchange to answer.
+     * @param path Path below the prefix of the VM.
+     */
     void serve_request(const std::shared_ptr<http::exchange>& it,
                        std::string_view path);
 
@@ -71,7 +75,12 @@
 class vm_host
 {
 public:
-    /** @brief Adds a VM; only before requests come. */
+    /**
+     * @brief Adds a VM; only before requests come.
+     * @param row Row of the VM list.
+     * @param options How the worker is built.
+     * @param faults What goes wrong from the start.
+     */
     void add(const platform::vm_entry& row, const worker_options& options,
              const worker_faults& faults);
 
