--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,7 +5,13 @@
 # went as expected. `--no-build` takes the programs as they are in build/bin.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-[ "${1:-}" = --no-build ] || scripts/build.sh default
+programs=(rosemarytraild rosemarytrail rosemarytrail-standin-log
+    rosemarytrail-standin-vm-list rosemarytrail-standin-worker)
+if [ "${1:-}" != --no-build ]; then
+    scripts/install.sh
+    cmake --preset default >/dev/null
+    cmake --build --preset default --target "${programs[@]}" -- -j "${JOBS:-$(nproc)}"
+fi
 
 bin=build/bin
 log_port=27001
