Hold room for large tasks and look further into a team's queue

A trace by team and class showed batch work of one team at 1.96 of its share without any gang: the lower teams' oldest jobs were too large for the room that came free, and only 16 of their jobs were looked at, so small tasks of an over-share team took it all.

--- a/src/rosemarytrail/placement/internal/drain_plan.cpp
+++ b/src/rosemarytrail/placement/internal/drain_plan.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/** @brief VMs that are looked at if they suffice. */
+constexpr std::size_t enough_vms = 128;
+
 /** @brief From a moment on, one more task of the job fits on a VM. */
 struct opening
 {
@@ -40,11 +43,11 @@
 }
 
 void add_openings(const context& c, index vm, const job_state& job,
-                  time_point now, std::vector<opening>& openings)
+                  std::size_t most, time_point now,
+                  std::vector<opening>& openings)
 {
     auto room = c.book.vms.room()[vm];
     const auto& request = job.spec.request;
-    const auto most = job.ready.size();
     std::size_t n = 0;
     const auto take = [&](time_point at) {
         for (; n < most && request.fits_in(room); ++n) {
@@ -80,23 +83,29 @@
 
 } // namespace
 
-std::optional<drain_plan> plan_drain(const context& c, index n, time_point now)
+std::optional<drain_plan> drain_planner::plan(const context& c, index n,
+                                              std::size_t tasks, time_point now)
 {
     const auto& job = c.book.jobs[n];
-    const auto needed = job.ready.size();
+    const auto vms = c.book.vms.room().size();
     std::vector<opening> openings;
-    for (index it = 0; it < c.book.vms.room().size(); ++it) {
-        const auto& vm = c.book.vms[it];
-        if (c.book.vms.is_open(it) && !vm.suspect &&
-            job.spec.request.fits_in(vm.view.capacity)) {
-            add_openings(c, it, job, now, openings);
+    for (std::size_t it = 0; it < vms; ++it) {
+        if (it >= enough_vms && openings.size() >= tasks) {
+            break;
+        }
+        next_ = next_ + 1 < vms ? next_ + 1 : 0;
+        const auto vm = static_cast<index>(next_);
+        const auto& state = c.book.vms[vm];
+        if (c.book.vms.is_open(vm) && !state.suspect &&
+            job.spec.request.fits_in(state.view.capacity)) {
+            add_openings(c, vm, job, tasks, now, openings);
         }
     }
-    if (needed == 0 || openings.size() < needed) {
+    if (tasks == 0 || openings.size() < tasks) {
         return std::nullopt;
     }
     std::sort(openings.begin(), openings.end());
-    return hold_openings(openings, needed, n, job.spec.request);
+    return hold_openings(openings, tasks, n, job.spec.request);
 }
 
 } // namespace rosemarytrail::placement::internal
--- a/src/rosemarytrail/placement/internal/drain_plan.hpp
+++ b/src/rosemarytrail/placement/internal/drain_plan.hpp
@@ -3,6 +3,7 @@
 
 #include <rosemarytrail/placement/internal/context.hpp>
 
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -17,19 +18,29 @@
     time_point ready_at{};
 };
 
-/**
- * @brief Finds the VMs that have room for a job soonest.
- *
- * It follows the expected ends of what runs, in order of time, until enough
- * tasks of the job fit.
- *
- * @param c State of the scheduler.
- * @param job Job whose tasks start together.
- * @param now Present time.
- * @return Plan, or nothing if the partition never has the room.
- */
-[[nodiscard]] std::optional<drain_plan> plan_drain(const context& c, index job,
-                                                   time_point now);
+/** @brief Finds the VMs that have room for a job soonest. */
+class drain_planner
+{
+public:
+    /**
+     * @brief Plans for tasks of a job that start together.
+     *
+     * It follows the expected ends of what runs, in order of time, until
+     * enough tasks fit. It looks at a bounded number of VMs, others each time,
+     * and at more only while those do not suffice.
+     *
+     * @param c State of the scheduler.
+     * @param job Job that waits.
+     * @param tasks Number of its tasks that start together.
+     * @param now Present time.
+     * @return Plan, or nothing if the partition never has the room.
+     */
+    [[nodiscard]] std::optional<drain_plan>
+    plan(const context& c, index job, std::size_t tasks, time_point now);
+
+private:
+    std::size_t next_{};
+};
 
 } // namespace rosemarytrail::placement::internal
 
--- a/src/rosemarytrail/placement/internal/gang_drain.cpp
+++ b/src/rosemarytrail/placement/internal/gang_drain.cpp
@@ -1,7 +1,6 @@
 #include <rosemarytrail/placement/internal/gang_drain.hpp>
 
 #include <rosemarytrail/placement/internal/allowance.hpp>
-#include <rosemarytrail/placement/internal/drain_plan.hpp>
 #include <rosemarytrail/placement/internal/ending.hpp>
 
 #include <algorithm>
@@ -38,7 +37,8 @@
     }
 }
 
-void gang_drain::reserve(context& c, preemption_search& search, time_point now)
+void gang_drain::reserve(context& c, preemption_search& search,
+                         drain_planner& planner, time_point now)
 {
     const index n = std::exchange(proposed_, no_index);
     if (n == no_index) {
@@ -51,7 +51,7 @@
         return;
     }
     release(c);
-    const auto plan = plan_drain(c, n, now);
+    const auto plan = planner.plan(c, n, job.ready.size(), now);
     if (!plan) {
         return;
     }
--- a/src/rosemarytrail/placement/internal/gang_drain.hpp
+++ b/src/rosemarytrail/placement/internal/gang_drain.hpp
@@ -2,6 +2,7 @@
 #define ROSEMARYTRAIL_PLACEMENT_INTERNAL_GANG_DRAIN_HPP
 
 #include <rosemarytrail/placement/internal/context.hpp>
+#include <rosemarytrail/placement/internal/drain_plan.hpp>
 #include <rosemarytrail/placement/internal/preemption.hpp>
 
 #include <cstddef>
@@ -21,7 +22,8 @@
     void propose(const context& c, index job, time_point now);
 
     /** @brief Gives the reservation to the gang proposed, if it is free. */
-    void reserve(context& c, preemption_search& search, time_point now);
+    void reserve(context& c, preemption_search& search, drain_planner& planner,
+                 time_point now);
 
     /** @brief Gives the reservation up if its gang has no use for it. */
     void release_if_stale(context& c, time_point now);
--- a/src/rosemarytrail/placement/internal/placer.cpp
+++ b/src/rosemarytrail/placement/internal/placer.cpp
@@ -15,7 +15,9 @@
 namespace {
 
 /** @brief Blocked jobs of a team that are passed over for later ones. */
-constexpr std::size_t look_ahead = 16;
+constexpr std::size_t look_ahead = 256;
+/** @brief Blocked jobs that are passed over in one run, over all teams. */
+constexpr std::size_t most_passed_over = 16384;
 /** @brief Searches of all VMs that may fail in one run. */
 constexpr std::size_t most_failed_searches = 64;
 constexpr std::size_t most_preemptions = 4;
@@ -23,6 +25,10 @@
 constexpr duration gang_search_period = std::chrono::milliseconds{100};
 /** @brief Room made for an urgent task is kept for so long. */
 constexpr duration urgent_hold = std::chrono::seconds{5};
+/** @brief Room held for a large task is given back so long past its time. */
+constexpr duration hold_slack = std::chrono::seconds{5};
+/** @brief One task may hold room for each so many VMs. */
+constexpr std::size_t vms_for_one_hold = 8;
 
 struct team_turn
 {
@@ -62,12 +68,14 @@
 {
     searches_left_ = most_failed_searches;
     preemptions_left_ = most_preemptions;
+    passes_left_ = most_passed_over;
     is_cut_short_ = false;
     frontier_.sync(c.book.room_version());
     drain_.release_if_stale(c, now);
     run_queues(c, true, now, most);
     run_queues(c, false, now, most);
-    drain_.reserve(c, preemption_, now);
+    drain_.reserve(c, preemption_, planner_, now);
+    hold_for_proposed(c, now);
 }
 
 void placer::run_queues(context& c, bool urgent, time_point now,
@@ -98,6 +106,11 @@
         if (++blocked >= look_ahead) {
             break;
         }
+        if (passes_left_ == 0) {
+            is_cut_short_ = true;
+            break;
+        }
+        --passes_left_;
     }
     return false;
 }
@@ -207,6 +220,8 @@
         drain_.propose(c, n, now);
     } else if (!is_gang && job.spec.urgent) {
         preempt_for(c, n, now);
+    } else if (!is_gang) {
+        propose_hold(c, n, now);
     }
 }
 
@@ -234,6 +249,33 @@
     }
 }
 
+void placer::propose_hold(const context& c, index n, time_point now)
+{
+    // Teams are tried in order of their shares, so the first is the least.
+    const auto& job = c.book.jobs[n];
+    const bool has_waited = now - job.wait_since >= c.options.gang_patience;
+    if (proposed_ == no_index && has_waited && c.holds.count(n) == 0) {
+        proposed_ = n;
+    }
+}
+
+void placer::hold_for_proposed(context& c, time_point now)
+{
+    const index n = std::exchange(proposed_, no_index);
+    const auto most = c.book.vms.accepting() / vms_for_one_hold;
+    if (n == no_index || c.holds.size() >= most) {
+        return;
+    }
+    const auto plan = planner_.plan(c, n, 1, now);
+    if (!plan) {
+        return;
+    }
+    for (auto it : plan->holds) {
+        it.until = plan->ready_at + hold_slack;
+        c.holds.add(it);
+    }
+}
+
 void placer::start(context& c, index n, index vm, time_point now)
 {
     auto& job = c.book.jobs[n];
--- a/src/rosemarytrail/placement/internal/placer.hpp
+++ b/src/rosemarytrail/placement/internal/placer.hpp
@@ -39,15 +39,21 @@
     [[nodiscard]] bool try_backfill(context& c, index job, time_point now);
     void no_room(context& c, index job, time_point now);
     void preempt_for(context& c, index job, time_point now);
+    void propose_hold(const context& c, index job, time_point now);
+    void hold_for_proposed(context& c, time_point now);
     void start(context& c, index job, index vm, time_point now);
 
     gang_drain drain_;
+    drain_planner planner_;
     preemption_search preemption_;
     room_frontier frontier_;
     std::vector<index> chosen_;
     std::size_t searches_left_{};
     std::size_t preemptions_left_{};
+    std::size_t passes_left_{};
     bool is_cut_short_{};
+    /** @brief Batch job of the team with the least share that has no room. */
+    index proposed_{no_index};
 };
 
 } // namespace rosemarytrail::placement::internal
