Pack batch work by its expected end, and test what survived

Cause: at low load VMs stayed in use for a few tasks that were put on them alone. A VM now also loses by the part of the task's run time for which it would stay busy longer.

--- a/src/rosemarytrail/placement/internal/batch_policy.cpp
+++ b/src/rosemarytrail/placement/internal/batch_policy.cpp
@@ -1,5 +1,6 @@
 #include <rosemarytrail/placement/internal/batch_policy.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace rosemarytrail::placement::internal {
@@ -8,22 +9,38 @@
 
 /** @brief Makes any VM without failures better than one with. */
 constexpr float suspect_penalty = 1000.0F;
+/** @brief Worth of not keeping a VM busy longer, in free VMs. */
+constexpr float extension_weight = 3.0F;
+
+/** @return Part of the run time by which a VM stays busy longer. */
+[[nodiscard]] float extension(time_point busy_until, time_point end,
+                              time_point now) noexcept
+{
+    const auto from = std::max(busy_until, now);
+    if (end <= from) {
+        return 0.0F;
+    }
+    return static_cast<float>((end - from).count()) /
+           static_cast<float>((end - now).count());
+}
 
 } // namespace
 
 bool batch_policy::choose(const vm_table& vms, const job_state& job,
-                          std::vector<index>& chosen) const
+                          time_point now, std::vector<index>& chosen) const
 {
     chosen.clear();
     const auto room = vms.room();
     const auto& request = job.spec.request;
     float best = std::numeric_limits<float>::max();
     index best_vm = no_index;
+    const auto end = expected_end(job, now);
     for (index it = 0; it < room.size(); ++it) {
         if (!request.fits_in(room[it])) {
             continue;
         }
         float score = vms.leftover(it, request);
+        score += extension_weight * extension(vms.busy_until(it), end, now);
         score += vms[it].suspect ? suspect_penalty : 0.0F;
         if (score < best && !is_avoided(job, it)) {
             best = score;
--- a/src/rosemarytrail/placement/internal/default_scheduler.cpp
+++ b/src/rosemarytrail/placement/internal/default_scheduler.cpp
@@ -60,6 +60,7 @@
     }
     book.jobs[n].history =
         context_.history.intern(book.jobs[n].team, spec.name);
+    book.jobs[n].expected = context_.history.estimate(book.jobs[n]);
     unchecked_.push_back(job);
 }
 
@@ -86,6 +87,7 @@
         return;
     }
     book.adopt(*task, attempt, book.vms.intern(vm), now);
+    release_idle_holds(task->job);
     if (book.jobs[task->job].spec.policy == job_class::gang) {
         adopted_gangs_.push_back(ref.job);
     }
@@ -100,6 +102,7 @@
     const auto phase = context_.book.task(*task).phase;
     if (phase == task_phase::ready || phase == task_phase::retrying) {
         context_.book.skip(*task);
+        release_idle_holds(task->job);
         context_.book.forget_if_done(task->job);
     }
 }
@@ -177,6 +180,13 @@
     return task_key{.job = n, .task = ref.index};
 }
 
+void default_scheduler::release_idle_holds(index job)
+{
+    if (context_.book.jobs[job].ready.empty()) {
+        context_.holds.release(job);
+    }
+}
+
 void default_scheduler::withdraw_starts(index vm)
 {
     const auto tasks = context_.book.vms[vm].tasks;
--- a/src/rosemarytrail/placement/internal/default_scheduler.hpp
+++ b/src/rosemarytrail/placement/internal/default_scheduler.hpp
@@ -40,6 +40,8 @@
 
 private:
     [[nodiscard]] std::optional<task_key> find(const task_ref& task) const;
+    /** @brief Gives back what a job holds that has nothing to start. */
+    void release_idle_holds(index job);
     /** @brief Takes back starts on a VM that the caller has not seen. */
     void withdraw_starts(index vm);
     void reject_infeasible();
--- a/src/rosemarytrail/placement/internal/ending.cpp
+++ b/src/rosemarytrail/placement/internal/ending.cpp
@@ -85,6 +85,7 @@
     auto& job = c.book.jobs[task.job];
     const auto run_time = now - c.book.task(task).since;
     c.history.add(job.history, run_time);
+    job.expected = c.history.estimate(job);
     if (job.run_times.size() < most_run_times) {
         const auto at = std::upper_bound(job.run_times.begin(),
                                          job.run_times.end(), run_time);
--- a/src/rosemarytrail/placement/internal/gang_policy.cpp
+++ b/src/rosemarytrail/placement/internal/gang_policy.cpp
@@ -80,7 +80,7 @@
 
 } // namespace
 
-bool gang_policy::choose(const vm_table& vms, const job_state& job,
+bool gang_policy::choose(const vm_table& vms, const job_state& job, time_point,
                          std::vector<index>& chosen) const
 {
     chosen.clear();
--- a/src/rosemarytrail/placement/internal/job_table.hpp
+++ b/src/rosemarytrail/placement/internal/job_table.hpp
@@ -103,6 +103,8 @@
     /** @brief Committed tasks by zone and by rack, for services. */
     std::vector<std::uint32_t> by_zone;
     std::vector<std::uint32_t> by_rack;
+    /** @brief Expected run time of a task; zero if it is not known. */
+    duration expected{};
     /** @brief Run times of finished tasks, ascending, bounded. */
     std::vector<duration> run_times;
     retry_budget budget{0.0, 0.0};
@@ -133,6 +135,15 @@
     }
 };
 
+/** @return When a task that starts now is expected to end; `max` if never. */
+[[nodiscard]] inline time_point expected_end(const job_state& job,
+                                             time_point now) noexcept
+{
+    const bool is_endless = job.spec.policy == job_class::service ||
+                            job.expected == duration::zero();
+    return is_endless ? time_point::max() : now + job.expected;
+}
+
 /** @brief Jobs by dense number; references stay valid. */
 class job_table
 {
--- a/src/rosemarytrail/placement/internal/ledger.cpp
+++ b/src/rosemarytrail/placement/internal/ledger.cpp
@@ -183,7 +183,7 @@
     ++teams[job.team].committed;
     teams.use(job.team, job.spec.request);
     count_spread(job, vm, true);
-    vms.commit(vm, key, job.spec.request);
+    vms.commit(vm, key, job.spec.request, expected_end(job, now));
 }
 
 void ledger::detach(task_key key)
--- a/src/rosemarytrail/placement/internal/placement_policy.hpp
+++ b/src/rosemarytrail/placement/internal/placement_policy.hpp
@@ -18,11 +18,13 @@
      * @brief Chooses VMs for tasks that start now.
      * @param vms VMs and the room on each.
      * @param job Job with at least one task that may start.
+     * @param now Present time.
      * @param chosen Set to one VM for each task to start, from the one that
      * goes first on; emptied if there is no room.
      * @return True if there is room.
      */
     [[nodiscard]] virtual bool choose(const vm_table& vms, const job_state& job,
+                                      time_point now,
                                       std::vector<index>& chosen) const = 0;
 };
 
--- a/src/rosemarytrail/placement/internal/placer.cpp
+++ b/src/rosemarytrail/placement/internal/placer.cpp
@@ -157,7 +157,8 @@
     const auto& job = c.book.jobs[n];
     if (c.holds.count(n) > 0) {
         const hold_table::suspension suspended{c.holds, n};
-        if (!policy_for(job.spec.policy).choose(c.book.vms, job, chosen_)) {
+        if (!policy_for(job.spec.policy)
+                 .choose(c.book.vms, job, now, chosen_)) {
             return false;
         }
     } else if (!search(c, n, now)) {
@@ -185,7 +186,7 @@
         is_cut_short_ = true;
         return false;
     }
-    if (policy_for(job.spec.policy).choose(c.book.vms, job, chosen_)) {
+    if (policy_for(job.spec.policy).choose(c.book.vms, job, now, chosen_)) {
         return true;
     }
     --searches_left_;
--- a/src/rosemarytrail/placement/internal/service_policy.cpp
+++ b/src/rosemarytrail/placement/internal/service_policy.cpp
@@ -50,7 +50,7 @@
 } // namespace
 
 bool service_policy::choose(const vm_table& vms, const job_state& job,
-                            std::vector<index>& chosen) const
+                            time_point, std::vector<index>& chosen) const
 {
     chosen.clear();
     const auto room = vms.room();
--- a/src/rosemarytrail/placement/internal/service_policy.hpp
+++ b/src/rosemarytrail/placement/internal/service_policy.hpp
@@ -10,6 +10,7 @@
 {
 public:
     [[nodiscard]] bool choose(const vm_table& vms, const job_state& job,
+                              time_point now,
                               std::vector<index>& chosen) const override;
 };
 
--- a/src/rosemarytrail/placement/internal/team_table.cpp
+++ b/src/rosemarytrail/placement/internal/team_table.cpp
@@ -25,10 +25,11 @@
 {
     const index n = intern(view.team);
     auto& team = teams_[n];
+    const bool is_news = !(view.allowance == team.view.allowance);
     team.view = view;
     team.share = share_with(n, {});
-    team.urgent.is_dirty = true;
-    team.normal.is_dirty = true;
+    team.urgent.is_dirty = team.urgent.is_dirty || is_news;
+    team.normal.is_dirty = team.normal.is_dirty || is_news;
 }
 
 void team_table::set_fleet(const fleet_totals& totals)
--- a/src/rosemarytrail/placement/internal/vm_table.cpp
+++ b/src/rosemarytrail/placement/internal/vm_table.cpp
@@ -29,6 +29,7 @@
         vms_.resize(n + 1);
         room_.resize(n + 1, no_room);
         inverse_.resize(n + 1);
+        busy_until_.resize(n + 1);
     }
     vms_[n].view.vm = vm;
     return n;
@@ -63,11 +64,14 @@
     release_if_gone(n);
 }
 
-void vm_table::commit(index vm, task_key task, const resources& amount)
+void vm_table::commit(index vm, task_key task, const resources& amount,
+                      time_point until)
 {
     count(vm, false);
     vms_[vm].committed += amount;
     vms_[vm].tasks.push_back(task);
+    vms_[vm].ends.push_back(until);
+    busy_until_[vm] = std::max(busy_until_[vm], until);
     count(vm, true);
     refresh(vm);
 }
@@ -80,8 +84,15 @@
         return;
     }
     count(vm, false);
+    state.ends[static_cast<std::size_t>(it - state.tasks.begin())] =
+        state.ends.back();
+    state.ends.pop_back();
     *it = state.tasks.back();
     state.tasks.pop_back();
+    busy_until_[vm] = {};
+    for (const auto end : state.ends) {
+        busy_until_[vm] = std::max(busy_until_[vm], end);
+    }
     state.committed -= amount;
     count(vm, true);
     refresh(vm);
--- a/src/rosemarytrail/placement/internal/vm_table.hpp
+++ b/src/rosemarytrail/placement/internal/vm_table.hpp
@@ -28,6 +28,8 @@
     /** @brief Kept free for jobs that hold room. */
     resources held{};
     std::vector<task_key> tasks;
+    /** @brief Expected ends of those tasks, in the same order. */
+    std::vector<time_point> ends;
 };
 
 /** @brief VMs of the partition and the room on each. */
@@ -51,7 +53,8 @@
     }
 
     /** @brief Commits a task; the caller has checked the room. */
-    void commit(index vm, task_key task, const resources& amount);
+    void commit(index vm, task_key task, const resources& amount,
+                time_point until);
 
     /** @brief Gives back what a task had. */
     void release(index vm, task_key task, const resources& amount);
@@ -86,6 +89,12 @@
      */
     [[nodiscard]] float leftover(index vm, const resources& request) const;
 
+    /** @return When the last task of a VM is expected to end. */
+    [[nodiscard]] time_point busy_until(index vm) const noexcept
+    {
+        return busy_until_[vm];
+    }
+
     /** @return VMs that may still obey a former holder. */
     [[nodiscard]] std::size_t unfenced() const noexcept { return unfenced_; }
 
@@ -117,6 +126,7 @@
     std::vector<vm_state> vms_;
     std::vector<resources> room_;
     std::vector<inverse> inverse_;
+    std::vector<time_point> busy_until_;
     std::vector<index> paused_;
     std::size_t unfenced_{};
     std::size_t present_{};
--- a/test/placement/policies.cpp
+++ b/test/placement/policies.cpp
@@ -57,6 +57,29 @@
     CHECK(by_vm(cell.decide()).size() == 2);
 }
 
+TEST_CASE("batch keeps no VM busy for longer than it has to", "[placement]")
+{
+    placement_cell cell;
+    cell.add_vms(2);
+    cell.add_team("a");
+    cell.add("long", {.team = team_a, .request = quarter, .run_time = 600s});
+    const auto first = cell.decide();
+    cell.add("short",
+             {.team = team_a, .request = quarter * 4, .run_time = 20s});
+    REQUIRE(cell.decide().size() == 1);
+    cell.end({job_id{"short"}, 0}, task_end::succeeded);
+    cell.add("short2",
+             {.team = team_a, .request = quarter * 3, .run_time = 20s});
+    REQUIRE(cell.decide().at(0).vm == first.at(0).vm);
+    cell.add("short3",
+             {.team = team_a, .request = quarter * 2, .run_time = 20s});
+    const auto other = cell.decide();
+    REQUIRE(other.at(0).vm != first.at(0).vm);
+    cell.end({job_id{"short2"}, 0}, task_end::succeeded);
+    cell.add("mid", {.team = team_a, .request = quarter, .run_time = 300s});
+    CHECK(cell.decide().at(0).vm == first.at(0).vm);
+}
+
 TEST_CASE("a gang starts whole or not at all", "[placement]")
 {
     placement_cell cell;
@@ -194,6 +217,62 @@
     CHECK(cell.gang_tasks == 6);
 }
 
+TEST_CASE("one gang at a time drains VMs", "[placement]")
+{
+    placement_cell cell;
+    cell.add_vms(4);
+    cell.add_team("a");
+    cell.add_team("b");
+    cell.add("long",
+             {.team = team_b, .tasks = 4, .request = quarter, .run_time = 60s});
+    cell.add("small",
+             {.team = team_b, .tasks = 12, .request = quarter, .run_time = 1s});
+    REQUIRE(cell.decide().size() == 16);
+    for (const auto* name : {"g1", "g2"}) {
+        cell.add(name, {.team = team_a,
+                        .policy = job_class::gang,
+                        .tasks = 2,
+                        .request = quarter * 3,
+                        .run_time = 10s});
+    }
+    CHECK(cell.decide().empty());
+    CHECK(cell.after(3s).empty());
+    CHECK(cell.after(1s).empty());
+    int draining = 0;
+    for (const auto* name : {"g1", "g2"}) {
+        const auto why = cell.scheduler->explain(job_id{name}, cell.now);
+        REQUIRE(why);
+        draining += why->detail.find("drain") != std::string::npos ? 1 : 0;
+    }
+    CHECK(draining == 1);
+}
+
+TEST_CASE("room that comes free goes to the team below its share",
+          "[placement]")
+{
+    placement_cell cell;
+    cell.add_vms(8);
+    cell.add_team("a");
+    cell.add_team("b");
+    cell.add(
+        "small",
+        {.team = team_b, .tasks = 200, .request = quarter, .run_time = 10s});
+    auto running = cell.decide();
+    REQUIRE(running.size() == 32);
+    cell.add("large", {.team = team_a, .request = vm_size, .run_time = 10s});
+    CHECK(cell.decide().empty());
+    cell.now += 3s;
+    bool has_started = false;
+    for (std::size_t it = 0; it < running.size() && !has_started; ++it) {
+        cell.end(running[it].task, task_end::succeeded);
+        for (const auto& made : cell.after(200ms)) {
+            has_started = has_started || made.task.job == job_id{"large"};
+            running.push_back(made);
+        }
+    }
+    CHECK(has_started);
+}
+
 TEST_CASE("only short work fills a VM that drains", "[placement]")
 {
     const bool is_short = GENERATE(true, false);
