--- a/bench/placement.cmake
+++ b/bench/placement.cmake
@@ -1,1 +1,2 @@
 rosemarytrail_program(bench_placement_decisions placement_decisions.cpp rosemarytrail_placement)
+rosemarytrail_program(bench_placement_policy placement_policy.cpp rosemarytrail_placement)
