Let a few requests wait up to 20 ms for a place in a service

A team waits only within its share and a quarter, in order; the rest is refused at once. proxy_handler::tick refuses those that waited for too long.

--- a/bench/request/entry_vm.hpp
+++ b/bench/request/entry_vm.hpp
@@ -50,7 +50,10 @@
     void tick()
     {
         if (!owner->dead) {
-            owner->deliver([this] { intents.tick(events_.now()); });
+            owner->deliver([this] {
+                intents.tick(events_.now());
+                proxy.tick(events_.now());
+            });
             events_.after(std::chrono::milliseconds{10}, [this] { tick(); });
         }
     }
--- a/src/rosemarytrail/proxy/internal/call.cpp
+++ b/src/rosemarytrail/proxy/internal/call.cpp
@@ -146,7 +146,21 @@
 {
     reason why;
     place_ = place();
-    if (!core_->admission.enter_service(place_, table_->weights, why)) {
+    const auto answer = core_->admission.enter_service(
+        place_, table_->weights, core_->clock.now(),
+        [self = shared_from_this()](bool taken) {
+            reason late{.code = result_code::overloaded, .retry_after = soon};
+            self->on_place(taken, late);
+        },
+        why);
+    if (answer != request::place_answer::waiting) {
+        on_place(answer == request::place_answer::taken, why);
+    }
+}
+
+void call::on_place(bool taken, const reason& why)
+{
+    if (!taken) {
         end_unsent();
         refuse(why, true);
         return;
@@ -297,8 +311,9 @@
 
 void call::finish(http::response answer)
 {
+    std::vector<request::place_news> news;
     if (in_service_) {
-        core_->admission.leave_service(place_);
+        news = core_->admission.leave_service(place_, core_->clock.now());
     }
     if (entered_) {
         core_->admission.leave(account_);
@@ -309,6 +324,7 @@
     exchange_->respond(std::move(answer));
     core_->in_flight_gauge.add(-1);
     core_->in_flight.fetch_sub(1);
+    tell(std::move(news));
 }
 
 request::service_place call::place()
--- a/src/rosemarytrail/proxy/internal/call.hpp
+++ b/src/rosemarytrail/proxy/internal/call.hpp
@@ -36,6 +36,7 @@
     void open_intent();
     void on_intent(request::intent_outcome outcome);
     void dispatch();
+    void on_place(bool taken, const reason& why);
     void attempt();
     void on_result(const request::upstream_choice& choice,
                    const std::string& upstream_id,
--- a/src/rosemarytrail/proxy/internal/core.cpp
+++ b/src/rosemarytrail/proxy/internal/core.cpp
@@ -78,6 +78,13 @@
     return refusal(why, not_run, request_id);
 }
 
+void tell(std::vector<request::place_news> news)
+{
+    for (auto& it : news) {
+        it.tell(it.taken);
+    }
+}
+
 std::string proxy_core::request_id(const http::request& head)
 {
     const auto id = http::find_header(head.headers, "X-Request-Id");
--- a/src/rosemarytrail/proxy/internal/core.hpp
+++ b/src/rosemarytrail/proxy/internal/core.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace rosemarytrail::proxy {
 
@@ -69,6 +70,9 @@
     std::atomic<std::uint64_t> ids_{0};
 };
 
+/** @brief Tells requests that waited whether they have a place. */
+void tell(std::vector<request::place_news> news);
+
 } // namespace rosemarytrail::proxy
 
 #endif
--- a/src/rosemarytrail/proxy/proxy_handler.cpp
+++ b/src/rosemarytrail/proxy/proxy_handler.cpp
@@ -107,11 +107,17 @@
 void proxy_handler::on_request(std::shared_ptr<http::exchange> it)
 {
     auto& core = *state_->core;
+    tell(core.admission.expire(core.clock.now()));
     core.in_flight.fetch_add(1);
     core.in_flight_gauge.add(1);
     std::make_shared<call>(state_->core, std::move(it))->start();
 }
 
+void proxy_handler::tick(time_point now)
+{
+    tell(state_->core->admission.expire(now));
+}
+
 std::size_t proxy_handler::in_flight() const noexcept
 {
     return state_->core->in_flight;
--- a/src/rosemarytrail/proxy/proxy_handler.hpp
+++ b/src/rosemarytrail/proxy/proxy_handler.hpp
@@ -85,6 +85,13 @@
      */
     void on_request(std::shared_ptr<http::exchange> it) override;
 
+    /**
+     * @brief Refuses requests that have waited for too long; to be called
+     * every 10 to 20 ms.
+     * @param now Present time.
+     */
+    void tick(time_point now);
+
     /** @return Requests taken and not yet answered. */
     [[nodiscard]] std::size_t in_flight() const noexcept;
 
--- a/src/rosemarytrail/request/admission.cpp
+++ b/src/rosemarytrail/request/admission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace rosemarytrail::request {
 
@@ -18,6 +19,12 @@
 
 } // namespace
 
+const admission::service_load& admission::no_load()
+{
+    static const service_load load;
+    return load;
+}
+
 admission::admission(const admission_options& options)
     : options_{options}
 {}
@@ -77,38 +84,120 @@
                           reason& why) const
 {
     const std::lock_guard lock{mutex_};
-    return fits(place, weights, why);
+    const auto it = services_.find(place.service);
+    const auto& load = it == services_.end() ? no_load() : it->second;
+    return fits(load, place, weights, why) || may_wait(load, place, weights);
 }
 
-bool admission::enter_service(const service_place& place,
-                              const std::map<team_id, double>& weights,
-                              reason& why)
+place_answer admission::enter_service(const service_place& place,
+                                      const std::map<team_id, double>& weights,
+                                      time_point now,
+                                      std::function<void(bool taken)> tell,
+                                      reason& why)
 {
     const std::lock_guard lock{mutex_};
-    if (!fits(place, weights, why)) {
-        return false;
-    }
     auto& load = services_[place.service];
-    ++load.in_flight;
-    ++load.teams[place.team];
-    return true;
+    if (fits(load, place, weights, why)) {
+        take(place);
+        return place_answer::taken;
+    }
+    if (!may_wait(load, place, weights)) {
+        return place_answer::refused;
+    }
+    ++load.teams[place.team].waiting;
+    ++waiting_;
+    load.waiting.push_back({.place = place,
+                            .weights = &weights,
+                            .until = now + options_.longest_wait,
+                            .tell = std::move(tell)});
+    return place_answer::waiting;
 }
 
-void admission::leave_service(const service_place& place)
+std::vector<place_news> admission::leave_service(const service_place& place,
+                                                 time_point now)
 {
+    std::vector<place_news> news;
     const std::lock_guard lock{mutex_};
     const auto it = services_.find(place.service);
     auto& load = it->second;
-    const auto team = load.teams.find(place.team);
-    if (--team->second == 0) {
-        load.teams.erase(team);
-    }
-    if (--load.in_flight == 0) {
+    --load.teams[place.team].in_flight;
+    --load.in_flight;
+    expire(load, now, news);
+    admit_waiting(load, news);
+    std::erase_if(load.teams, [](const auto& team) {
+        return team.second.in_flight + team.second.waiting == 0;
+    });
+    if (load.teams.empty()) {
         services_.erase(it);
     }
+    return news;
+}
+
+std::vector<place_news> admission::expire(time_point now)
+{
+    std::vector<place_news> news;
+    const std::lock_guard lock{mutex_};
+    if (waiting_ == 0) {
+        return news;
+    }
+    for (auto& [service, load] : services_) {
+        expire(load, now, news);
+    }
+    return news;
+}
+
+void admission::take(const service_place& place)
+{
+    auto& load = services_[place.service];
+    ++load.in_flight;
+    ++load.teams[place.team].in_flight;
+}
+
+void admission::expire(service_load& load, time_point now,
+                       std::vector<place_news>& news)
+{
+    while (!load.waiting.empty() && load.waiting.front().until <= now) {
+        auto& it = load.waiting.front();
+        --load.teams[it.place.team].waiting;
+        --waiting_;
+        news.push_back({.tell = std::move(it.tell)});
+        load.waiting.pop_front();
+    }
+}
+
+void admission::admit_waiting(service_load& load, std::vector<place_news>& news)
+{
+    reason why;
+    auto it = load.waiting.begin();
+    while (it != load.waiting.end()) {
+        auto& team = load.teams[it->place.team];
+        // Its own wait is no load that holds it back.
+        --team.waiting;
+        if (!fits(load, it->place, *it->weights, why)) {
+            ++team.waiting;
+            ++it;
+            continue;
+        }
+        take(it->place);
+        --waiting_;
+        news.push_back({.tell = std::move(it->tell), .taken = true});
+        it = load.waiting.erase(it);
+    }
+}
+
+double admission::share(const service_load& load, const service_place& place,
+                        const std::map<team_id, double>& weights)
+{
+    double sum = 0.0;
+    for (const auto& [team, n] : load.teams) {
+        sum += weight_of(weights, team);
+    }
+    const double weight = weight_of(weights, place.team);
+    sum += load.teams.contains(place.team) ? 0.0 : weight;
+    return std::ceil(place.capacity * weight / sum);
 }
 
-bool admission::fits(const service_place& place,
+bool admission::fits(const service_load& load, const service_place& place,
                      const std::map<team_id, double>& weights,
                      reason& why) const
 {
@@ -116,11 +205,6 @@
         why = {.code = result_code::no_upstream, .retry_after = overload_wait};
         return false;
     }
-    const auto it = services_.find(place.service);
-    if (it == services_.end()) {
-        return true;
-    }
-    const auto& load = it->second;
     if (load.in_flight >= place.capacity) {
         why = {.code = result_code::overloaded,
                .detail = "all places of the service are taken",
@@ -130,15 +214,9 @@
     if (load.in_flight < options_.open_fraction * place.capacity) {
         return true;
     }
-    double sum = 0.0;
-    for (const auto& [team, n] : load.teams) {
-        sum += weight_of(weights, team);
-    }
     const auto own = load.teams.find(place.team);
-    const std::uint32_t used = own == load.teams.end() ? 0 : own->second;
-    const double weight = weight_of(weights, place.team);
-    sum += used == 0 ? weight : 0.0;
-    if (used < std::ceil(place.capacity * weight / sum)) {
+    const auto used = own == load.teams.end() ? 0 : own->second.in_flight;
+    if (used < share(load, place, weights)) {
         return true;
     }
     why = {.code = result_code::team_over_share,
@@ -147,6 +225,17 @@
     return false;
 }
 
+bool admission::may_wait(const service_load& load, const service_place& place,
+                         const std::map<team_id, double>& weights) const
+{
+    const auto own = load.teams.find(place.team);
+    const auto used = own == load.teams.end()
+                          ? 0
+                          : own->second.in_flight + own->second.waiting;
+    return used <
+           (1.0 + options_.waiting_fraction) * share(load, place, weights);
+}
+
 void admission::forget_idle(time_point now)
 {
     if (rates_.size() < options_.accounts) {
--- a/src/rosemarytrail/request/admission.hpp
+++ b/src/rosemarytrail/request/admission.hpp
@@ -7,9 +7,12 @@
 #include <rosemarytrail/request/token_bucket.hpp>
 
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace rosemarytrail::request {
 
@@ -29,6 +32,10 @@
      * it, each team gets its weighted share of the whole only.
      */
     double open_fraction{0.8};
+    /** @brief Longest wait for a place in a service; then it is refused. */
+    duration longest_wait{std::chrono::milliseconds{20}};
+    /** @brief Requests of a team that may wait, as a part of its share. */
+    double waiting_fraction{0.25};
     /** @brief Client accounts kept track of at most. */
     std::size_t accounts{4096};
 };
@@ -42,10 +49,27 @@
     std::uint32_t capacity{};
 };
 
+/** @brief Answer to the wish for a place in a service. */
+enum class place_answer : std::uint8_t
+{
+    taken,
+    /** @brief It is told soon, one way or the other. */
+    waiting,
+    refused
+};
+
+/** @brief Tells a request that waited whether it has a place now. */
+struct place_news
+{
+    std::function<void(bool taken)> tell;
+    bool taken{false};
+};
+
 /**
  * @brief Decides which requests an entry VM takes; any thread may call it.
  *
- * Nothing waits: a request is taken or refused at once.
+ * When all places of a service are taken, a few requests of each team wait for
+ * a moment; all others are refused at once.
  */
 class admission
 {
@@ -75,7 +99,7 @@
     void leave(const std::string& account);
 
     /**
-     * @brief Tells whether `enter_service` would succeed now.
+     * @brief Tells whether `enter_service` would not refuse now.
      * @param place Place asked for.
      * @param weights Weight of each team.
      * @param why Set if false: `no_upstream`, `overloaded` or
@@ -87,27 +111,72 @@
                                  reason& why) const;
 
     /**
-     * @brief Takes a place in a service.
-     * @copydetails has_place
-     * @return True if it was taken; `leave_service` gives it back.
+     * @brief Takes a place in a service, or waits for one.
+     * @param place Place asked for.
+     * @param weights Weight of each team; outlives a wait.
+     * @param now Present time.
+     * @param tell Called later if the answer is `waiting`.
+     * @param why Set if refused, as by `has_place`.
+     * @return What became of it; `leave_service` gives a taken place back.
+     */
+    [[nodiscard]] place_answer
+    enter_service(const service_place& place,
+                  const std::map<team_id, double>& weights, time_point now,
+                  std::function<void(bool taken)> tell, reason& why);
+
+    /**
+     * @brief Gives a place back.
+     * @param place Place to give back.
+     * @param now Present time.
+     * @return Requests to be told, by the caller.
      */
-    [[nodiscard]] bool enter_service(const service_place& place,
-                                     const std::map<team_id, double>& weights,
-                                     reason& why);
+    [[nodiscard]] std::vector<place_news>
+    leave_service(const service_place& place, time_point now);
 
-    /** @param place Place to give back. */
-    void leave_service(const service_place& place);
+    /**
+     * @brief Finds requests that have waited for too long.
+     * @param now Present time.
+     * @return Requests to be told, by the caller.
+     */
+    [[nodiscard]] std::vector<place_news> expire(time_point now);
 
 private:
+    struct team_load
+    {
+        std::uint32_t in_flight{};
+        std::uint32_t waiting{};
+    };
+
+    struct waiting_request
+    {
+        service_place place{};
+        const std::map<team_id, double>* weights{};
+        time_point until{};
+        std::function<void(bool taken)> tell;
+    };
+
     struct service_load
     {
         std::uint32_t in_flight{};
-        std::map<team_id, std::uint32_t> teams;
+        std::map<team_id, team_load> teams;
+        std::deque<waiting_request> waiting;
     };
 
-    [[nodiscard]] bool fits(const service_place& place,
+    [[nodiscard]] static const service_load& no_load();
+    [[nodiscard]] static double share(const service_load& load,
+                                      const service_place& place,
+                                      const std::map<team_id, double>& weights);
+    [[nodiscard]] bool fits(const service_load& load,
+                            const service_place& place,
                             const std::map<team_id, double>& weights,
                             reason& why) const;
+    [[nodiscard]] bool may_wait(const service_load& load,
+                                const service_place& place,
+                                const std::map<team_id, double>& weights) const;
+    void take(const service_place& place);
+    void expire(service_load& load, time_point now,
+                std::vector<place_news>& news);
+    void admit_waiting(service_load& load, std::vector<place_news>& news);
     void forget_idle(time_point now);
 
     admission_options options_;
@@ -116,6 +185,7 @@
     std::map<std::string, std::uint32_t> accounts_;
     std::map<service_id, service_load> services_;
     std::uint32_t in_flight_{};
+    std::size_t waiting_{};
 };
 
 } // namespace rosemarytrail::request
--- a/test/request/admission.cpp
+++ b/test/request/admission.cpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace rosemarytrail::request {
 
@@ -17,6 +18,49 @@
         .service = service_id{"plugs"}, .team = team_id{team}, .capacity = 100};
 }
 
+/** @brief Service of a hundred places and two teams. */
+struct fixture
+{
+    place_answer enter(const std::string& team)
+    {
+        return it.enter_service(
+            place_of(team), weights, clock.now(),
+            [this, team](bool taken) {
+                told.push_back({team, taken});
+            },
+            why);
+    }
+
+    int fill(const std::string& team)
+    {
+        int n = 0;
+        while (enter(team) == place_answer::taken) {
+            ++n;
+        }
+        return n;
+    }
+
+    void leave(const std::string& team)
+    {
+        for (auto& news : it.leave_service(place_of(team), clock.now())) {
+            news.tell(news.taken);
+        }
+    }
+
+    struct message
+    {
+        std::string team;
+        bool taken{};
+    };
+
+    const std::map<team_id, double> weights{{team_id{"large"}, 1.0},
+                                            {team_id{"small"}, 3.0}};
+    test::manual_time_source clock;
+    admission it{{}};
+    reason why;
+    std::vector<message> told;
+};
+
 } // namespace
 
 TEST_CASE("An account is held to its rate and told when to come back",
@@ -39,31 +83,53 @@
 
 TEST_CASE("An overloaded service is shared by weight", "[request]")
 {
-    const std::map<team_id, double> weights{{team_id{"large"}, 1.0},
-                                            {team_id{"small"}, 3.0}};
-    admission it{{}};
-    reason why;
-    int large = 0;
-    while (it.enter_service(place_of("large"), weights, why)) {
-        ++large;
-    }
-    // Alone, a team may have all.
-    CHECK(large == 100);
-    CHECK(why.code == result_code::overloaded);
+    fixture it;
+    // Alone, a team may have all; the request over it waits.
+    CHECK(it.fill("large") == 100);
+    CHECK(it.enter("small") == place_answer::waiting);
+    it.leave("large");
+    // What comes free goes to the team below its share, though it came later.
+    REQUIRE(it.told.size() == 1);
+    CHECK(it.told[0].team == "small");
+    CHECK(it.told[0].taken);
     for (int n = 0; n < 30; ++n) {
-        it.leave_service(place_of("large"));
+        it.leave("large");
+    }
+    // The request of the large team that waited has come in, at 79 of 100.
+    CHECK(it.told.size() == 2);
+    CHECK(it.fill("small") == 29);
+    it.leave("large");
+    CHECK(it.told.back().team == "small");
+    // A team over its share is refused at once, though there is a place.
+    it.leave("large");
+    CHECK(it.enter("large") == place_answer::refused);
+    CHECK(it.why.code == result_code::team_over_share);
+    CHECK(it.why.retry_after.has_value());
+    CHECK(it.enter("small") == place_answer::taken);
+}
+
+TEST_CASE("Requests wait for a place, in order and not for long", "[request]")
+{
+    fixture it;
+    CHECK(it.fill("large") == 100);
+    int waiting = 1;
+    while (it.enter("large") == place_answer::waiting) {
+        ++waiting;
     }
-    int small = 0;
-    while (it.enter_service(place_of("small"), weights, why)) {
-        ++small;
+    CHECK(waiting == 25);
+    CHECK(it.why.code == result_code::overloaded);
+    it.leave("large");
+    REQUIRE(it.told.size() == 1);
+    CHECK(it.told[0].taken);
+    CHECK(it.it.expire(it.clock.now()).empty());
+    it.clock.advance(std::chrono::milliseconds{20});
+    const auto news = it.it.expire(it.clock.now());
+    CHECK(news.size() == 24);
+    for (const auto& one : news) {
+        CHECK_FALSE(one.taken);
     }
-    CHECK(small == 30);
-    // What comes free now goes to the team below its share.
-    it.leave_service(place_of("large"));
-    CHECK_FALSE(it.enter_service(place_of("large"), weights, why));
-    CHECK(why.code == result_code::team_over_share);
-    CHECK(why.retry_after.has_value());
-    CHECK(it.enter_service(place_of("small"), weights, why));
+    it.leave("large");
+    CHECK(it.told.size() == 1);
 }
 
 } // namespace rosemarytrail::request
