--- a/src/rosemarytrail/proxy/internal/call.cpp
+++ b/src/rosemarytrail/proxy/internal/call.cpp
@@ -219,7 +219,8 @@
         request::check_answer(result, {.request_id = upstream_id,
                                        .read_offset = target_.read_offset,
                                        .known_offset = choice.known_offset});
-    request::upstream_result seen{.verdict = verdict};
+    request::upstream_result seen{.verdict = verdict,
+                                  .elapsed = result.elapsed};
     if (bears_id(verdict)) {
         seen.write_offset =
             request::find_offset(result.answer.headers, "X-Write-Offset");
--- a/src/rosemarytrail/request/upstream_selector.cpp
+++ b/src/rosemarytrail/request/upstream_selector.cpp
@@ -1,6 +1,7 @@
 #include <rosemarytrail/request/upstream_selector.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <compare>
 #include <functional>
 #include <utility>
@@ -35,14 +36,6 @@
     return whole / parts + (place % parts < whole % parts ? 1 : 0);
 }
 
-/** @brief Load of an upstream as this entry VM can tell, for comparison. */
-double score(std::uint32_t in_flight, const upstream_view& view,
-             std::uint32_t entry_vms) noexcept
-{
-    const double own = static_cast<double>(in_flight + 1) * entry_vms;
-    return (own + view.busy_slots) / std::max(1U, view.slots);
-}
-
 } // namespace
 
 std::uint32_t share_of(const upstream_view& upstream,
@@ -89,6 +82,32 @@
                            .known_offset = best->load->write_offset};
 }
 
+duration upstream_selector::latency_of(const upstream_load& load,
+                                       time_point now) const
+{
+    const std::chrono::duration<double> since{now - load.measured};
+    const std::chrono::duration<double> memory{options_.latency_memory};
+    const std::chrono::duration<double> left =
+        load.latency * std::exp(-(since / memory));
+    return std::max(std::chrono::duration_cast<duration>(left),
+                    options_.least_latency);
+}
+
+void upstream_selector::note_latency(upstream_load& load, duration sample,
+                                     time_point now) const
+{
+    load.latency = std::max(sample, latency_of(load, now));
+    load.measured = now;
+}
+
+double upstream_selector::score(const candidate& it, std::uint32_t entry_vms,
+                                time_point now) const
+{
+    const double own = static_cast<double>(it.load->in_flight + 1) * entry_vms;
+    const double load = (own + it.view->busy_slots) / it.view->slots;
+    return load * static_cast<double>(latency_of(*it.load, now).count());
+}
+
 const upstream_selector::candidate*
 upstream_selector::best_of(service_state& state, const choice_demand& demand,
                            time_point now) const
@@ -107,9 +126,8 @@
         return pair.first;
     }
     const auto n = state.indexed->entry_vms;
-    const auto first = score(pair.first->load->in_flight, *pair.first->view, n);
-    const auto second =
-        score(pair.second->load->in_flight, *pair.second->view, n);
+    const auto first = score(*pair.first, n, now);
+    const auto second = score(*pair.second, n, now);
     return second < first ? pair.second : pair.first;
 }
 
@@ -166,6 +184,7 @@
     case answer_verdict::whole:
     case answer_verdict::stale:
         load.health.note_success(options_.health, now);
+        note_latency(load, result.elapsed, now);
         return false;
     case answer_verdict::refused:
         load.resting_until = now + options_.refusal_rest;
@@ -177,6 +196,7 @@
     case answer_verdict::late:
         break;
     }
+    note_latency(load, std::max(result.elapsed, options_.failure_latency), now);
     return load.health.note_failure(options_.health, may_eject(state, now),
                                     now);
 }
--- a/src/rosemarytrail/request/upstream_selector.hpp
+++ b/src/rosemarytrail/request/upstream_selector.hpp
@@ -28,6 +28,12 @@
     retry_budget_options retries{};
     /** @brief Time for which others go before one that refused a request. */
     duration refusal_rest{std::chrono::milliseconds{20}};
+    /** @brief Time constant with which a measured latency is forgotten. */
+    duration latency_memory{std::chrono::seconds{2}};
+    /** @brief Latency that a failure counts as. */
+    duration failure_latency{std::chrono::seconds{1}};
+    /** @brief Least latency that tells upstreams apart. */
+    duration least_latency{std::chrono::milliseconds{1}};
     /** @brief Seed of the random choice. */
     std::uint64_t seed{1};
 };
@@ -60,6 +66,8 @@
     answer_verdict verdict{answer_verdict::whole};
     /** @brief Write offset that its answer bore, if any. */
     std::optional<std::uint64_t> write_offset{};
+    /** @brief Time that the request took. */
+    duration elapsed{};
 };
 
 /**
@@ -135,6 +143,9 @@
         std::uint32_t in_flight{};
         std::uint64_t write_offset{};
         time_point resting_until{};
+        /** @brief Greatest latency seen, less what was forgotten since. */
+        duration latency{};
+        time_point measured{};
         health_tracker health{};
     };
 
@@ -164,6 +175,12 @@
         const candidate* second{};
     };
 
+    [[nodiscard]] duration latency_of(const upstream_load& load,
+                                      time_point now) const;
+    void note_latency(upstream_load& load, duration sample,
+                      time_point now) const;
+    [[nodiscard]] double score(const candidate& it, std::uint32_t entry_vms,
+                               time_point now) const;
     [[nodiscard]] const candidate* best_of(service_state& state,
                                            const choice_demand& demand,
                                            time_point now) const;
--- a/test/request/upstream_selector.cpp
+++ b/test/request/upstream_selector.cpp
@@ -138,6 +138,28 @@
     CHECK(early < late / 2);
 }
 
+TEST_CASE("A slow upstream gets little, but is looked at again", "[request]")
+{
+    fixture it{.table = share(table_of(6, 1))};
+    const auto count_slow = [&it](duration slow) {
+        int n = 0;
+        for (int i = 0; i < 2000; ++i) {
+            const auto choice = it.choose();
+            const bool is_slow = choice->vm == vm_id{"vm0"};
+            n += is_slow ? 1 : 0;
+            const duration fast{std::chrono::milliseconds{10}};
+            it.selector.release(*choice, {.elapsed = is_slow ? slow : fast},
+                                it.clock.now());
+            it.clock.advance(std::chrono::milliseconds{5});
+        }
+        return n;
+    };
+    const int while_slow = count_slow(std::chrono::milliseconds{100});
+    CHECK(while_slow > 0);
+    CHECK(while_slow < 20);
+    CHECK(count_slow(std::chrono::milliseconds{10}) > 300);
+}
+
 TEST_CASE("A read goes to the upstream that has the write", "[request]")
 {
     fixture it{.table = share(table_of(6, 1))};
