--- a/bench/request_load.cpp
+++ b/bench/request_load.cpp
@@ -18,7 +18,7 @@
 #include <vector>
 
 ABSL_FLAG(std::string, scenario, "added",
-          "added, overload, failing, down or slow");
+          "added, overload, failing, down, slow or rate");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the arrivals");
 ABSL_FLAG(double, seconds, 5.0, "length of each phase");
 ABSL_FLAG(int, upstreams, 6, "upstreams of 8 slots");
@@ -277,6 +277,17 @@
               << '\n';
 }
 
+/** @brief Raises the rate until the proxy cannot follow. */
+void run_rate(cell& it)
+{
+    auto all = make_experiment({it.proxied()});
+    all.phases = {warm_up(1000.0)};
+    for (const int rate : {2000, 4000, 8000, 12000, 16000}) {
+        all.phases.push_back(make_phase(std::to_string(rate) + "/s", rate));
+    }
+    run(all);
+}
+
 int run_bench()
 {
     const auto scenario = absl::GetFlag(FLAGS_scenario);
@@ -296,6 +307,8 @@
         run_with_faults(it, third, {.fail = 1.0});
     } else if (scenario == "down") {
         run_with_faults(it, third, {.mode = standin::fault_mode::down});
+    } else if (scenario == "rate") {
+        run_rate(it);
     } else if (scenario == "slow") {
         const std::chrono::milliseconds service{
             absl::GetFlag(FLAGS_service_ms)};
--- a/src/rosemarytrail/request/upstream_selector.cpp
+++ b/src/rosemarytrail/request/upstream_selector.cpp
@@ -16,8 +16,8 @@
 /** @brief What makes one open upstream better than another. */
 struct preference
 {
-    /** @brief It refused a request just now. */
-    bool resting{};
+    /** @brief It refused just now, or comes back from an ejection. */
+    bool stands_back{};
     /** @brief It may not have the write that the caller has seen. */
     bool maybe_stale{};
     bool far{};
@@ -117,7 +117,7 @@
             std::ranges::find_if(state.candidates, [&](const candidate& other) {
                 return other.view->vm == demand.preferred;
             });
-        if (it != state.candidates.end() && is_open(state, *it, demand, now)) {
+        if (it != state.candidates.end() && is_open(*it, demand, now)) {
             return &*it;
         }
     }
@@ -139,14 +139,14 @@
     preference best;
     std::uint32_t seen = 0;
     for (const auto& it : state.candidates) {
-        if (!is_open(state, it, demand, now)) {
+        if (!is_open(it, demand, now)) {
             continue;
         }
-        const preference own{
-            .resting = now<it.load->resting_until,
-                           .maybe_stale = demand.read_offset.value_or(0)>
-                           it.load->write_offset,
-            .far = it.view->zone != state.indexed->zone};
+        const auto asked = demand.read_offset.value_or(0);
+        const bool maybe_stale = asked > it.load->write_offset;
+        const preference own{.stands_back = stands_back(state, it, now),
+                             .maybe_stale = maybe_stale,
+                             .far = it.view->zone != state.indexed->zone};
         if (seen > 0 && own > best) {
             continue;
         }
@@ -275,21 +275,27 @@
     });
 }
 
-bool upstream_selector::is_open(service_state& state, const candidate& it,
-                                const choice_demand& demand,
-                                time_point now) const
+bool upstream_selector::is_open(const candidate& it,
+                                const choice_demand& demand, time_point now)
 {
-    if (it.load->in_flight >= it.share) {
+    if (it.load->in_flight >= it.share || it.load->health.ejected(now)) {
         return false;
     }
+    return std::ranges::find(demand.tried, it.view->vm) == demand.tried.end();
+}
+
+bool upstream_selector::stands_back(service_state& state, const candidate& it,
+                                    time_point now) const
+{
+    if (now < it.load->resting_until) {
+        return true;
+    }
     const auto part = it.load->health.admitted_part(options_.health, now);
-    if (part < 1.0) {
-        std::uniform_real_distribution<double> any{0.0, 1.0};
-        if (any(state.random) >= part) {
-            return false;
-        }
+    if (part >= 1.0) {
+        return false;
     }
-    return std::ranges::find(demand.tried, it.view->vm) == demand.tried.end();
+    std::uniform_real_distribution<double> any{0.0, 1.0};
+    return any(state.random) >= part;
 }
 
 bool upstream_selector::may_eject(const service_state& state,
--- a/src/rosemarytrail/request/upstream_selector.hpp
+++ b/src/rosemarytrail/request/upstream_selector.hpp
@@ -190,9 +190,10 @@
     [[nodiscard]] service_state& state_of(const service_id& service);
     static void index(service_state& state, const service_id& service,
                       const std::shared_ptr<const routing_table>& table);
-    [[nodiscard]] bool is_open(service_state& state, const candidate& it,
-                               const choice_demand& demand,
-                               time_point now) const;
+    [[nodiscard]] static bool
+    is_open(const candidate& it, const choice_demand& demand, time_point now);
+    [[nodiscard]] bool stands_back(service_state& state, const candidate& it,
+                                   time_point now) const;
     [[nodiscard]] bool may_eject(const service_state& state,
                                  time_point now) const;
 
