--- /dev/null
+++ b/bench/placement.cmake
@@ -0,0 +1,1 @@
+rosemarytrail_program(bench_placement_decisions placement_decisions.cpp rosemarytrail_placement)
