--- a/bench/request.cmake
+++ b/bench/request.cmake
@@ -1,3 +1,6 @@
 rosemarytrail_program(bench_request_faults request_faults.cpp
     rosemarytrail_proxy rosemarytrail_standin absl::flags absl::flags_parse)
 target_sources(bench_request_faults PRIVATE request/callers.cpp)
+rosemarytrail_program(bench_request_load request_load.cpp
+    rosemarytrail_proxy rosemarytrail_standin rosemarytrail_load
+    absl::flags absl::flags_parse)
--- a/src/rosemarytrail/daemon/entry_daemon.cpp
+++ b/src/rosemarytrail/daemon/entry_daemon.cpp
@@ -151,6 +151,7 @@
                 .ticked =
                     [this](time_point now) {
                         intents.tick(now);
+                        services.tick(now);
                         api.sweep(now);
                     }};
     }
