--- a/src/rosemarytrail/request/upstream_selector.cpp
+++ b/src/rosemarytrail/request/upstream_selector.cpp
@@ -1,6 +1,8 @@
 #include <rosemarytrail/request/upstream_selector.hpp>
 
 #include <algorithm>
+#include <cmath>
+#include <compare>
 #include <functional>
 #include <utility>
 
@@ -11,22 +13,17 @@
 constexpr duration overload_wait{std::chrono::milliseconds{100}};
 constexpr duration no_upstream_wait{std::chrono::seconds{1}};
 
-/** @brief Lower is better: known to be new enough, then near. */
-enum class preference : std::uint8_t
+/** @brief What makes one open upstream better than another. */
+struct preference
 {
-    near_and_new,
-    far_and_new,
-    near,
-    far
-};
+    /** @brief It refused just now, or comes back from an ejection. */
+    bool stands_back{};
+    /** @brief It may not have the write that the caller has seen. */
+    bool maybe_stale{};
+    bool far{};
 
-preference prefer(bool is_new, bool is_near) noexcept
-{
-    if (is_new) {
-        return is_near ? preference::near_and_new : preference::far_and_new;
-    }
-    return is_near ? preference::near : preference::far;
-}
+    [[nodiscard]] auto operator<=>(const preference&) const = default;
+};
 
 std::uint32_t rounded_up(std::uint32_t whole, std::uint32_t parts) noexcept
 {
@@ -39,14 +36,6 @@
     return whole / parts + (place % parts < whole % parts ? 1 : 0);
 }
 
-/** @brief Load of an upstream as this entry VM can tell, for comparison. */
-double score(std::uint32_t in_flight, const upstream_view& view,
-             std::uint32_t entry_vms) noexcept
-{
-    const double own = static_cast<double>(in_flight + 1) * entry_vms;
-    return (own + view.busy_slots) / std::max(1U, view.slots);
-}
-
 } // namespace
 
 std::uint32_t share_of(const upstream_view& upstream,
@@ -93,6 +82,32 @@
                            .known_offset = best->load->write_offset};
 }
 
+duration upstream_selector::latency_of(const upstream_load& load,
+                                       time_point now) const
+{
+    const std::chrono::duration<double> since{now - load.measured};
+    const std::chrono::duration<double> memory{options_.latency_memory};
+    const std::chrono::duration<double> left =
+        load.latency * std::exp(-(since / memory));
+    return std::max(std::chrono::duration_cast<duration>(left),
+                    options_.least_latency);
+}
+
+void upstream_selector::note_latency(upstream_load& load, duration sample,
+                                     time_point now) const
+{
+    load.latency = std::max(sample, latency_of(load, now));
+    load.measured = now;
+}
+
+double upstream_selector::score(const candidate& it, std::uint32_t entry_vms,
+                                time_point now) const
+{
+    const double own = static_cast<double>(it.load->in_flight + 1) * entry_vms;
+    const double load = (own + it.view->busy_slots) / it.view->slots;
+    return load * static_cast<double>(latency_of(*it.load, now).count());
+}
+
 const upstream_selector::candidate*
 upstream_selector::best_of(service_state& state, const choice_demand& demand,
                            time_point now) const
@@ -102,7 +117,7 @@
             std::ranges::find_if(state.candidates, [&](const candidate& other) {
                 return other.view->vm == demand.preferred;
             });
-        if (it != state.candidates.end() && is_open(state, *it, demand, now)) {
+        if (it != state.candidates.end() && is_open(*it, demand, now)) {
             return &*it;
         }
     }
@@ -111,9 +126,8 @@
         return pair.first;
     }
     const auto n = state.indexed->entry_vms;
-    const auto first = score(pair.first->load->in_flight, *pair.first->view, n);
-    const auto second =
-        score(pair.second->load->in_flight, *pair.second->view, n);
+    const auto first = score(*pair.first, n, now);
+    const auto second = score(*pair.second, n, now);
     return second < first ? pair.second : pair.first;
 }
 
@@ -122,16 +136,17 @@
                              time_point now) const
 {
     candidate_pair pair;
-    auto best = preference::far;
+    preference best;
     std::uint32_t seen = 0;
     for (const auto& it : state.candidates) {
-        if (!is_open(state, it, demand, now)) {
+        if (!is_open(it, demand, now)) {
             continue;
         }
-        const bool is_new =
-            demand.read_offset.value_or(0) <= it.load->write_offset;
-        const bool is_near = it.view->zone == state.indexed->zone;
-        const auto own = prefer(is_new, is_near);
+        const auto asked = demand.read_offset.value_or(0);
+        const bool maybe_stale = asked > it.load->write_offset;
+        const preference own{.stands_back = stands_back(state, it, now),
+                             .maybe_stale = maybe_stale,
+                             .far = it.view->zone != state.indexed->zone};
         if (seen > 0 && own > best) {
             continue;
         }
@@ -169,6 +184,7 @@
     case answer_verdict::whole:
     case answer_verdict::stale:
         load.health.note_success(options_.health, now);
+        note_latency(load, result.elapsed, now);
         return false;
     case answer_verdict::refused:
         load.resting_until = now + options_.refusal_rest;
@@ -180,6 +196,7 @@
     case answer_verdict::late:
         break;
     }
+    note_latency(load, std::max(result.elapsed, options_.failure_latency), now);
     return load.health.note_failure(options_.health, may_eject(state, now),
                                     now);
 }
@@ -258,21 +275,27 @@
     });
 }
 
-bool upstream_selector::is_open(service_state& state, const candidate& it,
-                                const choice_demand& demand,
-                                time_point now) const
+bool upstream_selector::is_open(const candidate& it,
+                                const choice_demand& demand, time_point now)
 {
-    if (it.load->in_flight >= it.share || now < it.load->resting_until) {
+    if (it.load->in_flight >= it.share || it.load->health.ejected(now)) {
         return false;
     }
+    return std::ranges::find(demand.tried, it.view->vm) == demand.tried.end();
+}
+
+bool upstream_selector::stands_back(service_state& state, const candidate& it,
+                                    time_point now) const
+{
+    if (now < it.load->resting_until) {
+        return true;
+    }
     const auto part = it.load->health.admitted_part(options_.health, now);
-    if (part < 1.0) {
-        std::uniform_real_distribution<double> any{0.0, 1.0};
-        if (any(state.random) >= part) {
-            return false;
-        }
+    if (part >= 1.0) {
+        return false;
     }
-    return std::ranges::find(demand.tried, it.view->vm) == demand.tried.end();
+    std::uniform_real_distribution<double> any{0.0, 1.0};
+    return any(state.random) >= part;
 }
 
 bool upstream_selector::may_eject(const service_state& state,
