--- a/test/state/record.cpp
+++ b/test/state/record.cpp
@@ -136,8 +136,8 @@
     std::mt19937 random{1};
     for (int i = 0; i < 20000; ++i) {
         std::string changed = whole;
-        changed[random() % changed.size()] ^=
-            static_cast<char>(1U << (random() % 8));
+        char& it = changed[random() % changed.size()];
+        it = static_cast<char>(it ^ static_cast<char>(1U << (random() % 8)));
         std::uint64_t unknown = 0;
         reason why;
         REQUIRE_FALSE(decode(changed, unknown, why));
