--- a/test/state/cell_state.cpp
+++ b/test/state/cell_state.cpp
@@ -298,4 +298,24 @@
     CHECK(log.cell.next_offset() == 3);
 }
 
+TEST_CASE("records beside those of unknown kinds keep their numbers")
+{
+    followed_log log;
+    const auto team_record = [](const std::string& name) {
+        return document_published{"team/" + name, 0,
+                                  team_document(name, {1, 1, 1})};
+    };
+    const auto verdicts = log.append_bytes(test::with_unknown_kinds(
+        {.writer = incarnation_id{"d1"},
+         .sequence = 1,
+         .records = {team_record("a"), team_record("b"), team_record("c"),
+                     team_record("d")}},
+        2));
+    REQUIRE(verdicts.size() == 2);
+    CHECK(verdicts[0].number == make_record_number(0, 1));
+    CHECK(verdicts[1].number == make_record_number(0, 3));
+    CHECK(log.cell.documents().at("team/d").revision == verdicts[1].number);
+    CHECK(log.cell.passed_over().at(result_code::record_unknown) == 2);
+}
+
 } // namespace
--- a/test/state/history.cpp
+++ b/test/state/history.cpp
@@ -1,5 +1,10 @@
 #include <test/state/history.hpp>
 
+#include <rosemarytrail/state/internal/codec.hpp>
+
+#include <capnp/any.h>
+
+#include <cstring>
 #include <utility>
 
 namespace rosemarytrail::test {
@@ -47,6 +52,22 @@
            R"("priority":5,"max_attempts":4,"checkpointable":false})";
 }
 
+std::string with_unknown_kinds(const state::batch& value, unsigned step)
+{
+    const std::string bytes = state::encode(value);
+    const auto words = state::internal::open(bytes);
+    capnp::FlatArrayMessageReader reader{*words};
+    capnp::MallocMessageBuilder message;
+    message.setRoot(reader.getRoot<state::schema::Batch>());
+    auto records = message.getRoot<state::schema::Batch>().getRecords();
+    for (unsigned i = 0; i < records.size(); i += step) {
+        const std::uint16_t kind = 999;
+        auto data = capnp::toAny(records[i]).getDataSection();
+        std::memcpy(data.begin(), &kind, sizeof(kind));
+    }
+    return state::internal::seal(message);
+}
+
 std::uint64_t followed_log::next_sequence(const std::string& writer)
 {
     return ++sequences_[writer];
--- a/test/state/history.hpp
+++ b/test/state/history.hpp
@@ -22,6 +22,10 @@
 /** @brief Document of a batch job. */
 [[nodiscard]] std::string job_document(const std::string& team, int tasks);
 
+/** @brief Entry in which every `step`th record is of an unknown kind. */
+[[nodiscard]] std::string with_unknown_kinds(const state::batch& value,
+                                             unsigned step);
+
 /** @brief Log with a state that follows it, for tests of single rules. */
 class followed_log
 {
--- a/test/state/record.cpp
+++ b/test/state/record.cpp
@@ -3,7 +3,7 @@
 #include <rosemarytrail/state/internal/codec.hpp>
 #include <rosemarytrail/state/record.hpp>
 
-#include <capnp/any.h>
+#include <test/state/history.hpp>
 
 #include <cstring>
 #include <random>
@@ -39,23 +39,6 @@
                               201, "text/plain", std::string{"a\0b", 3}}}};
 }
 
-/** @brief Writes the entry with the kinds of some records out of range. */
-std::string with_unknown_kinds(const batch& value, unsigned step)
-{
-    const std::string bytes = encode(value);
-    const auto words = internal::open(bytes);
-    capnp::FlatArrayMessageReader reader{*words};
-    capnp::MallocMessageBuilder message;
-    message.setRoot(reader.getRoot<schema::Batch>());
-    auto records = message.getRoot<schema::Batch>().getRecords();
-    for (unsigned i = 0; i < records.size(); i += step) {
-        const std::uint16_t kind = 999;
-        auto data = capnp::toAny(records[i]).getDataSection();
-        std::memcpy(data.begin(), &kind, sizeof(kind));
-    }
-    return internal::seal(message);
-}
-
 TEST_CASE("a batch survives its encoding")
 {
     const batch value = one_of_each();
@@ -93,7 +76,7 @@
     std::uint64_t unknown = 0;
     reason why;
     const auto copy =
-        decode(with_unknown_kinds(one_of_each(), 2), unknown, why);
+        decode(test::with_unknown_kinds(one_of_each(), 2), unknown, why);
     REQUIRE(copy);
     CHECK(unknown == 8);
     REQUIRE(copy->records.size() == 7);
