--- /dev/null
+++ b/bench/state.cmake
@@ -0,0 +1,1 @@
+rosemarytrail_program(bench_state state.cpp rosemarytrail_state)
