--- a/bench/state.cpp
+++ b/bench/state.cpp
@@ -2,6 +2,7 @@
 
 #include <malloc.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <cstdio>
@@ -143,6 +144,7 @@
 {
     return [n, function] {
         std::vector<record> records;
+        records.reserve(static_cast<std::size_t>(n));
         for (int i = 0; i < n; ++i) {
             records.push_back(function(i));
         }
--- a/test/lib/cell.hpp
+++ b/test/lib/cell.hpp
@@ -8,10 +8,14 @@
 #include <rosemarytrail/platform/log_client.hpp>
 #include <rosemarytrail/platform/vm_list_client.hpp>
 #include <rosemarytrail/platform/worker_client.hpp>
+#include <rosemarytrail/proxy/proxy_handler.hpp>
+#include <rosemarytrail/request/intent_log.hpp>
 #include <rosemarytrail/request/routing_table.hpp>
 #include <rosemarytrail/standin/log_store.hpp>
+#include <rosemarytrail/standin/upstream_model.hpp>
 #include <rosemarytrail/standin/vm_list_model.hpp>
 #include <rosemarytrail/standin/worker_model.hpp>
+#include <rosemarytrail/state/record.hpp>
 #include <test/lib/event_queue.hpp>
 
 #include <cstddef>
@@ -43,7 +47,8 @@
     log_read,
     worker,
     peer,
-    vm_list
+    vm_list,
+    upstream
 };
 
 /** @brief Message that a test may interfere with. */
@@ -64,6 +69,8 @@
 /** @brief What becomes of the message under way. */
 struct message_fate
 {
+    /** @brief It never leaves its sender. */
+    bool never_sent{false};
     /** @brief Its answer never arrives. */
     bool lose_answer{false};
     /** @brief Its answer arrives this much later. */
@@ -81,6 +88,7 @@
     resources vm_capacity{
         .millicores = 4000, .memory_mib = 4096, .accelerators = 1};
     std::uint32_t partitions{4};
+    std::uint64_t snapshot_entries{20};
     state::freshness_options freshness{};
     /** @brief One way, to anything. */
     duration latency{std::chrono::milliseconds{1}};
@@ -92,6 +100,13 @@
 
 class cell;
 
+/** @brief Answer to a caller's request to a service. */
+struct caller_answer
+{
+    http::response answer;
+    bool arrived{false};
+};
+
 /** @brief One daemon: a controller and the ends of its links. */
 struct cell_daemon
 {
@@ -100,7 +115,10 @@
     std::unique_ptr<platform::vm_list_client> vms;
     std::unique_ptr<platform::worker_client> workers;
     std::unique_ptr<control::peer_network> peers;
+    std::unique_ptr<http::client> upstreams;
     std::unique_ptr<control::controller> controller;
+    std::unique_ptr<request::intent_log> intents;
+    std::unique_ptr<proxy::proxy_handler> proxy;
     std::shared_ptr<const request::routing_table> table;
     std::uint64_t generation{};
     bool paused{false};
@@ -117,6 +135,9 @@
 {
     platform::vm_entry entry;
     std::unique_ptr<standin::worker_model> model;
+    std::unique_ptr<standin::upstream_model> upstream;
+    /** @brief Since when the VM list says that it is leaving. */
+    std::optional<time_point> leaving_since{};
     /** @brief No message reaches it or comes back. */
     bool cut{false};
     bool dead{false};
@@ -171,6 +192,31 @@
     status(std::size_t daemon, const team_id& team, const job_id& job,
            record_number read_from = 0);
 
+    /**
+     * @brief Publishes a key of a team and waits.
+     * @param key Id of the key.
+     * @param team Team that it belongs to.
+     * @param withdrawn Whether to withdraw it.
+     * @param replaces Revision that it replaces.
+     * @return What became of it.
+     */
+    [[nodiscard]] control::publish_outcome publish_key(std::size_t daemon,
+                                                       const std::string& key,
+                                                       const std::string& team,
+                                                       bool withdrawn,
+                                                       record_number replaces);
+
+    /**
+     * @brief Sends a request to a service through a daemon.
+     * @param daemon Entry VM.
+     * @param method `GET`, or `POST` with an idempotency key.
+     * @param idempotency_key Key, or empty.
+     * @return Filled in when the answer arrives.
+     */
+    [[nodiscard]] std::shared_ptr<caller_answer>
+    request(std::size_t daemon, const std::string& method,
+            const std::string& idempotency_key);
+
     /** @brief Kills a daemon: its controller is gone at once. */
     void kill(std::size_t daemon);
     /** @brief Starts a new incarnation in the place of a killed daemon. */
@@ -197,6 +243,15 @@
     /** @param text Promise that a test found broken. */
     void report_broken(const std::string& text) { broken_.insert(text); }
 
+    /** @return Greatest attempt number of any start. */
+    [[nodiscard]] std::uint32_t most_attempts() const noexcept
+    {
+        return most_attempts_;
+    }
+
+    /** @return Records of the cell's stream, in order. */
+    [[nodiscard]] std::vector<state::record> records() const;
+
     /** @return Number of workers on which a task runs now. */
     [[nodiscard]] std::size_t places_of(const task_ref& task) const;
 
@@ -207,12 +262,22 @@
     cell_options options;
     standin::log_store log;
     standin::vm_list_model vm_list;
+    standin::run_counter runs;
     std::vector<cell_daemon> daemons;
     std::vector<cell_worker> workers;
     /** @brief Looked at for every message. */
     tap on_message;
     /** @brief Limits that `check` holds running work against. */
     std::map<team_id, resources> limits;
+    /** @brief Document whose revisions `check` follows. */
+    std::string watched_document{"team/salmon"};
+    /** @brief Newest revision of it, and since when the log has it. */
+    record_number newest_revision{};
+    time_point newest_since{};
+    /** @brief Since when the log has the withdrawal of the key. */
+    std::optional<time_point> key_withdrawn_since{};
+    /** @brief Secret that callers show. */
+    std::string shown_key;
     /** @brief Until when a limit may still be passed after it was lowered. */
     std::map<team_id, time_point> limit_grace;
 
@@ -223,8 +288,8 @@
     void wake_readers(const std::string& stream);
     void wait_for_entries(const std::string& stream,
                           std::function<void()> wake);
-    void note_start(const task_ref& task, const resources& request,
-                    const vm_id& vm);
+    void note_start(const platform::worker_command& start,
+                    const cell_worker& worker);
     [[nodiscard]] std::optional<std::size_t>
     daemon_at(const std::string& peer_address) const;
 
@@ -234,6 +299,9 @@
     void check_capacity();
     void check_single_run();
     void check_limits();
+    [[nodiscard]] bool writes(const incarnation_id& writer) const;
+    void check_config();
+    void check_keys();
 
     struct known_task
     {
@@ -241,7 +309,16 @@
         team_id team{};
     };
 
+    struct seen_revision
+    {
+        std::uint64_t generation{};
+        record_number revision{};
+    };
+
     std::map<std::string, std::vector<std::function<void()>>> readers_;
+    std::vector<seen_revision> seen_;
+    time_point next_slow_check_{};
+    std::uint32_t most_attempts_{};
     std::map<task_ref, known_task> known_tasks_;
     std::map<job_id, team_id> teams_of_jobs_;
     std::set<std::string> broken_;
--- a/test/lib/cell_links.cpp
+++ b/test/lib/cell_links.cpp
@@ -20,7 +20,7 @@
     const auto fate = it.see({.to = message_peer::log_append,
                               .daemon = end_.daemon,
                               .payload = &payload});
-    if (!end_.alive()) {
+    if (!end_.alive() || fate.never_sent) {
         return;
     }
     if (it.daemons[end_.daemon].log_cut) {
@@ -136,7 +136,7 @@
                               .daemon = end_.daemon,
                               .vm = found->entry.vm,
                               .batch = &batch});
-    if (!end_.alive()) {
+    if (!end_.alive() || fate.never_sent) {
         return;
     }
     if (found->cut || found->dead || it.daemons[end_.daemon].workers_cut) {
@@ -168,7 +168,7 @@
     }
     for (const auto& command : batch.commands) {
         if (command.kind == platform::command_kind::start) {
-            it.note_start(command.task, command.request, worker.entry.vm);
+            it.note_start(command, worker);
         }
     }
     const auto outcome = worker.model->apply(batch, it.time.now());
@@ -187,6 +187,94 @@
     end_.answer(delay, [done, outcome] { done(outcome); });
 }
 
+void cell_upstream_link::fetch(http::client_request outgoing, callback done)
+{
+    auto& it = end_.owner;
+    const auto found =
+        std::find_if(it.workers.begin(), it.workers.end(), [&](const auto& w) {
+            return outgoing.url.find("//" + w.entry.service_address + "/") !=
+                   std::string::npos;
+        });
+    if (found == it.workers.end()) {
+        end_.answer({}, [done] { done({}); });
+        return;
+    }
+    const auto vm = static_cast<std::size_t>(found - it.workers.begin());
+    const auto fate = it.see({.to = message_peer::upstream,
+                              .daemon = end_.daemon,
+                              .vm = found->entry.vm});
+    if (!end_.alive() || fate.never_sent) {
+        return;
+    }
+    if (found->dead || found->cut) {
+        end_.answer(it.options.latency, [done] { done({}); });
+        return;
+    }
+    it.time.after(it.options.latency, [this, vm, outgoing, fate, done] {
+        take_effect(vm, outgoing, fate, done);
+    });
+}
+
+void cell_upstream_link::take_effect(std::size_t vm,
+                                     const http::client_request& outgoing,
+                                     const message_fate& fate,
+                                     const callback& done)
+{
+    auto& it = end_.owner;
+    auto& worker = it.workers[vm];
+    const auto text = [&](std::string_view name) {
+        return std::string{
+            http::find_header(outgoing.headers, name).value_or("")};
+    };
+    const service_id service{"plugs"};
+    const bool serves = worker.model && worker.model->serves(service);
+    if (!serves) {
+        const http::response refusal{
+            .status = 503,
+            .headers = {{"X-Request-Id", text("X-Request-Id")},
+                        {"X-Not-Run", "1"}}};
+        end_.answer(it.options.latency, [done, refusal] {
+            done({.transport = http::transport_result::complete,
+                  .answer = refusal});
+        });
+        return;
+    }
+    const auto reply =
+        worker.upstream->begin({.service = service,
+                                .request_id = text("X-Request-Id"),
+                                .idempotency_key = text("Idempotency-Key"),
+                                .writes = outgoing.method == "POST"});
+    const auto now_fate = it.see({.to = message_peer::upstream,
+                                  .stage = message_stage::taken_effect,
+                                  .daemon = end_.daemon,
+                                  .vm = worker.entry.vm});
+    const auto delay =
+        it.options.latency + reply.delay + fate.delay + now_fate.delay;
+    it.time.after(reply.delay, [&it, vm] {
+        if (it.workers[vm].upstream) {
+            it.workers[vm].upstream->end();
+        }
+    });
+    const bool lost = fate.lose_answer || now_fate.lose_answer;
+    if (lost || delay >= outgoing.timeout) {
+        const auto transport = lost ? http::transport_result::cut_off
+                                    : http::transport_result::timed_out;
+        end_.answer(std::min(delay, outgoing.timeout),
+                    [done, transport] { done({.transport = transport}); });
+        return;
+    }
+    const http::response answer{
+        .headers = {{"X-Request-Id", reply.request_id}},
+        .body = "{\"run\":" + std::to_string(reply.run) + "}"};
+    end_.answer(delay, [this, vm, done, answer] {
+        // A VM that died meanwhile cuts its answers off.
+        const bool gone = end_.owner.workers[vm].dead;
+        done({.transport = gone ? http::transport_result::cut_off
+                                : http::transport_result::complete,
+              .answer = answer});
+    });
+}
+
 template <typename Answer>
 void cell_peer_link::call(
     const std::string& address,
--- a/test/lib/cell_links.hpp
+++ b/test/lib/cell_links.hpp
@@ -90,6 +90,24 @@
     link_end end_;
 };
 
+/** @brief Link to the upstreams of services. */
+class cell_upstream_link final : public http::client
+{
+public:
+    cell_upstream_link(cell& owner, std::size_t daemon,
+                       std::uint64_t generation)
+        : end_{owner, daemon, generation}
+    {}
+
+    void fetch(http::client_request outgoing, callback done) override;
+
+private:
+    void take_effect(std::size_t vm, const http::client_request& outgoing,
+                     const message_fate& fate, const callback& done);
+
+    link_end end_;
+};
+
 /** @brief Link to the other daemons. */
 class cell_peer_link final : public control::peer_network
 {
