Let a takeover wait for every holder since the last that settled

The wait covered only the holder that was replaced. If that one died before its own takeover was complete, the one before it may never have heard of either claim, in a set of members that no longer counts. A holder now records that it has settled, and the fold keeps the holders since then with the region of each. Taking all sets kept was ruled out, since old majorities vanish; asking the dead holder's heartbeats was ruled out, since they may be lost. The controller must still write partition_settled and use takeover_sets.

--- a/bench/state.cpp
+++ b/bench/state.cpp
@@ -245,6 +245,7 @@
     report_bytes("document_published key",
                  document_published{"key/key-1", 1, key_document(1)});
     report_bytes("partition_claimed", partition_claimed{1, 2});
+    report_bytes("partition_settled", partition_settled{1, 2});
     report_bytes("vm_assigned",
                  vm_assigned{vm_id{"orkanger-worker-1"}, 1, amount});
     report_bytes("vm_handed_over",
--- a/src/rosemarytrail/state/cell_state.cpp
+++ b/src/rosemarytrail/state/cell_state.cpp
@@ -148,6 +148,29 @@
     return data_.history.sets_since(region, make_record_number(next_offset, 0));
 }
 
+std::vector<std::set<incarnation_id>> cell_state::takeover_sets(
+    partition_id partition,
+    const std::function<std::uint64_t(const incarnation_id&)>& known) const
+{
+    if (partition >= data_.partitions.size() ||
+        data_.partitions[partition].former_lost) {
+        return {};
+    }
+    std::vector<std::set<incarnation_id>> sets;
+    for (const former_holder& it : data_.partitions[partition].former) {
+        const std::uint64_t offset =
+            std::max(it.epoch / records_per_batch, known(it.holder));
+        const auto region = region_of(it.holder);
+        const auto of_holder = region ? member_sets_since(*region, offset)
+                                      : std::vector<std::set<incarnation_id>>{};
+        if (of_holder.empty()) {
+            return {};
+        }
+        sets.insert(sets.end(), of_holder.begin(), of_holder.end());
+    }
+    return sets;
+}
+
 bool cell_state::left_by_itself(const incarnation_id& member) const
 {
     return data_.history.left_by_itself(member);
--- a/src/rosemarytrail/state/cell_state.hpp
+++ b/src/rosemarytrail/state/cell_state.hpp
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -138,6 +139,21 @@
     [[nodiscard]] std::vector<std::set<incarnation_id>>
     member_sets_since(std::string_view region, std::uint64_t next_offset) const;
 
+    /**
+     * @brief Sets of members that the claim of a partition must reach.
+     *
+     * They cover every holder since the last that settled, each with the sets
+     * of its own region: one that never heard of its successor may still act.
+     * @param partition Partition that was claimed.
+     * @param known Offset up to which a holder is known to have applied the
+     * log; zero if nothing is known.
+     * @return The sets. Empty if they are not all known, or if the partition is
+     * settled: in the first case there is only the fence.
+     */
+    [[nodiscard]] std::vector<std::set<incarnation_id>> takeover_sets(
+        partition_id partition,
+        const std::function<std::uint64_t(const incarnation_id&)>& known) const;
+
     /**
      * @brief Tells whether a member wrote its own leave record.
      * @param member Member to look up.
--- a/src/rosemarytrail/state/cell_types.hpp
+++ b/src/rosemarytrail/state/cell_types.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace rosemarytrail::state {
 
@@ -24,6 +25,13 @@
     record_number joined{};
 };
 
+/** @brief Holder that may still act, since no later one has settled. */
+struct former_holder
+{
+    incarnation_id holder{};
+    record_number epoch{};
+};
+
 /** @brief Partition and its current claim. */
 struct partition_state
 {
@@ -31,6 +39,12 @@
     incarnation_id holder{};
     /** @brief Number of the claim record; zero if never claimed. */
     record_number epoch{};
+    /** @brief Whether the takeover of this epoch is recorded as complete. */
+    bool settled{};
+    /** @brief Holders before this epoch that may still act, oldest first. */
+    std::vector<former_holder> former{};
+    /** @brief Whether some of them were dropped for want of room. */
+    bool former_lost{};
 };
 
 /** @brief VM and the partition that it is in. */
--- a/src/rosemarytrail/state/internal/rules.hpp
+++ b/src/rosemarytrail/state/internal/rules.hpp
@@ -32,6 +32,9 @@
 [[nodiscard]] record_verdict fold(cell_data& data,
                                   const partition_claimed& value,
                                   const record_context& context);
+[[nodiscard]] record_verdict fold(cell_data& data,
+                                  const partition_settled& value,
+                                  const record_context& context);
 [[nodiscard]] record_verdict fold(cell_data& data, const vm_assigned& value,
                                   const record_context& context);
 [[nodiscard]] record_verdict fold(cell_data& data, const vm_handed_over& value,
--- a/src/rosemarytrail/state/internal/rules_members.cpp
+++ b/src/rosemarytrail/state/internal/rules_members.cpp
@@ -8,6 +8,8 @@
 
 /** @brief Most partitions of a cell. */
 constexpr std::uint32_t partitions_max = 4096;
+/** @brief Most holders in a row that took over without settling. */
+constexpr std::size_t former_max = 16;
 
 record_verdict check_join(const cell_data& data, const member_joined& value,
                           const record_context& context)
@@ -38,6 +40,24 @@
     return {};
 }
 
+/** @brief Makes the writer holder and remembers who may still act. */
+void replace_holder(partition_state& partition, const record_context& context)
+{
+    const bool first = partition.epoch == 0;
+    if (!first) {
+        partition.former.push_back(
+            {.holder = partition.holder, .epoch = partition.epoch});
+    }
+    if (partition.former.size() > former_max) {
+        partition.former.erase(partition.former.begin());
+        partition.former_lost = true;
+    }
+    partition.holder = context.writer;
+    partition.epoch = context.number;
+    // Nobody held it before, so there is nothing to take over.
+    partition.settled = first;
+}
+
 } // namespace
 
 record_verdict make_void(result_code code, std::string detail,
@@ -132,7 +152,22 @@
                              " is held by " + it.holder.str(),
                          it.epoch);
     }
-    it = {.holder = context.writer, .epoch = context.number};
+    replace_holder(it, context);
+    return verdict;
+}
+
+record_verdict fold(cell_data& data, const partition_settled& value,
+                    const record_context& context)
+{
+    record_verdict verdict =
+        check_holder(data, value.partition, value.epoch, context);
+    if (verdict.code != result_code::ok) {
+        return verdict;
+    }
+    partition_state& it = data.partitions[value.partition];
+    it.settled = true;
+    it.former.clear();
+    it.former_lost = false;
     return verdict;
 }
 
--- a/src/rosemarytrail/state/internal/snapshot_read.cpp
+++ b/src/rosemarytrail/state/internal/snapshot_read.cpp
@@ -44,7 +44,14 @@
     for (unsigned i = 0; i < list.size(); ++i) {
         data.partitions[i] = {
             .holder = incarnation_id{to_string(list[i].getHolder())},
-            .epoch = list[i].getEpoch()};
+            .epoch = list[i].getEpoch(),
+            .settled = list[i].getSettled(),
+            .former_lost = list[i].getFormerLost()};
+        for (const auto it : list[i].getFormer()) {
+            data.partitions[i].former.push_back(
+                {.holder = incarnation_id{to_string(it.getHolder())},
+                 .epoch = it.getEpoch()});
+        }
     }
 }
 
--- a/src/rosemarytrail/state/internal/snapshot_write.cpp
+++ b/src/rosemarytrail/state/internal/snapshot_write.cpp
@@ -50,6 +50,15 @@
         auto partition = list[i++];
         partition.setHolder(to_text(it.holder.str()));
         partition.setEpoch(it.epoch);
+        partition.setSettled(it.settled);
+        partition.setFormerLost(it.former_lost);
+        auto former = partition.initFormer(count(it.former));
+        unsigned k = 0;
+        for (const former_holder& holder : it.former) {
+            former[k].setHolder(to_text(holder.holder.str()));
+            former[k].setEpoch(holder.epoch);
+            ++k;
+        }
     }
 }
 
--- a/src/rosemarytrail/state/record.capnp
+++ b/src/rosemarytrail/state/record.capnp
@@ -117,6 +117,11 @@
   body @7 :Data;
 }
 
+struct PartitionSettled {
+  partition @0 :UInt32;
+  epoch @1 :UInt64;
+}
+
 struct Record {
   union {
     none @0 :Void;
@@ -135,6 +140,7 @@
     vmDeclaredLost @13 :VmDeclaredLost;
     intentOpened @14 :IntentOpened;
     intentClosed @15 :IntentClosed;
+    partitionSettled @16 :PartitionSettled;
   }
 }
 
--- a/src/rosemarytrail/state/record.hpp
+++ b/src/rosemarytrail/state/record.hpp
@@ -170,13 +170,20 @@
     std::string body;
 };
 
+/** @brief The writer's takeover of a partition is complete. */
+struct partition_settled
+{
+    partition_id partition{};
+    record_number epoch{};
+};
+
 /** @brief Any record. */
 using record =
     std::variant<member_joined, member_left, document_published,
                  partition_claimed, vm_assigned, vm_handed_over,
                  allowance_handed_over, job_accepted, job_handed_over,
                  job_cancelled, tasks_finished, job_rejected, vm_declared_lost,
-                 intent_opened, intent_closed>;
+                 intent_opened, intent_closed, partition_settled>;
 
 /** @brief Records that one process appended as one log entry. */
 struct batch
--- a/src/rosemarytrail/state/record_decode.cpp
+++ b/src/rosemarytrail/state/record_decode.cpp
@@ -36,6 +36,11 @@
     return {.partition = in.getPartition(), .replaces = in.getReplaces()};
 }
 
+partition_settled read_record(schema::PartitionSettled::Reader in)
+{
+    return {.partition = in.getPartition(), .epoch = in.getEpoch()};
+}
+
 vm_assigned read_record(schema::VmAssigned::Reader in)
 {
     return {.vm = vm_id{to_string(in.getVm())},
@@ -166,6 +171,8 @@
         return read_record(in.getIntentOpened());
     case Record::INTENT_CLOSED:
         return read_record(in.getIntentClosed());
+    case Record::PARTITION_SETTLED:
+        return read_record(in.getPartitionSettled());
     }
     return std::nullopt;
 }
--- a/src/rosemarytrail/state/record_encode.cpp
+++ b/src/rosemarytrail/state/record_encode.cpp
@@ -50,6 +50,13 @@
         it.setReplaces(value.replaces);
     }
 
+    void operator()(const partition_settled& value)
+    {
+        auto it = out.initPartitionSettled();
+        it.setPartition(value.partition);
+        it.setEpoch(value.epoch);
+    }
+
     void operator()(const vm_assigned& value)
     {
         auto it = out.initVmAssigned();
@@ -182,6 +189,10 @@
     {
         return 0;
     }
+    std::size_t operator()(const partition_settled& /*it*/) const noexcept
+    {
+        return 0;
+    }
     std::size_t operator()(const vm_assigned& it) const noexcept
     {
         return texts(it.vm.str());
--- a/src/rosemarytrail/state/snapshot.capnp
+++ b/src/rosemarytrail/state/snapshot.capnp
@@ -17,9 +17,17 @@
   kind @3 :UInt8;
 }
 
+struct FormerHolder {
+  holder @0 :Text;
+  epoch @1 :UInt64;
+}
+
 struct Partition {
   holder @0 :Text;
   epoch @1 :UInt64;
+  settled @2 :Bool;
+  former @3 :List(FormerHolder);
+  formerLost @4 :Bool;
 }
 
 struct Vm {
--- a/test/state/cell_state.cpp
+++ b/test/state/cell_state.cpp
@@ -117,6 +117,44 @@
     CHECK(log.cell.member_sets_since("south", 500).back().size() == 602);
 }
 
+TEST_CASE("a takeover covers all holders since the last that settled")
+{
+    small_cell cell;
+    auto& log = cell.log;
+    const auto nothing = [](const incarnation_id&) {
+        return std::uint64_t{};
+    };
+    const auto sets = [&] {
+        return log.cell.takeover_sets(1, nothing);
+    };
+    CHECK(log.cell.partitions()[1].settled);
+    CHECK(sets().empty());
+    const auto second = log.append("d2", partition_claimed{1, cell.epoch});
+    REQUIRE(sets().size() == 1);
+    CHECK(sets()[0].size() == 2);
+    (void)join(log, "d3");
+    (void)log.append("d3", member_left{incarnation_id{"d2"}});
+    const auto third = log.append("d3", partition_claimed{1, second.number});
+    // d1 may believe in three sets of members, and d2 in the same three.
+    CHECK(sets().size() == 6);
+    CHECK(log.cell
+              .takeover_sets(1,
+                             [&](const incarnation_id& it) {
+                                 return it.str() == "d1"
+                                            ? log.cell.next_offset()
+                                            : 0;
+                             })
+              .size() == 4);
+    CHECK(log.append("d2", partition_settled{1, second.number}).code ==
+          result_code::record_void_epoch);
+    CHECK(log.append("d3", partition_settled{1, third.number}).code ==
+          result_code::ok);
+    CHECK(sets().empty());
+    (void)log.append("d1", partition_claimed{1, third.number});
+    CHECK(sets().size() == 1);
+    CHECK(log.cell.partitions()[1].former.size() == 1);
+}
+
 TEST_CASE("operators who race get one winner and the current revision")
 {
     small_cell cell;
--- a/test/state/history.cpp
+++ b/test/state/history.cpp
@@ -179,7 +179,8 @@
     case 3:
         return any_key();
     case 4:
-        return state::partition_claimed{from, epoch};
+        return chance(70) ? record{state::partition_claimed{from, epoch}}
+                          : state::partition_settled{from, epoch};
     case 5:
         return state::vm_assigned{vm, to, any_amount(64000)};
     case 6:
--- a/test/state/record.cpp
+++ b/test/state/record.cpp
@@ -36,7 +36,8 @@
                 vm_declared_lost{vm_id{"v1"}},
                 intent_opened{team_id{"a"}, service_id{"s"}, "k", 99},
                 intent_closed{team_id{"a"}, service_id{"s"}, "k", true, false,
-                              201, "text/plain", std::string{"a\0b", 3}}}};
+                              201, "text/plain", std::string{"a\0b", 3}},
+                partition_settled{1, 2}}};
 }
 
 TEST_CASE("a batch survives its encoding")
@@ -55,7 +56,7 @@
     CHECK(encode(*copy) == encode(value));
     CHECK(copy->indices.empty());
     CHECK(unknown == 0);
-    const auto& closed = std::get<intent_closed>(copy->records.back());
+    const auto& closed = std::get<intent_closed>(copy->records[14]);
     CHECK(closed.body.size() == 3);
     CHECK_FALSE(closed.answered);
 }
@@ -79,8 +80,9 @@
         decode(test::with_unknown_kinds(one_of_each(), 2), unknown, why);
     REQUIRE(copy);
     CHECK(unknown == 8);
-    REQUIRE(copy->records.size() == 7);
-    CHECK(copy->indices == std::vector<std::uint32_t>{1, 3, 5, 7, 9, 11, 13});
+    REQUIRE(copy->records.size() == 8);
+    CHECK(copy->indices ==
+          std::vector<std::uint32_t>{1, 3, 5, 7, 9, 11, 13, 15});
     CHECK(std::holds_alternative<member_left>(copy->records.front()));
 }
 
