--- a/src/rosemarytrail/http/server.cpp
+++ b/src/rosemarytrail/http/server.cpp
@@ -5,6 +5,7 @@
 
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
@@ -112,17 +113,21 @@
     internal::acceptor acceptor;
     std::atomic<bool> draining{false};
     std::atomic<std::size_t> in_flight{0};
+    std::atomic<unsigned> open_connections{0};
     internal::waiting_exchanges waiting;
 
     static MHD_Result access(void* context, MHD_Connection* connection,
                              const char* url, const char* method,
                              const char* version, const char* data,
                              std::size_t* size, void** slot);
+    static void connection_changed(void* context, MHD_Connection* connection,
+                                   void** slot,
+                                   MHD_ConnectionNotificationCode code);
     static void completed(void* context, MHD_Connection* connection,
                           void** slot, MHD_RequestTerminationCode code);
 
     [[nodiscard]] MHD_Daemon* start_daemon();
-    void add_connection(int socket) const;
+    void add_connection(int socket);
     [[nodiscard]] MHD_Result on_head(exchange_state& it);
     [[nodiscard]] MHD_Result on_body(exchange_state& it,
                                      std::string_view part) const;
@@ -249,14 +254,31 @@
     stop();
 }
 
-void server::internal_state::add_connection(int socket) const
+// The library's own limit is one for each thread, and it gives a connection to
+// a full thread also while another one has room.
+void server::internal_state::add_connection(int socket)
 {
+    if (open_connections.fetch_add(1) >= options.connections) {
+        open_connections.fetch_sub(1);
+        ::close(socket);
+        return;
+    }
     sockaddr_in peer{};
     socklen_t size = sizeof(peer);
     auto* generic = reinterpret_cast<sockaddr*>(&peer);
     ::getpeername(socket, generic, &size);
-    // It closes the socket if there are too many connections.
-    MHD_add_connection(daemon, socket, generic, size);
+    if (MHD_add_connection(daemon, socket, generic, size) != MHD_YES) {
+        open_connections.fetch_sub(1);
+    }
+}
+
+void server::internal_state::connection_changed(
+    void* context, MHD_Connection* /*connection*/, void** /*slot*/,
+    MHD_ConnectionNotificationCode code)
+{
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+        static_cast<internal_state*>(context)->open_connections.fetch_sub(1);
+    }
 }
 
 MHD_Daemon* server::internal_state::start_daemon()
@@ -264,7 +286,8 @@
     const auto idle_seconds =
         std::chrono::ceil<std::chrono::seconds>(options.idle_timeout).count();
     const unsigned threads = std::max(options.threads, 1U);
-    const unsigned connections = std::max(options.connections, threads);
+    // Out of the way of our own limit, also while closed ones are cleared up.
+    const auto connections = std::size_t{options.connections} * threads * 2;
     std::vector<MHD_OptionItem> items{
         {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(connections),
          nullptr},
@@ -272,6 +295,8 @@
          nullptr},
         {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
          static_cast<intptr_t>(connection_memory_bytes), nullptr},
+        {MHD_OPTION_NOTIFY_CONNECTION,
+         reinterpret_cast<intptr_t>(&internal_state::connection_changed), this},
         {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&on_uri),
          nullptr},
         {MHD_OPTION_NOTIFY_COMPLETED,
--- a/test/http/server.cpp
+++ b/test/http/server.cpp
@@ -7,6 +7,9 @@
 
 #include <atomic>
 #include <future>
+#include <mutex>
+#include <thread>
+#include <vector>
 
 using namespace rosemarytrail;       // NOLINT
 using namespace rosemarytrail::http; // NOLINT
@@ -140,6 +143,56 @@
     held->respond({.body = "too late"});
 }
 
+TEST_CASE("A connection that the peer closed while idle fails no request",
+          "[http]")
+{
+    const auto client = make_curl_client({.connections_per_host = 1});
+    std::uint16_t port = 0;
+    for (int i = 0; i < 3; ++i) {
+        std::atomic<int> runs{0};
+        http_server server{[&](const exchange_pointer& it) {
+                               ++runs;
+                               accept(it);
+                           },
+                           {.port = port}};
+        const auto colon = server.base.rfind(':') + 1;
+        port = static_cast<std::uint16_t>(std::stoi(server.base.substr(colon)));
+        const auto result = client->fetch_and_wait(
+            {.method = "POST", .url = server.base + "/", .body = "x"});
+        CHECK(result.transport == transport_result::complete);
+        CHECK(runs == 1);
+    }
+}
+
+TEST_CASE("Connections beyond the limit are closed and run nothing", "[http]")
+{
+    std::mutex lock;
+    std::vector<exchange_pointer> held;
+    http_server server{[&](const exchange_pointer& it) {
+                           const std::lock_guard guard{lock};
+                           held.push_back(it);
+                       },
+                       {.connections = 2}};
+    const auto client = make_curl_client({});
+    std::vector<std::promise<client_response>> first(2);
+    for (auto& done : first) {
+        client->fetch({.url = server.base + "/"}, [&](client_response it) {
+            done.set_value(std::move(it));
+        });
+    }
+    while (server.inner.in_flight() < first.size()) {
+        std::this_thread::yield();
+    }
+    const auto third = client->fetch_and_wait({.url = server.base + "/"});
+    CHECK(third.transport != transport_result::complete);
+    CHECK(server.inner.in_flight() == first.size());
+    server.inner.stop();
+    CHECK(held.size() == first.size());
+    for (auto& done : first) {
+        CHECK(done.get_future().get().transport == transport_result::cut_off);
+    }
+}
+
 TEST_CASE("An address that cannot be listened on gives a reason", "[http]")
 {
     rosemarytrail::test::function_handler unused;
