--- a/src/rosemarytrail/control/internal/routing.cpp
+++ b/src/rosemarytrail/control/internal/routing.cpp
@@ -1,6 +1,7 @@
 #include <rosemarytrail/control/internal/controller_state.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace rosemarytrail::control {
@@ -185,8 +186,11 @@
     for (const auto& [team, spec] : cell().teams()) {
         table->weights.emplace(team, spec.weight);
     }
-    table->entry_vms =
-        1U + static_cast<std::uint32_t>(peers.working(now).size());
+    const auto working = peers.working(now);
+    const auto before = working.lower_bound(options.self);
+    table->entry_vms = 1U + static_cast<std::uint32_t>(working.size());
+    table->entry_rank =
+        static_cast<std::uint32_t>(std::distance(working.begin(), before));
     table->zone = options.zone;
     table->fresh_until =
         fresh.acts_until(options.self, region_members(), cell().next_offset());
--- a/src/rosemarytrail/load/experiment.cpp
+++ b/src/rosemarytrail/load/experiment.cpp
@@ -17,6 +17,7 @@
     field_reader fields{object, "targets[" + std::to_string(n) + "]", why};
     fields.text("name", it.name);
     fields.text("key", it.key);
+    fields.text("ready_path", it.ready_path);
     for (const auto& url : fields.array("urls")) {
         if (!url.is_string()) {
             fields.fail(result_code::settings_field_type,
--- a/src/rosemarytrail/load/experiment.hpp
+++ b/src/rosemarytrail/load/experiment.hpp
@@ -19,6 +19,11 @@
     std::string name;
     /** @brief Addresses that requests go to in turn; `urls`. */
     std::vector<std::string> urls;
+    /**
+     * @brief Path that answers 200 while a url's host takes work; requests go
+     * to such hosts only, as by a balancer; `ready_path`; may be empty.
+     */
+    std::string ready_path{};
     /** @brief Key to show, `<key id>.<secret>`; `key`; may be empty. */
     std::string key;
 };
--- a/src/rosemarytrail/load/fwd.hpp
+++ b/src/rosemarytrail/load/fwd.hpp
@@ -10,6 +10,7 @@
 struct target_result;
 struct phase_result;
 
+class balancer;
 class latency_recorder;
 
 } // namespace rosemarytrail::load
--- a/src/rosemarytrail/load/result.cpp
+++ b/src/rosemarytrail/load/result.cpp
@@ -42,6 +42,7 @@
             {"not_sent", it.not_sent},
             {"good", it.good},
             {"refused", it.refused},
+            {"not_run", it.not_run},
             {"crossed", it.crossed},
             {"failed", it.failed},
             {"goodput", a_second(it.good, span)},
--- a/src/rosemarytrail/load/result.hpp
+++ b/src/rosemarytrail/load/result.hpp
@@ -49,6 +49,8 @@
     std::uint64_t crossed{};
     /** @brief Everything else: timeouts, cut off, other statuses. */
     std::uint64_t failed{};
+    /** @brief Refusals that say "not run"; nothing is lost by them. */
+    std::uint64_t not_run{};
     /** @brief Refusals by number. */
     std::map<int, std::uint64_t> codes;
     latency_recorder good_latency;
--- a/src/rosemarytrail/load/runner.cpp
+++ b/src/rosemarytrail/load/runner.cpp
@@ -1,9 +1,11 @@
 #include <rosemarytrail/load/runner.hpp>
 
+#include <rosemarytrail/load/balancer.hpp>
 #include <rosemarytrail/load/plan.hpp>
 
 #include <charconv>
 #include <condition_variable>
+#include <deque>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -32,6 +34,7 @@
         result_.span = part.span;
         for (const auto& it : whole.targets) {
             result_.targets.push_back({.name = it.name});
+            balancers_.emplace_back(ports.client, it);
         }
     }
 
@@ -41,6 +44,7 @@
         const auto start = ports_.clock.now();
         for (const auto& it : requests) {
             ports_.wait_until(start + it.at);
+            balancers_[it.target].poll(ports_.clock.now());
             send(it, start + it.at);
         }
         std::unique_lock lock{mutex_};
@@ -74,12 +78,11 @@
     }
 
     [[nodiscard]] http::client_request request_of(const planned_request& it,
-                                                  const std::string& id) const
+                                                  const std::string& id)
     {
         const auto& target = whole_.targets[it.target];
-        const auto n = std::hash<std::string>{}(id) % target.urls.size();
         http::client_request outgoing{.method = it.post ? "POST" : "GET",
-                                      .url = target.urls[n],
+                                      .url = balancers_[it.target].next(),
                                       .timeout = part_.timeout};
         outgoing.headers.push_back({"X-Request-Id", id});
         outgoing.headers.push_back(
@@ -123,6 +126,8 @@
             http::find_header(answer.headers, "X-Rosemarytrail-Code");
         if (code) {
             ++result.refused;
+            const auto said = answer.body.find("\"not_run\":true");
+            result.not_run += said == std::string::npos ? 0 : 1;
             int n = 0;
             std::from_chars(code->data(), code->data() + code->size(), n);
             ++result.codes[n];
@@ -140,6 +145,7 @@
     const runner_ports& ports_;
     std::string id_prefix_;
     std::string body_;
+    std::deque<balancer> balancers_;
     std::mutex mutex_;
     std::condition_variable idle_;
     std::size_t in_flight_{};
