--- a/src/rosemarytrail/request/upstream_selector.cpp
+++ b/src/rosemarytrail/request/upstream_selector.cpp
@@ -82,6 +82,15 @@
                            .known_offset = best->load->write_offset};
 }
 
+void upstream_selector::note_refusal(upstream_load& load, time_point now) const
+{
+    constexpr std::uint32_t most_doublings = 10;
+    const auto doublings = std::min(load.refusals_in_row++, most_doublings);
+    load.resting_until =
+        now + std::min(options_.refusal_rest * (1U << doublings),
+                       options_.refusal_rest_cap);
+}
+
 duration upstream_selector::latency_of(const upstream_load& load,
                                        time_point now) const
 {
@@ -183,11 +192,12 @@
     switch (result.verdict) {
     case answer_verdict::whole:
     case answer_verdict::stale:
+        load.refusals_in_row = 0;
         load.health.note_success(options_.health, now);
         note_latency(load, result.elapsed, now);
         return false;
     case answer_verdict::refused:
-        load.resting_until = now + options_.refusal_rest;
+        note_refusal(load, now);
         return false;
     case answer_verdict::failed:
     case answer_verdict::not_sent:
--- a/src/rosemarytrail/request/upstream_selector.hpp
+++ b/src/rosemarytrail/request/upstream_selector.hpp
@@ -28,6 +28,8 @@
     retry_budget_options retries{};
     /** @brief Time for which others go before one that refused a request. */
     duration refusal_rest{std::chrono::milliseconds{20}};
+    /** @brief Longest such time; it doubles with each refusal in a row. */
+    duration refusal_rest_cap{std::chrono::seconds{1}};
     /** @brief Time constant with which a measured latency is forgotten. */
     duration latency_memory{std::chrono::seconds{2}};
     /** @brief Latency that a failure counts as. */
@@ -143,6 +145,7 @@
         std::uint32_t in_flight{};
         std::uint64_t write_offset{};
         time_point resting_until{};
+        std::uint32_t refusals_in_row{};
         /** @brief Greatest latency seen, less what was forgotten since. */
         duration latency{};
         time_point measured{};
@@ -175,6 +178,7 @@
         const candidate* second{};
     };
 
+    void note_refusal(upstream_load& load, time_point now) const;
     [[nodiscard]] duration latency_of(const upstream_load& load,
                                       time_point now) const;
     void note_latency(upstream_load& load, duration sample,
--- a/test/request/upstream_selector.cpp
+++ b/test/request/upstream_selector.cpp
@@ -105,6 +105,28 @@
     CHECK(it.why.code == result_code::no_upstream);
 }
 
+TEST_CASE("An upstream that refuses all is asked ever less", "[request]")
+{
+    fixture it{.table = share(table_of(2, 1))};
+    int refused = 0;
+    for (int n = 0; n < 1000; ++n) {
+        const auto choice = it.choose();
+        const bool refuses = choice->vm == vm_id{"vm0"};
+        refused += refuses ? 1 : 0;
+        it.end(*choice,
+               refuses ? answer_verdict::refused : answer_verdict::whole);
+        it.clock.advance(std::chrono::milliseconds{5});
+    }
+    // Five seconds: six doublings from 20 ms, then one a second.
+    CHECK(refused >= 6);
+    CHECK(refused <= 12);
+    for (int n = 0; n < 8; ++n) {
+        it.choose();
+    }
+    // If no other is open, it is asked all the same.
+    CHECK(it.choose().has_value());
+}
+
 TEST_CASE("Failing upstreams are ejected up to a cap and return slowly",
           "[request]")
 {
