--- a/src/rosemarytrail/proxy/internal/call.cpp
+++ b/src/rosemarytrail/proxy/internal/call.cpp
@@ -58,7 +58,7 @@
     core_->requests.add();
     reason why;
     if (!check(why) || !core_->admission.enter(account_, why)) {
-        refuse(std::move(why), true);
+        refuse(why, true);
         return;
     }
     entered_ = true;
@@ -106,7 +106,7 @@
 {
     reason why;
     if (!core_->admission.has_place(place(), table_->weights, why)) {
-        refuse(std::move(why), true);
+        refuse(why, true);
         return;
     }
     intent_ = {.team = team_,
@@ -131,7 +131,7 @@
         return;
     case intent_verdict::in_progress:
     case intent_verdict::unknown:
-        refuse(std::move(outcome.why), false);
+        refuse(outcome.why, false);
         return;
     case intent_verdict::not_run:
         break;
@@ -139,16 +139,30 @@
     if (sent_before_ && outcome.why.code != result_code::request_id_reused) {
         outcome.why.code = result_code::outcome_unknown;
     }
-    refuse(std::move(outcome.why), true);
+    refuse(outcome.why, true);
 }
 
 void call::dispatch()
 {
     reason why;
     place_ = place();
-    if (!core_->admission.enter_service(place_, table_->weights, why)) {
+    const auto answer = core_->admission.enter_service(
+        place_, table_->weights, core_->clock.now(),
+        [self = shared_from_this()](bool taken) {
+            reason late{.code = result_code::overloaded, .retry_after = soon};
+            self->on_place(taken, late);
+        },
+        why);
+    if (answer != request::place_answer::waiting) {
+        on_place(answer == request::place_answer::taken, why);
+    }
+}
+
+void call::on_place(bool taken, const reason& why)
+{
+    if (!taken) {
         end_unsent();
-        refuse(std::move(why), true);
+        refuse(why, true);
         return;
     }
     in_service_ = true;
@@ -175,7 +189,7 @@
             return;
         }
         end_unsent();
-        refuse(std::move(why), true);
+        refuse(why, true);
         return;
     }
     ++attempts_;
@@ -205,7 +219,8 @@
         request::check_answer(result, {.request_id = upstream_id,
                                        .read_offset = target_.read_offset,
                                        .known_offset = choice.known_offset});
-    request::upstream_result seen{.verdict = verdict};
+    request::upstream_result seen{.verdict = verdict,
+                                  .elapsed = result.elapsed};
     if (bears_id(verdict)) {
         seen.write_offset =
             request::find_offset(result.answer.headers, "X-Write-Offset");
@@ -269,7 +284,7 @@
     } else {
         why.retry_after = soon;
     }
-    refuse(std::move(why), !may_have_run_);
+    refuse(why, !may_have_run_);
 }
 
 void call::end_intent(answer_verdict verdict, const http::response& answer)
@@ -290,15 +305,16 @@
     }
 }
 
-void call::refuse(reason why, bool not_run)
+void call::refuse(const reason& why, bool not_run)
 {
     finish(core_->refuse(why, not_run && !sent_before_, id_));
 }
 
 void call::finish(http::response answer)
 {
+    std::vector<request::place_news> news;
     if (in_service_) {
-        core_->admission.leave_service(place_);
+        news = core_->admission.leave_service(place_, core_->clock.now());
     }
     if (entered_) {
         core_->admission.leave(account_);
@@ -309,6 +325,7 @@
     exchange_->respond(std::move(answer));
     core_->in_flight_gauge.add(-1);
     core_->in_flight.fetch_sub(1);
+    tell(std::move(news));
 }
 
 request::service_place call::place()
--- a/src/rosemarytrail/proxy/internal/call.hpp
+++ b/src/rosemarytrail/proxy/internal/call.hpp
@@ -36,6 +36,7 @@
     void open_intent();
     void on_intent(request::intent_outcome outcome);
     void dispatch();
+    void on_place(bool taken, const reason& why);
     void attempt();
     void on_result(const request::upstream_choice& choice,
                    const std::string& upstream_id,
@@ -45,7 +46,7 @@
     void end_intent(request::answer_verdict verdict,
                     const http::response& answer);
     void end_unsent();
-    void refuse(reason why, bool not_run);
+    void refuse(const reason& why, bool not_run);
     void finish(http::response answer);
 
     [[nodiscard]] request::service_place place();
