--- /dev/null
+++ b/bench/http.cmake
@@ -0,0 +1,1 @@
+rosemarytrail_program(bench_http http.cpp rosemarytrail_http)
--- a/src/rosemarytrail/control/controller.cpp
+++ b/src/rosemarytrail/control/controller.cpp
@@ -51,7 +51,7 @@
     self.caller_writer.tick(now);
     self.tick_waiters(now);
     if (self.holder_of(0) != nullptr) {
-        self.log.maybe_snapshot(now);
+        self.log.maybe_snapshot(self.options.snapshot_entries);
     }
     self.publish_routing(now);
     self.held_partitions.set(static_cast<std::int64_t>(self.holders.size()));
@@ -157,6 +157,11 @@
                                     : "reads the log",
                       .retry_after = ready_retry_after};
     }
+    if (!self.peers_known) {
+        return reason{.code = result_code::catching_up,
+                      .detail = "waits for the peers' first heartbeats",
+                      .retry_after = ready_retry_after};
+    }
     if (!self.may_act(now)) {
         return reason{.code = result_code::isolated,
                       .detail = "hears neither the log nor a majority of its "
