--- a/test/daemon/control_thread.cpp
+++ b/test/daemon/control_thread.cpp
@@ -45,16 +45,17 @@
 
 TEST_CASE("closures of many threads run on the control thread, in order")
 {
-    constexpr int per_thread = 500;
-    constexpr int threads = 4;
+    constexpr std::size_t per_thread = 500;
+    constexpr std::size_t threads = 4;
     fixture it{per_thread * threads};
-    std::vector<std::vector<int>> seen(threads);
-    std::atomic<int> run{0};
+    std::vector<std::vector<std::size_t>> seen(threads);
+    std::atomic<std::size_t> run{0};
     std::promise<void> all;
     std::vector<std::thread> callers;
-    for (int n = 0; n < threads; ++n) {
+    callers.reserve(threads);
+    for (std::size_t n = 0; n < threads; ++n) {
         callers.emplace_back([&, n] {
-            for (int k = 0; k < per_thread; ++k) {
+            for (std::size_t k = 0; k < per_thread; ++k) {
                 const bool taken = it.thread.post([&, n, k] {
                     // No lock: only one thread may come here.
                     seen[n].push_back(k);
--- a/test/rpc/peers.cpp
+++ b/test/rpc/peers.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
-using std::chrono_literals::operator""ms;
-using std::chrono_literals::operator""s;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 control::heartbeat some_heartbeat()
 {
@@ -81,7 +81,7 @@
                                    .failed = 2,
                                    .waits_for = result_code::waiting_for_room,
                                    .wait_detail = "d",
-                                   .waits_since = 5s,
+                                   .waits_since = seconds{5},
                                    .from_holder = true,
                                    .vms = {vm_id{"v"}}};
     }
@@ -219,7 +219,7 @@
         CHECK(job->failed == 2);
         CHECK(job->waits_for == result_code::waiting_for_room);
         CHECK(job->wait_detail == "d");
-        CHECK(job->waits_since == 5s);
+        CHECK(job->waits_since == seconds{5});
         CHECK(job->from_holder);
         CHECK(job->vms == std::vector{vm_id{"v"}});
     });
@@ -302,7 +302,8 @@
 
 TEST_CASE("a peer that dies ends the calls in flight and is found again")
 {
-    fixture it{{.least_back_off = 1ms, .greatest_back_off = 2ms}};
+    fixture it{{.least_back_off = milliseconds{1},
+                .greatest_back_off = milliseconds{2}}};
     REQUIRE(it.exchange());
     it.handler.hold_cancel = true;
     int ended = 0;
@@ -323,7 +324,8 @@
 
 TEST_CASE("a call without an answer ends at its timeout")
 {
-    fixture it{{.call_timeout = 20ms, .cancel_timeout = 20ms}};
+    fixture it{
+        {.call_timeout = milliseconds{20}, .cancel_timeout = milliseconds{20}}};
     it.handler.hold_cancel = true;
     int ended = 0;
     it.client.cancel(it.address, job_id{"k"}, [&](auto outcome) {
