Write the daemon's refusals by the proxy's function

Both wrote the same JSON and headers; the daemon adds the status of codes that have none of an error, the default wait and the current revision.

--- a/src/rosemarytrail/daemon/refusal.cpp
+++ b/src/rosemarytrail/daemon/refusal.cpp
@@ -1,6 +1,7 @@
 #include <rosemarytrail/daemon/refusal.hpp>
 
 #include <rosemarytrail/core/result_code.hpp>
+#include <rosemarytrail/proxy/refusal.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -16,7 +17,6 @@
 namespace {
 
 constexpr duration default_retry_after{std::chrono::seconds{1}};
-constexpr std::int64_t milliseconds_per_second = 1000;
 constexpr std::size_t longest_request_id = 128;
 constexpr int too_many_requests = 429;
 constexpr int unavailable = 503;
@@ -37,15 +37,6 @@
     return std::nullopt;
 }
 
-void add_retry_after(std::vector<http::header>& headers, duration span)
-{
-    const auto ms = std::max<std::int64_t>(to_milliseconds(span), 1);
-    const auto seconds =
-        (ms + milliseconds_per_second - 1) / milliseconds_per_second;
-    headers.push_back({"Retry-After", std::to_string(seconds)});
-    headers.push_back({"Retry-After-Ms", std::to_string(ms)});
-}
-
 bool is_id_character(char c)
 {
     return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
@@ -71,23 +62,16 @@
 
 http::response to_response(const refusal& value)
 {
-    using nlohmann::json;
-    const auto& row = describe(value.why.code);
-    const auto code = static_cast<unsigned>(row.code);
-    json body{{"code", code},
-              {"reason", row.name},
-              {"detail", value.why.detail.empty() ? std::string{row.meaning}
-                                                  : value.why.detail},
-              {"not_run", value.not_run}};
-    if (value.current)
+    auto why = value.why;
+    const auto status = status_of(describe(why.code));
+    why.retry_after = retry_after_of(why, status);
+    auto answer = proxy::refusal(why, value.not_run, "");
+    answer.status = status;
+    if (value.current) {
+        auto body = nlohmann::json::parse(answer.body);
         body["current"] = *value.current;
-    http::response answer{
-        .status = status_of(row),
-        .headers = {{"Content-Type", "application/json"},
-                    {"X-Rosemarytrail-Code", std::to_string(code)}},
-        .body = body.dump(-1, ' ', false, json::error_handler_t::replace)};
-    if (const auto span = retry_after_of(value.why, answer.status))
-        add_retry_after(answer.headers, *span);
+        answer.body = body.dump();
+    }
     return answer;
 }
 
