--- a/bench/placement_policy.cpp
+++ b/bench/placement_policy.cpp
@@ -292,7 +292,7 @@
         return std::clamp(static_cast<std::int64_t>(value), low, high);
     }
 
-    void add_job(job_spec spec, duration run_time)
+    void add_job(const job_spec& spec, duration run_time)
     {
         const job_id id{"j" + std::to_string(serial_)};
         ++serial_;
--- a/src/rosemarytrail/placement/internal/ledger.cpp
+++ b/src/rosemarytrail/placement/internal/ledger.cpp
@@ -208,7 +208,7 @@
     room_changed();
 }
 
-void ledger::count_spread(job_state& job, index vm, bool add)
+void ledger::count_spread(job_state& job, index vm, bool add) const
 {
     if (job.spec.policy != job_class::service) {
         return;
--- a/src/rosemarytrail/placement/internal/ledger.hpp
+++ b/src/rosemarytrail/placement/internal/ledger.hpp
@@ -96,7 +96,7 @@
 private:
     void attach(task_key key, index vm, time_point now);
     void detach(task_key key);
-    void count_spread(job_state& job, index vm, bool add);
+    void count_spread(job_state& job, index vm, bool add) const;
     void add_to_queue(index job);
     void remove_from_queue(index job);
 
--- a/test/placement/failures.cpp
+++ b/test/placement/failures.cpp
@@ -24,7 +24,7 @@
 std::vector<decision> wait(placement_cell& cell)
 {
     for (int it = 0; it < 1000; ++it) {
-        const auto made = cell.after(100ms);
+        auto made = cell.after(100ms);
         if (!made.empty()) {
             return made;
         }
--- a/test/placement/limits.cpp
+++ b/test/placement/limits.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 using namespace std::chrono_literals;
-using test::only;
 using test::placement_cell;
 using test::vm_size;
 
--- a/test/placement/policies.cpp
+++ b/test/placement/policies.cpp
@@ -57,9 +57,10 @@
     cell.add("b", {.team = team_a, .tasks = 8, .request = quarter});
     CHECK(by_vm(cell.decide()).size() == 2);
     const auto job =
-        cell.add("c", {.team = team_a, .tasks = 3, .request = quarter});
+        cell.add("c", {.team = team_a, .tasks = 4, .request = quarter});
     cell.scheduler->adopt_task({job, 0}, 1, cell.vms[6], cell.now);
     cell.scheduler->adopt_task({job, 1}, 1, cell.vms[6], cell.now);
+    cell.scheduler->adopt_task({job, 2}, 1, cell.vms[3], cell.now);
     CHECK(cell.decide().at(0).vm == cell.vms[6]);
 }
 
