--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -60,8 +60,9 @@
 class Load:
     """Open loop of batch jobs through all daemons in turn."""
 
-    def __init__(self, cell, rate):
+    def __init__(self, cell, rate, owners=(("salmon", KEY),)):
         self.cell = cell
+        self.owners = owners
         self.period = TASKS_PER_JOB / rate
         self.ended = threading.Event()
         self.refused = 0
@@ -88,13 +89,14 @@
             due, n = self.take_turn()
             time.sleep(max(0, due - time.monotonic()))
             connection = connections[n % len(connections)]
-            job = {"kind": "job", "name": f"load-{n}", "team": "salmon",
+            team, key = self.owners[n % len(self.owners)]
+            job = {"kind": "job", "name": f"load-{n}", "team": team,
                    "class": "batch", "tasks": TASKS_PER_JOB,
                    "run_time_ms": RUN_TIME_MS,
                    "request": {"millicores": 1000, "memory_mib": 1024,
                                "accelerators": 0}}
             try:
-                connection.request("POST", "/v1/jobs", json.dumps(job), KEY)
+                connection.request("POST", "/v1/jobs", json.dumps(job), key)
                 got = connection.getresponse()
                 got.read()
                 taken = got.status == 201
