Take a lock where the proxy test reads the runs; lint

ThreadSanitizer reported eight races, all between the upstream threads of the test and its reading of their map of runs; none in the modules.

--- a/src/rosemarytrail/proxy/internal/call.cpp
+++ b/src/rosemarytrail/proxy/internal/call.cpp
@@ -325,7 +325,7 @@
     exchange_->respond(std::move(answer));
     core_->in_flight_gauge.add(-1);
     core_->in_flight.fetch_sub(1);
-    tell(std::move(news));
+    tell(news);
 }
 
 request::service_place call::place()
--- a/src/rosemarytrail/proxy/internal/core.cpp
+++ b/src/rosemarytrail/proxy/internal/core.cpp
@@ -78,9 +78,9 @@
     return refusal(why, not_run, request_id);
 }
 
-void tell(std::vector<request::place_news> news)
+void tell(const std::vector<request::place_news>& news)
 {
-    for (auto& it : news) {
+    for (const auto& it : news) {
         it.tell(it.taken);
     }
 }
--- a/src/rosemarytrail/proxy/internal/core.hpp
+++ b/src/rosemarytrail/proxy/internal/core.hpp
@@ -71,7 +71,7 @@
 };
 
 /** @brief Tells requests that waited whether they have a place. */
-void tell(std::vector<request::place_news> news);
+void tell(const std::vector<request::place_news>& news);
 
 } // namespace rosemarytrail::proxy
 
--- a/src/rosemarytrail/request/upstream_selector.cpp
+++ b/src/rosemarytrail/request/upstream_selector.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <compare>
 #include <functional>
+#include <tuple>
 #include <utility>
 
 namespace rosemarytrail::request {
@@ -22,7 +22,11 @@
     bool maybe_stale{};
     bool far{};
 
-    [[nodiscard]] auto operator<=>(const preference&) const = default;
+    [[nodiscard]] bool operator<(const preference& other) const noexcept
+    {
+        return std::tie(stands_back, maybe_stale, far) <
+               std::tie(other.stands_back, other.maybe_stale, other.far);
+    }
 };
 
 std::uint32_t rounded_up(std::uint32_t whole, std::uint32_t parts) noexcept
@@ -156,7 +160,7 @@
         const preference own{.stands_back = stands_back(state, it, now),
                              .maybe_stale = maybe_stale,
                              .far = it.view->zone != state.indexed->zone};
-        if (seen > 0 && own > best) {
+        if (seen > 0 && best < own) {
             continue;
         }
         if (seen == 0 || own < best) {
--- a/test/proxy/proxy.cpp
+++ b/test/proxy/proxy.cpp
@@ -111,7 +111,7 @@
         CHECK(http::find_header(answer.headers, "X-Request-Id") ==
               "same for all");
         const auto target = "/plugs/" + path;
-        const int runs = it.runs.runs[target];
+        const int runs = it.runs.count(target);
         CHECK_FALSE((is_late(path) && answer.status == 200));
         if (answer.status == 200) {
             ++good;
@@ -143,7 +143,7 @@
     CHECK(first.answer.status == 200);
     CHECK(second.answer.body == first.answer.body);
     CHECK(http::find_header(second.answer.headers, "X-Kept-Answer"));
-    CHECK(it.runs.runs["/plugs/b"] == 1);
+    CHECK(it.runs.count("/plugs/b") == 1);
 }
 
 TEST_CASE("What is refused is refused with its number", "[proxy]")
@@ -169,7 +169,7 @@
     CHECK(code_of(request) == "300");
     request = it.make("GET", "x", std::chrono::milliseconds{0});
     CHECK(code_of(request) == "304");
-    CHECK(it.runs.runs.empty());
+    CHECK(it.runs.empty());
 }
 
 TEST_CASE("Drain answers what is in flight and refuses the rest", "[proxy]")
--- a/test/proxy/proxy_fixture.hpp
+++ b/test/proxy/proxy_fixture.hpp
@@ -60,7 +60,8 @@
 class proxy_fixture
 {
 public:
-    proxy_fixture(std::size_t upstreams, raw_upstream::fault_source faults,
+    proxy_fixture(std::size_t upstreams,
+                  const raw_upstream::fault_source& faults,
                   std::chrono::milliseconds late_by)
     {
         auto table = std::make_shared<request::routing_table>();
--- a/test/proxy/raw_upstream.cpp
+++ b/test/proxy/raw_upstream.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <stdexcept>
 #include <utility>
 
 namespace rosemarytrail::test {
@@ -55,9 +56,12 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
     auto* const plain = reinterpret_cast<sockaddr*>(&address);
-    bind(listener_, plain, size);
-    listen(listener_, SOMAXCONN);
-    getsockname(listener_, plain, &size);
+    const bool listens = bind(listener_, plain, size) == 0 &&
+                         listen(listener_, SOMAXCONN) == 0 &&
+                         getsockname(listener_, plain, &size) == 0;
+    if (!listens) {
+        throw std::runtime_error{"no upstream can listen"};
+    }
     address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
     acceptor_ = std::thread{[this] {
         accept_all();
--- a/test/proxy/raw_upstream.hpp
+++ b/test/proxy/raw_upstream.hpp
@@ -37,6 +37,19 @@
         ++runs[path];
     }
 
+    [[nodiscard]] int count(const std::string& path)
+    {
+        const std::lock_guard lock{mutex};
+        const auto it = runs.find(path);
+        return it == runs.end() ? 0 : it->second;
+    }
+
+    [[nodiscard]] bool empty()
+    {
+        const std::lock_guard lock{mutex};
+        return runs.empty();
+    }
+
     std::mutex mutex;
     std::map<std::string, int> runs;
 };
