--- a/src/rosemarytrail/request/intent_log.cpp
+++ b/src/rosemarytrail/request/intent_log.cpp
@@ -1,14 +1,7 @@
-#include <rosemarytrail/request/intent_log.hpp>
-
-#include <rosemarytrail/state/record.hpp>
+#include <rosemarytrail/request/internal/intent_log_state.hpp>
 
 #include <algorithm>
-#include <deque>
-#include <mutex>
-#include <optional>
-#include <unordered_map>
 #include <utility>
-#include <vector>
 
 namespace rosemarytrail::request {
 
@@ -30,125 +23,8 @@
                     .retry_after = wait}};
 }
 
-intent_outcome with_verdict(intent_verdict verdict, result_code code,
-                            std::string detail)
-{
-    return {.verdict = verdict,
-            .why = {.code = code, .detail = std::move(detail)}};
-}
-
-intent_outcome reused()
-{
-    return with_verdict(intent_verdict::not_run, result_code::request_id_reused,
-                        "the key was used with another method, path or body");
-}
-
-intent_outcome in_progress()
-{
-    auto it = with_verdict(intent_verdict::in_progress,
-                           result_code::request_in_progress, {});
-    it.why.retry_after = busy_wait;
-    return it;
-}
-
-intent_outcome ran_without_answer(int status)
-{
-    return with_verdict(intent_verdict::unknown, result_code::outcome_unknown,
-                        "it ran with status " + std::to_string(status) +
-                            "; its answer is not kept");
-}
-
 } // namespace
 
-struct intent_log::internal_state : std::enable_shared_from_this<internal_state>
-{
-    using callback = std::function<void(intent_outcome)>;
-
-    /** @brief Opening that was queued and not read back yet. */
-    struct pending_open
-    {
-        intent_key key;
-        std::uint64_t sequence{};
-        time_point deadline{};
-        callback done;
-    };
-
-    /** @brief Close by this daemon that the fold has not applied yet. */
-    struct pending_close
-    {
-        std::uint64_t sequence{};
-        std::uint64_t fingerprint{};
-        bool ran{};
-        kept_answer answer;
-    };
-
-    /** @brief What is to be done once the lock is released. */
-    struct actions
-    {
-        std::vector<std::pair<callback, intent_outcome>> calls;
-        std::optional<state::pending_append> append;
-        std::optional<platform::read_options> read;
-    };
-
-    internal_state(const intent_log_options& chosen, platform::log_client& to,
-                   const time_source& source, liveness query)
-        : options{chosen}
-        , log{to}
-        , clock{source}
-        , alive{std::move(query)}
-        , table{chosen.table}
-        , queue{chosen.appends}
-    {}
-
-    void perform(actions todo);
-    void plan_io(actions& todo, time_point now);
-    void on_append(const platform::append_outcome& outcome);
-    void on_read(const platform::read_outcome& outcome);
-    void apply(const platform::log_entry& entry, actions& todo, time_point now);
-    void resolve(const opening& it, std::uint64_t sequence, actions& todo,
-                 time_point now);
-    void start_over(std::uint64_t from, actions& todo);
-
-    std::optional<intent_outcome> known(const intent_name& name,
-                                        std::uint64_t fingerprint) const;
-    intent_outcome judge(const intent_state& it,
-                         std::uint64_t fingerprint) const;
-    intent_outcome judge(const pending_close& it,
-                         std::uint64_t fingerprint) const;
-    std::optional<intent_outcome> refuse() const;
-    void open(intent_key key, time_point deadline, callback done,
-              actions& todo);
-    void close(const intent_key& key, bool ran, kept_answer answer);
-    void push_unsent();
-    void give_up(const pending_open& it, result_code code, actions& todo);
-    void expire(actions& todo, time_point now);
-    void note_failures(actions& todo);
-    bool is_down() const
-    {
-        return append_failures >= options.failures_until_down ||
-               read_failures >= options.failures_until_down;
-    }
-
-    intent_log_options options;
-    platform::log_client& log;
-    const time_source& clock;
-    liveness alive;
-
-    mutable std::mutex mutex;
-    intent_table table;
-    state::append_queue queue;
-    std::unordered_map<intent_name, pending_open, intent_name_hash> opens;
-    std::unordered_map<intent_name, pending_close, intent_name_hash> closes;
-    std::deque<state::intent_closed> unsent;
-    std::uint64_t next_offset{};
-    time_point next_read{};
-    std::uint32_t append_failures{};
-    std::uint32_t read_failures{};
-    bool append_in_flight{false};
-    bool read_in_flight{false};
-    bool caught_up{false};
-};
-
 void intent_log::internal_state::perform(actions todo)
 {
     const auto weak = weak_from_this();
@@ -303,70 +179,6 @@
     next_offset = std::max(from, next_offset + 1);
 }
 
-intent_outcome
-intent_log::internal_state::judge(const intent_state& it,
-                                  std::uint64_t fingerprint) const
-{
-    if (it.fingerprint != fingerprint) {
-        return reused();
-    }
-    switch (it.phase) {
-    case intent_phase::answered:
-        return {.verdict = intent_verdict::answered, .answer = it.answer};
-    case intent_phase::ran:
-        return ran_without_answer(it.answer.status);
-    case intent_phase::unknown:
-        return with_verdict(intent_verdict::unknown,
-                            result_code::outcome_unknown, {});
-    case intent_phase::open:
-        break;
-    }
-    if (it.writer == options.appends.writer || alive(it.writer)) {
-        return in_progress();
-    }
-    return with_verdict(intent_verdict::unknown, result_code::outcome_unknown,
-                        "the entry VM that may have run it is gone");
-}
-
-std::optional<intent_outcome>
-intent_log::internal_state::known(const intent_name& name,
-                                  std::uint64_t fingerprint) const
-{
-    const auto waiting = opens.find(name);
-    if (waiting != opens.end()) {
-        const bool same = waiting->second.key.fingerprint == fingerprint;
-        return same ? in_progress() : reused();
-    }
-    const auto closed = closes.find(name);
-    if (closed != closes.end() && closed->second.ran) {
-        return judge(closed->second, fingerprint);
-    }
-    const auto* const state = table.find(name);
-    if (state == nullptr) {
-        return std::nullopt;
-    }
-    // Its own close, still on the way to the log, frees the key.
-    const bool own = state->writer == options.appends.writer;
-    if (own && closed != closes.end()) {
-        return std::nullopt;
-    }
-    return judge(*state, fingerprint);
-}
-
-intent_outcome
-intent_log::internal_state::judge(const pending_close& it,
-                                  std::uint64_t fingerprint) const
-{
-    if (it.fingerprint != fingerprint) {
-        return reused();
-    }
-    if (it.answer.status == 0) {
-        return with_verdict(intent_verdict::unknown,
-                            result_code::outcome_unknown, {});
-    }
-    return {.verdict = intent_verdict::answered, .answer = it.answer};
-}
-
 std::optional<intent_outcome> intent_log::internal_state::refuse() const
 {
     if (!caught_up) {
--- /dev/null
+++ b/src/rosemarytrail/request/internal/intent_log_state.hpp
@@ -0,0 +1,108 @@
+#ifndef ROSEMARYTRAIL_REQUEST_INTERNAL_INTENT_LOG_STATE_HPP
+#define ROSEMARYTRAIL_REQUEST_INTERNAL_INTENT_LOG_STATE_HPP
+
+#include <rosemarytrail/request/intent_log.hpp>
+#include <rosemarytrail/state/record.hpp>
+
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace rosemarytrail::request {
+
+/** @brief State of the log of intents, and its steps. */
+struct intent_log::internal_state : std::enable_shared_from_this<internal_state>
+{
+    using callback = std::function<void(intent_outcome)>;
+
+    /** @brief Opening that was queued and not read back yet. */
+    struct pending_open
+    {
+        intent_key key;
+        std::uint64_t sequence{};
+        time_point deadline{};
+        callback done;
+    };
+
+    /** @brief Close by this daemon that the fold has not applied yet. */
+    struct pending_close
+    {
+        std::uint64_t sequence{};
+        std::uint64_t fingerprint{};
+        bool ran{};
+        kept_answer answer;
+    };
+
+    /** @brief What is to be done once the lock is released. */
+    struct actions
+    {
+        std::vector<std::pair<callback, intent_outcome>> calls;
+        std::optional<state::pending_append> append;
+        std::optional<platform::read_options> read;
+    };
+
+    internal_state(const intent_log_options& chosen, platform::log_client& to,
+                   const time_source& source, liveness query)
+        : options{chosen}
+        , log{to}
+        , clock{source}
+        , alive{std::move(query)}
+        , table{chosen.table}
+        , queue{chosen.appends}
+    {}
+
+    void perform(actions todo);
+    void plan_io(actions& todo, time_point now);
+    void on_append(const platform::append_outcome& outcome);
+    void on_read(const platform::read_outcome& outcome);
+    void apply(const platform::log_entry& entry, actions& todo, time_point now);
+    void resolve(const opening& it, std::uint64_t sequence, actions& todo,
+                 time_point now);
+    void start_over(std::uint64_t from, actions& todo);
+
+    std::optional<intent_outcome> known(const intent_name& name,
+                                        std::uint64_t fingerprint) const;
+    intent_outcome judge(const intent_state& it,
+                         std::uint64_t fingerprint) const;
+    intent_outcome judge(const pending_close& it,
+                         std::uint64_t fingerprint) const;
+    std::optional<intent_outcome> refuse() const;
+    void open(intent_key key, time_point deadline, callback done,
+              actions& todo);
+    void close(const intent_key& key, bool ran, kept_answer answer);
+    void push_unsent();
+    void give_up(const pending_open& it, result_code code, actions& todo);
+    void expire(actions& todo, time_point now);
+    void note_failures(actions& todo);
+    bool is_down() const
+    {
+        return append_failures >= options.failures_until_down ||
+               read_failures >= options.failures_until_down;
+    }
+
+    intent_log_options options;
+    platform::log_client& log;
+    const time_source& clock;
+    liveness alive;
+
+    mutable std::mutex mutex;
+    intent_table table;
+    state::append_queue queue;
+    std::unordered_map<intent_name, pending_open, intent_name_hash> opens;
+    std::unordered_map<intent_name, pending_close, intent_name_hash> closes;
+    std::deque<state::intent_closed> unsent;
+    std::uint64_t next_offset{};
+    time_point next_read{};
+    std::uint32_t append_failures{};
+    std::uint32_t read_failures{};
+    bool append_in_flight{false};
+    bool read_in_flight{false};
+    bool caught_up{false};
+};
+
+} // namespace rosemarytrail::request
+
+#endif
