Cover every holder since the last that settled; no news from a leaving peer

Causes, found by reading and by the model of the takeover: the controller took the member sets of a takeover from the claim that it replaced, in its own region, so a holder before that one, or in another region, could be missed; and a peer that had written its leave record, which counts as reached, went on answering and kept a former holder acting. Now a holder records that its takeover is complete, the fold names all holders since the last record of that kind, and a draining peer's answers are no news.

--- a/src/rosemarytrail/control/internal/controller_state.hpp
+++ b/src/rosemarytrail/control/internal/controller_state.hpp
@@ -76,8 +76,7 @@
     void on_vm_moved(const vm_id& vm, partition_id from, partition_id to);
     void on_job_moved(const state::job_handed_over& it);
     void on_job_over(const job_id& job);
-    void begin_holding(partition_id partition, record_number claim, bool first,
-                       std::uint64_t from);
+    void begin_holding(partition_id partition, record_number claim, bool first);
     [[nodiscard]] partition_holder* holder_of(partition_id partition);
     [[nodiscard]] const partition_holder*
     holder_of(partition_id partition) const;
@@ -175,7 +174,6 @@
     peer_table peers;
     claim_policy policy{claim_options{}};
     std::map<partition_id, std::unique_ptr<partition_holder>> holders;
-    std::map<partition_id, incarnation_id> known_holders;
     std::map<vm_id, platform::vm_entry> vm_list;
     bool vm_list_in_flight{false};
     time_point next_vm_list{};
--- a/src/rosemarytrail/control/internal/events.cpp
+++ b/src/rosemarytrail/control/internal/events.cpp
@@ -174,7 +174,6 @@
                                             const incarnation_id& by)
 {
     policy.set_pending(it.partition, false);
-    const auto former = std::exchange(known_holders[it.partition], by);
     const bool held = holders.erase(it.partition) > 0;
     if (by != options.self) {
         if (held) {
@@ -188,14 +187,11 @@
     ports.changed(result_code::ok, "claimed partition " +
                                        std::to_string(it.partition) +
                                        ", epoch " + std::to_string(number));
-    const auto from =
-        std::max(it.replaces / records_per_batch, peers.applied_by(former));
-    begin_holding(it.partition, number, it.replaces == 0, from);
+    begin_holding(it.partition, number, it.replaces == 0);
 }
 
 void controller::internal_state::begin_holding(partition_id partition,
-                                               record_number claim, bool first,
-                                               std::uint64_t from)
+                                               record_number claim, bool first)
 {
     const auto now = ports.clock.now();
     std::set<vm_id> vms;
@@ -206,7 +202,10 @@
                 vms.insert(vm);
             }
         }
-        sets = cell().member_sets_since(options.region, from);
+        sets = cell().takeover_sets(partition,
+                                    [this](const incarnation_id& holder) {
+                                        return peers.applied_by(holder);
+                                    });
     }
     const auto known_sets = sets;
     state::takeover proof{options.freshness, claim, std::move(vms),
@@ -229,6 +228,7 @@
     holders[partition] = std::make_unique<partition_holder>(
         holder_options{.partition = partition,
                        .epoch = claim,
+                       .first = first,
                        .spans = options.freshness,
                        .worker_period = options.worker_period,
                        .scheduler = {.seed = partition + 1U}},
@@ -282,10 +282,8 @@
     const auto& partitions = cell().partitions();
     for (std::size_t n = 0; n < partitions.size(); ++n) {
         const auto id = static_cast<partition_id>(n);
-        known_holders[id] = partitions[n].holder;
         if (partitions[n].holder == options.self) {
-            begin_holding(id, partitions[n].epoch, false,
-                          partitions[n].epoch / records_per_batch);
+            begin_holding(id, partitions[n].epoch, false);
         }
     }
 }
--- a/src/rosemarytrail/control/internal/exchange.cpp
+++ b/src/rosemarytrail/control/internal/exchange.cpp
@@ -89,7 +89,11 @@
 void controller::internal_state::learn(const heartbeat& theirs,
                                        time_point asked, time_point now)
 {
-    fresh.peer_heard(theirs.sender, asked, theirs.next_offset);
+    if (!theirs.draining) {
+        // Its leave record counts as reached in a takeover, so what it says
+        // after writing that record must keep nobody acting.
+        fresh.peer_heard(theirs.sender, asked, theirs.next_offset);
+    }
     learn_from(theirs, now);
 }
 
--- a/src/rosemarytrail/control/partition_holder.cpp
+++ b/src/rosemarytrail/control/partition_holder.cpp
@@ -171,6 +171,19 @@
         held.link->tick(may_act, options_.worker_period, now);
     }
     flush_finished();
+    record_settled(now);
+}
+
+void partition_holder::record_settled(time_point now)
+{
+    if (options_.first || settled_recorded_ || !settled(now)) {
+        return;
+    }
+    reason why;
+    settled_recorded_ = ports_.writer.push(
+        state::partition_settled{.partition = options_.partition,
+                                 .epoch = options_.epoch},
+        [](const write_outcome&) {}, why);
 }
 
 void partition_holder::carry_out(const placement::decision& it, time_point now)
--- a/src/rosemarytrail/control/partition_holder.hpp
+++ b/src/rosemarytrail/control/partition_holder.hpp
@@ -30,6 +30,8 @@
     partition_id partition{};
     /** @brief Number of the claim. */
     record_number epoch{};
+    /** @brief Nobody held the partition before. */
+    bool first{false};
     state::freshness_options spans{};
     duration worker_period{std::chrono::milliseconds{500}};
     placement::scheduler_options scheduler{};
@@ -244,6 +246,7 @@
                      std::uint32_t attempt);
     void record_success(const vm_id& vm, const platform::task_report& report);
     void flush_finished();
+    void record_settled(time_point now);
     void reject(const placement::decision& it);
     [[nodiscard]] bool is_over(const task_ref& task) const;
 
@@ -264,6 +267,7 @@
     std::set<task_ref> recording_;
     std::set<job_id> rejecting_;
     std::vector<finished_task> finished_;
+    bool settled_recorded_{false};
     std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
 };
 
--- a/test/control/cell.cpp
+++ b/test/control/cell.cpp
@@ -84,3 +84,41 @@
     }));
     CHECK(it.broken().empty());
 }
+
+TEST_CASE("A new holder records that its takeover is complete", "[control]")
+{
+    cell it{cell_options{}};
+    REQUIRE(it.settle());
+    it.kill(0);
+    it.run_for(20s);
+    std::size_t claimed_by_others = 0;
+    std::size_t settled = 0;
+    for (const auto& record : it.records()) {
+        const auto* claim =
+            std::get_if<rosemarytrail::state::partition_claimed>(&record);
+        claimed_by_others += claim != nullptr && claim->replaces != 0 ? 1 : 0;
+        settled +=
+            std::holds_alternative<rosemarytrail::state::partition_settled>(
+                record)
+                ? 1
+                : 0;
+    }
+    CHECK(claimed_by_others > 0);
+    CHECK(settled == claimed_by_others);
+}
+
+TEST_CASE("What a peer says while it shuts down is no news", "[control]")
+{
+    // Its leave counts as reached in a takeover, so its later answers must
+    // not keep a former holder acting.
+    cell it{cell_options{.daemons = 2}};
+    REQUIRE(it.settle());
+    it.log.set_faults({.mode = rosemarytrail::standin::fault_mode::down});
+    it.run_for(5s);
+    REQUIRE_FALSE(it.daemons[0].controller->not_ready(it.time.now()));
+    it.daemons[1].controller->begin_shutdown(it.time.now());
+    it.run_for(it.options.freshness.news_period + 1s);
+    const auto closed = it.daemons[0].controller->not_ready(it.time.now());
+    REQUIRE(closed);
+    CHECK(closed->code == rosemarytrail::result_code::isolated);
+}
