Refuse a submission at once when the log refuses its append

Cause: a batch that the log had refused counted as maybe in the log, so the first submissions of a log outage waited out their whole timeout and were answered as unknown. A refused batch that was never left unanswered now goes back among the unsent ones and can be dropped: 'not run' is true. The fault matrix first read the change as a false 'not run' in three cells; the trace showed that the fixture reported refused appends as taken effect, which a refused append does not do, and the fixture was corrected.

--- a/src/rosemarytrail/control/record_writer.cpp
+++ b/src/rosemarytrail/control/record_writer.cpp
@@ -54,6 +54,10 @@
         return;
     }
     ++failures_;
+    if (outcome.result == platform::append_result::refused) {
+        queue_.refused(outcome.retry_after, now);
+        return;
+    }
     queue_.failed(outcome.retry_after, now);
 }
 
--- a/src/rosemarytrail/state/append_queue.cpp
+++ b/src/rosemarytrail/state/append_queue.cpp
@@ -74,6 +74,26 @@
         return;
     }
     sent_->awaited = false;
+    sent_->maybe_in_log = true;
+    retry_later(retry_after, now);
+}
+
+void append_queue::refused(std::optional<duration> retry_after, time_point now)
+{
+    if (!sent_) {
+        return;
+    }
+    sent_->awaited = false;
+    retry_later(retry_after, now);
+    if (!sent_->maybe_in_log) {
+        open_.push_front(std::move(sent_->source));
+        sent_.reset();
+    }
+}
+
+void append_queue::retry_later(std::optional<duration> retry_after,
+                               time_point now)
+{
     const duration wait =
         std::max(retry_wait_, retry_after.value_or(duration::zero()));
     not_before_ = std::max(not_before_, now + wait);
@@ -120,7 +140,8 @@
     open_batch& front = open_.front();
     sent_ = sent_batch{.entry = {.sequence = front.value.sequence,
                                  .payload = encode(front.value)},
-                       .records = front.value.records.size()};
+                       .records = front.value.records.size(),
+                       .source = std::move(front)};
     open_.pop_front();
 }
 
--- a/src/rosemarytrail/state/append_queue.hpp
+++ b/src/rosemarytrail/state/append_queue.hpp
@@ -73,12 +73,22 @@
     void appended(time_point now);
 
     /**
-     * @brief Reports a refusal or a lost answer; the batch will be sent again.
+     * @brief Reports a lost answer; the same batch will be sent again.
      * @param retry_after When to try again, if the log said so.
      * @param now Present time.
      */
     void failed(std::optional<duration> retry_after, time_point now);
 
+    /**
+     * @brief Reports that the log refused the batch, so it is not in the log.
+     *
+     * Unless an earlier sending of it was unanswered, its records count as
+     * never sent again and can be dropped; else it will be sent again.
+     * @param retry_after When to try again, if the log said so.
+     * @param now Present time.
+     */
+    void refused(std::optional<duration> retry_after, time_point now);
+
     /**
      * @brief Drops all records of a batch that was never sent.
      * @param sequence Batch whose records are given up, those of other callers
@@ -113,12 +123,17 @@
     {
         pending_append entry;
         std::size_t records{};
+        /** @brief As it was queued, should it go back. */
+        open_batch source;
+        /** @brief A sending of it was not answered. */
+        bool maybe_in_log{false};
         /** @brief Whether its answer is awaited. */
         bool awaited{};
     };
 
     [[nodiscard]] bool has_room(std::size_t bytes) const noexcept;
     void send_front();
+    void retry_later(std::optional<duration> retry_after, time_point now);
 
     append_queue_options options_;
     std::deque<open_batch> open_;
--- a/test/control/cell.cpp
+++ b/test/control/cell.cpp
@@ -122,3 +122,23 @@
     REQUIRE(closed);
     CHECK(closed->code == rosemarytrail::result_code::isolated);
 }
+
+TEST_CASE("A job that comes as the log goes down is refused at once",
+          "[control]")
+{
+    cell it{cell_options{}};
+    REQUIRE(it.settle());
+    REQUIRE(it.publish_team("salmon", wide_limit));
+    it.log.set_faults({.mode = rosemarytrail::standin::fault_mode::down});
+    const auto asked = it.time.now();
+    const auto outcome = it.submit(0, batch_job(1));
+    CHECK(it.time.now() - asked < 1s);
+    CHECK(outcome.not_run);
+    CHECK(outcome.why.code == rosemarytrail::result_code::submission_log_down);
+    it.log.set_faults({});
+    it.run_for(10s);
+    for (const auto& record : it.records()) {
+        CHECK_FALSE(
+            std::holds_alternative<rosemarytrail::state::job_accepted>(record));
+    }
+}
--- a/test/lib/cell_links.cpp
+++ b/test/lib/cell_links.cpp
@@ -46,10 +46,14 @@
 {
     auto& it = end_.owner;
     const auto result = it.log.append(stream, payload, it.time.now());
-    const auto now_fate = it.see({.to = message_peer::log_append,
-                                  .stage = message_stage::taken_effect,
-                                  .daemon = end_.daemon,
-                                  .payload = &payload});
+    // A refused append takes no effect: it is not in the log.
+    message_fate now_fate;
+    if (result.outcome.result == platform::append_result::appended) {
+        now_fate = it.see({.to = message_peer::log_append,
+                           .stage = message_stage::taken_effect,
+                           .daemon = end_.daemon,
+                           .payload = &payload});
+    }
     it.wake_readers(stream);
     const auto slow = it.log.faults().mode == standin::fault_mode::slow
                           ? it.log.faults().slow
