--- a/src/rosemarytrail/control/partition_holder.hpp
+++ b/src/rosemarytrail/control/partition_holder.hpp
@@ -30,6 +30,8 @@
     partition_id partition{};
     /** @brief Number of the claim. */
     record_number epoch{};
+    /** @brief Nobody held the partition before. */
+    bool first{false};
     state::freshness_options spans{};
     duration worker_period{std::chrono::milliseconds{500}};
     placement::scheduler_options scheduler{};
@@ -149,16 +151,6 @@
      */
     [[nodiscard]] resources queued_by(const team_id& team) const;
 
-    /**
-     * @brief What tasks of a team may be using unseen on VMs that are not
-     * proved free of the former holder.
-     * @param team Team to look up.
-     * @param now Present time.
-     * @return Upper bound of it.
-     */
-    [[nodiscard]] resources unseen_use(const team_id& team,
-                                       time_point now) const;
-
     /**
      * @brief VMs in contact on which nothing is committed.
      * @param now Present time.
@@ -254,6 +246,7 @@
                      std::uint32_t attempt);
     void record_success(const vm_id& vm, const platform::task_report& report);
     void flush_finished();
+    void record_settled(time_point now);
     void reject(const placement::decision& it);
     [[nodiscard]] bool is_over(const task_ref& task) const;
 
@@ -270,12 +263,11 @@
     std::map<vm_id, held_vm> vms_;
     std::unordered_map<task_ref, held_task> tasks_;
     std::map<job_id, time_point> jobs_;
-    /** Jobs accepted before the claim; kept until the takeover is complete. */
-    std::set<job_id> inherited_;
     std::set<team_id> teams_;
     std::set<task_ref> recording_;
     std::set<job_id> rejecting_;
     std::vector<finished_task> finished_;
+    bool settled_recorded_{false};
     std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
 };
 
