--- a/test/faults/matrix.cpp
+++ b/test/faults/matrix.cpp
@@ -1,28 +1,44 @@
-#include "scenario.hpp"
+#include "matrix.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <string>
 
+namespace rosemarytrail::test {
+
+std::set<std::string> run_cell(const fault_step& step,
+                               std::span<const fault* const> faults)
+{
+    scenario it{step, faults};
+    it.run();
+    return it.broken;
+}
+
+bool needs_message(const fault_step& step, const fault& it)
+{
+    return !step.is_step && it.change_message;
+}
+
+} // namespace rosemarytrail::test
+
 using rosemarytrail::test::all_faults;
 using rosemarytrail::test::fault;
 using rosemarytrail::test::fault_step;
 using rosemarytrail::test::fault_steps;
-using rosemarytrail::test::scenario;
+using rosemarytrail::test::needs_message;
+using rosemarytrail::test::run_cell;
+using rosemarytrail::test::shards;
 
 namespace {
 
-constexpr std::size_t shards = 6;
-
-void run_cell(const fault_step& step, std::span<const fault* const> faults)
+void check_cell(const fault_step& step, std::span<const fault* const> faults)
 {
-    scenario it{step, faults};
-    it.run();
     std::string name{step.name};
     for (const auto* with : faults) {
         name += " | " + std::string{with->name};
     }
-    for (const auto& line : it.broken) {
+    for (const auto& line : run_cell(step, faults)) {
         INFO(name << ": " << line);
         CHECK(line.empty());
     }
@@ -34,9 +50,38 @@
     for (std::size_t n = shard; n < steps.size(); n += shards) {
         for (const auto& it : all_faults()) {
             const fault* one = &it;
-            run_cell(steps[n], {&one, 1});
+            check_cell(steps[n], {&one, 1});
+        }
+    }
+}
+
+[[nodiscard]] std::size_t run_pairs_at(const fault_step& step)
+{
+    const auto& faults = all_faults();
+    std::size_t count = 0;
+    for (std::size_t a = 1; a < faults.size(); ++a) {
+        for (std::size_t b = a + 1; b < faults.size(); ++b) {
+            const std::array pair{&faults[a], &faults[b]};
+            if (needs_message(step, *pair[0]) ||
+                needs_message(step, *pair[1])) {
+                continue;
+            }
+            check_cell(step, pair);
+            ++count;
         }
     }
+    return count;
+}
+
+/** The first fault is none; pairs with it are the matrix itself. */
+void run_pairs(std::size_t shard)
+{
+    const auto& steps = fault_steps();
+    std::size_t count = 0;
+    for (std::size_t n = shard; n < steps.size(); n += shards) {
+        count += run_pairs_at(steps[n]);
+    }
+    WARN("pairs run: " << count);
 }
 
 } // namespace
@@ -65,3 +110,27 @@
 {
     run_shard(5);
 }
+TEST_CASE("Each pair of faults at every step, 0", "[.pairs0]")
+{
+    run_pairs(0);
+}
+TEST_CASE("Each pair of faults at every step, 1", "[.pairs1]")
+{
+    run_pairs(1);
+}
+TEST_CASE("Each pair of faults at every step, 2", "[.pairs2]")
+{
+    run_pairs(2);
+}
+TEST_CASE("Each pair of faults at every step, 3", "[.pairs3]")
+{
+    run_pairs(3);
+}
+TEST_CASE("Each pair of faults at every step, 4", "[.pairs4]")
+{
+    run_pairs(4);
+}
+TEST_CASE("Each pair of faults at every step, 5", "[.pairs5]")
+{
+    run_pairs(5);
+}
--- a/test/faults/scenario.cpp
+++ b/test/faults/scenario.cpp
@@ -178,6 +178,7 @@
         check_jobs();
     }
     check_not_run();
+    check_cancelled();
     check_bookings();
     check_planned_stop();
 }
@@ -240,6 +241,24 @@
     }
 }
 
+void scenario::check_cancelled()
+{
+    const auto daemon = a_running_daemon();
+    if (!cancelled || !cancel_recorded || daemon == world.daemons.size()) {
+        return;
+    }
+    const auto status = world.status(daemon, team_id{"salmon"}, *cancelled);
+    if (!status || status->phase != "cancelled") {
+        broken.insert("promise 5: a recorded cancellation was undone: " +
+                      (status ? status->phase : "unknown"));
+    }
+    for (std::uint32_t n = 0; status && n < status->tasks; ++n) {
+        if (world.places_of({*cancelled, n}) != 0) {
+            broken.insert("promise 5: a task of a cancelled job runs");
+        }
+    }
+}
+
 void scenario::check_bookings()
 {
     constexpr int done = 200;
--- a/test/faults/scenario.hpp
+++ b/test/faults/scenario.hpp
@@ -89,8 +89,8 @@
     std::vector<tracked_request> bookings;
     /** @brief Job that its caller cancelled. */
     std::optional<job_id> cancelled;
-    /** @brief Whether the caller was told that it takes effect. */
-    bool cancel_in_effect{false};
+    /** @brief Whether the caller was told that it is in effect and recorded. */
+    bool cancel_recorded{false};
     bool armed{false};
     bool struck{false};
     bool key_gone{false};
@@ -107,6 +107,7 @@
     void finish();
     void check_not_run();
     void check_jobs();
+    void check_cancelled();
     void check_bookings();
     void check_read_your_writes();
     void check_planned_stop();
--- a/test/faults/steps.cpp
+++ b/test/faults/steps.cpp
@@ -97,7 +97,7 @@
     it.armed = it.step.is_step != nullptr;
     it.world.daemons[1].controller->cancel(
         team_id{"salmon"}, *last.job, [&it](control::cancel_outcome out) {
-            it.cancel_in_effect = out.in_effect;
+            it.cancel_recorded = out.in_effect && out.recorded;
         });
 }
 
