Double the messages that the matrix says it doubles

A doubled append sent an empty payload, since the payload was moved before it was copied; a message doubled at its effect was not doubled at all. A request over TCP isn't doubled: these cells are not applicable.

--- a/test/faults/scenario.hpp
+++ b/test/faults/scenario.hpp
@@ -29,6 +29,8 @@
     bool before_sending{false};
     /** @brief How long after the message the fault comes. */
     duration after{};
+    /** @brief The message is a request over TCP. */
+    bool over_tcp{false};
 };
 
 /** @brief Fault, and how it ends. */
@@ -43,6 +45,8 @@
     bool may_lose_tasks{false};
     /** @brief The process of the step ends, with what it had not sent. */
     bool kills_actor{false};
+    /** @brief The message arrives a second time. */
+    bool doubles{false};
 };
 
 /** @brief A submission of the scenario, and what the caller was told. */
--- a/test/lib/cell_links.cpp
+++ b/test/lib/cell_links.cpp
@@ -27,10 +27,18 @@
         end_.answer(it.options.call_timeout, [done] { done({}); });
         return;
     }
+    repeat_append(stream, payload, fate);
     it.time.after(it.options.latency,
                   [this, stream = std::move(stream),
                    payload = std::move(payload), fate,
                    done] { take_append(stream, payload, fate, done); });
+}
+
+void cell_log_link::repeat_append(const std::string& stream,
+                                  const std::string& payload,
+                                  const message_fate& fate)
+{
+    auto& it = end_.owner;
     if (fate.repeat_after) {
         it.time.after(*fate.repeat_after, [&it, stream, payload] {
             (void)it.log.append(stream, payload, it.time.now());
@@ -51,6 +59,7 @@
                                   .daemon = end_.daemon,
                                   .payload = &payload});
     it.wake_readers(stream);
+    repeat_append(stream, payload, now_fate);
     const auto slow = it.log.faults().mode == standin::fault_mode::slow
                           ? it.log.faults().slow
                           : duration{};
@@ -146,6 +155,14 @@
     it.time.after(it.options.latency, [this, vm, batch, fate, done] {
         take_effect(vm, batch, fate, done);
     });
+    repeat(vm, batch, fate);
+}
+
+void cell_worker_link::repeat(std::size_t vm,
+                              const platform::worker_batch& batch,
+                              const message_fate& fate)
+{
+    auto& it = end_.owner;
     if (fate.repeat_after) {
         it.time.after(*fate.repeat_after, [&it, vm, batch] {
             if (it.workers[vm].model) {
@@ -177,6 +194,7 @@
                                   .daemon = end_.daemon,
                                   .vm = worker.entry.vm,
                                   .batch = &batch});
+    repeat(vm, batch, now_fate);
     const auto delay = it.options.latency + fate.delay + now_fate.delay;
     const bool lost = fate.lose_answer || now_fate.lose_answer ||
                       it.workers[vm].cut || delay >= it.options.call_timeout;
--- a/test/lib/cell_links.hpp
+++ b/test/lib/cell_links.hpp
@@ -48,6 +48,8 @@
     using append_callback = std::function<void(platform::append_outcome)>;
     using read_callback = std::function<void(platform::read_outcome)>;
 
+    void repeat_append(const std::string& stream, const std::string& payload,
+                       const message_fate& fate);
     void take_append(const std::string& stream, const std::string& payload,
                      const message_fate& fate, const append_callback& done);
     void take_read(const platform::read_options& options, time_point until,
@@ -84,6 +86,8 @@
 private:
     using callback = std::function<void(platform::worker_outcome)>;
 
+    void repeat(std::size_t vm, const platform::worker_batch& batch,
+                const message_fate& fate);
     void take_effect(std::size_t vm, const platform::worker_batch& batch,
                      const message_fate& fate, const callback& done);
 
