--- a/test/faults/steps.cpp
+++ b/test/faults/steps.cpp
@@ -125,6 +125,18 @@
     it.submit(0, gang);
 }
 
+/** Allowances move to where work waits, while more work comes. */
+void submit_wide(scenario& it)
+{
+    it.actor = 0;
+    for (std::size_t n = 0; n < 6; ++n) {
+        const auto daemon = n % it.world.daemons.size();
+        if (it.world.running(daemon)) {
+            it.submit(daemon, small_job(8, 3s));
+        }
+    }
+}
+
 void kill_one(scenario& it)
 {
     it.actor = 1;
@@ -177,6 +189,7 @@
 
 const std::vector<fault_step>& fault_steps()
 {
+    using state::allowance_handed_over;
     using state::document_published;
     using state::intent_closed;
     using state::intent_opened;
@@ -212,6 +225,10 @@
         {"hand over: sent", submit_large_gang, append_of<vm_handed_over>(sent)},
         {"hand over: appended", submit_large_gang,
          append_of<vm_handed_over>(effect)},
+        {"allowance: sent", submit_wide,
+         append_of<allowance_handed_over>(sent)},
+        {"allowance: appended", submit_wide,
+         append_of<allowance_handed_over>(effect)},
         {"claim: sent", kill_one, append_of<partition_claimed>(sent)},
         {"claim: appended", kill_one, append_of<partition_claimed>(effect)},
         {"fence: sent", kill_one, fence(sent)},
