--- a/test/faults/faults.cpp
+++ b/test/faults/faults.cpp
@@ -177,11 +177,10 @@
          .strike = kill_worker,
          .heal = replace_workers,
          .may_lose_tasks = true},
-        {"worker VM leaving",
-         [](scenario& it) { it.world.set_leaving(it.vm, true); },
-         [](scenario& it) {
-             it.world.set_leaving(it.vm, false);
-         }},
+        {.name = "worker VM leaving",
+         .strike = [](scenario& it) { it.world.set_leaving(it.vm, true); },
+         .heal = [](scenario& it) { it.world.set_leaving(it.vm, false); },
+         .vm_leaves = true},
         {"peers cut both ways", [](scenario& it) { cut_peers(it, true); },
          mend_links},
         {"peers cut one way", [](scenario& it) { cut_peers(it, false); },
@@ -237,7 +236,10 @@
              },
          .heal = restart_dead,
          .kills_actor = true},
-        {"VM list stale", lag_list, mend_list},
+        {.name = "VM list stale",
+         .strike = lag_list,
+         .heal = mend_list,
+         .vm_leaves = true},
         {"key withdrawn", withdraw_key, no_change},
         {"operator race", race_operators, no_change},
     };
--- a/test/faults/scenario.cpp
+++ b/test/faults/scenario.cpp
@@ -18,6 +18,8 @@
 constexpr duration step_limit = 60s;
 /** How long a fault lasts; longer than a lease. */
 constexpr duration fault_span = 25s;
+/** When more work comes during a fault; a leaving VM is known by then. */
+constexpr duration until_later_work = 6s;
 /** Longest time in which all is well again. */
 constexpr duration recovery_limit = 150s;
 
@@ -55,7 +57,11 @@
     if (!world.run_until(step_limit, [this] { return struck; })) {
         broken.insert("the step was not reached");
     }
-    world.run_for(fault_span);
+    world.run_for(until_later_work);
+    if (later_work) {
+        submit_later();
+    }
+    world.run_for(fault_span - until_later_work);
     check_read_your_writes();
     heal();
     finish();
@@ -148,6 +154,17 @@
     struck = true;
 }
 
+/** Work for most of the cell, so that a VM that must get none is tempted. */
+void scenario::submit_later()
+{
+    const auto daemon = a_running_daemon();
+    if (daemon != world.daemons.size()) {
+        auto wide = small_job(20, 1s);
+        wide.team = team_id{"trout"};
+        submit(daemon, wide);
+    }
+}
+
 void scenario::heal()
 {
     for (const auto* it : faults) {
--- a/test/faults/scenario.hpp
+++ b/test/faults/scenario.hpp
@@ -47,6 +47,8 @@
     bool kills_actor{false};
     /** @brief The message arrives a second time. */
     bool doubles{false};
+    /** @brief The VM list says that a VM leaves. */
+    bool vm_leaves{false};
 };
 
 /** @brief A submission of the scenario, and what the caller was told. */
@@ -98,6 +100,8 @@
     bool armed{false};
     bool struck{false};
     bool key_gone{false};
+    /** @brief More work comes during the fault. */
+    bool later_work{false};
     /** @brief Submission ids of all jobs that ever were in the log. */
     std::set<std::string> logged_submissions;
     /** @brief Promises broken, one line each. */
@@ -107,6 +111,7 @@
     void prepare();
     void on_message(const message_event& event, message_fate& fate);
     void strike();
+    void submit_later();
     void heal();
     void finish();
     void check_not_run();
