--- a/test/faults/faults.cpp
+++ b/test/faults/faults.cpp
@@ -177,11 +177,10 @@
          .strike = kill_worker,
          .heal = replace_workers,
          .may_lose_tasks = true},
-        {"worker VM leaving",
-         [](scenario& it) { it.world.set_leaving(it.vm, true); },
-         [](scenario& it) {
-             it.world.set_leaving(it.vm, false);
-         }},
+        {.name = "worker VM leaving",
+         .strike = [](scenario& it) { it.world.set_leaving(it.vm, true); },
+         .heal = [](scenario& it) { it.world.set_leaving(it.vm, false); },
+         .vm_leaves = true},
         {"peers cut both ways", [](scenario& it) { cut_peers(it, true); },
          mend_links},
         {"peers cut one way", [](scenario& it) { cut_peers(it, false); },
@@ -217,10 +216,8 @@
         {.name = "message doubled late",
          .strike = no_change,
          .heal = no_change,
-         .change_message =
-             [](message_fate& it) {
-                 it.repeat_after = 1500ms;
-             }},
+         .change_message = [](message_fate& it) { it.repeat_after = 1500ms; },
+         .doubles = true},
         {"log down", [](scenario& it) { set_log(it, fault_mode::down); },
          [](scenario& it) {
              set_log(it, fault_mode::up);
@@ -239,7 +236,10 @@
              },
          .heal = restart_dead,
          .kills_actor = true},
-        {"VM list stale", lag_list, mend_list},
+        {.name = "VM list stale",
+         .strike = lag_list,
+         .heal = mend_list,
+         .vm_leaves = true},
         {"key withdrawn", withdraw_key, no_change},
         {"operator race", race_operators, no_change},
     };
--- a/test/faults/matrix.cpp
+++ b/test/faults/matrix.cpp
@@ -1,28 +1,54 @@
-#include "scenario.hpp"
+#include "matrix.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
 #include <string>
+#include <string_view>
+
+namespace rosemarytrail::test {
+
+std::set<std::string> run_cell(const fault_step& step,
+                               std::span<const fault* const> faults,
+                               bool later_work)
+{
+    scenario it{step, faults};
+    it.later_work = later_work ||
+                    std::any_of(faults.begin(), faults.end(),
+                                [](const auto* one) { return one->vm_leaves; });
+    it.run();
+    return it.broken;
+}
+
+std::string_view not_applicable(const fault_step& step, const fault& it)
+{
+    if (!step.is_step && it.change_message) {
+        return "a";
+    }
+    return step.over_tcp && it.doubles ? "b" : "";
+}
+
+} // namespace rosemarytrail::test
 
 using rosemarytrail::test::all_faults;
 using rosemarytrail::test::fault;
 using rosemarytrail::test::fault_step;
 using rosemarytrail::test::fault_steps;
-using rosemarytrail::test::scenario;
+using rosemarytrail::test::not_applicable;
+using rosemarytrail::test::run_cell;
+using rosemarytrail::test::shards;
 
 namespace {
 
-constexpr std::size_t shards = 6;
-
-void run_cell(const fault_step& step, std::span<const fault* const> faults)
+void check_cell(const fault_step& step, std::span<const fault* const> faults,
+                bool later_work = false)
 {
-    scenario it{step, faults};
-    it.run();
     std::string name{step.name};
     for (const auto* with : faults) {
         name += " | " + std::string{with->name};
     }
-    for (const auto& line : it.broken) {
+    for (const auto& line : run_cell(step, faults, later_work)) {
         INFO(name << ": " << line);
         CHECK(line.empty());
     }
@@ -34,11 +60,40 @@
     for (std::size_t n = shard; n < steps.size(); n += shards) {
         for (const auto& it : all_faults()) {
             const fault* one = &it;
-            run_cell(steps[n], {&one, 1});
+            check_cell(steps[n], {&one, 1});
         }
     }
 }
 
+[[nodiscard]] std::size_t run_pairs_at(const fault_step& step)
+{
+    const auto& faults = all_faults();
+    std::size_t count = 0;
+    for (std::size_t a = 1; a < faults.size(); ++a) {
+        for (std::size_t b = a + 1; b < faults.size(); ++b) {
+            const std::array pair{&faults[a], &faults[b]};
+            if (!not_applicable(step, *pair[0]).empty() ||
+                !not_applicable(step, *pair[1]).empty()) {
+                continue;
+            }
+            check_cell(step, pair);
+            ++count;
+        }
+    }
+    return count;
+}
+
+/** The first fault is none; pairs with it are the matrix itself. */
+void run_pairs(std::size_t shard)
+{
+    const auto& steps = fault_steps();
+    std::size_t count = 0;
+    for (std::size_t n = shard; n < steps.size(); n += shards) {
+        count += run_pairs_at(steps[n]);
+    }
+    WARN("pairs run: " << count);
+}
+
 } // namespace
 
 TEST_CASE("Every fault at every step, 0", "[shard0]")
@@ -65,3 +120,36 @@
 {
     run_shard(5);
 }
+TEST_CASE("Each pair of faults at every step, 0", "[.pairs0]")
+{
+    run_pairs(0);
+}
+TEST_CASE("Each pair of faults at every step, 1", "[.pairs1]")
+{
+    run_pairs(1);
+}
+TEST_CASE("Each pair of faults at every step, 2", "[.pairs2]")
+{
+    run_pairs(2);
+}
+TEST_CASE("Each pair of faults at every step, 3", "[.pairs3]")
+{
+    run_pairs(3);
+}
+TEST_CASE("Each pair of faults at every step, 4", "[.pairs4]")
+{
+    run_pairs(4);
+}
+TEST_CASE("Each pair of faults at every step, 5", "[.pairs5]")
+{
+    run_pairs(5);
+}
+TEST_CASE("Every fault at every step while more work comes", "[.later]")
+{
+    for (const auto& step : fault_steps()) {
+        for (const auto& it : all_faults()) {
+            const fault* one = &it;
+            check_cell(step, {&one, 1}, true);
+        }
+    }
+}
--- a/test/faults/scenario.cpp
+++ b/test/faults/scenario.cpp
@@ -18,6 +18,8 @@
 constexpr duration step_limit = 60s;
 /** How long a fault lasts; longer than a lease. */
 constexpr duration fault_span = 25s;
+/** When more work comes during a fault; a leaving VM is known by then. */
+constexpr duration until_later_work = 6s;
 /** Longest time in which all is well again. */
 constexpr duration recovery_limit = 150s;
 
@@ -55,7 +57,11 @@
     if (!world.run_until(step_limit, [this] { return struck; })) {
         broken.insert("the step was not reached");
     }
-    world.run_for(fault_span);
+    world.run_for(until_later_work);
+    if (later_work) {
+        submit_later();
+    }
+    world.run_for(fault_span - until_later_work);
     check_read_your_writes();
     heal();
     finish();
@@ -169,6 +175,17 @@
     struck = true;
 }
 
+/** Work for most of the cell, so that a VM that must get none is tempted. */
+void scenario::submit_later()
+{
+    const auto daemon = a_running_daemon();
+    if (daemon != world.daemons.size()) {
+        auto wide = small_job(20, 1s);
+        wide.team = team_id{"trout"};
+        submit(daemon, wide);
+    }
+}
+
 void scenario::heal()
 {
     for (const auto* it : faults) {
@@ -199,6 +216,7 @@
         check_jobs();
     }
     check_not_run();
+    check_cancelled();
     check_bookings();
     check_planned_stop();
     check_reasons();
@@ -274,6 +292,24 @@
     }
 }
 
+void scenario::check_cancelled()
+{
+    const auto daemon = a_running_daemon();
+    if (!cancelled || !cancel_recorded || daemon == world.daemons.size()) {
+        return;
+    }
+    const auto status = world.status(daemon, team_id{"salmon"}, *cancelled);
+    if (!status || status->phase != "cancelled") {
+        broken.insert("promise 5: a recorded cancellation was undone: " +
+                      (status ? status->phase : "unknown"));
+    }
+    for (std::uint32_t n = 0; status && n < status->tasks; ++n) {
+        if (world.places_of({*cancelled, n}) != 0) {
+            broken.insert("promise 5: a task of a cancelled job runs");
+        }
+    }
+}
+
 void scenario::check_bookings()
 {
     constexpr int done = 200;
--- a/test/faults/scenario.hpp
+++ b/test/faults/scenario.hpp
@@ -30,6 +30,8 @@
     bool before_sending{false};
     /** @brief How long after the message the fault comes. */
     duration after{};
+    /** @brief The message is a request over TCP. */
+    bool over_tcp{false};
 };
 
 /** @brief Fault, and how it ends. */
@@ -44,6 +46,10 @@
     bool may_lose_tasks{false};
     /** @brief The process of the step ends, with what it had not sent. */
     bool kills_actor{false};
+    /** @brief The message arrives a second time. */
+    bool doubles{false};
+    /** @brief The VM list says that a VM leaves. */
+    bool vm_leaves{false};
 };
 
 /** @brief A submission of the scenario, and what the caller was told. */
@@ -90,11 +96,13 @@
     std::vector<tracked_request> bookings;
     /** @brief Job that its caller cancelled. */
     std::optional<job_id> cancelled;
-    /** @brief Whether the caller was told that it takes effect. */
-    bool cancel_in_effect{false};
+    /** @brief Whether the caller was told that it is in effect and recorded. */
+    bool cancel_recorded{false};
     bool armed{false};
     bool struck{false};
     bool key_gone{false};
+    /** @brief More work comes during the fault. */
+    bool later_work{false};
     /** @brief Submission ids of all jobs that ever were in the log. */
     std::set<std::string> logged_submissions;
     /** @brief Tasks whose end is in the log, and since when. */
@@ -106,10 +114,12 @@
     void prepare();
     void on_message(const message_event& event, message_fate& fate);
     void strike();
+    void submit_later();
     void heal();
     void finish();
     void check_not_run();
     void check_jobs();
+    void check_cancelled();
     void check_bookings();
     void check_read_your_writes();
     void check_planned_stop();
--- a/test/faults/steps.cpp
+++ b/test/faults/steps.cpp
@@ -97,7 +97,7 @@
     it.armed = it.step.is_step != nullptr;
     it.world.daemons[1].controller->cancel(
         team_id{"salmon"}, *last.job, [&it](control::cancel_outcome out) {
-            it.cancel_in_effect = out.in_effect;
+            it.cancel_recorded = out.in_effect && out.recorded;
         });
 }
 
@@ -128,6 +128,18 @@
     it.submit(0, gang);
 }
 
+/** Allowances move to where work waits, while more work comes. */
+void submit_wide(scenario& it)
+{
+    it.actor = 0;
+    for (std::size_t n = 0; n < 6; ++n) {
+        const auto daemon = n % it.world.daemons.size();
+        if (it.world.running(daemon)) {
+            it.submit(daemon, small_job(8, 3s));
+        }
+    }
+}
+
 void kill_one(scenario& it)
 {
     it.actor = 1;
@@ -180,6 +192,7 @@
 
 const std::vector<fault_step>& fault_steps()
 {
+    using state::allowance_handed_over;
     using state::document_published;
     using state::intent_closed;
     using state::intent_opened;
@@ -215,6 +228,10 @@
         {"hand over: sent", submit_large_gang, append_of<vm_handed_over>(sent)},
         {"hand over: appended", submit_large_gang,
          append_of<vm_handed_over>(effect)},
+        {"allowance: sent", submit_wide,
+         append_of<allowance_handed_over>(sent)},
+        {"allowance: appended", submit_wide,
+         append_of<allowance_handed_over>(effect)},
         {"claim: sent", kill_one, append_of<partition_claimed>(sent)},
         {"claim: appended", kill_one, append_of<partition_claimed>(effect)},
         {"fence: sent", kill_one, fence(sent)},
@@ -231,9 +248,10 @@
         {"request: intent sent", book_one, append_of<intent_opened>(sent)},
         {"request: intent appended", book_one,
          append_of<intent_opened>(effect)},
-        {"request: sent", book_one, to_upstream(sent)},
-        {"request: running", book_one, to_upstream(effect)},
-        {"request: half answered", book_one, to_upstream(effect), false, 10ms},
+        {"request: sent", book_one, to_upstream(sent), false, {}, true},
+        {"request: running", book_one, to_upstream(effect), false, {}, true},
+        {"request: half answered", book_one, to_upstream(effect), false, 10ms,
+         true},
         {"request: answered", book_one, append_of<intent_closed>(sent)},
         {"start of a daemon", restart_one, nullptr},
         {"planned stop of a daemon", stop_one, nullptr},
