--- a/src/rosemarytrail/control/controller.hpp
+++ b/src/rosemarytrail/control/controller.hpp
@@ -246,14 +246,14 @@
      * @param done Called once.
      */
     void publish(publication value, duration timeout,
-                 std::function<void(publish_outcome)> done);
+                 const std::function<void(publish_outcome)>& done);
 
     /**
      * @brief Records an operator's word that nothing runs on a VM any more.
      * @param vm VM that is lost.
      * @param done Called once with `ok` or why not.
      */
-    void declare_lost(const vm_id& vm, std::function<void(reason)> done);
+    void declare_lost(const vm_id& vm, const std::function<void(reason)>& done);
 
     /** @return Documents in force. */
     [[nodiscard]] std::vector<config_entry> config() const;
--- a/src/rosemarytrail/control/internal/callers.cpp
+++ b/src/rosemarytrail/control/internal/callers.cpp
@@ -279,7 +279,7 @@
 }
 
 void controller::publish(publication value, duration timeout,
-                         std::function<void(publish_outcome)> done)
+                         const std::function<void(publish_outcome)>& done)
 {
     auto& self = *state_;
     reason why;
@@ -322,7 +322,8 @@
     }
 }
 
-void controller::declare_lost(const vm_id& vm, std::function<void(reason)> done)
+void controller::declare_lost(const vm_id& vm,
+                              const std::function<void(reason)>& done)
 {
     auto& self = *state_;
     if (!self.cell().vms().contains(vm)) {
@@ -366,7 +367,12 @@
     reason full;
     const bool queued = self.writer.push(
         state::job_cancelled{.job = job},
-        [finish](const write_outcome&) { finish(true); }, full);
+        [&self, job, finish](const write_outcome& outcome) {
+            const auto* now_known = self.cell().find_job(job);
+            finish(outcome.verdict && now_known != nullptr &&
+                   now_known->phase == state::job_phase::cancelled);
+        },
+        full);
     if (!queued || down) {
         finish(false);
         return;
--- a/src/rosemarytrail/control/internal/controller_state.hpp
+++ b/src/rosemarytrail/control/internal/controller_state.hpp
@@ -46,8 +46,10 @@
     partition_id from{};
     team_id team{};
 
+    // NOLINTBEGIN(modernize-use-nullptr)
     [[nodiscard]] friend auto operator<=>(const gift_key&,
                                           const gift_key&) = default;
+    // NOLINTEND(modernize-use-nullptr)
 };
 
 /** @brief Upstreams of a partition as its holder last told of them. */
--- a/src/rosemarytrail/control/internal/exchange.cpp
+++ b/src/rosemarytrail/control/internal/exchange.cpp
@@ -44,6 +44,7 @@
         take(holder->summary(now));
     }
     std::vector<partition_summary> out;
+    out.reserve(newest.size());
     for (auto& [partition, it] : newest) {
         out.push_back(std::move(it));
     }
--- a/src/rosemarytrail/control/internal/ownership.cpp
+++ b/src/rosemarytrail/control/internal/ownership.cpp
@@ -259,9 +259,9 @@
         }
         std::vector<allowance_view> views;
         for (const auto& it : known) {
-            const auto usage =
-                std::find_if(it.teams.begin(), it.teams.end(),
-                             [&](const auto& row) { return row.team == team; });
+            const auto usage = std::find_if(
+                it.teams.begin(), it.teams.end(),
+                [&team = team](const auto& row) { return row.team == team; });
             if (usage != it.teams.end()) {
                 views.push_back(
                     {.partition = it.partition,
--- a/src/rosemarytrail/control/partition_holder.cpp
+++ b/src/rosemarytrail/control/partition_holder.cpp
@@ -482,9 +482,9 @@
     for (const auto& [vm, held] : vms_) {
         const bool usable = held.listed && !held.withheld &&
                             !held.entry.leaving && held.link->reachable(now);
-        const bool used =
-            std::any_of(tasks_.begin(), tasks_.end(),
-                        [&](const auto& it) { return it.second.vm == vm; });
+        const bool used = std::any_of(
+            tasks_.begin(), tasks_.end(),
+            [&vm = vm](const auto& it) { return it.second.vm == vm; });
         if (usable && !used && held.link->waiting() == 0 &&
             scheduler_->committed_on(vm).is_zero()) {
             out.push_back(vm);
--- a/src/rosemarytrail/control/worker_link.cpp
+++ b/src/rosemarytrail/control/worker_link.cpp
@@ -74,7 +74,8 @@
         batch.lease = spans_.task_lease;
         batch.renew = true;
         const auto n = std::min(commands_.size(), batch_limit);
-        batch.commands.assign(commands_.begin(), commands_.begin() + n);
+        const auto end = commands_.begin() + static_cast<long>(n);
+        batch.commands.assign(commands_.begin(), end);
     }
     in_flight_ = true;
     std::weak_ptr<bool> alive = alive_;
--- a/src/rosemarytrail/placement/internal/drain_plan.cpp
+++ b/src/rosemarytrail/placement/internal/drain_plan.cpp
@@ -16,8 +16,10 @@
     time_point at{};
     index vm{no_index};
 
+    // NOLINTBEGIN(modernize-use-nullptr)
     [[nodiscard]] friend auto operator<=>(const opening&,
                                           const opening&) = default;
+    // NOLINTEND(modernize-use-nullptr)
 };
 
 struct task_ending
--- a/src/rosemarytrail/placement/internal/index.hpp
+++ b/src/rosemarytrail/placement/internal/index.hpp
@@ -19,8 +19,10 @@
     index job{no_index};
     std::uint32_t task{};
 
+    // NOLINTBEGIN(modernize-use-nullptr)
     [[nodiscard]] friend auto operator<=>(const task_key&,
                                           const task_key&) = default;
+    // NOLINTEND(modernize-use-nullptr)
 };
 
 } // namespace rosemarytrail::placement::internal
--- a/src/rosemarytrail/placement/internal/job_table.hpp
+++ b/src/rosemarytrail/placement/internal/job_table.hpp
@@ -71,8 +71,10 @@
     std::uint64_t serial{};
     index job{no_index};
 
+    // NOLINTBEGIN(modernize-use-nullptr)
     [[nodiscard]] friend auto operator<=>(const queue_key&,
                                           const queue_key&) = default;
+    // NOLINTEND(modernize-use-nullptr)
 };
 
 /** @brief Job and its tasks. */
--- a/src/rosemarytrail/placement/internal/placer.cpp
+++ b/src/rosemarytrail/placement/internal/placer.cpp
@@ -35,8 +35,10 @@
     double share{};
     index team{no_index};
 
+    // NOLINTBEGIN(modernize-use-nullptr)
     [[nodiscard]] friend auto operator<=>(const team_turn&,
                                           const team_turn&) = default;
+    // NOLINTEND(modernize-use-nullptr)
 };
 
 using team_order =
--- a/src/rosemarytrail/placement/internal/preemption.cpp
+++ b/src/rosemarytrail/placement/internal/preemption.cpp
@@ -74,8 +74,10 @@
     bool is_lost{};
     duration age{};
 
+    // NOLINTBEGIN(modernize-use-nullptr)
     [[nodiscard]] friend auto operator<=>(const shed_order&,
                                           const shed_order&) = default;
+    // NOLINTEND(modernize-use-nullptr)
 };
 
 struct shed_candidate
--- a/src/rosemarytrail/placement/internal/retry_queue.hpp
+++ b/src/rosemarytrail/placement/internal/retry_queue.hpp
@@ -39,8 +39,10 @@
         task_key task{};
         std::uint32_t attempt{};
 
+        // NOLINTBEGIN(modernize-use-nullptr)
         [[nodiscard]] friend auto operator<=>(const entry&,
                                               const entry&) = default;
+        // NOLINTEND(modernize-use-nullptr)
     };
 
     [[nodiscard]] duration wait_for(ledger& book, task_key task,
--- a/src/rosemarytrail/state/append_queue.cpp
+++ b/src/rosemarytrail/state/append_queue.cpp
@@ -137,12 +137,13 @@
 
 void append_queue::send_front()
 {
-    open_batch& front = open_.front();
-    sent_ = sent_batch{.entry = {.sequence = front.value.sequence,
-                                 .payload = encode(front.value)},
-                       .records = front.value.records.size(),
-                       .source = std::move(front)};
+    open_batch front = std::move(open_.front());
     open_.pop_front();
+    sent_.emplace();
+    sent_->entry = {.sequence = front.value.sequence,
+                    .payload = encode(front.value)};
+    sent_->records = front.value.records.size();
+    sent_->source = std::move(front);
 }
 
 } // namespace rosemarytrail::state
