--- a/src/rosemarytrail/control/cell_log.cpp
+++ b/src/rosemarytrail/control/cell_log.cpp
@@ -21,6 +21,14 @@
 /** Bytes of entries kept for peers. */
 constexpr std::size_t kept_limit = std::size_t{8} << 20U;
 
+/** Wait that doubles with each failure in a row. */
+[[nodiscard]] duration retry_wait(std::uint32_t failures) noexcept
+{
+    constexpr std::uint32_t most_doublings = 8;
+    const auto doublings = std::min(failures - 1, most_doublings);
+    return std::min<duration>(retry_base * (1U << doublings), retry_cap);
+}
+
 } // namespace
 
 cell_log::cell_log(platform::log_client& log, const time_source& clock,
@@ -63,9 +71,7 @@
 void cell_log::read_failed()
 {
     ++failures_;
-    const auto doublings = std::min<std::uint32_t>(failures_ - 1, 8);
-    next_read_ = clock_.now() +
-                 std::min<duration>(retry_base * (1U << doublings), retry_cap);
+    next_read_ = clock_.now() + retry_wait(failures_);
 }
 
 void cell_log::find_snapshot(time_point)
@@ -218,24 +224,46 @@
     return out;
 }
 
-void cell_log::maybe_snapshot(std::uint64_t every)
+void cell_log::maybe_snapshot(const snapshot_options& when, time_point now)
 {
     const auto next = state_.next_offset();
-    if (snapshot_in_flight_ || next < last_snapshot_ + every) {
+    if (!caught_up_ || snapshot_in_flight_ || next == last_snapshot_) {
+        snapshot_since_ =
+            next == last_snapshot_ ? std::nullopt : snapshot_since_;
         return;
     }
+    snapshot_since_ = snapshot_since_.value_or(now);
+    const bool due = next >= last_snapshot_ + when.entries ||
+                     now - *snapshot_since_ >= when.period;
+    if (due && now >= next_snapshot_) {
+        write_snapshot(next);
+    }
+}
+
+void cell_log::write_snapshot(std::uint64_t next)
+{
     snapshot_in_flight_ = true;
     std::weak_ptr<bool> alive = alive_;
     log_.append(snapshot_stream(), state_.snapshot(),
                 [this, alive, next](const platform::append_outcome& outcome) {
-                    if (alive.expired()) {
-                        return;
-                    }
-                    snapshot_in_flight_ = false;
-                    if (outcome.result == platform::append_result::appended) {
-                        last_snapshot_ = next;
+                    if (!alive.expired()) {
+                        on_snapshot_written(outcome, next);
                     }
                 });
 }
 
+void cell_log::on_snapshot_written(const platform::append_outcome& outcome,
+                                   std::uint64_t next)
+{
+    snapshot_in_flight_ = false;
+    if (outcome.result == platform::append_result::appended) {
+        last_snapshot_ = next;
+        snapshot_failures_ = 0;
+        snapshot_since_.reset();
+        return;
+    }
+    ++snapshot_failures_;
+    next_snapshot_ = clock_.now() + retry_wait(snapshot_failures_);
+}
+
 } // namespace rosemarytrail::control
--- a/src/rosemarytrail/control/cell_log.hpp
+++ b/src/rosemarytrail/control/cell_log.hpp
@@ -29,6 +29,15 @@
     std::vector<state::record_verdict> verdicts;
 };
 
+/** @brief How often snapshots are written, so that old entries may go. */
+struct snapshot_options
+{
+    /** @brief Entries between two snapshots. */
+    std::uint64_t entries{2000};
+    /** @brief Longest time between two, if there are new entries at all. */
+    duration period{std::chrono::minutes{10}};
+};
+
 /** @brief Receives what happens along the log. */
 class cell_log_listener
 {
@@ -100,10 +109,11 @@
     [[nodiscard]] bool down() const noexcept;
 
     /**
-     * @brief Writes a snapshot if enough entries came since the last one.
-     * @param every Entries between two snapshots.
+     * @brief Writes a snapshot if one is due.
+     * @param when How often.
+     * @param now Present time.
      */
-    void maybe_snapshot(std::uint64_t every);
+    void maybe_snapshot(const snapshot_options& when, time_point now);
 
 private:
     enum class stage : std::uint8_t
@@ -119,6 +129,9 @@
     void on_entries(const platform::read_outcome& outcome, time_point asked);
     void on_snapshot(const platform::read_outcome& outcome);
     void read_failed();
+    void write_snapshot(std::uint64_t next);
+    void on_snapshot_written(const platform::append_outcome& outcome,
+                             std::uint64_t next);
     void apply_entry(std::uint64_t offset, const std::string& payload);
     void keep(std::uint64_t offset, const std::string& payload);
     [[nodiscard]] std::string snapshot_stream() const;
@@ -134,6 +147,9 @@
     bool caught_up_{false};
     bool snapshot_in_flight_{false};
     std::uint64_t last_snapshot_{};
+    std::uint32_t snapshot_failures_{};
+    std::optional<time_point> snapshot_since_{};
+    time_point next_snapshot_{};
     std::uint32_t failures_{};
     time_point next_read_{};
     std::deque<platform::log_entry> kept_;
--- a/src/rosemarytrail/control/controller.cpp
+++ b/src/rosemarytrail/control/controller.cpp
@@ -51,7 +51,7 @@
     self.caller_writer.tick(now);
     self.tick_waiters(now);
     if (self.holder_of(0) != nullptr) {
-        self.log.maybe_snapshot(self.options.snapshot_entries);
+        self.log.maybe_snapshot(self.options.snapshots, now);
     }
     self.publish_routing(now);
     self.held_partitions.set(static_cast<std::int64_t>(self.holders.size()));
--- a/src/rosemarytrail/control/controller.hpp
+++ b/src/rosemarytrail/control/controller.hpp
@@ -1,6 +1,7 @@
 #ifndef ROSEMARYTRAIL_CONTROL_CONTROLLER_HPP
 #define ROSEMARYTRAIL_CONTROL_CONTROLLER_HPP
 
+#include <rosemarytrail/control/cell_log.hpp>
 #include <rosemarytrail/control/peer_network.hpp>
 #include <rosemarytrail/core/id.hpp>
 #include <rosemarytrail/core/reason.hpp>
@@ -40,8 +41,7 @@
     duration worker_period{std::chrono::milliseconds{500}};
     duration vm_list_period{std::chrono::seconds{1}};
     state::freshness_options freshness{};
-    /** @brief Log entries between two snapshots. */
-    std::uint64_t snapshot_entries{2000};
+    snapshot_options snapshots{};
 };
 
 /** @brief What a controller works with; all outlive it. */
--- /dev/null
+++ b/test/control/cell_log.cpp
@@ -0,0 +1,92 @@
+#include <rosemarytrail/control/cell_log.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <test/lib/event_queue.hpp>
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+using namespace std::chrono_literals;
+using namespace rosemarytrail;
+
+namespace {
+
+/** Log with one entry, which refuses snapshots. */
+class full_log final : public platform::log_client
+{
+public:
+    int appends{0};
+
+    void append(std::string, std::string,
+                std::function<void(platform::append_outcome)> done) override
+    {
+        ++appends;
+        done({.result = platform::append_result::refused});
+    }
+
+    void read(platform::read_options options,
+              std::function<void(platform::read_outcome)> done) override
+    {
+        platform::read_outcome out{.result = platform::read_result::read};
+        if (options.stream == "cell") {
+            out.next_offset = 1;
+        }
+        if (options.stream == "cell" && options.from == 0) {
+            out.entries.push_back({.offset = 0, .payload = "torn"});
+        }
+        done(out);
+    }
+};
+
+class no_listener final : public control::cell_log_listener
+{
+public:
+    void on_applied(const control::applied_entry&) override {}
+    void on_restored() override {}
+    void on_tail(time_point, std::uint64_t) override {}
+};
+
+constexpr control::snapshot_options often{.entries = 1, .period = 10min};
+
+} // namespace
+
+TEST_CASE("A refused snapshot is not sent again at every tick", "[control]")
+{
+    full_log log;
+    test::event_queue time;
+    no_listener listener;
+    control::cell_log it{log, time, "cell", listener};
+    for (int n = 0; n < 100; ++n) {
+        time.run_until(time.now() + 20ms);
+        it.tick(time.now());
+        it.maybe_snapshot(often, time.now());
+    }
+    REQUIRE(it.caught_up());
+    CHECK(log.appends > 0);
+    constexpr int sendings_in_two_seconds = 6;
+    CHECK(log.appends <= sendings_in_two_seconds);
+}
+
+TEST_CASE("A quiet cell writes a snapshot after a time", "[control]")
+{
+    full_log log;
+    test::event_queue time;
+    no_listener listener;
+    control::cell_log it{log, time, "cell", listener};
+    constexpr control::snapshot_options seldom{.entries = 1000,
+                                               .period = 10min};
+    const auto run = [&] {
+        it.tick(time.now());
+        it.maybe_snapshot(seldom, time.now());
+    };
+    run();
+    run();
+    run();
+    REQUIRE(it.caught_up());
+    CHECK(log.appends == 0);
+    time.run_until(time.now() + 11min);
+    run();
+    CHECK(log.appends == 1);
+}
--- a/test/lib/cell.cpp
+++ b/test/lib/cell.cpp
@@ -122,7 +122,7 @@
         .zone = zone_id{"zone-" + std::to_string(daemon % 2)},
         .partitions = options.partitions,
         .freshness = options.freshness,
-        .snapshot_entries = options.snapshot_entries};
+        .snapshots = {.entries = options.snapshot_entries}};
     control::controller_ports ports{
         .log = *it.log,
         .vms = *it.vms,
