--- a/src/rosemarytrail/state/append_queue.cpp
+++ b/src/rosemarytrail/state/append_queue.cpp
@@ -139,11 +139,12 @@
 {
     open_batch front = std::move(open_.front());
     open_.pop_front();
-    sent_.emplace();
-    sent_->entry = {.sequence = front.value.sequence,
-                    .payload = encode(front.value)};
-    sent_->records = front.value.records.size();
-    sent_->source = std::move(front);
+    const auto records = front.value.records.size();
+    pending_append entry{.sequence = front.value.sequence,
+                         .payload = encode(front.value)};
+    sent_ = sent_batch{.entry = std::move(entry),
+                       .records = records,
+                       .source = std::move(front)};
 }
 
 } // namespace rosemarytrail::state
--- a/test/control/cell_log.cpp
+++ b/test/control/cell_log.cpp
@@ -9,7 +9,10 @@
 #include <string>
 
 using namespace std::chrono_literals;
-using namespace rosemarytrail;
+namespace control = rosemarytrail::control;
+namespace platform = rosemarytrail::platform;
+namespace test = rosemarytrail::test;
+using rosemarytrail::time_point;
 
 namespace {
 
