--- a/test/control/cell.cpp
+++ b/test/control/cell.cpp
@@ -142,3 +142,26 @@
             std::holds_alternative<rosemarytrail::state::job_accepted>(record));
     }
 }
+
+TEST_CASE("A daemon cut off from all refuses a key that was withdrawn",
+          "[control]")
+{
+    cell it{cell_options{}};
+    REQUIRE(it.settle());
+    REQUIRE(it.publish_team("salmon", wide_limit));
+    const auto key = it.publish_key(0, "k1", "salmon", false, 0);
+    REQUIRE(key.revision);
+    it.run_for(1s);
+    it.daemons[0].log_cut = true;
+    it.daemons[0].peers_cut = {1, 2};
+    it.daemons[1].peers_cut = {0};
+    it.daemons[2].peers_cut = {0};
+    REQUIRE(it.publish_key(1, "k1", "salmon", true, *key.revision).revision);
+    it.run_for(4s);
+    for (std::size_t n = 0; n < it.daemons.size(); ++n) {
+        const auto answer = it.request(n, "GET", "");
+        REQUIRE(answer->arrived);
+        CHECK((answer->answer.status == 401 || answer->answer.status == 503));
+    }
+    CHECK(it.broken().empty());
+}
