--- a/src/rosemarytrail/control/internal/controller_state.hpp
+++ b/src/rosemarytrail/control/internal/controller_state.hpp
@@ -75,6 +75,22 @@
                    const incarnation_id& writer);
     void on_claimed(const state::partition_claimed& it, record_number number,
                     const incarnation_id& writer);
+    void on_left(const incarnation_id& member, const incarnation_id& by);
+    void on_event(const state::vm_assigned& it);
+    void on_event(const state::vm_handed_over& it);
+    void on_event(const state::job_accepted& it);
+    void on_event(const state::job_handed_over& it);
+    void on_event(const state::job_cancelled& it);
+    void on_event(const state::job_rejected& it);
+    void on_event(const state::tasks_finished& it);
+    void on_event(const state::vm_declared_lost& it);
+    /** Documents, members and allowances: holders and tables are renewed. */
+    template <typename Record>
+    void on_event(const Record& /*it*/)
+    {
+        next_refresh = ports.clock.now();
+        next_routing = next_refresh;
+    }
     void on_vm_moved(const vm_id& vm, partition_id from, partition_id to);
     void on_job_moved(const state::job_handed_over& it);
     void on_job_over(const job_id& job);
--- a/src/rosemarytrail/control/internal/events.cpp
+++ b/src/rosemarytrail/control/internal/events.cpp
@@ -111,48 +111,76 @@
                                            record_number number,
                                            const incarnation_id& by)
 {
-    const auto now = ports.clock.now();
-    if (const auto* it = std::get_if<state::partition_claimed>(&value)) {
-        on_claimed(*it, number, by);
-    } else if (const auto* vm = std::get_if<state::vm_assigned>(&value)) {
-        assigning.erase(vm->vm);
-        if (auto* holder = holder_of(vm->partition)) {
-            holder->add_vm(vm->vm);
-        }
-        next_refresh = now;
-    } else if (const auto* moved = std::get_if<state::vm_handed_over>(&value)) {
-        on_vm_moved(moved->vm, moved->from, moved->to);
-    } else if (const auto* job = std::get_if<state::job_accepted>(&value)) {
-        if (auto* holder = holder_of(job->partition)) {
-            holder->add_job(*cell().find_job(job->job), now);
-        }
-    } else if (const auto* given =
-                   std::get_if<state::job_handed_over>(&value)) {
-        on_job_moved(*given);
-    } else if (const auto* over = std::get_if<state::job_cancelled>(&value)) {
-        on_job_over(over->job);
-    } else if (const auto* refused = std::get_if<state::job_rejected>(&value)) {
-        on_job_over(refused->job);
-    } else if (const auto* ended = std::get_if<state::tasks_finished>(&value)) {
-        for (const auto& task : ended->tasks) {
-            on_job_over(task.task.job);
-        }
-    } else if (const auto* gone = std::get_if<state::member_left>(&value)) {
-        for (auto& [partition, holder] : holders) {
-            if (gone->member == by) {
-                holder->proof().left_by_itself(gone->member, now);
-            }
-        }
-        left = left || (gone->member == options.self && leaving);
-        striking.erase(gone->member);
-    } else if (const auto* lost =
-                   std::get_if<state::vm_declared_lost>(&value)) {
-        for (auto& [partition, holder] : holders) {
-            holder->proof().declared_lost(lost->vm);
+    if (const auto* claim = std::get_if<state::partition_claimed>(&value)) {
+        on_claimed(*claim, number, by);
+        return;
+    }
+    if (const auto* gone = std::get_if<state::member_left>(&value)) {
+        on_left(gone->member, by);
+        return;
+    }
+    std::visit([this](const auto& it) { on_event(it); }, value);
+}
+
+void controller::internal_state::on_left(const incarnation_id& member,
+                                         const incarnation_id& by)
+{
+    for (auto& [partition, holder] : holders) {
+        if (member == by) {
+            holder->proof().left_by_itself(member, ports.clock.now());
         }
-    } else {
-        next_refresh = now;
-        next_routing = now;
+    }
+    left = left || (member == options.self && leaving);
+    striking.erase(member);
+}
+
+void controller::internal_state::on_event(const state::vm_assigned& it)
+{
+    assigning.erase(it.vm);
+    if (auto* holder = holder_of(it.partition)) {
+        holder->add_vm(it.vm);
+    }
+    next_refresh = ports.clock.now();
+}
+
+void controller::internal_state::on_event(const state::vm_handed_over& it)
+{
+    on_vm_moved(it.vm, it.from, it.to);
+}
+
+void controller::internal_state::on_event(const state::job_accepted& it)
+{
+    if (auto* holder = holder_of(it.partition)) {
+        holder->add_job(*cell().find_job(it.job), ports.clock.now());
+    }
+}
+
+void controller::internal_state::on_event(const state::job_handed_over& it)
+{
+    on_job_moved(it);
+}
+
+void controller::internal_state::on_event(const state::job_cancelled& it)
+{
+    on_job_over(it.job);
+}
+
+void controller::internal_state::on_event(const state::job_rejected& it)
+{
+    on_job_over(it.job);
+}
+
+void controller::internal_state::on_event(const state::tasks_finished& it)
+{
+    for (const auto& task : it.tasks) {
+        on_job_over(task.task.job);
+    }
+}
+
+void controller::internal_state::on_event(const state::vm_declared_lost& it)
+{
+    for (auto& [partition, holder] : holders) {
+        holder->proof().declared_lost(it.vm);
     }
 }
 
--- a/src/rosemarytrail/control/placement_target.cpp
+++ b/src/rosemarytrail/control/placement_target.cpp
@@ -14,7 +14,7 @@
            std::to_string(it.accelerators) + " accelerators";
 }
 
-/** Room that counts for the job, a tenth of a VM for a service. */
+/** Services go where most room is left, other jobs where least is. */
 [[nodiscard]] bool roomier(job_class policy, const partition_summary& lhs,
                            const partition_summary& rhs) noexcept
 {
--- a/test/cli/commands.cpp
+++ b/test/cli/commands.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <string>
 
@@ -38,7 +39,9 @@
     [[nodiscard]] const char* path() const noexcept { return path_.c_str(); }
 
 private:
-    std::string path_{"/tmp/rosemarytrail-test-" + documents::make_salt()};
+    std::string path_{(std::filesystem::temp_directory_path() /
+                       ("rosemarytrail-test-" + documents::make_salt()))
+                          .string()};
 };
 
 temporary_file job_file()
