Take jobs again after the log refused appends

Seen by scripts/process_faults.sh: after a log outage every submission was refused as 'log down' for good. Cause: since refused batches are dropped, the callers' writer could be left with failures counted and nothing to send, so no success ever cleared them. Ruled out: the log's reads, which had recovered. An empty writer no longer counts as failing.

--- a/src/rosemarytrail/control/record_writer.cpp
+++ b/src/rosemarytrail/control/record_writer.cpp
@@ -89,6 +89,10 @@
             done(write_outcome{});
         }
     }
+    if (queue_.waiting() == 0) {
+        // Nothing is left whose sending could show that the log is back.
+        failures_ = 0;
+    }
 }
 
 std::size_t record_writer::waiting() const noexcept
--- /dev/null
+++ b/test/control/record_writer.cpp
@@ -0,0 +1,59 @@
+#include <rosemarytrail/control/record_writer.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <test/lib/event_queue.hpp>
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+using namespace std::chrono_literals;
+namespace control = rosemarytrail::control;
+namespace platform = rosemarytrail::platform;
+namespace state = rosemarytrail::state;
+namespace test = rosemarytrail::test;
+
+namespace {
+
+/** Log that refuses every append. */
+class refusing_log final : public platform::log_client
+{
+public:
+    void append(std::string, std::string,
+                std::function<void(platform::append_outcome)> done) override
+    {
+        done({.result = platform::append_result::refused});
+    }
+
+    void read(platform::read_options,
+              std::function<void(platform::read_outcome)> done) override
+    {
+        done({});
+    }
+};
+
+} // namespace
+
+TEST_CASE("A writer that dropped all it had does not count as failing",
+          "[control]")
+{
+    refusing_log log;
+    test::event_queue time;
+    control::record_writer it{
+        {.writer = rosemarytrail::incarnation_id{"w"}}, log, time, "cell"};
+    rosemarytrail::reason why;
+    bool dropped = false;
+    REQUIRE(it.push(
+        state::job_cancelled{.job = rosemarytrail::job_id{"j"}},
+        [&](const control::write_outcome& out) { dropped = !out.verdict; },
+        why));
+    for (int n = 0; n < 100; ++n) {
+        time.run_until(time.now() + 20ms);
+        it.tick(time.now());
+    }
+    REQUIRE(it.failures() >= 2);
+    it.drop_unsent();
+    CHECK(dropped);
+    CHECK(it.failures() == 0);
+}
