Drop a parameter and a guard of the controller that nothing used

record_writer::applied took the present time and never looked at it, and the rejection of a job made a weak pointer that its callback did not need.

--- a/src/rosemarytrail/control/internal/events.cpp
+++ b/src/rosemarytrail/control/internal/events.cpp
@@ -84,7 +84,6 @@
 
 void controller::internal_state::on_applied(const applied_entry& entry)
 {
-    const auto now = ports.clock.now();
     const auto& records = entry.records.records;
     for (std::size_t n = 0; n < entry.verdicts.size() && n < records.size();
          ++n) {
@@ -100,10 +99,10 @@
         return;
     }
     if (entry.records.writer == options.self) {
-        writer.applied(entry.records.sequence, entry.verdicts, now);
+        writer.applied(entry.records.sequence, entry.verdicts);
     } else if (entry.records.writer.str() ==
                options.self.str() + caller_suffix) {
-        caller_writer.applied(entry.records.sequence, entry.verdicts, now);
+        caller_writer.applied(entry.records.sequence, entry.verdicts);
     }
 }
 
--- a/src/rosemarytrail/control/partition_holder.cpp
+++ b/src/rosemarytrail/control/partition_holder.cpp
@@ -235,7 +235,6 @@
     if (!rejecting_.insert(it.task.job).second) {
         return;
     }
-    std::weak_ptr<bool> alive = alive_;
     const auto job = it.task.job;
     reason why;
     const bool queued = ports_.writer.push(
--- a/src/rosemarytrail/control/record_writer.cpp
+++ b/src/rosemarytrail/control/record_writer.cpp
@@ -62,8 +62,7 @@
 }
 
 void record_writer::applied(std::uint64_t sequence,
-                            std::span<const state::record_verdict> verdicts,
-                            time_point)
+                            std::span<const state::record_verdict> verdicts)
 {
     const auto it = waiting_.find(sequence);
     if (it == waiting_.end()) {
--- a/src/rosemarytrail/control/record_writer.hpp
+++ b/src/rosemarytrail/control/record_writer.hpp
@@ -66,11 +66,9 @@
      * @brief Learns that the fold applied a batch of this writer.
      * @param sequence Sequence number of the batch.
      * @param verdicts Verdict on each of its records.
-     * @param now Present time.
      */
     void applied(std::uint64_t sequence,
-                 std::span<const state::record_verdict> verdicts,
-                 time_point now);
+                 std::span<const state::record_verdict> verdicts);
 
     /** @brief Drops all records that were never sent. */
     void drop_unsent();
