--- a/bench/request/fake_log.hpp
+++ b/bench/request/fake_log.hpp
@@ -4,7 +4,7 @@
 #include "event_queue.hpp"
 #include "owner.hpp"
 
-#include <rosemarytrail/platform/log_client.hpp>
+#include <rosemarytrail/backends/log_client.hpp>
 #include <rosemarytrail/standin/log_store.hpp>
 
 #include <algorithm>
@@ -16,7 +16,7 @@
 namespace rosemarytrail::bench {
 
 /** @brief Log as one entry VM sees it: late, lossy, sometimes down. */
-class fake_log final : public platform::log_client
+class fake_log final : public backends::log_client
 {
 public:
     fake_log(event_queue& events, standin::log_store& store,
@@ -31,7 +31,7 @@
     double late_effects{0.02};
 
     void append(std::string stream, std::string payload,
-                std::function<void(platform::append_outcome)> done) override
+                std::function<void(backends::append_outcome)> done) override
     {
         const bool late = std::bernoulli_distribution{late_effects}(random_);
         const auto delay = late ? milliseconds(500, 3000) : milliseconds(1, 3);
@@ -46,13 +46,13 @@
             }
             answer(result.lost ? lost_after : milliseconds(1, 3), [done,
                                                                    result] {
-                done(result.lost ? platform::append_outcome{} : result.outcome);
+                done(result.lost ? backends::append_outcome{} : result.outcome);
             });
         });
     }
 
-    void read(platform::read_options options,
-              std::function<void(platform::read_outcome)> done) override
+    void read(backends::read_options options,
+              std::function<void(backends::read_outcome)> done) override
     {
         const auto end = events_.now() + options.wait;
         events_.after(milliseconds(1, 3),
@@ -65,14 +65,14 @@
     static constexpr duration lost_after{std::chrono::milliseconds{400}};
     static constexpr duration poll_period{std::chrono::milliseconds{4}};
 
-    void poll(const platform::read_options& options, time_point end,
-              const std::function<void(platform::read_outcome)>& done)
+    void poll(const backends::read_options& options, time_point end,
+              const std::function<void(backends::read_outcome)>& done)
     {
         if (owner_->dead) {
             return;
         }
         auto result = store_.read(options);
-        const bool empty = result.result == platform::read_result::read &&
+        const bool empty = result.result == backends::read_result::read &&
                            result.entries.empty();
         if (empty && events_.now() < end) {
             events_.after(poll_period, [this, options, end, done] {
--- a/src/rosemarytrail/platform/fwd.hpp
+++ b/src/rosemarytrail/backends/fwd.hpp
@@ -1,9 +1,9 @@
-#ifndef ROSEMARYTRAIL_PLATFORM_FWD_HPP
-#define ROSEMARYTRAIL_PLATFORM_FWD_HPP
+#ifndef ROSEMARYTRAIL_BACKENDS_FWD_HPP
+#define ROSEMARYTRAIL_BACKENDS_FWD_HPP
 
 #include <cstdint>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 enum class append_result : std::uint8_t;
 enum class read_result : std::uint8_t;
@@ -25,6 +25,6 @@
 class vm_list_client;
 class worker_client;
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
 
 #endif
--- a/src/rosemarytrail/platform/http_log_client.cpp
+++ b/src/rosemarytrail/backends/http_log_client.cpp
@@ -1,7 +1,7 @@
-#include <rosemarytrail/platform/http_log_client.hpp>
+#include <rosemarytrail/backends/http_log_client.hpp>
 
-#include <rosemarytrail/platform/json_fields.hpp>
-#include <rosemarytrail/platform/log_wire.hpp>
+#include <rosemarytrail/backends/json_fields.hpp>
+#include <rosemarytrail/backends/log_wire.hpp>
 
 #include <charconv>
 #include <cstddef>
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <utility>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 namespace {
 
@@ -174,4 +174,4 @@
                                              options);
 }
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
--- a/src/rosemarytrail/platform/http_vm_list_client.cpp
+++ b/src/rosemarytrail/backends/http_vm_list_client.cpp
@@ -1,12 +1,12 @@
-#include <rosemarytrail/platform/http_vm_list_client.hpp>
+#include <rosemarytrail/backends/http_vm_list_client.hpp>
 
-#include <rosemarytrail/platform/vm_wire.hpp>
+#include <rosemarytrail/backends/vm_wire.hpp>
 
 #include <memory>
 #include <mutex>
 #include <utility>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 namespace {
 
@@ -109,4 +109,4 @@
                                                  options);
 }
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
--- a/src/rosemarytrail/platform/http_vm_list_client.hpp
+++ b/src/rosemarytrail/backends/http_vm_list_client.hpp
@@ -1,14 +1,14 @@
-#ifndef ROSEMARYTRAIL_PLATFORM_HTTP_VM_LIST_CLIENT_HPP
-#define ROSEMARYTRAIL_PLATFORM_HTTP_VM_LIST_CLIENT_HPP
+#ifndef ROSEMARYTRAIL_BACKENDS_HTTP_VM_LIST_CLIENT_HPP
+#define ROSEMARYTRAIL_BACKENDS_HTTP_VM_LIST_CLIENT_HPP
 
+#include <rosemarytrail/backends/vm_list_client.hpp>
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/http/client.hpp>
-#include <rosemarytrail/platform/vm_list_client.hpp>
 
 #include <memory>
 #include <string>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 /** @brief Settings of a client of the VM list. */
 struct http_vm_list_options
@@ -32,6 +32,6 @@
 make_http_vm_list_client(http::client& client, std::string base_url,
                          const http_vm_list_options& options = {});
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
 
 #endif
--- a/src/rosemarytrail/platform/http_worker_client.cpp
+++ b/src/rosemarytrail/backends/http_worker_client.cpp
@@ -1,10 +1,10 @@
-#include <rosemarytrail/platform/http_worker_client.hpp>
+#include <rosemarytrail/backends/http_worker_client.hpp>
 
-#include <rosemarytrail/platform/worker_wire.hpp>
+#include <rosemarytrail/backends/worker_wire.hpp>
 
 #include <utility>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 namespace {
 
@@ -102,4 +102,4 @@
     return std::make_unique<http_worker_client>(client, options);
 }
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
--- a/src/rosemarytrail/platform/http_worker_client.hpp
+++ b/src/rosemarytrail/backends/http_worker_client.hpp
@@ -1,13 +1,13 @@
-#ifndef ROSEMARYTRAIL_PLATFORM_HTTP_WORKER_CLIENT_HPP
-#define ROSEMARYTRAIL_PLATFORM_HTTP_WORKER_CLIENT_HPP
+#ifndef ROSEMARYTRAIL_BACKENDS_HTTP_WORKER_CLIENT_HPP
+#define ROSEMARYTRAIL_BACKENDS_HTTP_WORKER_CLIENT_HPP
 
+#include <rosemarytrail/backends/worker_client.hpp>
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/http/client.hpp>
-#include <rosemarytrail/platform/worker_client.hpp>
 
 #include <memory>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 /** @brief Settings of a client of the workers. */
 struct http_worker_options
@@ -33,6 +33,6 @@
 make_http_worker_client(http::client& client,
                         const http_worker_options& options = {});
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
 
 #endif
--- a/src/rosemarytrail/platform/json_fields.hpp
+++ b/src/rosemarytrail/backends/json_fields.hpp
@@ -1,5 +1,5 @@
-#ifndef ROSEMARYTRAIL_PLATFORM_JSON_FIELDS_HPP
-#define ROSEMARYTRAIL_PLATFORM_JSON_FIELDS_HPP
+#ifndef ROSEMARYTRAIL_BACKENDS_JSON_FIELDS_HPP
+#define ROSEMARYTRAIL_BACKENDS_JSON_FIELDS_HPP
 
 #include <rosemarytrail/core/id.hpp>
 #include <rosemarytrail/core/resources.hpp>
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <utility>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 using json = nlohmann::json;
 
@@ -240,6 +240,6 @@
     object["accelerators"] = amount.accelerators;
 }
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
 
 #endif
--- a/src/rosemarytrail/platform/log_client.hpp
+++ b/src/rosemarytrail/backends/log_client.hpp
@@ -1,5 +1,5 @@
-#ifndef ROSEMARYTRAIL_PLATFORM_LOG_CLIENT_HPP
-#define ROSEMARYTRAIL_PLATFORM_LOG_CLIENT_HPP
+#ifndef ROSEMARYTRAIL_BACKENDS_LOG_CLIENT_HPP
+#define ROSEMARYTRAIL_BACKENDS_LOG_CLIENT_HPP
 
 #include <rosemarytrail/core/time.hpp>
 
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 /** @brief What became of an append. */
 enum class append_result : std::uint8_t
@@ -99,6 +99,6 @@
                       std::function<void(read_outcome)> done) = 0;
 };
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
 
 #endif
--- a/src/rosemarytrail/platform/log_wire.cpp
+++ b/src/rosemarytrail/backends/log_wire.cpp
@@ -1,8 +1,8 @@
-#include <rosemarytrail/platform/log_wire.hpp>
+#include <rosemarytrail/backends/log_wire.hpp>
 
 #include <cstddef>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 namespace {
 
@@ -69,4 +69,4 @@
     return result;
 }
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
--- a/src/rosemarytrail/platform/log_wire.hpp
+++ b/src/rosemarytrail/backends/log_wire.hpp
@@ -1,7 +1,7 @@
-#ifndef ROSEMARYTRAIL_PLATFORM_LOG_WIRE_HPP
-#define ROSEMARYTRAIL_PLATFORM_LOG_WIRE_HPP
+#ifndef ROSEMARYTRAIL_BACKENDS_LOG_WIRE_HPP
+#define ROSEMARYTRAIL_BACKENDS_LOG_WIRE_HPP
 
-#include <rosemarytrail/platform/log_client.hpp>
+#include <rosemarytrail/backends/log_client.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <vector>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 /**
  * @brief Writes entries as the log's reads give them: for each a 64-bit
@@ -30,6 +30,6 @@
 [[nodiscard]] std::optional<std::vector<log_entry>>
 decode_log_entries(std::string_view frames, std::uint64_t from);
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
 
 #endif
--- a/src/rosemarytrail/platform/vm_list_client.hpp
+++ b/src/rosemarytrail/backends/vm_list_client.hpp
@@ -1,5 +1,5 @@
-#ifndef ROSEMARYTRAIL_PLATFORM_VM_LIST_CLIENT_HPP
-#define ROSEMARYTRAIL_PLATFORM_VM_LIST_CLIENT_HPP
+#ifndef ROSEMARYTRAIL_BACKENDS_VM_LIST_CLIENT_HPP
+#define ROSEMARYTRAIL_BACKENDS_VM_LIST_CLIENT_HPP
 
 #include <rosemarytrail/core/id.hpp>
 #include <rosemarytrail/core/resources.hpp>
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 /** @brief Row of the platform's list of VMs. */
 struct vm_entry
@@ -48,6 +48,6 @@
     virtual void fetch(std::function<void(vm_list_outcome)> done) = 0;
 };
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
 
 #endif
--- a/src/rosemarytrail/platform/vm_wire.cpp
+++ b/src/rosemarytrail/backends/vm_wire.cpp
@@ -1,8 +1,8 @@
-#include <rosemarytrail/platform/vm_wire.hpp>
+#include <rosemarytrail/backends/vm_wire.hpp>
 
-#include <rosemarytrail/platform/json_fields.hpp>
+#include <rosemarytrail/backends/json_fields.hpp>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 namespace {
 
@@ -78,4 +78,4 @@
     return result;
 }
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
--- a/src/rosemarytrail/platform/vm_wire.hpp
+++ b/src/rosemarytrail/backends/vm_wire.hpp
@@ -1,7 +1,7 @@
-#ifndef ROSEMARYTRAIL_PLATFORM_VM_WIRE_HPP
-#define ROSEMARYTRAIL_PLATFORM_VM_WIRE_HPP
+#ifndef ROSEMARYTRAIL_BACKENDS_VM_WIRE_HPP
+#define ROSEMARYTRAIL_BACKENDS_VM_WIRE_HPP
 
-#include <rosemarytrail/platform/vm_list_client.hpp>
+#include <rosemarytrail/backends/vm_list_client.hpp>
 
 #include <optional>
 #include <span>
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 /**
  * @brief Writes a row of the VM list.
@@ -40,6 +40,6 @@
 [[nodiscard]] std::optional<std::vector<vm_entry>>
 decode_vm_list(std::string_view text);
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
 
 #endif
--- a/src/rosemarytrail/platform/worker_client.hpp
+++ b/src/rosemarytrail/backends/worker_client.hpp
@@ -1,5 +1,5 @@
-#ifndef ROSEMARYTRAIL_PLATFORM_WORKER_CLIENT_HPP
-#define ROSEMARYTRAIL_PLATFORM_WORKER_CLIENT_HPP
+#ifndef ROSEMARYTRAIL_BACKENDS_WORKER_CLIENT_HPP
+#define ROSEMARYTRAIL_BACKENDS_WORKER_CLIENT_HPP
 
 #include <rosemarytrail/core/id.hpp>
 #include <rosemarytrail/core/job_spec.hpp>
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 /** @brief What a command asks of a worker. */
 enum class command_kind : std::uint8_t
@@ -136,6 +136,6 @@
                       std::function<void(worker_outcome)> done) = 0;
 };
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
 
 #endif
--- a/src/rosemarytrail/platform/worker_wire.cpp
+++ b/src/rosemarytrail/backends/worker_wire.cpp
@@ -1,12 +1,12 @@
-#include <rosemarytrail/platform/worker_wire.hpp>
+#include <rosemarytrail/backends/worker_wire.hpp>
 
-#include <rosemarytrail/platform/json_fields.hpp>
+#include <rosemarytrail/backends/json_fields.hpp>
 
 #include <array>
 #include <cstddef>
 #include <span>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 namespace {
 
@@ -181,4 +181,4 @@
     return result;
 }
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
--- a/src/rosemarytrail/platform/worker_wire.hpp
+++ b/src/rosemarytrail/backends/worker_wire.hpp
@@ -1,13 +1,13 @@
-#ifndef ROSEMARYTRAIL_PLATFORM_WORKER_WIRE_HPP
-#define ROSEMARYTRAIL_PLATFORM_WORKER_WIRE_HPP
+#ifndef ROSEMARYTRAIL_BACKENDS_WORKER_WIRE_HPP
+#define ROSEMARYTRAIL_BACKENDS_WORKER_WIRE_HPP
 
-#include <rosemarytrail/platform/worker_client.hpp>
+#include <rosemarytrail/backends/worker_client.hpp>
 
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace rosemarytrail::platform {
+namespace rosemarytrail::backends {
 
 /**
  * @brief Writes a batch as the worker's command interface takes it.
@@ -39,6 +39,6 @@
 [[nodiscard]] std::optional<worker_outcome>
 decode_worker_outcome(std::string_view text);
 
-} // namespace rosemarytrail::platform
+} // namespace rosemarytrail::backends
 
 #endif
--- /dev/null
+++ b/src/rosemarytrail/cell/feed_reader.cpp
@@ -0,0 +1,194 @@
+#include <rosemarytrail/cell/feed_reader.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemarytrail::cell {
+
+struct feed_reader::internal_state
+    : std::enable_shared_from_this<feed_reader::internal_state>
+{
+    internal_state(const feed_reader_options& options_, http::event_loop& loop_,
+                   store& source_, feed_listener& target_)
+        : options{options_}
+        , loop{loop_}
+        , source{source_}
+        , target{target_}
+    {}
+
+    feed_reader_options options;
+    http::event_loop& loop;
+    store& source;
+    feed_listener& target;
+    std::int64_t offset{};
+    bool loaded{false};
+    bool stopped{false};
+    time_point fresh;
+    std::vector<feed_record> loading;
+    std::int64_t load_end{};
+
+    void load(std::string after);
+    void on_newest(newest_page page, time_point sent);
+    void read();
+    void on_page(feed_page page, time_point sent);
+    void apply(const feed_page& page, std::int64_t from);
+    void again(duration pause, void (internal_state::*next)());
+    void begin() { load({}); }
+};
+
+void feed_reader::internal_state::again(duration pause,
+                                        void (internal_state::*next)())
+{
+    loop.post_at(boot_clock::now() + pause, [self = shared_from_this(), next] {
+        if (!self->stopped) {
+            (self.get()->*next)();
+        }
+    });
+}
+
+void feed_reader::internal_state::load(std::string after)
+{
+    if (after.empty()) {
+        loading.clear();
+    }
+    source.newest(options.which, after,
+                  [self = shared_from_this(),
+                   sent = boot_clock::now()](newest_page page) {
+                      if (!self->stopped) {
+                          self->on_newest(std::move(page), sent);
+                      }
+                  });
+}
+
+void feed_reader::internal_state::on_newest(newest_page page, time_point sent)
+{
+    if (page.result != store_result::done) {
+        again(options.retry, &internal_state::begin);
+        return;
+    }
+    // Pages are not a snapshot: what is written meanwhile follows in the log
+    // from the end that the first page told.
+    if (loading.empty()) {
+        load_end = page.end_offset;
+    }
+    const auto last =
+        page.records.empty() ? std::string{} : page.records.back().key;
+    std::ranges::move(page.records, std::back_inserter(loading));
+    if (page.more && !last.empty()) {
+        load(last);
+        return;
+    }
+    target.on_reset();
+    for (const auto& it : loading) {
+        target.on_record(it);
+    }
+    loading.clear();
+    offset = load_end;
+    fresh = sent;
+    loaded = true;
+    target.on_caught_up();
+    read();
+}
+
+void feed_reader::internal_state::read()
+{
+    source.read(
+        options.which, offset, options.wait,
+        [self = shared_from_this(), sent = boot_clock::now()](feed_page page) {
+            if (!self->stopped) {
+                self->on_page(std::move(page), sent);
+            }
+        });
+}
+
+void feed_reader::internal_state::apply(const feed_page& page,
+                                        std::int64_t from)
+{
+    // A read beside this one may have brought some of the records already.
+    const auto skip = std::max<std::int64_t>(offset - from, 0);
+    for (auto i = static_cast<std::size_t>(skip); i < page.records.size();
+         ++i) {
+        target.on_record(page.records[i]);
+    }
+    offset = std::max(offset, page.next_offset);
+}
+
+void feed_reader::internal_state::on_page(feed_page page, time_point sent)
+{
+    if (page.result == store_result::history_lost) {
+        loaded = false;
+        load({});
+        return;
+    }
+    if (page.result != store_result::done) {
+        again(options.retry, &internal_state::read);
+        return;
+    }
+    fresh = std::max(fresh, sent);
+    const auto from =
+        page.next_offset - static_cast<std::int64_t>(page.records.size());
+    apply(page, from);
+    if (page.at_end) {
+        target.on_caught_up();
+    }
+    const auto due = sent + options.spacing;
+    const auto now = boot_clock::now();
+    if (due > now) {
+        again(due - now, &internal_state::read);
+    } else {
+        read();
+    }
+}
+
+feed_reader::feed_reader(const feed_reader_options& options,
+                         http::event_loop& loop, store& source,
+                         feed_listener& target)
+    : state_{std::make_shared<internal_state>(options, loop, source, target)}
+{}
+
+feed_reader::~feed_reader()
+{
+    state_->stopped = true;
+}
+
+void feed_reader::start()
+{
+    state_->load({});
+}
+
+void feed_reader::set_spacing(duration spacing) noexcept
+{
+    state_->options.spacing = spacing;
+}
+
+bool feed_reader::loaded() const noexcept
+{
+    return state_->loaded;
+}
+
+std::int64_t feed_reader::offset() const noexcept
+{
+    return state_->offset;
+}
+
+time_point feed_reader::fresh_as_of() const noexcept
+{
+    return state_->fresh;
+}
+
+void feed_reader::catch_up(std::function<void(bool)> done)
+{
+    const auto from = state_->offset;
+    state_->source.read(
+        state_->options.which, from, duration{},
+        [state = state_, from, done = std::move(done)](feed_page page) {
+            const bool whole = !state->stopped && state->loaded &&
+                               page.result == store_result::done;
+            if (whole) {
+                state->apply(page, from);
+            }
+            done(whole && page.at_end);
+        });
+}
+
+} // namespace rosemarytrail::cell
--- /dev/null
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -0,0 +1,158 @@
+#ifndef ROSEMARYTRAIL_CELL_INTERNAL_NODE_STATE_HPP
+#define ROSEMARYTRAIL_CELL_INTERNAL_NODE_STATE_HPP
+
+#include <rosemarytrail/cell/feed_reader.hpp>
+#include <rosemarytrail/cell/node.hpp>
+#include <rosemarytrail/fleet/advice_plan.hpp>
+#include <rosemarytrail/fleet/dispatcher.hpp>
+#include <rosemarytrail/fleet/job_board.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rosemarytrail::cell {
+
+struct node::internal_state
+{
+    internal_state(const node_options& options_, http::event_loop& loop_,
+                   store& shared_, worker_port& workers_, advice_port& advice_,
+                   const decoder& formats_, metrics::registry& metrics_);
+
+    struct ledger_listener final : feed_listener
+    {
+        internal_state* owner{};
+        void on_reset() override;
+        void on_record(const feed_record& record) override;
+        void on_caught_up() override;
+    };
+
+    struct configuration_listener final : feed_listener
+    {
+        internal_state* owner{};
+        void on_reset() override;
+        void on_record(const feed_record& record) override;
+        void on_caught_up() override;
+    };
+
+    struct directory_listener final : feed_listener
+    {
+        internal_state* owner{};
+        void on_reset() override;
+        void on_record(const feed_record& record) override;
+        void on_caught_up() override;
+    };
+
+    /** @brief What a node keeps only while it leads. */
+    struct leadership
+    {
+        leadership(const fleet::dispatcher_options& options,
+                   const fleet::job_board& board, time_point now,
+                   std::int64_t unix_ms)
+            : decisions{options, board, now, unix_ms}
+        {}
+
+        fleet::dispatcher decisions;
+        std::uint64_t epoch{};
+        std::uint64_t sequence{};
+        std::optional<fleet::ledger_batch> batch;
+        bool in_flight{false};
+        time_point next_append;
+        time_point append_sent;
+    };
+
+    node_options options;
+    http::event_loop& loop;
+    store& shared;
+    worker_port& workers;
+    advice_port& advice;
+    const decoder& formats;
+    metrics::registry& metrics;
+
+    fleet::job_board board;
+    std::shared_ptr<const fleet::cell_config> config;
+    std::map<std::string, fleet::worker_vm> vms;
+    std::vector<fleet::worker_vm> vm_list;
+    fleet::advice_plan questions;
+    std::vector<std::string> members;
+    std::size_t advice_in_flight{};
+    time_point advice_paused_until;
+
+    ledger_listener ledger_target;
+    configuration_listener configuration_target;
+    directory_listener directory_target;
+    feed_reader ledger;
+    feed_reader configuration;
+    feed_reader directory;
+
+    /** @brief Entry that a client waits for. */
+    struct client_append;
+    /** @brief Entries of clients that are not known to be on record. */
+    std::multimap<std::string, std::shared_ptr<client_append>> awaited;
+    /** @brief How long this node waits for the answer to an append. */
+    duration patience;
+    duration latest_append{};
+
+    std::unique_ptr<leadership> lead;
+    /** @brief Grows with each lead; tells late answers of a former one. */
+    std::uint64_t lead_number{};
+    std::uint64_t generation{};
+    bool chosen{false};
+    bool claiming{false};
+    bool shutting_down{false};
+    bool run_posted{false};
+    time_point last_join;
+    time_point store_seen;
+    time_point last_cleanup;
+
+    std::atomic<bool> ready_flag{false};
+    /** @brief Latest tick, in units of `duration`; read by other threads. */
+    std::atomic<std::int64_t> last_tick{0};
+
+    void on_ledger_record(const feed_record& record);
+    void on_ledger_caught_up();
+    void join();
+    void list_members();
+    void on_join(const membership& it, time_point sent);
+    void try_lead();
+    void take_lead(std::uint64_t epoch, std::int64_t at);
+    void step_down(std::string_view why);
+    void append_batch();
+    void on_batch_appended(const append_answer& it, std::uint64_t sequence);
+    void batch_recorded();
+    void note_append(bool answered, duration took);
+    void confirm(std::string_view key);
+    void send_orders(time_point now);
+    void note_store(time_point sent);
+    [[nodiscard]] bool store_reached(time_point now) const;
+    void run();
+    void run_now();
+    void tick();
+    void drop_old_outcomes();
+    void ask_advice(time_point now);
+    void on_advice(const fleet::step_key& step, advice_answer it,
+                   time_point sent);
+    void shut_down();
+    void serve(client_call call, std::function<void(client_answer)> done);
+    void answer_known(std::uint64_t id, const client_call& call,
+                      std::function<void(client_answer)> done);
+    void submit(std::uint64_t id, const fleet::queue& queue,
+                std::string account, client_call call,
+                std::function<void(client_answer)> done);
+    void append_for_client(fleet::ledger_entry entry, time_point deadline,
+                           answer_kind on_done,
+                           std::function<void(client_answer)> done);
+    void give_up(const std::shared_ptr<client_append>& it,
+                 const client_answer& answer);
+    void try_append(const std::shared_ptr<client_append>& it);
+};
+
+} // namespace rosemarytrail::cell
+
+#endif
--- /dev/null
+++ b/src/rosemarytrail/cell/node.hpp
@@ -0,0 +1,108 @@
+#ifndef ROSEMARYTRAIL_CELL_NODE_HPP
+#define ROSEMARYTRAIL_CELL_NODE_HPP
+
+#include <rosemarytrail/cell/client_call.hpp>
+#include <rosemarytrail/cell/ports.hpp>
+#include <rosemarytrail/core/time.hpp>
+#include <rosemarytrail/fleet/dispatcher.hpp>
+#include <rosemarytrail/http/client.hpp>
+#include <rosemarytrail/metrics/registry.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace rosemarytrail::cell {
+
+/** @brief Spans and bounds of a node. */
+struct node_options
+{
+    /** @brief Name of the VM. */
+    std::string name;
+    /** @brief Name of this incarnation; unique over restarts. */
+    std::string member;
+    fleet::dispatcher_options dispatcher;
+    /** @brief A leader silent for longer is replaced. */
+    duration member_lifetime{std::chrono::milliseconds{1200}};
+    /** @brief Time between two signs of life. */
+    duration join_period{std::chrono::milliseconds{300}};
+    /** @brief Time between two looks at which nodes live. */
+    duration members_period{std::chrono::milliseconds{1000}};
+    /** @brief Without news from the store for longer, no calls are taken. */
+    duration store_silence{std::chrono::milliseconds{2500}};
+    /** @brief How long the outcome of a job can be asked for. */
+    duration outcome_retention{std::chrono::seconds{150}};
+    /** @brief Shortest time between two reads of the ledger by a follower. */
+    duration follower_spacing{std::chrono::milliseconds{60}};
+    /** @brief Shortest time between two reads of the ledger by the leader. */
+    duration leader_spacing{std::chrono::milliseconds{12}};
+    /** @brief Shortest time between two reads of the directory. */
+    duration directory_spacing{std::chrono::milliseconds{500}};
+    /** @brief Shortest time between two appends of the leader. */
+    duration append_spacing{std::chrono::milliseconds{12}};
+    /** @brief Least time before an unanswered append is sent again. */
+    duration append_patience{std::chrono::milliseconds{150}};
+    /** @brief Greatest such time, for a slow store. */
+    duration append_patience_most{std::chrono::milliseconds{1500}};
+    /** @brief Pause before an append without effect is sent again. */
+    duration append_retry{std::chrono::milliseconds{50}};
+    /** @brief Part of a caller's time kept to say that it is unknown. */
+    duration answer_margin{std::chrono::milliseconds{300}};
+    /** @brief A ready step without advice is asked for by the leader. */
+    duration advice_patience{std::chrono::milliseconds{1200}};
+};
+
+/**
+ * @brief Node of the cell: serves clients, and one node at a time leads.
+ *
+ * All of it runs on one event loop, except where a comment says otherwise.
+ */
+class node
+{
+public:
+    /**
+     * @brief Prepares a node; nothing is called yet.
+     * @param options Spans and bounds.
+     * @param loop Loop that it runs on; outlives the node.
+     * @param shared Store.
+     * @param workers Workers.
+     * @param advice Advice service.
+     * @param formats Reads what others write.
+     * @param metrics Owns the node's metrics.
+     */
+    node(const node_options& options, http::event_loop& loop, store& shared,
+         worker_port& workers, advice_port& advice, const decoder& formats,
+         metrics::registry& metrics);
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+    ~node();
+
+    /** @brief Begins; any thread. */
+    void start();
+
+    /**
+     * @brief Serves a call; only on the loop.
+     * @param call Call.
+     * @param done Called once with the answer.
+     */
+    void serve(client_call call, std::function<void(client_answer)> done);
+
+    /**
+     * @brief Tells whether callers should be sent here; any thread.
+     * @param now Present time.
+     * @return True if so.
+     */
+    [[nodiscard]] bool ready(time_point now) const noexcept;
+
+    /** @brief Hands the lead over and asks for no more callers; any thread. */
+    void begin_shutdown();
+
+private:
+    struct internal_state;
+    std::unique_ptr<internal_state> state_;
+};
+
+} // namespace rosemarytrail::cell
+
+#endif
--- a/src/rosemarytrail/control/cell_log.cpp
+++ b/src/rosemarytrail/control/cell_log.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-cell_log::cell_log(platform::log_client& log, const time_source& clock,
+cell_log::cell_log(backends::log_client& log, const time_source& clock,
                    std::string stream, cell_log_listener& listener)
     : log_{log}
     , clock_{clock}
@@ -78,12 +78,12 @@
 {
     std::weak_ptr<bool> alive = alive_;
     log_.read({.stream = snapshot_stream(), .from = 0, .bytes = 1},
-              [this, alive](const platform::read_outcome& outcome) {
+              [this, alive](const backends::read_outcome& outcome) {
                   if (alive.expired()) {
                       return;
                   }
                   reading_ = false;
-                  if (outcome.result == platform::read_result::failed) {
+                  if (outcome.result == backends::read_result::failed) {
                       read_failed();
                       return;
                   }
@@ -102,17 +102,17 @@
     log_.read({.stream = snapshot_stream(),
                .from = snapshot_offset_,
                .bytes = snapshot_bytes},
-              [this, alive](const platform::read_outcome& outcome) {
+              [this, alive](const backends::read_outcome& outcome) {
                   if (!alive.expired()) {
                       on_snapshot(outcome);
                   }
               });
 }
 
-void cell_log::on_snapshot(const platform::read_outcome& outcome)
+void cell_log::on_snapshot(const backends::read_outcome& outcome)
 {
     reading_ = false;
-    if (outcome.result == platform::read_result::failed) {
+    if (outcome.result == backends::read_result::failed) {
         read_failed();
         return;
     }
@@ -144,23 +144,23 @@
                .from = state_.next_offset(),
                .bytes = read_bytes,
                .wait = caught_up_ ? poll_wait : duration::zero()},
-              [this, alive, now](const platform::read_outcome& outcome) {
+              [this, alive, now](const backends::read_outcome& outcome) {
                   if (!alive.expired()) {
                       on_entries(outcome, now);
                   }
               });
 }
 
-void cell_log::on_entries(const platform::read_outcome& outcome,
+void cell_log::on_entries(const backends::read_outcome& outcome,
                           time_point asked)
 {
     reading_ = false;
-    if (outcome.result == platform::read_result::failed) {
+    if (outcome.result == backends::read_result::failed) {
         read_failed();
         return;
     }
     failures_ = 0;
-    if (outcome.result == platform::read_result::trimmed) {
+    if (outcome.result == backends::read_result::trimmed) {
         stage_ = stage::find_snapshot;
         return;
     }
@@ -199,17 +199,17 @@
     }
 }
 
-void cell_log::apply_relayed(std::span<const platform::log_entry> entries)
+void cell_log::apply_relayed(std::span<const backends::log_entry> entries)
 {
     for (const auto& it : entries) {
         apply_entry(it.offset, it.payload);
     }
 }
 
-std::vector<platform::log_entry> cell_log::relay(std::uint64_t from,
+std::vector<backends::log_entry> cell_log::relay(std::uint64_t from,
                                                  std::size_t bytes) const
 {
-    std::vector<platform::log_entry> out;
+    std::vector<backends::log_entry> out;
     if (kept_.empty() || from < kept_.front().offset) {
         return out;
     }
@@ -245,18 +245,18 @@
     snapshot_in_flight_ = true;
     std::weak_ptr<bool> alive = alive_;
     log_.append(snapshot_stream(), state_.snapshot(),
-                [this, alive, next](const platform::append_outcome& outcome) {
+                [this, alive, next](const backends::append_outcome& outcome) {
                     if (!alive.expired()) {
                         on_snapshot_written(outcome, next);
                     }
                 });
 }
 
-void cell_log::on_snapshot_written(const platform::append_outcome& outcome,
+void cell_log::on_snapshot_written(const backends::append_outcome& outcome,
                                    std::uint64_t next)
 {
     snapshot_in_flight_ = false;
-    if (outcome.result == platform::append_result::appended) {
+    if (outcome.result == backends::append_result::appended) {
         last_snapshot_ = next;
         snapshot_failures_ = 0;
         snapshot_since_.reset();
--- a/src/rosemarytrail/control/cell_log.hpp
+++ b/src/rosemarytrail/control/cell_log.hpp
@@ -1,9 +1,9 @@
 #ifndef ROSEMARYTRAIL_CONTROL_CELL_LOG_HPP
 #define ROSEMARYTRAIL_CONTROL_CELL_LOG_HPP
 
+#include <rosemarytrail/backends/log_client.hpp>
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/core/time_source.hpp>
-#include <rosemarytrail/platform/log_client.hpp>
 #include <rosemarytrail/state/cell_state.hpp>
 #include <rosemarytrail/state/record.hpp>
 
@@ -72,7 +72,7 @@
      * @param stream Stream to follow.
      * @param listener Receives what happens; outlives the follower.
      */
-    cell_log(platform::log_client& log, const time_source& clock,
+    cell_log(backends::log_client& log, const time_source& clock,
              std::string stream, cell_log_listener& listener);
 
     /**
@@ -85,7 +85,7 @@
      * @brief Applies entries that a peer relayed.
      * @param entries Entries in the order of their offsets.
      */
-    void apply_relayed(std::span<const platform::log_entry> entries);
+    void apply_relayed(std::span<const backends::log_entry> entries);
 
     /**
      * @brief Entries kept for peers.
@@ -93,7 +93,7 @@
      * @param bytes Most bytes of payload.
      * @return Entries from that offset on; empty if it is not kept.
      */
-    [[nodiscard]] std::vector<platform::log_entry>
+    [[nodiscard]] std::vector<backends::log_entry>
     relay(std::uint64_t from, std::size_t bytes) const;
 
     /** @return State after all entries applied. */
@@ -126,17 +126,17 @@
     void find_snapshot(time_point now);
     void read_snapshot(time_point now);
     void follow(time_point now);
-    void on_entries(const platform::read_outcome& outcome, time_point asked);
-    void on_snapshot(const platform::read_outcome& outcome);
+    void on_entries(const backends::read_outcome& outcome, time_point asked);
+    void on_snapshot(const backends::read_outcome& outcome);
     void read_failed();
     void write_snapshot(std::uint64_t next);
-    void on_snapshot_written(const platform::append_outcome& outcome,
+    void on_snapshot_written(const backends::append_outcome& outcome,
                              std::uint64_t next);
     void apply_entry(std::uint64_t offset, const std::string& payload);
     void keep(std::uint64_t offset, const std::string& payload);
     [[nodiscard]] std::string snapshot_stream() const;
 
-    platform::log_client& log_;
+    backends::log_client& log_;
     const time_source& clock_;
     std::string stream_;
     cell_log_listener& listener_;
@@ -152,7 +152,7 @@
     time_point next_snapshot_{};
     std::uint32_t failures_{};
     time_point next_read_{};
-    std::deque<platform::log_entry> kept_;
+    std::deque<backends::log_entry> kept_;
     std::size_t kept_bytes_{};
     std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
 };
--- a/src/rosemarytrail/control/controller.cpp
+++ b/src/rosemarytrail/control/controller.cpp
@@ -69,7 +69,7 @@
     return state_->own_heartbeat(now);
 }
 
-std::vector<platform::log_entry> controller::relay(std::uint64_t from,
+std::vector<backends::log_entry> controller::relay(std::uint64_t from,
                                                    std::size_t bytes) const
 {
     return state_->log.relay(from, bytes);
--- a/src/rosemarytrail/control/controller.hpp
+++ b/src/rosemarytrail/control/controller.hpp
@@ -1,6 +1,9 @@
 #ifndef ROSEMARYTRAIL_CONTROL_CONTROLLER_HPP
 #define ROSEMARYTRAIL_CONTROL_CONTROLLER_HPP
 
+#include <rosemarytrail/backends/log_client.hpp>
+#include <rosemarytrail/backends/vm_list_client.hpp>
+#include <rosemarytrail/backends/worker_client.hpp>
 #include <rosemarytrail/control/cell_log.hpp>
 #include <rosemarytrail/control/peer_network.hpp>
 #include <rosemarytrail/core/id.hpp>
@@ -8,9 +11,6 @@
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/core/time_source.hpp>
 #include <rosemarytrail/metrics/registry.hpp>
-#include <rosemarytrail/platform/log_client.hpp>
-#include <rosemarytrail/platform/vm_list_client.hpp>
-#include <rosemarytrail/platform/worker_client.hpp>
 #include <rosemarytrail/request/routing_table.hpp>
 #include <rosemarytrail/state/freshness.hpp>
 
@@ -48,9 +48,9 @@
 struct controller_ports
 {
     /** @brief Callbacks of all ports come on the control thread. */
-    platform::log_client& log;
-    platform::vm_list_client& vms;
-    platform::worker_client& workers;
+    backends::log_client& log;
+    backends::vm_list_client& vms;
+    backends::worker_client& workers;
     peer_network& peers;
     const time_source& clock;
     metrics::registry& metrics;
@@ -182,7 +182,7 @@
      * @param bytes Most bytes of payload.
      * @return Entries from that offset on; empty if it is not kept.
      */
-    [[nodiscard]] std::vector<platform::log_entry>
+    [[nodiscard]] std::vector<backends::log_entry>
     relay(std::uint64_t from, std::size_t bytes) const;
 
     /**
--- a/src/rosemarytrail/control/internal/controller_state.hpp
+++ b/src/rosemarytrail/control/internal/controller_state.hpp
@@ -138,7 +138,7 @@
 
     // VM list, teams and the table for traffic: routing.cpp.
     void tick_vm_list(time_point now);
-    void on_vm_list(const platform::vm_list_outcome& outcome);
+    void on_vm_list(const backends::vm_list_outcome& outcome);
     void refresh_holders(time_point now);
     void refresh_team(partition_id partition, partition_holder& holder,
                       const team_id& team);
@@ -192,7 +192,7 @@
     peer_table peers;
     claim_policy policy{claim_options{}};
     std::map<partition_id, std::unique_ptr<partition_holder>> holders;
-    std::map<vm_id, platform::vm_entry> vm_list;
+    std::map<vm_id, backends::vm_entry> vm_list;
     bool vm_list_in_flight{false};
     time_point next_vm_list{};
     bool joining{false};
--- a/src/rosemarytrail/control/internal/exchange.cpp
+++ b/src/rosemarytrail/control/internal/exchange.cpp
@@ -133,7 +133,7 @@
     ports.peers.relay(
         member->second.peer_address, cell().next_offset(), relay_bytes,
         [this, guard](
-            const std::optional<std::vector<platform::log_entry>>& entries) {
+            const std::optional<std::vector<backends::log_entry>>& entries) {
             if (guard.expired()) {
                 return;
             }
--- a/src/rosemarytrail/control/internal/routing.cpp
+++ b/src/rosemarytrail/control/internal/routing.cpp
@@ -26,7 +26,7 @@
     vm_list_in_flight = true;
     next_vm_list = now + options.vm_list_period;
     std::weak_ptr<bool> guard = alive;
-    ports.vms.fetch([this, guard](const platform::vm_list_outcome& outcome) {
+    ports.vms.fetch([this, guard](const backends::vm_list_outcome& outcome) {
         if (guard.expired()) {
             return;
         }
@@ -38,7 +38,7 @@
 }
 
 void controller::internal_state::on_vm_list(
-    const platform::vm_list_outcome& outcome)
+    const backends::vm_list_outcome& outcome)
 {
     vm_list.clear();
     for (const auto& it : outcome.vms) {
--- a/src/rosemarytrail/control/partition_holder.cpp
+++ b/src/rosemarytrail/control/partition_holder.cpp
@@ -58,7 +58,7 @@
     held.link->set_epoch(ports_.state.vm_epoch(vm));
 }
 
-void partition_holder::update_vm(const platform::vm_entry& entry)
+void partition_holder::update_vm(const backends::vm_entry& entry)
 {
     const auto it = vms_.find(entry.vm);
     if (it == vms_.end()) {
@@ -182,11 +182,11 @@
         break;
     case placement::decision_kind::checkpoint:
         ports_.task_ends.add(it.code);
-        send_end(it.task, platform::command_kind::checkpoint);
+        send_end(it.task, backends::command_kind::checkpoint);
         break;
     case placement::decision_kind::stop:
         ports_.task_ends.add(it.code);
-        send_end(it.task, platform::command_kind::stop);
+        send_end(it.task, backends::command_kind::stop);
         break;
     case placement::decision_kind::reject:
         reject(it);
@@ -206,7 +206,7 @@
     if (const auto found = jobs_.find(it.task.job); found != jobs_.end()) {
         ports_.start_waits.add(now - found->second);
     }
-    vm->second.link->enqueue({.kind = platform::command_kind::start,
+    vm->second.link->enqueue({.kind = backends::command_kind::start,
                               .task = it.task,
                               .attempt = it.attempt,
                               .request = it.request,
@@ -215,7 +215,7 @@
 }
 
 void partition_holder::send_end(const task_ref& task,
-                                platform::command_kind kind)
+                                backends::command_kind kind)
 {
     const auto it = tasks_.find(task);
     if (it == tasks_.end() || it->second.phase == stage::stopping) {
--- a/src/rosemarytrail/control/partition_holder.hpp
+++ b/src/rosemarytrail/control/partition_holder.hpp
@@ -1,6 +1,8 @@
 #ifndef ROSEMARYTRAIL_CONTROL_PARTITION_HOLDER_HPP
 #define ROSEMARYTRAIL_CONTROL_PARTITION_HOLDER_HPP
 
+#include <rosemarytrail/backends/vm_list_client.hpp>
+#include <rosemarytrail/backends/worker_client.hpp>
 #include <rosemarytrail/control/peer_network.hpp>
 #include <rosemarytrail/control/record_writer.hpp>
 #include <rosemarytrail/control/worker_link.hpp>
@@ -9,8 +11,6 @@
 #include <rosemarytrail/core/time_source.hpp>
 #include <rosemarytrail/metrics/registry.hpp>
 #include <rosemarytrail/placement/scheduler.hpp>
-#include <rosemarytrail/platform/vm_list_client.hpp>
-#include <rosemarytrail/platform/worker_client.hpp>
 #include <rosemarytrail/state/cell_state.hpp>
 #include <rosemarytrail/state/takeover.hpp>
 
@@ -42,7 +42,7 @@
 {
     const state::cell_state& state;
     record_writer& writer;
-    platform::worker_client& workers;
+    backends::worker_client& workers;
     const time_source& clock;
     metrics::code_counters& task_ends;
     metrics::counter& starts;
@@ -73,7 +73,7 @@
      * @brief Learns what the VM list says of a VM of this partition.
      * @param entry Row of the list.
      */
-    void update_vm(const platform::vm_entry& entry);
+    void update_vm(const backends::vm_entry& entry);
 
     /**
      * @brief Takes a VM that was just given to this partition.
@@ -214,7 +214,7 @@
 
     struct held_vm
     {
-        platform::vm_entry entry{};
+        backends::vm_entry entry{};
         bool listed{false};
         bool withheld{false};
         resources capacity{};
@@ -228,23 +228,23 @@
     void expire(held_vm& held, time_point now);
     void carry_out(const placement::decision& it, time_point now);
     void send_start(const placement::decision& it, time_point now);
-    void send_end(const task_ref& task, platform::command_kind kind);
+    void send_end(const task_ref& task, backends::command_kind kind);
     void on_answer(const vm_id& vm, const worker_answer& answer,
                    time_point now);
-    void on_command(const platform::worker_command& command, result_code code,
+    void on_command(const backends::worker_command& command, result_code code,
                     time_point now);
-    void on_report(const vm_id& vm, const platform::task_report& report,
+    void on_report(const vm_id& vm, const backends::task_report& report,
                    time_point now);
-    void on_running(const vm_id& vm, const platform::task_report& report,
+    void on_running(const vm_id& vm, const backends::task_report& report,
                     time_point now);
-    void on_ended(const vm_id& vm, const platform::task_report& report,
+    void on_ended(const vm_id& vm, const backends::task_report& report,
                   time_point now);
     void on_missing(const vm_id& vm, const worker_answer& answer,
                     time_point now);
     void release(const task_ref& task, placement::task_end end, time_point now);
     void acknowledge(const vm_id& vm, const task_ref& task,
                      std::uint32_t attempt);
-    void record_success(const vm_id& vm, const platform::task_report& report);
+    void record_success(const vm_id& vm, const backends::task_report& report);
     void flush_finished();
     void record_settled(time_point now);
     void reject(const placement::decision& it);
--- a/src/rosemarytrail/control/partition_reports.cpp
+++ b/src/rosemarytrail/control/partition_reports.cpp
@@ -46,10 +46,10 @@
     on_missing(vm, answer, now);
 }
 
-void partition_holder::on_command(const platform::worker_command& command,
+void partition_holder::on_command(const backends::worker_command& command,
                                   result_code code, time_point now)
 {
-    if (command.kind != platform::command_kind::start) {
+    if (command.kind != backends::command_kind::start) {
         return;
     }
     const auto it = tasks_.find(command.task);
@@ -70,10 +70,10 @@
 }
 
 void partition_holder::on_report(const vm_id& vm,
-                                 const platform::task_report& report,
+                                 const backends::task_report& report,
                                  time_point now)
 {
-    if (report.phase == platform::task_phase::running) {
+    if (report.phase == backends::task_phase::running) {
         on_running(vm, report, now);
         return;
     }
@@ -81,7 +81,7 @@
 }
 
 void partition_holder::on_running(const vm_id& vm,
-                                  const platform::task_report& report,
+                                  const backends::task_report& report,
                                   time_point now)
 {
     const auto it = tasks_.find(report.task);
@@ -90,7 +90,7 @@
     }
     const bool elsewhere = it != tasks_.end();
     if (elsewhere || is_over(report.task)) {
-        vms_[vm].link->enqueue({.kind = platform::command_kind::stop,
+        vms_[vm].link->enqueue({.kind = backends::command_kind::stop,
                                 .task = report.task,
                                 .attempt = report.attempt});
         return;
@@ -103,13 +103,13 @@
 }
 
 void partition_holder::on_ended(const vm_id& vm,
-                                const platform::task_report& report,
+                                const backends::task_report& report,
                                 time_point now)
 {
     const auto it = tasks_.find(report.task);
     const bool ours = it != tasks_.end() && it->second.vm == vm &&
                       it->second.attempt == report.attempt;
-    if (report.phase == platform::task_phase::succeeded &&
+    if (report.phase == backends::task_phase::succeeded &&
         !is_over(report.task)) {
         record_success(vm, report);
         if (ours) {
@@ -125,15 +125,15 @@
         return;
     }
     switch (report.phase) {
-    case platform::task_phase::failed:
+    case backends::task_phase::failed:
         ports_.task_ends.add(result_code::task_failed);
         release(report.task, placement::task_end::failed, now);
         break;
-    case platform::task_phase::lapsed:
+    case backends::task_phase::lapsed:
         ports_.task_ends.add(result_code::task_lease_lapsed);
         release(report.task, placement::task_end::lost, now);
         break;
-    case platform::task_phase::succeeded:
+    case backends::task_phase::succeeded:
         release(report.task, placement::task_end::succeeded, now);
         break;
     default:
@@ -174,14 +174,14 @@
 {
     const auto it = vms_.find(vm);
     if (it != vms_.end()) {
-        it->second.link->enqueue({.kind = platform::command_kind::acknowledge,
+        it->second.link->enqueue({.kind = backends::command_kind::acknowledge,
                                   .task = task,
                                   .attempt = attempt});
     }
 }
 
 void partition_holder::record_success(const vm_id& vm,
-                                      const platform::task_report& report)
+                                      const backends::task_report& report)
 {
     if (!recording_.insert(report.task).second) {
         return;
--- a/src/rosemarytrail/control/peer_network.hpp
+++ b/src/rosemarytrail/control/peer_network.hpp
@@ -1,10 +1,10 @@
 #ifndef ROSEMARYTRAIL_CONTROL_PEER_NETWORK_HPP
 #define ROSEMARYTRAIL_CONTROL_PEER_NETWORK_HPP
 
+#include <rosemarytrail/backends/log_client.hpp>
 #include <rosemarytrail/core/id.hpp>
 #include <rosemarytrail/core/resources.hpp>
 #include <rosemarytrail/core/result_code.hpp>
-#include <rosemarytrail/platform/log_client.hpp>
 #include <rosemarytrail/request/routing_table.hpp>
 
 #include <cstddef>
@@ -129,7 +129,7 @@
      */
     virtual void
     relay(const std::string& address, std::uint64_t from, std::size_t bytes,
-          std::function<void(std::optional<std::vector<platform::log_entry>>)>
+          std::function<void(std::optional<std::vector<backends::log_entry>>)>
               done) = 0;
 
     /**
--- a/src/rosemarytrail/control/record_writer.cpp
+++ b/src/rosemarytrail/control/record_writer.cpp
@@ -5,7 +5,7 @@
 namespace rosemarytrail::control {
 
 record_writer::record_writer(state::append_queue_options options,
-                             platform::log_client& log,
+                             backends::log_client& log,
                              const time_source& clock, std::string stream)
     : queue_{std::move(options)}
     , log_{log}
@@ -37,24 +37,24 @@
     bytes_ += next->payload.size();
     std::weak_ptr<bool> alive = alive_;
     log_.append(stream_, std::move(next->payload),
-                [this, alive](const platform::append_outcome& outcome) {
+                [this, alive](const backends::append_outcome& outcome) {
                     if (!alive.expired()) {
                         answered(outcome);
                     }
                 });
 }
 
-void record_writer::answered(const platform::append_outcome& outcome)
+void record_writer::answered(const backends::append_outcome& outcome)
 {
     in_flight_.reset();
     const auto now = clock_.now();
-    if (outcome.result == platform::append_result::appended) {
+    if (outcome.result == backends::append_result::appended) {
         failures_ = 0;
         queue_.appended(now);
         return;
     }
     ++failures_;
-    if (outcome.result == platform::append_result::refused) {
+    if (outcome.result == backends::append_result::refused) {
         queue_.refused(outcome.retry_after, now);
         return;
     }
--- a/src/rosemarytrail/control/record_writer.hpp
+++ b/src/rosemarytrail/control/record_writer.hpp
@@ -1,10 +1,10 @@
 #ifndef ROSEMARYTRAIL_CONTROL_RECORD_WRITER_HPP
 #define ROSEMARYTRAIL_CONTROL_RECORD_WRITER_HPP
 
+#include <rosemarytrail/backends/log_client.hpp>
 #include <rosemarytrail/core/reason.hpp>
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/core/time_source.hpp>
-#include <rosemarytrail/platform/log_client.hpp>
 #include <rosemarytrail/state/append_queue.hpp>
 #include <rosemarytrail/state/cell_state.hpp>
 #include <rosemarytrail/state/record.hpp>
@@ -44,7 +44,7 @@
      * @param stream Stream to append to.
      */
     record_writer(state::append_queue_options options,
-                  platform::log_client& log, const time_source& clock,
+                  backends::log_client& log, const time_source& clock,
                   std::string stream);
 
     /**
@@ -86,10 +86,10 @@
     [[nodiscard]] std::uint64_t bytes() const noexcept { return bytes_; }
 
 private:
-    void answered(const platform::append_outcome& outcome);
+    void answered(const backends::append_outcome& outcome);
 
     state::append_queue queue_;
-    platform::log_client& log_;
+    backends::log_client& log_;
     const time_source& clock_;
     std::string stream_;
     std::map<std::uint64_t, std::vector<callback>> waiting_;
--- a/src/rosemarytrail/control/worker_link.cpp
+++ b/src/rosemarytrail/control/worker_link.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-worker_link::worker_link(vm_id vm, platform::worker_client& workers,
+worker_link::worker_link(vm_id vm, backends::worker_client& workers,
                          const time_source& clock,
                          const state::freshness_options& spans,
                          callback answered)
@@ -31,7 +31,7 @@
     address_ = std::move(address);
 }
 
-void worker_link::enqueue(platform::worker_command command)
+void worker_link::enqueue(backends::worker_command command)
 {
     commands_.push_back(std::move(command));
 }
@@ -68,7 +68,7 @@
 
 void worker_link::send(bool may_act, time_point now)
 {
-    platform::worker_batch batch{.epoch = epoch_};
+    backends::worker_batch batch{.epoch = epoch_};
     if (may_act && token_ != 0) {
         batch.token = token_;
         batch.lease = spans_.task_lease;
@@ -83,7 +83,7 @@
     const auto generation = generation_;
     workers_.send(address_, std::move(batch),
                   [this, alive, sent, generation,
-                   now](const platform::worker_outcome& outcome) {
+                   now](const backends::worker_outcome& outcome) {
                       if (alive.expired()) {
                           return;
                       }
@@ -92,7 +92,7 @@
                   });
 }
 
-void worker_link::on_outcome(const platform::worker_outcome& outcome,
+void worker_link::on_outcome(const backends::worker_outcome& outcome,
                              std::size_t sent, time_point asked)
 {
     in_flight_ = false;
@@ -115,7 +115,7 @@
     token_ = outcome.token;
     contacted_ = true;
     last_answer_ = now;
-    const std::vector<platform::worker_command> done(
+    const std::vector<backends::worker_command> done(
         commands_.begin(), commands_.begin() + static_cast<long>(sent));
     commands_.erase(commands_.begin(),
                     commands_.begin() + static_cast<long>(sent));
--- a/src/rosemarytrail/control/worker_link.hpp
+++ b/src/rosemarytrail/control/worker_link.hpp
@@ -1,10 +1,10 @@
 #ifndef ROSEMARYTRAIL_CONTROL_WORKER_LINK_HPP
 #define ROSEMARYTRAIL_CONTROL_WORKER_LINK_HPP
 
+#include <rosemarytrail/backends/worker_client.hpp>
 #include <rosemarytrail/core/id.hpp>
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/core/time_source.hpp>
-#include <rosemarytrail/platform/worker_client.hpp>
 #include <rosemarytrail/state/freshness.hpp>
 
 #include <cstddef>
@@ -20,9 +20,9 @@
 /** @brief Answer of a worker to the batch that carried some commands. */
 struct worker_answer
 {
-    const platform::worker_outcome& outcome;
+    const backends::worker_outcome& outcome;
     /** @brief Commands of the batch, in the order of the reports. */
-    std::span<const platform::worker_command> commands;
+    std::span<const backends::worker_command> commands;
 };
 
 /**
@@ -44,7 +44,7 @@
      * @param spans Lease and bounds.
      * @param answered Receives each answer to a batch that was obeyed.
      */
-    worker_link(vm_id vm, platform::worker_client& workers,
+    worker_link(vm_id vm, backends::worker_client& workers,
                 const time_source& clock, const state::freshness_options& spans,
                 callback answered);
 
@@ -55,7 +55,7 @@
     void set_epoch(record_number epoch) noexcept { epoch_ = epoch; }
 
     /** @param command Command to send. */
-    void enqueue(platform::worker_command command);
+    void enqueue(backends::worker_command command);
 
     /**
      * @brief Sends a batch if one is due.
@@ -99,18 +99,18 @@
 
 private:
     void send(bool may_act, time_point now);
-    void on_outcome(const platform::worker_outcome& outcome, std::size_t sent,
+    void on_outcome(const backends::worker_outcome& outcome, std::size_t sent,
                     time_point asked);
 
     vm_id vm_;
-    platform::worker_client& workers_;
+    backends::worker_client& workers_;
     const time_source& clock_;
     state::freshness_options spans_;
     callback answered_;
     std::string address_;
     record_number epoch_{};
     std::uint64_t token_{};
-    std::vector<platform::worker_command> commands_;
+    std::vector<backends::worker_command> commands_;
     std::uint64_t generation_{};
     bool in_flight_{false};
     bool contacted_{false};
--- a/src/rosemarytrail/daemon/control_plane.cpp
+++ b/src/rosemarytrail/daemon/control_plane.cpp
@@ -28,7 +28,7 @@
         return target_.on_heartbeat(theirs, clock_.now());
     }
 
-    std::vector<platform::log_entry> on_relay(std::uint64_t from,
+    std::vector<backends::log_entry> on_relay(std::uint64_t from,
                                               std::size_t bytes) override
     {
         return target_.relay(from, bytes);
--- a/src/rosemarytrail/daemon/control_plane.hpp
+++ b/src/rosemarytrail/daemon/control_plane.hpp
@@ -1,15 +1,15 @@
 #ifndef ROSEMARYTRAIL_DAEMON_CONTROL_PLANE_HPP
 #define ROSEMARYTRAIL_DAEMON_CONTROL_PLANE_HPP
 
+#include <rosemarytrail/backends/log_client.hpp>
+#include <rosemarytrail/backends/vm_list_client.hpp>
+#include <rosemarytrail/backends/worker_client.hpp>
 #include <rosemarytrail/control/controller.hpp>
 #include <rosemarytrail/core/reason.hpp>
 #include <rosemarytrail/core/time_source.hpp>
 #include <rosemarytrail/daemon/control_thread.hpp>
 #include <rosemarytrail/daemon/controller_access.hpp>
 #include <rosemarytrail/daemon/shared_view.hpp>
-#include <rosemarytrail/platform/log_client.hpp>
-#include <rosemarytrail/platform/vm_list_client.hpp>
-#include <rosemarytrail/platform/worker_client.hpp>
 #include <rosemarytrail/rpc/peer_client.hpp>
 #include <rosemarytrail/rpc/peer_server.hpp>
 
@@ -31,9 +31,9 @@
 /** @brief What the control state works with; all outlive it. */
 struct control_plane_ports
 {
-    platform::log_client& log;
-    platform::vm_list_client& vms;
-    platform::worker_client& workers;
+    backends::log_client& log;
+    backends::vm_list_client& vms;
+    backends::worker_client& workers;
     const time_source& clock;
     metrics::registry& metrics;
     /** @brief Receives what traffic threads read. */
--- a/src/rosemarytrail/daemon/entry_daemon.cpp
+++ b/src/rosemarytrail/daemon/entry_daemon.cpp
@@ -1,5 +1,8 @@
 #include <rosemarytrail/daemon/entry_daemon.hpp>
 
+#include <rosemarytrail/backends/http_log_client.hpp>
+#include <rosemarytrail/backends/http_vm_list_client.hpp>
+#include <rosemarytrail/backends/http_worker_client.hpp>
 #include <rosemarytrail/core/time_source.hpp>
 #include <rosemarytrail/daemon/api_handler.hpp>
 #include <rosemarytrail/daemon/control_plane.hpp>
@@ -9,9 +12,6 @@
 #include <rosemarytrail/http/server.hpp>
 #include <rosemarytrail/logging/log.hpp>
 #include <rosemarytrail/metrics/registry.hpp>
-#include <rosemarytrail/platform/http_log_client.hpp>
-#include <rosemarytrail/platform/http_vm_list_client.hpp>
-#include <rosemarytrail/platform/http_worker_client.hpp>
 #include <rosemarytrail/proxy/proxy_handler.hpp>
 #include <rosemarytrail/request/intent_log.hpp>
 
@@ -115,9 +115,9 @@
         , self{name}
         , upstreams{http::make_curl_client({.threads = from.traffic_threads})}
         , platform{http::make_curl_client({})}
-        , log{platform::make_http_log_client(*platform, from.log_url)}
-        , vms{platform::make_http_vm_list_client(*platform, from.vm_list_url)}
-        , workers{platform::make_http_worker_client(*platform)}
+        , log{backends::make_http_log_client(*platform, from.log_url)}
+        , vms{backends::make_http_vm_list_client(*platform, from.vm_list_url)}
+        , workers{backends::make_http_worker_client(*platform)}
         , intents{intent_options_of(from, name), *log, clock,
                   [this](const incarnation_id& it) {
                       return view.is_alive(it);
@@ -180,9 +180,9 @@
     shared_view view;
     std::unique_ptr<http::client> upstreams;
     std::unique_ptr<http::client> platform;
-    std::unique_ptr<platform::log_client> log;
-    std::unique_ptr<platform::vm_list_client> vms;
-    std::unique_ptr<platform::worker_client> workers;
+    std::unique_ptr<backends::log_client> log;
+    std::unique_ptr<backends::vm_list_client> vms;
+    std::unique_ptr<backends::worker_client> workers;
     request::intent_log intents;
     proxy::proxy_handler services;
     control_plane plane;
--- a/src/rosemarytrail/daemon/posting_clients.hpp
+++ b/src/rosemarytrail/daemon/posting_clients.hpp
@@ -1,10 +1,10 @@
 #ifndef ROSEMARYTRAIL_DAEMON_POSTING_CLIENTS_HPP
 #define ROSEMARYTRAIL_DAEMON_POSTING_CLIENTS_HPP
 
+#include <rosemarytrail/backends/log_client.hpp>
+#include <rosemarytrail/backends/vm_list_client.hpp>
+#include <rosemarytrail/backends/worker_client.hpp>
 #include <rosemarytrail/daemon/control_thread.hpp>
-#include <rosemarytrail/platform/log_client.hpp>
-#include <rosemarytrail/platform/vm_list_client.hpp>
-#include <rosemarytrail/platform/worker_client.hpp>
 
 #include <functional>
 #include <string>
@@ -12,7 +12,7 @@
 namespace rosemarytrail::daemon {
 
 /** @brief Log client whose callbacks come on the control thread. */
-class posting_log_client final : public platform::log_client
+class posting_log_client final : public backends::log_client
 {
 public:
     /**
@@ -20,70 +20,70 @@
      * @param target Client to call; outlives this one.
      * @param control Thread for the callbacks; outlives the target.
      */
-    posting_log_client(platform::log_client& target, control_thread& control)
+    posting_log_client(backends::log_client& target, control_thread& control)
         : target_{target}
         , control_{control}
     {}
 
     void append(std::string stream, std::string payload,
-                std::function<void(platform::append_outcome)> done) override
+                std::function<void(backends::append_outcome)> done) override
     {
         target_.append(std::move(stream), std::move(payload),
                        deliver_on(control_, std::move(done)));
     }
 
-    void read(platform::read_options options,
-              std::function<void(platform::read_outcome)> done) override
+    void read(backends::read_options options,
+              std::function<void(backends::read_outcome)> done) override
     {
         target_.read(std::move(options), deliver_on(control_, std::move(done)));
     }
 
 private:
-    platform::log_client& target_;
+    backends::log_client& target_;
     control_thread& control_;
 };
 
 /** @brief Client of the VM list whose callbacks come on the control thread. */
-class posting_vm_list_client final : public platform::vm_list_client
+class posting_vm_list_client final : public backends::vm_list_client
 {
 public:
     /** @copydoc posting_log_client::posting_log_client */
-    posting_vm_list_client(platform::vm_list_client& target,
+    posting_vm_list_client(backends::vm_list_client& target,
                            control_thread& control)
         : target_{target}
         , control_{control}
     {}
 
-    void fetch(std::function<void(platform::vm_list_outcome)> done) override
+    void fetch(std::function<void(backends::vm_list_outcome)> done) override
     {
         target_.fetch(deliver_on(control_, std::move(done)));
     }
 
 private:
-    platform::vm_list_client& target_;
+    backends::vm_list_client& target_;
     control_thread& control_;
 };
 
 /** @brief Client of workers whose callbacks come on the control thread. */
-class posting_worker_client final : public platform::worker_client
+class posting_worker_client final : public backends::worker_client
 {
 public:
     /** @copydoc posting_log_client::posting_log_client */
-    posting_worker_client(platform::worker_client& target,
+    posting_worker_client(backends::worker_client& target,
                           control_thread& control)
         : target_{target}
         , control_{control}
     {}
 
-    void send(const std::string& address, platform::worker_batch batch,
-              std::function<void(platform::worker_outcome)> done) override
+    void send(const std::string& address, backends::worker_batch batch,
+              std::function<void(backends::worker_outcome)> done) override
     {
         target_.send(address, std::move(batch),
                      deliver_on(control_, std::move(done)));
     }
 
 private:
-    platform::worker_client& target_;
+    backends::worker_client& target_;
     control_thread& control_;
 };
 
--- /dev/null
+++ b/src/rosemarytrail/fleet/advice_plan.cpp
@@ -0,0 +1,201 @@
+#include <rosemarytrail/fleet/advice_plan.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace rosemarytrail::fleet {
+
+namespace {
+
+[[nodiscard]] std::size_t step_hash(std::uint64_t id) noexcept
+{
+    return key_hash{}(step_key{.job = id});
+}
+
+[[nodiscard]] duration milliseconds(double value)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>{value});
+}
+
+[[nodiscard]] bool waits(const job_entry& entry, const step_key& key)
+{
+    const auto it = entry.progress.find(key);
+    return it == entry.progress.end() ||
+           std::ranges::any_of(it->second, [](const task_progress& task) {
+               return !task.done && task.worker.empty();
+           });
+}
+
+/** @brief How far the steps before a step are. */
+struct readiness
+{
+    bool all_begun{true};
+    bool all_done{true};
+    std::int64_t longest_ms{};
+};
+
+[[nodiscard]] readiness before(const job_entry& entry, const step_key& key)
+{
+    readiness result;
+    const auto& steps = entry.record->spec.steps;
+    for (const auto n : steps[key.step].depends_on) {
+        const auto it = entry.progress.find(
+            {.job = key.job, .occurrence = key.occurrence, .step = n});
+        if (n >= steps.size() || it == entry.progress.end()) {
+            return {.all_begun = false, .all_done = false};
+        }
+        for (const auto& task : it->second) {
+            result.all_done = result.all_done && task.done;
+            result.all_begun =
+                result.all_begun && (task.done || !task.worker.empty());
+        }
+        if (!result.all_done) {
+            result.longest_ms =
+                std::max(result.longest_ms, steps[n].estimate_ms);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+std::optional<std::string> advice_owner(const advice_plan_options& options,
+                                        std::span<const std::string> members,
+                                        const job_record& record)
+{
+    if (members.empty()) {
+        return std::nullopt;
+    }
+    const auto n = members.size();
+    // At least one node for each kind, if there are two nodes.
+    const auto long_nodes = std::clamp<std::size_t>(
+        static_cast<std::size_t>(
+            std::ceil(options.long_share * static_cast<double>(n))),
+        1, std::max<std::size_t>(n - 1, 1));
+    const bool is_long = record.queue.advice->base_ms > options.long_ms;
+    auto pool = members;
+    if (n > 1) {
+        pool =
+            is_long ? members.first(long_nodes) : members.subspan(long_nodes);
+    }
+    if (std::ranges::find(pool, record.acceptor) != pool.end()) {
+        return record.acceptor;
+    }
+    return pool[step_hash(record.id) % pool.size()];
+}
+
+advice_plan::advice_plan(const advice_plan_options& options)
+    : options_{options}
+{}
+
+void advice_plan::asked(const step_key& step, time_point until)
+{
+    asked_until_[step] = until;
+}
+
+bool advice_plan::due(const job_entry& entry, const step_key& key, bool own,
+                      time_point now)
+{
+    if (const auto it = asked_until_.find(key);
+        it != asked_until_.end() && it->second > now) {
+        return false;
+    }
+    const auto& policy = *entry.record->queue.advice;
+    const auto reach = before(entry, key);
+    if (!reach.all_begun || !waits(entry, key)) {
+        return false;
+    }
+    const auto since = near_since_.try_emplace(key, now).first->second;
+    if (!own && now - since < options_.patience) {
+        return false;
+    }
+    // Declared durations are off by half, so the question comes early.
+    constexpr double early = 0.4;
+    const auto valid = std::chrono::milliseconds{policy.valid_ms};
+    const auto run = std::chrono::milliseconds{reach.longest_ms};
+    if (!reach.all_done && run > valid / 2 &&
+        now - since < std::chrono::duration_cast<duration>(run * early)) {
+        return false;
+    }
+    const auto it = entry.advice.find(key);
+    if (it == entry.advice.end()) {
+        return true;
+    }
+    const auto& grant = it->second.grant;
+    const auto cost = milliseconds(policy.base_ms +
+                                   policy.per_worker_ms *
+                                       static_cast<double>(grant.rows.size()));
+    const auto lapses =
+        it->second.read_at + std::chrono::milliseconds{grant.valid_ms};
+    return lapses - cost - options_.renewal_margin <= now;
+}
+
+std::optional<advice_question>
+advice_plan::next(const job_board& board, std::span<const worker_vm> workers,
+                  std::span<const std::string> members, bool leading,
+                  time_point now)
+{
+    const step_key* best = nullptr;
+    step_key best_key;
+    const job_entry* best_entry = nullptr;
+    std::tuple<std::int32_t, std::int64_t> best_rank;
+    board.each_live([&](std::uint64_t id, const job_entry& entry) {
+        const auto& record = *entry.record;
+        if (!record.queue.advice) {
+            return;
+        }
+        const auto owner = advice_owner(options_, members, record);
+        const bool own = owner ? *owner == options_.member : leading;
+        if (entry.cancelled || (!own && !leading)) {
+            return;
+        }
+        const std::tuple rank{record.queue.priority, record.accepted_unix_ms};
+        if (best != nullptr && !(rank < best_rank)) {
+            return;
+        }
+        for (std::uint32_t n = 0; n < record.spec.rounds(); ++n) {
+            for (std::uint32_t i = 0; i < record.spec.steps.size(); ++i) {
+                const step_key key{.job = id, .occurrence = n, .step = i};
+                if (due(entry, key, own, now)) {
+                    best_key = key;
+                    best = &best_key;
+                    best_entry = &entry;
+                    best_rank = rank;
+                    return;
+                }
+            }
+        }
+    });
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    const auto& policy = *best_entry->record->queue.advice;
+    advice_question result{.step = best_key, .workers = {}, .expected = {}};
+    std::set<std::string> wanted;
+    // What was granted once stays granted; only the ticket lapses.
+    if (const auto it = best_entry->advice.find(best_key);
+        it != best_entry->advice.end()) {
+        for (const auto& row : it->second.grant.rows) {
+            wanted.insert(row.worker);
+        }
+    }
+    for (const auto& it : workers) {
+        if (it.service == best_entry->record->queue.service && !it.draining &&
+            (wanted.empty() || wanted.contains(it.id)) &&
+            result.workers.size() < options_.most_workers) {
+            result.workers.push_back(it.id);
+        }
+    }
+    if (result.workers.empty()) {
+        asked(best_key, now + options_.patience);
+        return std::nullopt;
+    }
+    result.expected = milliseconds(
+        policy.base_ms +
+        policy.per_worker_ms * static_cast<double>(result.workers.size()));
+    return result;
+}
+
+} // namespace rosemarytrail::fleet
--- /dev/null
+++ b/src/rosemarytrail/fleet/advice_plan.hpp
@@ -0,0 +1,103 @@
+#ifndef ROSEMARYTRAIL_FLEET_ADVICE_PLAN_HPP
+#define ROSEMARYTRAIL_FLEET_ADVICE_PLAN_HPP
+
+#include <rosemarytrail/core/time.hpp>
+#include <rosemarytrail/fleet/job_board.hpp>
+#include <rosemarytrail/fleet/worker_vm.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace rosemarytrail::fleet {
+
+/** @brief Question to the advice service. */
+struct advice_question
+{
+    step_key step;
+    std::vector<std::string> workers;
+    /** @brief How long the answer takes by the queue's policy. */
+    duration expected{};
+};
+
+/** @brief How advice is asked for. */
+struct advice_plan_options
+{
+    /** @brief This node among the members. */
+    std::string member;
+    /** @brief Most workers that one question may name. */
+    std::size_t most_workers{100};
+    /** @brief Another node's step without advice is asked for after this. */
+    duration patience{std::chrono::milliseconds{1200}};
+    /** @brief Tickets are renewed this long before they lapse. */
+    duration renewal_margin{std::chrono::milliseconds{150}};
+    /** @brief A question that takes longer counts as long. */
+    double long_ms{100};
+    /** @brief Part of the nodes that ask the long questions only. */
+    double long_share{0.6};
+};
+
+/**
+ * @brief Finds the node that asks for the advice of a job.
+ *
+ * Answers queues with short and with long questions side by side: a short
+ * question behind a long one on the same node would wait for most of its job's
+ * slack, so the nodes are split between the two.
+ * @param options Shares and bounds.
+ * @param members All live nodes, sorted.
+ * @param record Job.
+ * @return The member, or nothing if there are none.
+ */
+[[nodiscard]] std::optional<std::string>
+advice_owner(const advice_plan_options& options,
+             std::span<const std::string> members, const job_record& record);
+
+/**
+ * @brief Decides for which step this node asks the advice service next.
+ *
+ * The service takes one call at a time from each node, so the jobs are spread
+ * over the nodes. Steps are asked for ahead of time, while the steps
+ * before them run, and tickets are renewed as long as tasks wait.
+ */
+class advice_plan
+{
+public:
+    /** @param options How to ask. */
+    explicit advice_plan(const advice_plan_options& options);
+
+    /**
+     * @brief Chooses the next question.
+     * @param board Jobs.
+     * @param workers Directory of workers.
+     * @param members All live nodes, sorted.
+     * @param leading Whether this node also asks for jobs of silent nodes.
+     * @param now Present time.
+     * @return Question, or nothing if none is due.
+     */
+    [[nodiscard]] std::optional<advice_question>
+    next(const job_board& board, std::span<const worker_vm> workers,
+         std::span<const std::string> members, bool leading, time_point now);
+
+    /**
+     * @brief Notes that a question was asked.
+     * @param step Step.
+     * @param until When the answer is expected to be readable at the latest.
+     */
+    void asked(const step_key& step, time_point until);
+
+private:
+    [[nodiscard]] bool due(const job_entry& entry, const step_key& key,
+                           bool own, time_point now);
+
+    advice_plan_options options_;
+    std::map<step_key, time_point> asked_until_;
+    /** @brief When a step was first seen with all steps before it begun. */
+    std::map<step_key, time_point> near_since_;
+};
+
+} // namespace rosemarytrail::fleet
+
+#endif
--- /dev/null
+++ b/src/rosemarytrail/fleet/cell_config.hpp
@@ -0,0 +1,58 @@
+#ifndef ROSEMARYTRAIL_FLEET_CELL_CONFIG_HPP
+#define ROSEMARYTRAIL_FLEET_CELL_CONFIG_HPP
+
+#include <rosemarytrail/fleet/job.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace rosemarytrail::fleet {
+
+/** @brief Queue that clients reach by host and path. */
+struct queue
+{
+    std::string host;
+    std::string path_prefix;
+    /** @brief Takes calls without a key. */
+    bool is_public{false};
+    queue_policy policy;
+};
+
+/** @brief Client account with its share and limits. */
+struct client_account
+{
+    std::string name;
+    /** @brief Share when the cell is full, in jobs a second. */
+    double weight{};
+    /** @brief What it may have running; zero is no limit. */
+    room limit;
+};
+
+/** @brief Configuration in force. */
+struct cell_config
+{
+    std::int64_t version{};
+    std::vector<queue> queues;
+    std::map<std::string, client_account> accounts;
+    /** @brief Account of each valid key. */
+    std::unordered_map<std::string, std::string> account_of_key;
+    /** @brief Services whose workers refuse what does not fit. */
+    std::map<std::string, bool> worker_checks_room;
+
+    /**
+     * @brief Finds the queue of a request.
+     * @param host Host header.
+     * @param path Path of the request.
+     * @return Queue with the longest matching prefix, or null.
+     */
+    [[nodiscard]] const queue* find_queue(std::string_view host,
+                                          std::string_view path) const noexcept;
+};
+
+} // namespace rosemarytrail::fleet
+
+#endif
--- /dev/null
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -0,0 +1,977 @@
+#include <rosemarytrail/fleet/dispatcher.hpp>
+
+#include <rosemarytrail/fleet/internal/books.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace rosemarytrail::fleet {
+
+namespace {
+
+using internal::job_book;
+using internal::step_book;
+using internal::task_phase;
+using internal::worker_book;
+
+/** @brief Jobs that an account may send at once beyond its rate. */
+constexpr double share_burst_s = 3.0;
+
+/** @return Longest chain of declared work through the steps. */
+[[nodiscard]] std::int64_t longest_chain(const job_spec& spec)
+{
+    std::vector<std::int64_t> ends;
+    std::int64_t longest = 0;
+    for (const auto& step : spec.steps) {
+        std::int64_t start = 0;
+        for (const auto before : step.depends_on) {
+            if (before < ends.size()) {
+                start = std::max(start, ends[before]);
+            }
+        }
+        ends.push_back(start + (step.long_running ? 0 : step.estimate_ms));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+} // namespace
+
+dispatcher::dispatcher(const dispatcher_options& options,
+                       const job_board& board, time_point now,
+                       std::int64_t unix_ms)
+    : books_{std::make_unique<books>()}
+{
+    books_->options = options;
+    board.each_live([&](std::uint64_t /*id*/, const job_entry& entry) {
+        books_->add_job(entry, now, unix_ms);
+    });
+    // A former leader may still renew leases on workers that it reaches.
+    for (auto& [id, it] : books_->workers) {
+        it.lease_until = now + options.renewal_bound +
+                         std::chrono::duration_cast<duration>(
+                             options.lease * (1 + options.clock_drift)) +
+                         options.lease_margin;
+    }
+}
+
+dispatcher::~dispatcher() = default;
+
+void dispatcher::books::note(std::uint64_t job, std::string_view what,
+                             std::string detail)
+{
+    decisions.push_back(
+        {.job = job, .what = what, .detail = std::move(detail)});
+}
+
+internal::step_book* dispatcher::books::find_step(const step_key& key)
+{
+    const auto it = jobs.find(key.job);
+    if (it == jobs.end()) {
+        return nullptr;
+    }
+    auto& job = *it->second;
+    const auto per_round = job.record.spec.steps.size();
+    const auto index = key.occurrence * per_round + key.step;
+    return key.step < per_round && index < job.steps.size() ? &job.steps[index]
+                                                            : nullptr;
+}
+
+internal::task_state* dispatcher::books::find_task(const task_key& key)
+{
+    auto* step = find_step(key.step);
+    return step != nullptr && key.index < step->tasks.size()
+               ? &step->tasks[key.index]
+               : nullptr;
+}
+
+void dispatcher::books::mark_dirty(step_book& step)
+{
+    step.dirty = true;
+    dirty.insert(&step);
+    replan = true;
+}
+
+void dispatcher::books::take_room(step_book& step, std::uint32_t index,
+                                  const std::string& worker)
+{
+    step.tasks[index].worker = worker;
+    auto& book = workers[worker];
+    book.vm.id = worker;
+    book.used += step.spec->reserved();
+    book.load.insert({.step = step.key, .index = index});
+    accounts[step.job->record.account].used += step.spec->need;
+    ++step.job->active;
+}
+
+void dispatcher::books::free_room(step_book& step, std::uint32_t index)
+{
+    auto& task = step.tasks[index];
+    if (task.worker.empty()) {
+        return;
+    }
+    auto& book = workers[task.worker];
+    book.used -= step.spec->reserved();
+    book.load.erase({.step = step.key, .index = index});
+    accounts[step.job->record.account].used -= step.spec->need;
+    --step.job->active;
+    task.worker.clear();
+    replan = true;
+}
+
+void dispatcher::books::back_to_waiting(step_book& step, std::uint32_t index,
+                                        time_point now)
+{
+    auto& task = step.tasks[index];
+    free_room(step, index);
+    if (task.phase != task_phase::waiting) {
+        task.phase = task_phase::waiting;
+        ++step.waiting;
+    }
+    task.since = now;
+    task.percent = 0;
+    task.pace = 100;
+    task.stop_acknowledged.reset();
+    mark_dirty(step);
+}
+
+void dispatcher::books::set_done(step_book& step, std::uint32_t index)
+{
+    auto& task = step.tasks[index];
+    free_room(step, index);
+    if (task.phase == task_phase::done) {
+        return;
+    }
+    if (task.phase == task_phase::waiting) {
+        --step.waiting;
+    }
+    task.phase = task_phase::done;
+    ++step.done;
+    mark_dirty(step);
+}
+
+void dispatcher::books::update_ready(job_book& job, std::int64_t unix_ms)
+{
+    const auto& spec = job.record.spec;
+    for (auto& step : job.steps) {
+        if (step.ready || step.complete() || job.ended()) {
+            continue;
+        }
+        const auto due =
+            spec.first_due_ms + step.key.occurrence * spec.interval_ms;
+        if (spec.occurrences > 0 && unix_ms < due) {
+            continue;
+        }
+        const auto first = step.key.occurrence * spec.steps.size();
+        step.ready =
+            std::ranges::all_of(step.spec->depends_on, [&](std::uint32_t it) {
+                return it < spec.steps.size() &&
+                       job.steps[first + it].complete();
+            });
+        if (step.ready) {
+            ready.insert(&step);
+            replan = true;
+        }
+    }
+}
+
+// Sorts bursts of one account behind the others: what it sends beyond its
+// weight a second is served once nothing else waits.
+void dispatcher::books::note_share(job_book& job, time_point now)
+{
+    if (!config || job.record.account.empty()) {
+        return;
+    }
+    const auto it = config->accounts.find(job.record.account);
+    if (it == config->accounts.end() || it->second.weight <= 0) {
+        return;
+    }
+    auto& account = accounts[job.record.account];
+    const double limit = it->second.weight * share_burst_s;
+    if (!account.started) {
+        account.started = true;
+        account.tokens = limit;
+        account.refilled = now;
+    }
+    const double passed_s =
+        static_cast<double>((now - account.refilled).count()) / 1e6;
+    account.tokens =
+        std::min(limit, account.tokens + passed_s * it->second.weight);
+    account.refilled = now;
+    job.beyond_share = account.tokens < 1.0;
+    if (!job.beyond_share) {
+        account.tokens -= 1.0;
+    }
+}
+
+void dispatcher::books::inherit(step_book& step,
+                                const std::vector<task_progress>& rows,
+                                time_point now)
+{
+    for (std::uint32_t i = 0; i < rows.size() && i < step.tasks.size(); ++i) {
+        auto& task = step.tasks[i];
+        const auto& row = rows[i];
+        task.run = row.run;
+        task.failures = row.failures;
+        task.checkpoint = row.checkpoint;
+        task.since = now;
+        if (row.done) {
+            task.phase = task_phase::done;
+            --step.waiting;
+            ++step.done;
+        } else if (!row.worker.empty()) {
+            task.phase = task_phase::unsure;
+            --step.waiting;
+            take_room(step, i, row.worker);
+        }
+    }
+}
+
+void dispatcher::books::take_advice(step_book& step, const seen_advice& advice)
+{
+    step.tickets.clear();
+    for (const auto& row : advice.grant.rows) {
+        step.tickets.emplace(row.worker, row.ticket);
+    }
+    step.tickets_until = advice.read_at +
+                         std::chrono::milliseconds{advice.grant.valid_ms} -
+                         options.ticket_margin;
+    replan = true;
+}
+
+void dispatcher::books::add_job(const job_entry& entry, time_point now,
+                                std::int64_t unix_ms)
+{
+    auto owned = std::make_unique<job_book>();
+    auto& job = *owned;
+    job.record = *entry.record;
+    job.payload =
+        std::make_shared<const std::string>(std::move(job.record.spec.payload));
+    const auto& spec = job.record.spec;
+    job.chain_ms = longest_chain(spec);
+    // Submissions are read within milliseconds; the age matters only for those
+    // found at a takeover, and clocks may disagree.
+    const auto age_ms = std::clamp<std::int64_t>(
+        unix_ms - job.record.accepted_unix_ms, 0, 600000);
+    job.accepted = now - std::chrono::milliseconds{age_ms};
+    const auto objective_ms = static_cast<std::int64_t>(
+        job.record.queue.slack_factor * static_cast<double>(job.chain_ms) +
+        static_cast<double>(job.record.queue.target_latency_ms));
+    job.objective = job.accepted + std::chrono::milliseconds{objective_ms};
+    note_share(job, now);
+    job.steps.resize(spec.steps.size() * spec.rounds());
+    for (std::size_t i = 0; i < job.steps.size(); ++i) {
+        auto& step = job.steps[i];
+        const auto n = static_cast<std::uint32_t>(i % spec.steps.size());
+        step.key = {.job = job.record.id,
+                    .occurrence =
+                        static_cast<std::uint32_t>(i / spec.steps.size()),
+                    .step = n};
+        step.spec = &spec.steps[n];
+        step.job = &job;
+        step.tasks.resize(step.spec->tasks);
+        step.waiting = step.tasks.size();
+        if (const auto it = entry.progress.find(step.key);
+            it != entry.progress.end()) {
+            inherit(step, it->second, now);
+        }
+        if (const auto it = entry.advice.find(step.key);
+            it != entry.advice.end()) {
+            take_advice(step, it->second);
+        }
+    }
+    jobs.emplace(job.record.id, std::move(owned));
+    for (auto& step : job.steps) {
+        for (const auto& task : step.tasks) {
+            if (task.failures >= job.record.queue.max_attempts &&
+                !step.spec->long_running) {
+                job.failed = true;
+            }
+        }
+    }
+    if (entry.cancelled) {
+        cancel_job(job, now);
+    } else if (job.failed) {
+        fail_job(job, now);
+    } else {
+        update_ready(job, unix_ms);
+        check_finished(job);
+    }
+}
+
+void dispatcher::set_config(std::shared_ptr<const cell_config> config)
+{
+    books_->config = std::move(config);
+    books_->replan = true;
+}
+
+void dispatcher::on_job_changed(std::uint64_t id, const job_entry& entry,
+                                time_point now, std::int64_t unix_ms)
+{
+    auto& it = *books_;
+    const auto found = it.jobs.find(id);
+    if (found == it.jobs.end()) {
+        if (entry.record && !entry.outcome) {
+            it.add_job(entry, now, unix_ms);
+        }
+        return;
+    }
+    auto& job = *found->second;
+    if (entry.cancelled && !job.ended()) {
+        it.cancel_job(job, now);
+    }
+    for (const auto& [key, advice] : entry.advice) {
+        auto* step = it.find_step(key);
+        if (step != nullptr && !step->complete()) {
+            it.take_advice(*step, advice);
+        }
+    }
+}
+
+void dispatcher::books::finish_job(job_book& job, job_state outcome)
+{
+    if (job.outcome) {
+        return;
+    }
+    job.outcome = outcome;
+    finished.push_back(&job);
+    replan = true;
+    for (auto& step : job.steps) {
+        ready.erase(&step);
+    }
+}
+
+void dispatcher::books::check_finished(job_book& job)
+{
+    if (job.cancelled) {
+        if (job.active == 0) {
+            finish_job(job, job_state::cancelled);
+        }
+        return;
+    }
+    if (!job.failed && std::ranges::all_of(job.steps, &step_book::complete)) {
+        finish_job(job, job_state::completed);
+    }
+}
+
+void dispatcher::books::stop_task(step_book& step, std::uint32_t index,
+                                  time_point now)
+{
+    auto& task = step.tasks[index];
+    if (task.phase == task_phase::placed) {
+        // Nothing was sent yet.
+        back_to_waiting(step, index, now);
+        return;
+    }
+    if (task.phase != task_phase::stopping) {
+        task.phase = task_phase::stopping;
+        task.since = now;
+        task.stop_acknowledged.reset();
+    }
+    task.stop_sent = now;
+    const auto& vm = workers[task.worker].vm;
+    if (!vm.address.empty()) {
+        stops.push_back({.worker = {.id = vm.id, .address = vm.address},
+                         .task = {.step = step.key, .index = index},
+                         .run = task.run,
+                         .epoch = options.epoch});
+    }
+}
+
+void dispatcher::books::stop_all(job_book& job, time_point now)
+{
+    for (auto& step : job.steps) {
+        ready.erase(&step);
+        for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+            if (step.tasks[i].holds_room()) {
+                stop_task(step, i, now);
+            }
+        }
+    }
+}
+
+void dispatcher::books::cancel_job(job_book& job, time_point now)
+{
+    job.cancelled = true;
+    note(job.record.id, "cancelling",
+         "active tasks " + std::to_string(job.active));
+    stop_all(job, now);
+    check_finished(job);
+}
+
+void dispatcher::books::fail_job(job_book& job, time_point now)
+{
+    job.failed = true;
+    finish_job(job, job_state::failed);
+    note(job.record.id, "failed", "a task failed in each of its attempts");
+    stop_all(job, now);
+}
+
+void dispatcher::set_workers(std::span<const worker_vm> vms, time_point now)
+{
+    auto& state = *books_;
+    for (auto& [id, it] : state.workers) {
+        it.listed = false;
+    }
+    for (const auto& vm : vms) {
+        auto& it = state.workers[vm.id];
+        const bool known = !it.vm.address.empty();
+        if (known && vm.incarnation != 0 && it.vm.incarnation != 0 &&
+            vm.incarnation > it.vm.incarnation) {
+            state.lose_tasks(it, now, "worker restarted");
+        }
+        const auto incarnation = std::max(vm.incarnation, it.vm.incarnation);
+        it.vm = vm;
+        it.vm.incarnation = incarnation;
+        it.listed = true;
+    }
+    std::erase_if(state.workers, [now](const auto& it) {
+        const auto& worker = it.second;
+        return !worker.listed && worker.load.empty() &&
+               !worker.hold_in_flight && worker.lease_until < now;
+    });
+    state.replan = true;
+}
+
+std::int64_t dispatcher::books::lease_end(worker_book& worker, time_point now)
+{
+    const auto clock =
+        *worker.clock_ms + to_milliseconds(now - worker.clock_at);
+    const auto bound = now +
+                       std::chrono::duration_cast<duration>(
+                           (options.lease + (now - worker.clock_at)) *
+                           (1 + options.clock_drift)) -
+                       (now - worker.clock_at) + options.lease_margin;
+    worker.lease_until = std::max(worker.lease_until, bound);
+    return clock + to_milliseconds(options.lease);
+}
+
+void dispatcher::books::order_start(const task_key& key, time_point now)
+{
+    auto* step = find_step(key.step);
+    if (step == nullptr) {
+        return;
+    }
+    auto& task = step->tasks[key.index];
+    if (task.phase != task_phase::placed) {
+        return;
+    }
+    auto& worker = workers[task.worker];
+    if (step->job->ended() || !is_usable(worker, *step, now)) {
+        back_to_waiting(*step, key.index, now);
+        return;
+    }
+    std::string ticket;
+    if (step->job->record.queue.advice) {
+        const auto it = step->tickets.find(task.worker);
+        if (it == step->tickets.end()) {
+            back_to_waiting(*step, key.index, now);
+            return;
+        }
+        ticket = it->second;
+    }
+    task.phase = task_phase::ordered;
+    task.since = now;
+    starts.push_back(
+        {.worker = {.id = worker.vm.id, .address = worker.vm.address},
+         .task = key,
+         .run = task.run,
+         .payload = step->job->payload,
+         .lease_end_ms = lease_end(worker, now),
+         .epoch = options.epoch,
+         .checkpoint = step->spec->checkpoints ? task.checkpoint : "",
+         .ticket = std::move(ticket)});
+}
+
+void dispatcher::on_start_result(const start_order& order, start_result result,
+                                 time_point now)
+{
+    auto& state = *books_;
+    auto* step = state.find_step(order.task.step);
+    if (step == nullptr) {
+        return;
+    }
+    auto& task = step->tasks[order.task.index];
+    if (task.run != order.run || task.worker != order.worker.id) {
+        return;
+    }
+    const bool ordered = task.phase == task_phase::ordered;
+    const bool stopping = task.phase == task_phase::stopping;
+    if (result == start_result::started) {
+        if (ordered) {
+            task.phase = task_phase::running;
+            task.since = now;
+        }
+        return;
+    }
+    if (result == start_result::unknown) {
+        // It may be carried out later: only a stop that is acknowledged, or
+        // the end of the lease, rules that out.
+        if (ordered) {
+            state.note(order.task.step.job, "start unanswered",
+                       to_text(order.task) + " on " + order.worker.id);
+            state.stop_task(*step, order.task.index, now);
+        }
+        return;
+    }
+    state.note(order.task.step.job, "start refused",
+               to_text(order.task) + " on " + order.worker.id + " result " +
+                   std::to_string(static_cast<int>(result)));
+    auto& worker = state.workers[order.worker.id];
+    switch (result) {
+    case start_result::fenced:
+        state.deposed = true;
+        break;
+    case start_result::ticket_refused:
+        step->tickets.erase(order.worker.id);
+        break;
+    case start_result::no_room:
+    case start_result::unhealthy:
+    case start_result::invalid:
+        state.note_failure(worker, order.task.step.job, now);
+        break;
+    default:
+        break;
+    }
+    if (ordered || stopping) {
+        state.back_to_waiting(*step, order.task.index, now);
+        state.check_finished(*step->job);
+    }
+}
+
+void dispatcher::on_stop_result(const stop_order& order, bool answered,
+                                time_point now)
+{
+    auto* task = books_->find_task(order.task);
+    if (task != nullptr && answered && task->run == order.run &&
+        task->phase == task_phase::stopping && !task->stop_acknowledged) {
+        task->stop_acknowledged = now;
+        // The end shows in the next hold.
+        if (const auto it = books_->workers.find(order.worker.id);
+            it != books_->workers.end()) {
+            it->second.next_hold = now;
+        }
+    }
+}
+
+void dispatcher::books::note_failure(worker_book& worker, std::uint64_t job,
+                                     time_point now)
+{
+    ++worker.failures_in_a_row;
+    worker.failed_jobs.insert(job);
+    // One job that fails everywhere says nothing of a worker.
+    if (worker.failures_in_a_row < options.suspect_failures ||
+        worker.failed_jobs.size() < 2) {
+        return;
+    }
+    const auto set_aside =
+        std::ranges::count_if(workers, [now](const auto& it) {
+            return it.second.quarantined_until > now;
+        });
+    if (static_cast<double>(set_aside + 1) >
+        options.quarantine_share * static_cast<double>(workers.size())) {
+        return;
+    }
+    worker.quarantined_until = now + options.quarantine;
+    worker.failures_in_a_row = 0;
+    worker.failed_jobs.clear();
+    note(job, "worker set aside", worker.vm.id);
+}
+
+void dispatcher::books::on_run_failed(worker_book& worker, step_book& step,
+                                      std::uint32_t index, time_point now)
+{
+    auto& task = step.tasks[index];
+    task.failed_on = worker.vm.id;
+    note_failure(worker, step.key.job, now);
+    if (step.spec->gang) {
+        for (auto& it : step.tasks) {
+            ++it.failures;
+        }
+    } else {
+        ++task.failures;
+    }
+    const auto failures = task.failures;
+    back_to_waiting(step, index, now);
+    if (!step.spec->long_running &&
+        failures >= step.job->record.queue.max_attempts && !step.job->ended()) {
+        fail_job(*step.job, now);
+    }
+}
+
+void dispatcher::books::on_ended(worker_book& worker, const ended_row& row,
+                                 time_point now)
+{
+    auto* step = find_step(row.task.step);
+    if (step == nullptr || row.task.index >= step->tasks.size()) {
+        return;
+    }
+    const auto index = row.task.index;
+    auto& task = step->tasks[index];
+    if (task.worker != worker.vm.id || task.run != row.run) {
+        return;
+    }
+    if (!row.checkpoint.empty()) {
+        task.checkpoint = row.checkpoint;
+    }
+    if (row.how == run_end::done && !step->spec->long_running) {
+        worker.failures_in_a_row = 0;
+        worker.failed_jobs.clear();
+        set_done(*step, index);
+        if (step->spec->gang) {
+            // One member's end stands for all; the others are listed later.
+            for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
+                auto& other = step->tasks[i];
+                if (other.phase != task_phase::done) {
+                    set_done(*step, i);
+                }
+            }
+        }
+        if (step->complete() && !step->job->ended()) {
+            ready.erase(step);
+            update_ready(*step->job, 0);
+        }
+    } else if (row.how == run_end::failed) {
+        on_run_failed(worker, *step, index, now);
+    } else {
+        back_to_waiting(*step, index, now);
+    }
+    check_finished(*step->job);
+}
+
+void dispatcher::books::compare_running(worker_book& worker,
+                                        const hold_answer& answer,
+                                        time_point sent_at, time_point now)
+{
+    std::set<task_key> present;
+    worker.strangers = 0;
+    for (const auto& row : answer.running) {
+        auto* step = find_step(row.task.step);
+        auto* task = find_task(row.task);
+        if (task == nullptr || task->worker != worker.vm.id ||
+            task->run != row.run) {
+            ++worker.strangers;
+            stops.push_back(
+                {.worker = {.id = worker.vm.id, .address = worker.vm.address},
+                 .task = row.task,
+                 .run = row.run,
+                 .epoch = options.epoch});
+            continue;
+        }
+        present.insert(row.task);
+        if (!row.checkpoint.empty()) {
+            task->checkpoint = row.checkpoint;
+        }
+        task->percent = row.percent;
+        if (task->phase == task_phase::ordered ||
+            task->phase == task_phase::unsure) {
+            task->phase = task_phase::running;
+            task->since = sent_at;
+        } else if (task->phase == task_phase::stopping &&
+                   now - task->stop_sent > options.stop_retry) {
+            stop_task(*step, row.task.index, now);
+        }
+    }
+    const std::vector<task_key> load{worker.load.begin(), worker.load.end()};
+    for (const auto& key : load) {
+        auto* step = find_step(key.step);
+        if (step == nullptr || present.contains(key)) {
+            continue;
+        }
+        auto& task = step->tasks[key.index];
+        const bool gone =
+            task.phase == task_phase::unsure ||
+            (task.phase == task_phase::running && task.since < sent_at) ||
+            (task.phase == task_phase::stopping && task.stop_acknowledged &&
+             *task.stop_acknowledged <= sent_at);
+        if (gone) {
+            back_to_waiting(*step, key.index, now);
+            check_finished(*step->job);
+        } else if (task.phase == task_phase::stopping &&
+                   now - task.stop_sent > options.stop_retry) {
+            stop_task(*step, key.index, now);
+        }
+    }
+}
+
+// Answers filling tasks that slow a serving task on the same worker: they are
+// held back before the serving task has missed its target for long, and are
+// let go again step by step.
+void dispatcher::books::pace_scavengers(worker_book& worker,
+                                        const hold_answer& answer,
+                                        time_point now)
+{
+    constexpr double worry = 0.8;
+    constexpr double calm = 0.5;
+    constexpr std::uint32_t full_pace = 100;
+    constexpr std::uint32_t step_up = 25;
+    constexpr duration settle = std::chrono::milliseconds{1500};
+    double worst = 0;
+    for (const auto& row : answer.running) {
+        const auto* step = find_step(row.task.step);
+        if (step != nullptr && step->spec->long_running &&
+            step->spec->target_ms > 0) {
+            worst =
+                std::max(worst, static_cast<double>(row.usage) /
+                                    static_cast<double>(step->spec->target_ms));
+        }
+    }
+    if (worst > worry && worker.scavenger_pace > 0) {
+        worker.scavenger_pace = 0;
+        worker.pace_changed = now;
+    } else if (worst < calm && worker.scavenger_pace < full_pace &&
+               now - worker.pace_changed > settle) {
+        worker.scavenger_pace += step_up;
+        worker.pace_changed = now;
+    }
+    for (const auto& row : answer.running) {
+        const auto* step = find_step(row.task.step);
+        auto* task = find_task(row.task);
+        if (step == nullptr || task == nullptr || !step->spec->scavenger ||
+            task->phase != task_phase::running ||
+            task->pace == worker.scavenger_pace) {
+            continue;
+        }
+        task->pace = worker.scavenger_pace;
+        paces.push_back(
+            {.worker = {.id = worker.vm.id, .address = worker.vm.address},
+             .task = row.task,
+             .run = row.run,
+             .percent = task->pace,
+             .epoch = options.epoch});
+    }
+}
+
+void dispatcher::books::lose_tasks(worker_book& worker, time_point now,
+                                   std::string_view cause)
+{
+    const std::vector<task_key> load{worker.load.begin(), worker.load.end()};
+    for (const auto& key : load) {
+        auto* step = find_step(key.step);
+        if (step == nullptr) {
+            continue;
+        }
+        back_to_waiting(*step, key.index, now);
+        check_finished(*step->job);
+    }
+    if (!load.empty()) {
+        note(0, "tasks lost",
+             worker.vm.id + " tasks " + std::to_string(load.size()) + ": " +
+                 std::string{cause});
+    }
+    worker.fenced = false;
+    worker.strangers = 0;
+    worker.seen = 0;
+    worker.recorded = 0;
+    worker.in_batch.clear();
+    worker.clock_ms.reset();
+}
+
+void dispatcher::on_hold_result(const hold_order& order, hold_result result,
+                                const hold_answer& answer, time_point sent_at,
+                                time_point now)
+{
+    auto& state = *books_;
+    const auto found = state.workers.find(order.worker.id);
+    if (found == state.workers.end()) {
+        return;
+    }
+    auto& worker = found->second;
+    worker.hold_in_flight = false;
+    if (result != hold_result::answered) {
+        ++worker.unanswered;
+        worker.next_hold = now + state.options.hold_retry;
+        state.deposed = state.deposed || result == hold_result::fenced;
+        return;
+    }
+    if (answer.incarnation && worker.vm.incarnation != 0 &&
+        *answer.incarnation != worker.vm.incarnation) {
+        if (*answer.incarnation < worker.vm.incarnation) {
+            return;
+        }
+        state.lose_tasks(worker, now, "worker restarted");
+    }
+    if (answer.incarnation) {
+        worker.vm.incarnation = *answer.incarnation;
+    }
+    if (worker.unanswered > 0 || !worker.fenced) {
+        state.replan = true;
+    }
+    worker.fenced = true;
+    worker.unanswered = 0;
+    worker.clock_ms = answer.clock_ms;
+    worker.clock_at = now;
+    worker.next_hold = now + state.options.hold_spacing;
+    for (const auto& row : answer.ended) {
+        if (row.number > worker.seen) {
+            worker.seen = row.number;
+            state.on_ended(worker, row, now);
+        }
+    }
+    state.compare_running(worker, answer, sent_at, now);
+    state.pace_scavengers(worker, answer, now);
+}
+
+ledger_batch dispatcher::take_batch(std::int64_t unix_ms)
+{
+    auto& state = *books_;
+    ledger_batch result{.number = state.next_batch++, .entries = {}};
+    auto& open = state.batches[result.number];
+    open.placed.swap(state.placed);
+    std::vector<task_progress> rows;
+    for (auto* step : state.dirty) {
+        step->dirty = false;
+        if (step->job->outcome) {
+            continue;
+        }
+        rows.clear();
+        for (const auto& task : step->tasks) {
+            rows.push_back({.done = task.phase == task_phase::done,
+                            .run = task.run,
+                            .failures = task.failures,
+                            .worker = task.worker,
+                            .checkpoint = step->spec->checkpoints
+                                              ? task.checkpoint
+                                              : std::string{}});
+        }
+        result.entries.push_back(
+            {.key =
+                 encode_key({.kind = entry_kind::progress, .step = step->key}),
+             .value = encode(rows)});
+    }
+    state.dirty.clear();
+    for (auto* job : state.finished) {
+        const auto id = job->record.id;
+        const auto add = [&](entry_kind kind, const step_key& key) {
+            result.entries.push_back(
+                {.key = encode_key({.kind = kind, .step = key}),
+                 .value = std::nullopt});
+        };
+        result.entries.push_back(
+            {.key =
+                 encode_key({.kind = entry_kind::outcome, .step = {.job = id}}),
+             .value = encode(
+                 job_outcome{.state = *job->outcome, .unix_ms = unix_ms})});
+        add(entry_kind::job, {.job = id});
+        if (job->cancelled) {
+            add(entry_kind::cancellation, {.job = id});
+        }
+        for (const auto& step : job->steps) {
+            add(entry_kind::progress, step.key);
+            if (job->record.queue.advice) {
+                add(entry_kind::advice, step.key);
+            }
+        }
+        job->outcome_written = true;
+        open.finished.push_back(id);
+        state.note(id, "ended",
+                   "state " + std::to_string(static_cast<int>(*job->outcome)));
+    }
+    state.finished.clear();
+    for (auto& [id, worker] : state.workers) {
+        if (worker.seen > worker.recorded) {
+            worker.in_batch[result.number] = worker.seen;
+        }
+    }
+    return result;
+}
+
+void dispatcher::on_recorded(std::uint64_t number, time_point now)
+{
+    auto& state = *books_;
+    for (auto& [id, worker] : state.workers) {
+        while (!worker.in_batch.empty() &&
+               worker.in_batch.begin()->first <= number) {
+            worker.recorded =
+                std::max(worker.recorded, worker.in_batch.begin()->second);
+            worker.in_batch.erase(worker.in_batch.begin());
+        }
+    }
+    while (!state.batches.empty() && state.batches.begin()->first <= number) {
+        const auto batch = std::move(state.batches.begin()->second);
+        state.batches.erase(state.batches.begin());
+        for (const auto& key : batch.placed) {
+            state.order_start(key, now);
+        }
+        for (const auto id : batch.finished) {
+            const auto it = state.jobs.find(id);
+            // A failed job stays until its tasks have been stopped.
+            if (it != state.jobs.end() && it->second->active == 0) {
+                for (auto& step : it->second->steps) {
+                    state.dirty.erase(&step);
+                    state.ready.erase(&step);
+                }
+                state.jobs.erase(it);
+            }
+        }
+    }
+}
+
+dispatcher_orders dispatcher::take_orders(time_point now)
+{
+    auto& state = *books_;
+    const auto& options = state.options;
+    dispatcher_orders result;
+    for (auto& [id, worker] : state.workers) {
+        const bool silent = worker.unanswered > 0 || worker.vm.address.empty();
+        if (worker.lease_until < now && silent && !worker.load.empty()) {
+            state.lose_tasks(worker, now, "lease has lapsed");
+        }
+        if (worker.vm.address.empty() || worker.hold_in_flight ||
+            now < worker.next_hold || (!worker.listed && worker.load.empty())) {
+            continue;
+        }
+        const bool to_record = worker.seen > worker.recorded;
+        const bool renewal_due = now - worker.last_renewal >= options.hold_wait;
+        if (to_record && !renewal_due) {
+            continue;
+        }
+        hold_order order{
+            .worker = {.id = worker.vm.id, .address = worker.vm.address},
+            .epoch = options.epoch,
+            .acknowledged = worker.recorded,
+            .lease_end_ms = std::nullopt,
+            .wait =
+                to_record || !worker.fenced ? duration{} : options.hold_wait};
+        // A worker that does not answer gets no further lease, so that there
+        // is an end to wait for.
+        if (worker.fenced && worker.unanswered == 0 && worker.clock_ms) {
+            order.lease_end_ms = state.lease_end(worker, now);
+        }
+        worker.last_renewal = now;
+        worker.hold_in_flight = true;
+        result.holds.push_back(std::move(order));
+    }
+    result.starts.swap(state.starts);
+    result.stops.swap(state.stops);
+    result.paces.swap(state.paces);
+    return result;
+}
+
+std::vector<decision> dispatcher::take_decisions()
+{
+    return std::exchange(books_->decisions, {});
+}
+
+bool dispatcher::deposed() const noexcept
+{
+    return books_->deposed;
+}
+
+dispatcher::counts dispatcher::count() const
+{
+    counts result;
+    result.jobs = books_->jobs.size();
+    for (const auto* step : books_->ready) {
+        result.waiting += step->waiting;
+    }
+    for (const auto& [id, worker] : books_->workers) {
+        ++result.workers;
+        result.fenced_workers += worker.fenced ? 1U : 0U;
+        result.placed += worker.load.size();
+    }
+    return result;
+}
+
+} // namespace rosemarytrail::fleet
--- /dev/null
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -0,0 +1,198 @@
+#ifndef ROSEMARYTRAIL_FLEET_DISPATCHER_HPP
+#define ROSEMARYTRAIL_FLEET_DISPATCHER_HPP
+
+#include <rosemarytrail/core/time.hpp>
+#include <rosemarytrail/fleet/cell_config.hpp>
+#include <rosemarytrail/fleet/job_board.hpp>
+#include <rosemarytrail/fleet/worker_calls.hpp>
+#include <rosemarytrail/fleet/worker_vm.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rosemarytrail::fleet {
+
+/** @brief Spans and bounds of a dispatcher. */
+struct dispatcher_options
+{
+    /** @brief Fencing epoch that every order bears. */
+    std::uint64_t epoch{};
+    /** @brief Lease of a worker; long enough for a takeover in between. */
+    duration lease{std::chrono::milliseconds{6000}};
+    /** @brief Longest wait of a hold; also the time between renewals. */
+    duration hold_wait{std::chrono::milliseconds{1000}};
+    /** @brief A former leader renews no lease after this time without news. */
+    duration renewal_bound{std::chrono::milliseconds{10000}};
+    /** @brief Rate error of a worker's clock that leases must allow for. */
+    double clock_drift{0.02};
+    /** @brief Added to a lease before its tasks count as gone. */
+    duration lease_margin{std::chrono::milliseconds{200}};
+    /** @brief A stop without effect is sent again after this time. */
+    duration stop_retry{std::chrono::milliseconds{400}};
+    /** @brief Pause before a worker that failed to answer is asked again. */
+    duration hold_retry{std::chrono::milliseconds{150}};
+    /** @brief Time between two holds of one worker that has ends to tell. */
+    duration hold_spacing{std::chrono::milliseconds{10}};
+    /** @brief Ticket that lapses sooner is not used for a start. */
+    duration ticket_margin{std::chrono::milliseconds{60}};
+    /** @brief Time that a suspect worker gets no new work. */
+    duration quarantine{std::chrono::milliseconds{5000}};
+    /** @brief Failed runs of several jobs in a row that make it suspect. */
+    std::uint32_t suspect_failures{3};
+    /** @brief Greatest part of the workers that is set aside at once. */
+    double quarantine_share{0.25};
+};
+
+/** @brief Entries for the ledger that are to be appended in one call. */
+struct ledger_batch
+{
+    std::uint64_t number{};
+    std::vector<ledger_entry> entries;
+};
+
+/** @brief Calls to make now. */
+struct dispatcher_orders
+{
+    std::vector<start_order> starts;
+    std::vector<stop_order> stops;
+    std::vector<pace_order> paces;
+    std::vector<hold_order> holds;
+};
+
+/** @brief Line for the log: a decision and what it was made on. */
+struct decision
+{
+    std::uint64_t job{};
+    std::string_view what;
+    std::string detail;
+};
+
+/**
+ * @brief Decides which task runs on which worker; one node runs it at a time.
+ *
+ * It does no I/O. A start is first handed out as part of a ledger batch and
+ * ordered only after the batch is on record, so a successor knows where each
+ * task may run.
+ */
+class dispatcher
+{
+public:
+    /**
+     * @brief Takes over the jobs on a board.
+     * @param options Spans and bounds.
+     * @param board All that the ledger holds.
+     * @param now Present time.
+     * @param unix_ms Present time of day.
+     */
+    dispatcher(const dispatcher_options& options, const job_board& board,
+               time_point now, std::int64_t unix_ms);
+    dispatcher(const dispatcher&) = delete;
+    dispatcher& operator=(const dispatcher&) = delete;
+    ~dispatcher();
+
+    /** @param config Configuration in force. */
+    void set_config(std::shared_ptr<const cell_config> config);
+
+    /**
+     * @brief Takes the directory of workers in.
+     * @param vms All workers that are listed.
+     * @param now Present time.
+     */
+    void set_workers(std::span<const worker_vm> vms, time_point now);
+
+    /**
+     * @brief Takes a change of a job that another node wrote.
+     * @param id Job.
+     * @param entry What the ledger says of it now.
+     * @param now Present time.
+     * @param unix_ms Present time of day.
+     */
+    void on_job_changed(std::uint64_t id, const job_entry& entry,
+                        time_point now, std::int64_t unix_ms);
+
+    /**
+     * @brief Takes what became of an order to start.
+     * @param order Order that was sent.
+     * @param result What became of it.
+     * @param now Present time.
+     */
+    void on_start_result(const start_order& order, start_result result,
+                         time_point now);
+
+    /**
+     * @brief Takes what became of an order to stop.
+     * @param order Order that was sent.
+     * @param answered Whether the worker acknowledged it.
+     * @param now Present time.
+     */
+    void on_stop_result(const stop_order& order, bool answered, time_point now);
+
+    /**
+     * @brief Takes what became of a hold.
+     * @param order Order that was sent.
+     * @param result What became of it.
+     * @param answer Answer; counts only if it was answered.
+     * @param sent_at When the order was sent.
+     * @param now Present time.
+     */
+    void on_hold_result(const hold_order& order, hold_result result,
+                        const hold_answer& answer, time_point sent_at,
+                        time_point now);
+
+    /**
+     * @brief Places waiting tasks.
+     * @param now Present time.
+     * @param unix_ms Present time of day.
+     */
+    void plan(time_point now, std::int64_t unix_ms);
+
+    /**
+     * @brief Hands out what has changed since the last batch.
+     * @param unix_ms Present time of day.
+     * @return Entries to append; none if nothing has changed.
+     */
+    [[nodiscard]] ledger_batch take_batch(std::int64_t unix_ms);
+
+    /**
+     * @brief Learns that a batch is on record.
+     * @param number Number of the batch.
+     * @param now Present time.
+     */
+    void on_recorded(std::uint64_t number, time_point now);
+
+    /**
+     * @brief Hands out the calls that are due.
+     * @param now Present time.
+     * @return Calls to make now.
+     */
+    [[nodiscard]] dispatcher_orders take_orders(time_point now);
+
+    /** @return Decisions since the last call, for the log. */
+    [[nodiscard]] std::vector<decision> take_decisions();
+
+    /** @return True once a worker has answered that a newer leader exists. */
+    [[nodiscard]] bool deposed() const noexcept;
+
+    /** @return Tasks that wait, run and jobs that are live, for metrics. */
+    struct counts
+    {
+        std::size_t jobs{};
+        std::size_t waiting{};
+        std::size_t placed{};
+        std::size_t workers{};
+        std::size_t fenced_workers{};
+    };
+    [[nodiscard]] counts count() const;
+
+private:
+    struct books;
+    std::unique_ptr<books> books_;
+};
+
+} // namespace rosemarytrail::fleet
+
+#endif
--- /dev/null
+++ b/src/rosemarytrail/fleet/fwd.hpp
@@ -0,0 +1,26 @@
+#ifndef ROSEMARYTRAIL_FLEET_FWD_HPP
+#define ROSEMARYTRAIL_FLEET_FWD_HPP
+
+#include <cstdint>
+
+namespace rosemarytrail::fleet {
+
+enum class job_state : std::uint8_t;
+enum class task_phase : std::uint8_t;
+
+struct room;
+struct step_spec;
+struct job_spec;
+struct queue_policy;
+struct job_record;
+struct step_key;
+struct task_key;
+struct worker_vm;
+struct cell_config;
+
+class job_board;
+class dispatcher;
+
+} // namespace rosemarytrail::fleet
+
+#endif
--- /dev/null
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -0,0 +1,238 @@
+#ifndef ROSEMARYTRAIL_FLEET_INTERNAL_BOOKS_HPP
+#define ROSEMARYTRAIL_FLEET_INTERNAL_BOOKS_HPP
+
+#include <rosemarytrail/fleet/dispatcher.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace rosemarytrail::fleet::internal {
+
+/** @brief Where a task stands in the leader's books. */
+enum class task_phase : std::uint8_t
+{
+    waiting,
+    /** @brief Placed; the start goes out once it is on record. */
+    placed,
+    /** @brief The start was sent and is not answered. */
+    ordered,
+    /** @brief It may run: placed by a former leader or start unanswered. */
+    unsure,
+    running,
+    stopping,
+    done
+};
+
+/** @brief Task in the leader's books. */
+struct task_state
+{
+    task_phase phase{task_phase::waiting};
+    std::uint32_t run{};
+    std::uint32_t failures{};
+    /** @brief Worker whose room it takes; empty while it waits. */
+    std::string worker;
+    std::string checkpoint;
+    /** @brief When the phase began. */
+    time_point since;
+    time_point stop_sent;
+    std::optional<time_point> stop_acknowledged;
+    std::int32_t percent{};
+    std::uint32_t pace{100};
+    /** @brief Worker of the latest failed run, avoided by the next. */
+    std::string failed_on;
+
+    /** @return True if it takes room on a worker. */
+    [[nodiscard]] bool holds_room() const noexcept
+    {
+        return phase != task_phase::waiting && phase != task_phase::done;
+    }
+};
+
+struct job_book;
+
+/** @brief Step of one occurrence in the leader's books. */
+struct step_book
+{
+    step_key key;
+    const step_spec* spec{};
+    job_book* job{};
+    std::vector<task_state> tasks;
+    std::size_t waiting{};
+    std::size_t done{};
+    /** @brief Changed since the last batch. */
+    bool dirty{false};
+    /** @brief Tickets by worker; empty rows mean no advice was given. */
+    std::map<std::string, std::string> tickets;
+    time_point tickets_until;
+    /** @brief Tasks may be placed from here on. */
+    bool ready{false};
+
+    [[nodiscard]] bool complete() const noexcept
+    {
+        return done == tasks.size();
+    }
+};
+
+/** @brief Job in the leader's books. */
+struct job_book
+{
+    job_record record;
+    std::shared_ptr<const std::string> payload;
+    /** @brief All steps of the first occurrence, then of the next. */
+    std::vector<step_book> steps;
+    bool cancelled{false};
+    bool failed{false};
+    std::optional<job_state> outcome;
+    /** @brief The outcome was handed out in a batch. */
+    bool outcome_written{false};
+    /** @brief Beyond what its account may send; served after others. */
+    bool beyond_share{false};
+    time_point accepted;
+    /** @brief Latest time of an answer that meets the latency objective. */
+    time_point objective;
+    /** @brief Longest chain of declared work, in milliseconds. */
+    std::int64_t chain_ms{};
+    /** @brief Tasks that take room. */
+    std::size_t active{};
+
+    [[nodiscard]] bool ended() const noexcept
+    {
+        return cancelled || failed || outcome.has_value();
+    }
+};
+
+/** @brief Worker in the leader's books. */
+struct worker_book
+{
+    worker_vm vm;
+    /** @brief In the directory at present. */
+    bool listed{true};
+    room used;
+    std::set<task_key> load;
+    /** @brief Has answered under this leader's epoch. */
+    bool fenced{false};
+    std::optional<std::int64_t> clock_ms;
+    time_point clock_at;
+    /** @brief Nothing that this leader ordered runs there after this. */
+    time_point lease_until;
+    /** @brief Highest end that was read, written and acknowledged. */
+    std::uint64_t seen{};
+    std::uint64_t recorded{};
+    /** @brief End numbers that a batch will put on record. */
+    std::map<std::uint64_t, std::uint64_t> in_batch;
+    bool hold_in_flight{false};
+    time_point next_hold;
+    time_point last_renewal;
+    std::uint32_t unanswered{};
+    /** @brief Runs on it that are not in the books. */
+    std::size_t strangers{};
+    std::set<std::uint64_t> failed_jobs;
+    std::uint32_t failures_in_a_row{};
+    time_point quarantined_until;
+    std::uint32_t scavenger_pace{100};
+    time_point pace_changed;
+
+    [[nodiscard]] room available() const noexcept { return vm.capacity - used; }
+};
+
+} // namespace rosemarytrail::fleet::internal
+
+namespace rosemarytrail::fleet {
+
+struct dispatcher::books
+{
+    using task_phase = internal::task_phase;
+    using task_state = internal::task_state;
+    using step_book = internal::step_book;
+    using job_book = internal::job_book;
+    using worker_book = internal::worker_book;
+
+    /** @brief Jobs a second of an account, for its share. */
+    struct account_book
+    {
+        room used;
+        double tokens{};
+        time_point refilled;
+        bool started{false};
+    };
+
+    dispatcher_options options;
+    std::shared_ptr<const cell_config> config;
+    std::unordered_map<std::uint64_t, std::unique_ptr<job_book>> jobs;
+    std::map<std::string, worker_book> workers;
+    std::map<std::string, account_book> accounts;
+    std::set<step_book*> ready;
+    std::set<step_book*> dirty;
+    std::vector<job_book*> finished;
+    std::vector<start_order> starts;
+    std::vector<stop_order> stops;
+    std::vector<pace_order> paces;
+    std::vector<decision> decisions;
+    std::vector<ledger_entry> removals;
+    struct open_batch
+    {
+        std::vector<task_key> placed;
+        std::vector<std::uint64_t> finished;
+    };
+    std::map<std::uint64_t, open_batch> batches;
+    std::uint64_t next_batch{1};
+    std::vector<task_key> placed;
+    bool replan{true};
+    bool deposed{false};
+
+    [[nodiscard]] step_book* find_step(const step_key& key);
+    [[nodiscard]] task_state* find_task(const task_key& key);
+    [[nodiscard]] room need_of(const task_key& key);
+    void add_job(const job_entry& entry, time_point now, std::int64_t unix_ms);
+    void inherit(step_book& step, const std::vector<task_progress>& rows,
+                 time_point now);
+    void note_share(job_book& job, time_point now);
+    void take_advice(step_book& step, const seen_advice& advice);
+    void mark_dirty(step_book& step);
+    void take_room(step_book& step, std::uint32_t index,
+                   const std::string& worker);
+    void free_room(step_book& step, std::uint32_t index);
+    void back_to_waiting(step_book& step, std::uint32_t index, time_point now);
+    void set_done(step_book& step, std::uint32_t index);
+    void update_ready(job_book& job, std::int64_t unix_ms);
+    void finish_job(job_book& job, job_state outcome);
+    void check_finished(job_book& job);
+    void cancel_job(job_book& job, time_point now);
+    void fail_job(job_book& job, time_point now);
+    void stop_all(job_book& job, time_point now);
+    void stop_task(step_book& step, std::uint32_t index, time_point now);
+    void order_start(const task_key& key, time_point now);
+    void on_ended(worker_book& worker, const ended_row& row, time_point now);
+    void on_run_failed(worker_book& worker, step_book& step,
+                       std::uint32_t index, time_point now);
+    void note_failure(worker_book& worker, std::uint64_t job, time_point now);
+    void compare_running(worker_book& worker, const hold_answer& answer,
+                         time_point sent_at, time_point now);
+    void pace_scavengers(worker_book& worker, const hold_answer& answer,
+                         time_point now);
+    void lose_tasks(worker_book& worker, time_point now,
+                    std::string_view cause);
+    [[nodiscard]] std::int64_t lease_end(worker_book& worker, time_point now);
+    void note(std::uint64_t job, std::string_view what, std::string detail);
+
+    // internal/placement.cpp
+    [[nodiscard]] bool is_usable(const worker_book& worker,
+                                 const step_book& step, time_point now) const;
+    [[nodiscard]] bool within_limit(const job_book& job, const room& need);
+    void place_step(step_book& step, time_point now);
+    void place_gang(step_book& step, time_point now);
+    [[nodiscard]] worker_book*
+    choose_worker(step_book& step, std::uint32_t index, time_point now);
+    void place(step_book& step, std::uint32_t index, worker_book& worker,
+               time_point now);
+};
+
+} // namespace rosemarytrail::fleet
+
+#endif
--- /dev/null
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -0,0 +1,218 @@
+#include <rosemarytrail/fleet/internal/books.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace rosemarytrail::fleet {
+
+namespace {
+
+using internal::step_book;
+
+/**
+ * @brief Place of a step in the order in which waiting steps are served.
+ *
+ * Answers load beyond capacity: accounts within their share come before those
+ * beyond it, then priority, then jobs that can still meet their objective, the
+ * most pressing first.
+ */
+[[nodiscard]] auto urgency(const step_book& step, time_point now)
+{
+    const auto& job = *step.job;
+    const auto latest_start =
+        job.objective - std::chrono::milliseconds{job.chain_ms};
+    const bool late = job.objective <= now;
+    return std::tuple{job.beyond_share, job.record.queue.priority, late,
+                      latest_start, step.key};
+}
+
+} // namespace
+
+bool dispatcher::books::is_usable(const worker_book& worker,
+                                  const step_book& step, time_point now) const
+{
+    const auto& spec = *step.spec;
+    if (!worker.listed || worker.vm.draining || !worker.fenced ||
+        worker.unanswered > 0 || worker.strangers > 0 ||
+        worker.quarantined_until > now || !worker.clock_ms ||
+        worker.vm.service != step.job->record.queue.service) {
+        return false;
+    }
+    return spec.required_label.empty() ||
+           std::ranges::find(worker.vm.labels, spec.required_label) !=
+               worker.vm.labels.end();
+}
+
+bool dispatcher::books::within_limit(const job_book& job, const room& need)
+{
+    if (!config || job.record.account.empty()) {
+        return true;
+    }
+    const auto it = config->accounts.find(job.record.account);
+    if (it == config->accounts.end()) {
+        return true;
+    }
+    const auto& limit = it->second.limit;
+    const auto total = accounts[job.record.account].used + need;
+    return (limit.cpu_millis == 0 || total.cpu_millis <= limit.cpu_millis) &&
+           (limit.memory_mb == 0 || total.memory_mb <= limit.memory_mb) &&
+           (limit.gpus == 0 || total.gpus <= limit.gpus);
+}
+
+internal::worker_book* dispatcher::books::choose_worker(step_book& step,
+                                                        std::uint32_t index,
+                                                        time_point now)
+{
+    const auto& spec = *step.spec;
+    const auto need = spec.reserved();
+    const auto& failed_on = step.tasks[index].failed_on;
+    worker_book* best = nullptr;
+    std::tuple<bool, bool, std::int64_t> best_rank;
+    const auto consider = [&](worker_book& it) {
+        if (!is_usable(it, step, now) || !need.fits(it.available())) {
+            return;
+        }
+        if (spec.tasks_per_vm > 0) {
+            const auto here =
+                std::ranges::count_if(it.load, [&](const task_key& key) {
+                    return key.step == step.key;
+                });
+            if (static_cast<std::uint32_t>(here) >= spec.tasks_per_vm) {
+                return;
+            }
+        }
+        // The tightest fit keeps whole workers free for wide tasks; a
+        // scavenger goes where most is idle.
+        const auto left = it.available().cpu_millis - need.cpu_millis;
+        const std::tuple rank{
+            !spec.data_rack.empty() && it.vm.rack != spec.data_rack,
+            it.vm.id == failed_on, spec.scavenger ? -left : left};
+        if (best == nullptr || rank < best_rank) {
+            best = &it;
+            best_rank = rank;
+        }
+    };
+    if (!step.job->record.queue.advice) {
+        for (auto& [id, it] : workers) {
+            consider(it);
+        }
+        return best;
+    }
+    for (const auto& [id, ticket] : step.tickets) {
+        if (const auto it = workers.find(id); it != workers.end()) {
+            consider(it->second);
+        }
+    }
+    return best;
+}
+
+void dispatcher::books::place(step_book& step, std::uint32_t index,
+                              worker_book& worker, time_point now)
+{
+    auto& task = step.tasks[index];
+    --step.waiting;
+    task.phase = task_phase::placed;
+    task.since = now;
+    ++task.run;
+    take_room(step, index, worker.vm.id);
+    mark_dirty(step);
+    placed.push_back({.step = step.key, .index = index});
+}
+
+void dispatcher::books::place_step(step_book& step, time_point now)
+{
+    std::size_t n = 0;
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+        if (step.tasks[i].phase != task_phase::waiting) {
+            continue;
+        }
+        if (!within_limit(*step.job, step.spec->need)) {
+            break;
+        }
+        auto* worker = choose_worker(step, i, now);
+        if (worker == nullptr) {
+            break;
+        }
+        place(step, i, *worker, now);
+        ++n;
+    }
+    if (n > 0) {
+        note(step.key.job, "placed",
+             to_text(step.key) + " tasks " + std::to_string(n) + " of " +
+                 std::to_string(step.tasks.size()) + ", still waiting " +
+                 std::to_string(step.waiting));
+    }
+}
+
+void dispatcher::books::place_gang(step_book& step, time_point now)
+{
+    // Members start with one run number and only together.
+    if (step.waiting != step.tasks.size()) {
+        return;
+    }
+    std::uint32_t run = 0;
+    for (const auto& it : step.tasks) {
+        run = std::max(run, it.run);
+    }
+    std::vector<std::uint32_t> before;
+    for (const auto& it : step.tasks) {
+        before.push_back(it.run);
+    }
+    const auto already_placed = placed.size();
+    std::uint32_t n = 0;
+    for (; n < step.tasks.size(); ++n) {
+        auto* worker = within_limit(*step.job, step.spec->need)
+                           ? choose_worker(step, n, now)
+                           : nullptr;
+        if (worker == nullptr) {
+            break;
+        }
+        step.tasks[n].run = run;
+        place(step, n, *worker, now);
+    }
+    if (n == step.tasks.size()) {
+        note(step.key.job, "gang placed", to_text(step.key));
+        return;
+    }
+    while (n-- > 0) {
+        free_room(step, n);
+        step.tasks[n].phase = task_phase::waiting;
+        step.tasks[n].run = before[n];
+        ++step.waiting;
+    }
+    placed.resize(already_placed);
+}
+
+void dispatcher::plan(time_point now, std::int64_t unix_ms)
+{
+    auto& it = *books_;
+    for (auto& [id, job] : it.jobs) {
+        if (job->record.spec.occurrences > 0 && !job->ended()) {
+            it.update_ready(*job, unix_ms);
+        }
+    }
+    if (!it.replan) {
+        return;
+    }
+    it.replan = false;
+    std::vector<step_book*> order;
+    for (auto* step : it.ready) {
+        const bool advised = step->job->record.queue.advice.has_value();
+        if (step->waiting > 0 && !step->job->ended() &&
+            (!advised || step->tickets_until > now)) {
+            order.push_back(step);
+        }
+    }
+    std::ranges::sort(order, [now](const step_book* a, const step_book* b) {
+        return urgency(*a, now) < urgency(*b, now);
+    });
+    for (auto* step : order) {
+        if (step->spec->gang) {
+            it.place_gang(*step, now);
+        } else {
+            it.place_step(*step, now);
+        }
+    }
+}
+
+} // namespace rosemarytrail::fleet
--- /dev/null
+++ b/src/rosemarytrail/fleet/job.hpp
@@ -0,0 +1,277 @@
+#ifndef ROSEMARYTRAIL_FLEET_JOB_HPP
+#define ROSEMARYTRAIL_FLEET_JOB_HPP
+
+#include <rosemarytrail/core/time.hpp>
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rosemarytrail::fleet {
+
+/** @brief Processors, memory and accelerators, asked for or available. */
+struct room
+{
+    /** @brief Thousandths of a core. */
+    std::int64_t cpu_millis{};
+    std::int64_t memory_mb{};
+    std::int64_t gpus{};
+
+    room& operator+=(const room& other) noexcept
+    {
+        cpu_millis += other.cpu_millis;
+        memory_mb += other.memory_mb;
+        gpus += other.gpus;
+        return *this;
+    }
+
+    room& operator-=(const room& other) noexcept
+    {
+        cpu_millis -= other.cpu_millis;
+        memory_mb -= other.memory_mb;
+        gpus -= other.gpus;
+        return *this;
+    }
+
+    friend room operator+(room left, const room& right) noexcept
+    {
+        return left += right;
+    }
+
+    friend room operator-(room left, const room& right) noexcept
+    {
+        return left -= right;
+    }
+
+    friend bool operator==(const room&, const room&) = default;
+
+    /**
+     * @brief Tells whether all of it is available.
+     * @param available What is available.
+     * @return True if no dimension is short.
+     */
+    [[nodiscard]] bool fits(const room& available) const noexcept
+    {
+        return cpu_millis <= available.cpu_millis &&
+               memory_mb <= available.memory_mb && gpus <= available.gpus;
+    }
+};
+
+/** @brief One step of a job: tasks that are alike. */
+struct step_spec
+{
+    std::uint32_t tasks{1};
+    /** @brief What each task asks for. */
+    room need;
+    /** @brief Declared duration of a task; often off by half. */
+    std::int64_t estimate_ms{};
+    /** @brief Steps of the same job whose tasks must all be done first. */
+    std::vector<std::uint32_t> depends_on;
+    /** @brief Tasks can resume from a checkpoint. */
+    bool checkpoints{false};
+    /** @brief Tasks work only while all of them run. */
+    bool gang{false};
+    /** @brief Tasks are slow if they are spread over racks. */
+    bool same_rack{false};
+    /** @brief Copies of a task may run at the same time. */
+    bool speculative{false};
+    /** @brief Tasks run until the job is cancelled. */
+    bool long_running{false};
+    /** @brief Tasks use idle processors only; their cpu is not reserved. */
+    bool scavenger{false};
+    /** @brief Label that the worker must bear; empty for any. */
+    std::string required_label;
+    /** @brief Rack that holds the data; empty for none. */
+    std::string data_rack;
+    /** @brief Most tasks of the step on one worker; zero for any number. */
+    std::uint32_t tasks_per_vm{};
+    /** @brief What the tasks run; tasks of one image behave alike. */
+    std::string image;
+    /** @brief Tail latency that a serving task must stay under; 0 for none. */
+    std::int64_t target_ms{};
+    /** @brief Most tasks away at once through the scheduler's own doing. */
+    std::uint32_t max_unavailable{};
+
+    /** @return What a task occupies of a worker's capacity. */
+    [[nodiscard]] room reserved() const noexcept
+    {
+        return scavenger ? room{.memory_mb = need.memory_mb, .gpus = need.gpus}
+                         : need;
+    }
+};
+
+/** @brief What a client hands in. */
+struct job_spec
+{
+    /** @brief Opaque text that each task is started with. */
+    std::string payload;
+    std::vector<step_spec> steps;
+    /** @brief Number of scheduled occurrences; zero for a plain job. */
+    std::uint32_t occurrences{};
+    /** @brief When the first occurrence is due, in Unix milliseconds. */
+    std::int64_t first_due_ms{};
+    /** @brief Time between two occurrences. */
+    std::int64_t interval_ms{};
+
+    /** @return How often the steps run. */
+    [[nodiscard]] std::uint32_t rounds() const noexcept
+    {
+        return occurrences == 0 ? 1 : occurrences;
+    }
+};
+
+/** @brief Cost of asking which workers may run a step. */
+struct advice_policy
+{
+    double base_ms{};
+    double per_worker_ms{};
+    std::int64_t valid_ms{};
+};
+
+/** @brief What the configuration says of the queue that a job came by. */
+struct queue_policy
+{
+    std::string name;
+    /** @brief Service whose workers run the tasks. */
+    std::string service;
+    /** @brief 0 comes first and may preempt others. */
+    std::int32_t priority{};
+    /** @brief Failed runs of a task after which its job has failed. */
+    std::uint32_t max_attempts{1};
+    /** @brief Factor on the longest chain of work in the latency objective. */
+    double slack_factor{1.0};
+    /** @brief Constant part of the latency objective. */
+    std::int64_t target_latency_ms{};
+    /** @brief Set if only some workers may run a step of this queue. */
+    std::optional<advice_policy> advice;
+};
+
+/** @brief Job as it was accepted; never changes. */
+struct job_record
+{
+    std::uint64_t id{};
+    /** @brief Client account; empty on a public queue. */
+    std::string account;
+    /** @brief Node that asks for advice; empty leaves that to the leader. */
+    std::string acceptor;
+    std::int64_t accepted_unix_ms{};
+    queue_policy queue;
+    job_spec spec;
+};
+
+/** @brief State of a job as clients see it. */
+enum class job_state : std::uint8_t
+{
+    queued,
+    running,
+    completed,
+    failed,
+    cancelled
+};
+
+/** @brief One step in one occurrence of a job. */
+struct step_key
+{
+    std::uint64_t job{};
+    std::uint32_t occurrence{};
+    std::uint32_t step{};
+
+    friend auto operator<=>(const step_key&, const step_key&) = default;
+};
+
+/** @brief One task of a step. */
+struct task_key
+{
+    step_key step;
+    std::uint32_t index{};
+
+    friend auto operator<=>(const task_key&, const task_key&) = default;
+};
+
+/** @brief Hash of step and task keys. */
+struct key_hash
+{
+    std::size_t operator()(const step_key& it) const noexcept
+    {
+        constexpr std::uint64_t odd = 0x9E3779B97F4A7C15ULL;
+        return std::hash<std::uint64_t>{}(
+            (it.job + it.occurrence * 31U + it.step) * odd);
+    }
+
+    std::size_t operator()(const task_key& it) const noexcept
+    {
+        return (*this)(it.step) * 31U + it.index;
+    }
+};
+
+/** @brief Outcome of a task that is kept in the ledger. */
+struct task_progress
+{
+    /** @brief Whether it has ended well. */
+    bool done{false};
+    /** @brief Number of its latest start; zero if it never started. */
+    std::uint32_t run{};
+    /** @brief Runs that ended as failed. */
+    std::uint32_t failures{};
+    /** @brief Worker of the latest start; empty while it waits. */
+    std::string worker;
+    /** @brief Latest checkpoint; empty for none. */
+    std::string checkpoint;
+};
+
+/** @brief Workers that may run a step, with their tickets. */
+struct advice_grant
+{
+    struct row
+    {
+        std::string worker;
+        std::string ticket;
+    };
+
+    std::vector<row> rows;
+    /** @brief Age of the answer when it was recorded plus its validity. */
+    std::int64_t valid_ms{};
+};
+
+/**
+ * @brief Writes a job's id as clients and workers know it.
+ * @param id Job.
+ * @return 16 hexadecimal digits.
+ */
+[[nodiscard]] std::string to_text(std::uint64_t id);
+
+/** @copydoc to_text(std::uint64_t) */
+[[nodiscard]] std::string to_text(const step_key& id);
+
+/** @copydoc to_text(std::uint64_t) */
+[[nodiscard]] std::string to_text(const task_key& id);
+
+/**
+ * @brief Reads a job's id.
+ * @param text 16 lower-case hexadecimal digits.
+ * @return The id, or nothing.
+ */
+[[nodiscard]] std::optional<std::uint64_t> parse_job_id(std::string_view text);
+
+/**
+ * @brief Reads the name of a step.
+ * @param text Name as `to_text` writes it.
+ * @return The step, or nothing.
+ */
+[[nodiscard]] std::optional<step_key> parse_step_key(std::string_view text);
+
+/**
+ * @brief Reads the name of a task.
+ * @param text Name as `to_text` writes it.
+ * @return The task, or nothing.
+ */
+[[nodiscard]] std::optional<task_key> parse_task_key(std::string_view text);
+
+} // namespace rosemarytrail::fleet
+
+#endif
--- /dev/null
+++ b/src/rosemarytrail/fleet/job_board.cpp
@@ -0,0 +1,144 @@
+#include <rosemarytrail/fleet/job_board.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemarytrail::fleet {
+
+bool job_entry::has_started() const noexcept
+{
+    return std::ranges::any_of(progress, [](const auto& step) {
+        return std::ranges::any_of(
+            step.second, [](const auto& task) { return task.run > 0; });
+    });
+}
+
+job_state job_entry::state() const noexcept
+{
+    if (outcome) {
+        return outcome->state;
+    }
+    if (cancelled) {
+        return job_state::cancelled;
+    }
+    return has_started() ? job_state::running : job_state::queued;
+}
+
+void job_board::apply_job(std::uint64_t id,
+                          std::optional<std::string_view> value)
+{
+    auto& entry = jobs_[id];
+    if (!value) {
+        entry.record.reset();
+        return;
+    }
+    // A repeated submission changes nothing, also after the job has ended.
+    if (!entry.outcome && !entry.record) {
+        entry.record = decode_job(*value);
+    }
+}
+
+void job_board::drop_if_empty(std::uint64_t id)
+{
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end()) {
+        return;
+    }
+    const auto& entry = it->second;
+    if (!entry.record && !entry.outcome && !entry.cancelled &&
+        entry.progress.empty() && entry.advice.empty()) {
+        jobs_.erase(it);
+    }
+}
+
+std::optional<entry_key> job_board::apply(std::string_view key,
+                                          std::optional<std::string_view> value,
+                                          time_point now)
+{
+    const auto about = decode_key(key);
+    if (!about) {
+        return std::nullopt;
+    }
+    const auto id = about->step.job;
+    bool readable = true;
+    switch (about->kind) {
+    case entry_kind::batch_mark:
+        return about;
+    case entry_kind::leader:
+        if (const auto it = value ? decode_leader(*value) : std::nullopt) {
+            leader_ = *it;
+            return about;
+        }
+        return std::nullopt;
+    case entry_kind::job:
+        apply_job(id, value);
+        readable = !value || jobs_[id].outcome || jobs_[id].record;
+        break;
+    case entry_kind::cancellation:
+        jobs_[id].cancelled = value.has_value();
+        break;
+    case entry_kind::progress:
+        if (auto it = value ? decode_progress(*value) : std::nullopt) {
+            jobs_[id].progress[about->step] = std::move(*it);
+        } else {
+            jobs_[id].progress.erase(about->step);
+            readable = !value;
+        }
+        break;
+    case entry_kind::advice:
+        if (auto it = value ? decode_advice(*value) : std::nullopt) {
+            jobs_[id].advice[about->step] = {.grant = std::move(*it),
+                                             .read_at = now};
+        } else {
+            jobs_[id].advice.erase(about->step);
+            readable = !value;
+        }
+        break;
+    case entry_kind::outcome:
+        jobs_[id].outcome = value ? decode_outcome(*value) : std::nullopt;
+        readable = !value || jobs_[id].outcome;
+        break;
+    }
+    drop_if_empty(id);
+    return readable ? about : std::nullopt;
+}
+
+const job_entry* job_board::find(std::uint64_t id) const noexcept
+{
+    const auto it = jobs_.find(id);
+    return it == jobs_.end() ? nullptr : &it->second;
+}
+
+std::size_t job_board::pending(std::string_view queue) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(jobs_, [queue](const auto& it) {
+            const auto& entry = it.second;
+            return entry.record && !entry.outcome && !entry.cancelled &&
+                   entry.record->queue.name == queue && !entry.has_started();
+        }));
+}
+
+void job_board::each_live(
+    const std::function<void(std::uint64_t, const job_entry&)>& visit) const
+{
+    for (const auto& [id, entry] : jobs_) {
+        if (entry.record && !entry.outcome) {
+            visit(id, entry);
+        }
+    }
+}
+
+std::vector<std::uint64_t>
+job_board::outcomes_before(std::int64_t before_unix_ms) const
+{
+    std::vector<std::uint64_t> result;
+    for (const auto& [id, entry] : jobs_) {
+        if (entry.outcome && entry.outcome->unix_ms < before_unix_ms) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+} // namespace rosemarytrail::fleet
--- /dev/null
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -0,0 +1,272 @@
+#include <rosemarytrail/fleet/ledger_codec.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace rosemarytrail::fleet {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr char kind_letters[] = {'j', 'c', 's', 'a', 'f', 'l', 'b'};
+
+[[nodiscard]] std::string pack(const json& value)
+{
+    std::string bytes;
+    json::to_msgpack(value, bytes);
+    return bytes;
+}
+
+/** @brief Decodes bytes by a reader that may throw on a wrong shape. */
+template <typename Read>
+[[nodiscard]] auto unpack(std::string_view bytes, Read read)
+    -> std::optional<decltype(read(json{}))>
+{
+    try {
+        return read(json::from_msgpack(bytes.begin(), bytes.end()));
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+[[nodiscard]] json pack_room(const room& it)
+{
+    return {it.cpu_millis, it.memory_mb, it.gpus};
+}
+
+[[nodiscard]] room read_room(const json& it)
+{
+    return {.cpu_millis = it.at(0), .memory_mb = it.at(1), .gpus = it.at(2)};
+}
+
+[[nodiscard]] json pack_step(const step_spec& it)
+{
+    return {it.tasks,          pack_room(it.need), it.estimate_ms,
+            it.depends_on,     it.checkpoints,     it.gang,
+            it.same_rack,      it.speculative,     it.long_running,
+            it.scavenger,      it.required_label,  it.data_rack,
+            it.tasks_per_vm,   it.image,           it.target_ms,
+            it.max_unavailable};
+}
+
+[[nodiscard]] step_spec read_step(const json& it)
+{
+    return {.tasks = it.at(0),
+            .need = read_room(it.at(1)),
+            .estimate_ms = it.at(2),
+            .depends_on = it.at(3).get<std::vector<std::uint32_t>>(),
+            .checkpoints = it.at(4),
+            .gang = it.at(5),
+            .same_rack = it.at(6),
+            .speculative = it.at(7),
+            .long_running = it.at(8),
+            .scavenger = it.at(9),
+            .required_label = it.at(10).get<std::string>(),
+            .data_rack = it.at(11).get<std::string>(),
+            .tasks_per_vm = it.at(12),
+            .image = it.at(13).get<std::string>(),
+            .target_ms = it.at(14),
+            .max_unavailable = it.at(15)};
+}
+
+[[nodiscard]] json pack_queue(const queue_policy& it)
+{
+    json advice;
+    if (it.advice) {
+        advice = {it.advice->base_ms, it.advice->per_worker_ms,
+                  it.advice->valid_ms};
+    }
+    return {it.name,         it.service,           it.priority, it.max_attempts,
+            it.slack_factor, it.target_latency_ms, advice};
+}
+
+[[nodiscard]] queue_policy read_queue(const json& it)
+{
+    queue_policy result{.name = it.at(0).get<std::string>(),
+                        .service = it.at(1).get<std::string>(),
+                        .priority = it.at(2),
+                        .max_attempts = it.at(3),
+                        .slack_factor = it.at(4),
+                        .target_latency_ms = it.at(5),
+                        .advice = std::nullopt};
+    if (const auto& advice = it.at(6); !advice.is_null()) {
+        result.advice = advice_policy{.base_ms = advice.at(0),
+                                      .per_worker_ms = advice.at(1),
+                                      .valid_ms = advice.at(2)};
+    }
+    return result;
+}
+
+} // namespace
+
+std::string encode_key(const entry_key& it)
+{
+    const std::string letter(1, kind_letters[static_cast<int>(it.kind)]);
+    switch (it.kind) {
+    case entry_kind::leader:
+    case entry_kind::batch_mark:
+        return letter;
+    case entry_kind::progress:
+    case entry_kind::advice:
+        return letter + "/" + to_text(it.step);
+    default:
+        return letter + "/" + to_text(it.step.job);
+    }
+}
+
+std::optional<entry_key> decode_key(std::string_view text)
+{
+    if (text == "l") {
+        return entry_key{.kind = entry_kind::leader, .step = {}};
+    }
+    if (text == "b") {
+        return entry_key{.kind = entry_kind::batch_mark, .step = {}};
+    }
+    if (text.size() < 3 || text[1] != '/') {
+        return std::nullopt;
+    }
+    const auto* letter = std::ranges::find(kind_letters, text[0]);
+    if (letter == std::end(kind_letters)) {
+        return std::nullopt;
+    }
+    entry_key result{
+        .kind = static_cast<entry_kind>(letter - std::begin(kind_letters)),
+        .step = {}};
+    text.remove_prefix(2);
+    if (result.kind == entry_kind::progress ||
+        result.kind == entry_kind::advice) {
+        const auto step = parse_step_key(text);
+        if (!step) {
+            return std::nullopt;
+        }
+        result.step = *step;
+        return result;
+    }
+    const auto id = parse_job_id(text);
+    if (!id) {
+        return std::nullopt;
+    }
+    result.step.job = *id;
+    return result;
+}
+
+std::string encode(const job_record& it)
+{
+    json steps = json::array();
+    for (const auto& step : it.spec.steps) {
+        steps.push_back(pack_step(step));
+    }
+    return pack(json::array(
+        {it.id, it.account, it.acceptor, it.accepted_unix_ms,
+         pack_queue(it.queue), it.spec.payload, std::move(steps),
+         it.spec.occurrences, it.spec.first_due_ms, it.spec.interval_ms}));
+}
+
+std::string encode(std::span<const task_progress> it)
+{
+    json rows = json::array();
+    for (const auto& task : it) {
+        rows.push_back(json::array({task.done, task.run, task.failures,
+                                    task.worker, task.checkpoint}));
+    }
+    return pack(rows);
+}
+
+std::string encode(const advice_grant& it)
+{
+    json rows = json::array();
+    for (const auto& row : it.rows) {
+        rows.push_back(json::array({row.worker, row.ticket}));
+    }
+    return pack(json::array({it.valid_ms, std::move(rows)}));
+}
+
+std::string encode(const job_outcome& it)
+{
+    return pack(json::array({static_cast<int>(it.state), it.unix_ms}));
+}
+
+std::string encode(const leader_record& it)
+{
+    return pack(json::array({it.epoch, it.node}));
+}
+
+std::string encode(const batch_mark& it)
+{
+    return pack(json::array({it.epoch, it.sequence}));
+}
+
+std::optional<batch_mark> decode_batch_mark(std::string_view bytes)
+{
+    return unpack(bytes, [](const json& it) {
+        return batch_mark{.epoch = it.at(0), .sequence = it.at(1)};
+    });
+}
+
+std::optional<job_record> decode_job(std::string_view bytes)
+{
+    return unpack(bytes, [](const json& it) {
+        job_record result{.id = it.at(0),
+                          .account = it.at(1).get<std::string>(),
+                          .acceptor = it.at(2).get<std::string>(),
+                          .accepted_unix_ms = it.at(3),
+                          .queue = read_queue(it.at(4)),
+                          .spec = {.payload = it.at(5).get<std::string>(),
+                                   .steps = {},
+                                   .occurrences = it.at(7),
+                                   .first_due_ms = it.at(8),
+                                   .interval_ms = it.at(9)}};
+        for (const auto& step : it.at(6)) {
+            result.spec.steps.push_back(read_step(step));
+        }
+        return result;
+    });
+}
+
+std::optional<std::vector<task_progress>>
+decode_progress(std::string_view bytes)
+{
+    return unpack(bytes, [](const json& it) {
+        std::vector<task_progress> result;
+        for (const auto& row : it) {
+            result.push_back({.done = row.at(0),
+                              .run = row.at(1),
+                              .failures = row.at(2),
+                              .worker = row.at(3).get<std::string>(),
+                              .checkpoint = row.at(4).get<std::string>()});
+        }
+        return result;
+    });
+}
+
+std::optional<advice_grant> decode_advice(std::string_view bytes)
+{
+    return unpack(bytes, [](const json& it) {
+        advice_grant result{.rows = {}, .valid_ms = it.at(0)};
+        for (const auto& row : it.at(1)) {
+            result.rows.push_back({.worker = row.at(0).get<std::string>(),
+                                   .ticket = row.at(1).get<std::string>()});
+        }
+        return result;
+    });
+}
+
+std::optional<job_outcome> decode_outcome(std::string_view bytes)
+{
+    return unpack(bytes, [](const json& it) {
+        return job_outcome{.state = static_cast<job_state>(it.at(0).get<int>()),
+                           .unix_ms = it.at(1)};
+    });
+}
+
+std::optional<leader_record> decode_leader(std::string_view bytes)
+{
+    return unpack(bytes, [](const json& it) {
+        return leader_record{.epoch = it.at(0),
+                             .node = it.at(1).get<std::string>()};
+    });
+}
+
+} // namespace rosemarytrail::fleet
--- a/src/rosemarytrail/http/client.cpp
+++ b/src/rosemarytrail/http/client.cpp
@@ -46,6 +46,31 @@
     std::vector<std::unique_ptr<curl_loop>> loops_;
 };
 
+/** @brief Event loop over one thread of libcurl. */
+class curl_event_loop final : public event_loop
+{
+public:
+    explicit curl_event_loop(const client_options& options)
+        : loop_{options}
+    {}
+
+    void fetch(client_request outgoing, callback done) override
+    {
+        loop_.submit(std::make_unique<curl_transfer>(
+            std::move(outgoing), std::move(done), boot_clock::now()));
+    }
+
+    void post(task work) override { loop_.post(std::move(work)); }
+
+    void post_at(time_point at, task work) override
+    {
+        loop_.post_at(at, std::move(work));
+    }
+
+private:
+    curl_loop loop_;
+};
+
 } // namespace
 
 client_response client::fetch_and_wait(client_request outgoing)
@@ -62,4 +87,10 @@
     return std::make_unique<curl_client>(options);
 }
 
+std::unique_ptr<event_loop> make_event_loop(const client_options& options)
+{
+    start_curl();
+    return std::make_unique<curl_event_loop>(options);
+}
+
 } // namespace rosemarytrail::http
--- a/src/rosemarytrail/http/client.hpp
+++ b/src/rosemarytrail/http/client.hpp
@@ -106,6 +106,29 @@
     [[nodiscard]] client_response fetch_and_wait(client_request outgoing);
 };
 
+/**
+ * @brief Client whose one thread also runs other work of its owner.
+ *
+ * Results of requests, posted calls and timers all run on that thread, so that
+ * state used only there needs no lock.
+ */
+class event_loop : public client
+{
+public:
+    /** @brief Work to run once. */
+    using task = std::function<void()>;
+
+    /** @param work Called soon on the loop's thread; any thread may post. */
+    virtual void post(task work) = 0;
+
+    /**
+     * @brief Runs work later; only from the loop's thread.
+     * @param at When it is due.
+     * @param work Called once on the loop's thread, unless the loop ends first.
+     */
+    virtual void post_at(time_point at, task work) = 0;
+};
+
 /**
  * @brief Makes a client that runs libcurl's multi interface on own threads.
  *
@@ -121,6 +144,14 @@
 [[nodiscard]] std::unique_ptr<client>
 make_curl_client(const client_options& options);
 
+/**
+ * @brief Makes an event loop that runs libcurl's multi interface.
+ * @param options How to keep connections; there is one thread in any case.
+ * @return The loop.
+ */
+[[nodiscard]] std::unique_ptr<event_loop>
+make_event_loop(const client_options& options);
+
 } // namespace rosemarytrail::http
 
 #endif
--- a/src/rosemarytrail/http/internal/curl_loop.cpp
+++ b/src/rosemarytrail/http/internal/curl_loop.cpp
@@ -87,16 +87,63 @@
     ::close(epoll_);
 }
 
+void curl_loop::wake()
+{
+    // The loop looks for new work before it waits again.
+    if (std::this_thread::get_id() != thread_.get_id()) {
+        eventfd_write(wake_, 1);
+    }
+}
+
 void curl_loop::submit(transfer_pointer it)
 {
     bool first = false;
     {
         const std::lock_guard guard{lock_};
-        first = submitted_.empty();
+        first = submitted_.empty() && posted_.empty();
         submitted_.push_back(std::move(it));
     }
     if (first) {
-        eventfd_write(wake_, 1);
+        wake();
+    }
+}
+
+void curl_loop::post(event_loop::task work)
+{
+    bool first = false;
+    {
+        const std::lock_guard guard{lock_};
+        first = submitted_.empty() && posted_.empty();
+        posted_.push_back(std::move(work));
+    }
+    if (first) {
+        wake();
+    }
+}
+
+void curl_loop::post_at(time_point at, event_loop::task work)
+{
+    timers_.emplace(at, std::move(work));
+}
+
+void curl_loop::run_posted()
+{
+    std::vector<event_loop::task> taken;
+    {
+        const std::lock_guard guard{lock_};
+        taken.swap(posted_);
+    }
+    for (const auto& it : taken) {
+        it();
+    }
+}
+
+void curl_loop::run_timers()
+{
+    const auto now = boot_clock::now();
+    while (!timers_.empty() && timers_.begin()->first <= now) {
+        const auto node = timers_.extract(timers_.begin());
+        node.mapped()();
     }
 }
 
@@ -136,14 +183,26 @@
             left.count(), 0, static_cast<std::int64_t>(result));
         result = static_cast<int>(bounded);
     }
+    if (!timers_.empty()) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+            timers_.begin()->first - now);
+        result = static_cast<int>(std::clamp<std::int64_t>(
+            left.count(), 0, static_cast<std::int64_t>(result)));
+    }
     return result;
 }
 
 void curl_loop::wait()
 {
     std::array<epoll_event, events_at_once> events{};
-    const int n = epoll_wait(epoll_, events.data(), events_at_once,
-                             wait_milliseconds(boot_clock::now()));
+    bool work_left = false;
+    {
+        const std::lock_guard guard{lock_};
+        work_left = !submitted_.empty() || !posted_.empty();
+    }
+    const int n =
+        epoll_wait(epoll_, events.data(), events_at_once,
+                   work_left ? 0 : wait_milliseconds(boot_clock::now()));
     int running = 0;
     for (int i = 0; i < n; ++i) {
         const auto& event = events[static_cast<std::size_t>(i)];
@@ -161,6 +220,8 @@
 {
     for (;;) {
         wait();
+        run_posted();
+        run_timers();
         take_submitted();
         const auto now = boot_clock::now();
         if (timer_ && *timer_ <= now) {
--- a/src/rosemarytrail/http/internal/curl_loop.hpp
+++ b/src/rosemarytrail/http/internal/curl_loop.hpp
@@ -8,6 +8,7 @@
 #include <curl/curl.h>
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -37,6 +38,16 @@
     /** @param it Request to send; any thread. */
     void submit(std::unique_ptr<curl_transfer> it);
 
+    /** @param work Called soon on the loop's thread; any thread may post. */
+    void post(event_loop::task work);
+
+    /**
+     * @brief Runs work later; only from the loop's thread.
+     * @param at When it is due.
+     * @param work Called once, unless the loop ends first.
+     */
+    void post_at(time_point at, event_loop::task work);
+
 private:
     using transfer_pointer = std::unique_ptr<curl_transfer>;
 
@@ -54,6 +65,9 @@
     void run();
     void wait();
     void take_submitted();
+    void run_posted();
+    void run_timers();
+    void wake();
     void admit(transfer_pointer it);
     void start(transfer_pointer it, host_state& host);
     void collect_finished();
@@ -78,8 +92,11 @@
 
     std::mutex lock_;
     std::vector<transfer_pointer> submitted_;
+    std::vector<event_loop::task> posted_;
     bool stopping_{false};
 
+    std::multimap<time_point, event_loop::task> timers_;
+
     std::thread thread_;
 };
 
--- a/src/rosemarytrail/request/intent_log.cpp
+++ b/src/rosemarytrail/request/intent_log.cpp
@@ -30,7 +30,7 @@
     const auto weak = weak_from_this();
     if (todo.append) {
         log.append(options.stream, std::move(todo.append->payload),
-                   [weak](const platform::append_outcome& outcome) {
+                   [weak](const backends::append_outcome& outcome) {
                        if (const auto self = weak.lock()) {
                            self->on_append(outcome);
                        }
@@ -38,7 +38,7 @@
     }
     if (todo.read) {
         log.read(std::move(*todo.read),
-                 [weak](const platform::read_outcome& outcome) {
+                 [weak](const backends::read_outcome& outcome) {
                      if (const auto self = weak.lock()) {
                          self->on_read(outcome);
                      }
@@ -59,20 +59,20 @@
     if (!read_in_flight && now >= next_read) {
         read_in_flight = true;
         const auto wait = caught_up ? options.read_wait : duration{};
-        todo.read = platform::read_options{
+        todo.read = backends::read_options{
             .stream = options.stream, .from = next_offset, .wait = wait};
     }
 }
 
 void intent_log::internal_state::on_append(
-    const platform::append_outcome& outcome)
+    const backends::append_outcome& outcome)
 {
     actions todo;
     {
         const std::lock_guard lock{mutex};
         const auto now = clock.now();
         append_in_flight = false;
-        if (outcome.result == platform::append_result::appended) {
+        if (outcome.result == backends::append_result::appended) {
             append_failures = 0;
             queue.appended(now);
         } else {
@@ -85,7 +85,7 @@
     perform(std::move(todo));
 }
 
-void intent_log::internal_state::on_read(const platform::read_outcome& outcome)
+void intent_log::internal_state::on_read(const backends::read_outcome& outcome)
 {
     actions todo;
     {
@@ -93,17 +93,17 @@
         const auto now = clock.now();
         read_in_flight = false;
         switch (outcome.result) {
-        case platform::read_result::read:
+        case backends::read_result::read:
             read_failures = 0;
             for (const auto& entry : outcome.entries) {
                 apply(entry, todo, now);
             }
             caught_up = caught_up || next_offset >= outcome.next_offset;
             break;
-        case platform::read_result::trimmed:
+        case backends::read_result::trimmed:
             start_over(outcome.first_offset, todo);
             break;
-        case platform::read_result::failed:
+        case backends::read_result::failed:
             ++read_failures;
             next_read = now + options.read_retry;
             note_failures(todo);
@@ -114,7 +114,7 @@
     perform(std::move(todo));
 }
 
-void intent_log::internal_state::apply(const platform::log_entry& entry,
+void intent_log::internal_state::apply(const backends::log_entry& entry,
                                        actions& todo, time_point now)
 {
     if (entry.offset < next_offset) {
@@ -307,7 +307,7 @@
 }
 
 intent_log::intent_log(const intent_log_options& options,
-                       platform::log_client& log, const time_source& clock,
+                       backends::log_client& log, const time_source& clock,
                        liveness alive)
     : state_{std::make_shared<internal_state>(options, log, clock,
                                               std::move(alive))}
--- a/src/rosemarytrail/request/intent_log.hpp
+++ b/src/rosemarytrail/request/intent_log.hpp
@@ -1,10 +1,10 @@
 #ifndef ROSEMARYTRAIL_REQUEST_INTENT_LOG_HPP
 #define ROSEMARYTRAIL_REQUEST_INTENT_LOG_HPP
 
+#include <rosemarytrail/backends/log_client.hpp>
 #include <rosemarytrail/core/id.hpp>
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/core/time_source.hpp>
-#include <rosemarytrail/platform/log_client.hpp>
 #include <rosemarytrail/request/intent_store.hpp>
 #include <rosemarytrail/request/intent_table.hpp>
 #include <rosemarytrail/state/append_queue.hpp>
@@ -56,7 +56,7 @@
      * @param clock Present time.
      * @param alive Tells whether the writer of an intent is a live member.
      */
-    intent_log(const intent_log_options& options, platform::log_client& log,
+    intent_log(const intent_log_options& options, backends::log_client& log,
                const time_source& clock, liveness alive);
     intent_log(const intent_log&) = delete;
     intent_log& operator=(const intent_log&) = delete;
--- a/src/rosemarytrail/request/internal/intent_log_state.hpp
+++ b/src/rosemarytrail/request/internal/intent_log_state.hpp
@@ -41,10 +41,10 @@
     {
         std::vector<std::pair<callback, intent_outcome>> calls;
         std::optional<state::pending_append> append;
-        std::optional<platform::read_options> read;
+        std::optional<backends::read_options> read;
     };
 
-    internal_state(const intent_log_options& chosen, platform::log_client& to,
+    internal_state(const intent_log_options& chosen, backends::log_client& to,
                    const time_source& source, liveness query)
         : options{chosen}
         , log{to}
@@ -56,9 +56,9 @@
 
     void perform(actions todo);
     void plan_io(actions& todo, time_point now);
-    void on_append(const platform::append_outcome& outcome);
-    void on_read(const platform::read_outcome& outcome);
-    void apply(const platform::log_entry& entry, actions& todo, time_point now);
+    void on_append(const backends::append_outcome& outcome);
+    void on_read(const backends::read_outcome& outcome);
+    void apply(const backends::log_entry& entry, actions& todo, time_point now);
     void resolve(const opening& it, std::uint64_t sequence, actions& todo,
                  time_point now);
     void start_over(std::uint64_t from, actions& todo);
@@ -84,7 +84,7 @@
     }
 
     intent_log_options options;
-    platform::log_client& log;
+    backends::log_client& log;
     const time_source& clock;
     liveness alive;
 
--- a/src/rosemarytrail/rpc/internal/conversion.cpp
+++ b/src/rosemarytrail/rpc/internal/conversion.cpp
@@ -166,7 +166,7 @@
 }
 
 void write(capnp::List<wire::LogEntry>::Builder to,
-           std::span<const platform::log_entry> entries)
+           std::span<const backends::log_entry> entries)
 {
     for (unsigned n = 0; n < to.size(); ++n) {
         const auto& payload = entries[n].payload;
@@ -230,10 +230,10 @@
                                    .recorded = from.getRecorded()};
 }
 
-std::optional<std::vector<platform::log_entry>>
+std::optional<std::vector<backends::log_entry>>
 read(capnp::List<wire::LogEntry>::Reader from)
 {
-    std::vector<platform::log_entry> entries;
+    std::vector<backends::log_entry> entries;
     entries.reserve(from.size());
     for (const auto it : from) {
         if (!entries.empty() && it.getOffset() != entries.back().offset + 1)
--- a/src/rosemarytrail/rpc/internal/conversion.hpp
+++ b/src/rosemarytrail/rpc/internal/conversion.hpp
@@ -41,7 +41,7 @@
  * @param entries Entries to write.
  */
 void write(capnp::List<wire::LogEntry>::Builder to,
-           std::span<const platform::log_entry> entries);
+           std::span<const backends::log_entry> entries);
 
 /**
  * @brief Reads and checks a heartbeat.
@@ -72,7 +72,7 @@
  * @param from List of a peer; may be hostile.
  * @return The entries, or nothing unless their offsets follow one another.
  */
-[[nodiscard]] std::optional<std::vector<platform::log_entry>>
+[[nodiscard]] std::optional<std::vector<backends::log_entry>>
 read(capnp::List<wire::LogEntry>::Reader from);
 
 } // namespace rosemarytrail::rpc::internal
--- a/src/rosemarytrail/rpc/peer_client.cpp
+++ b/src/rosemarytrail/rpc/peer_client.cpp
@@ -334,7 +334,7 @@
 
 void peer_client::relay(
     const std::string& address, std::uint64_t from, std::size_t bytes,
-    std::function<void(std::optional<std::vector<platform::log_entry>>)> done)
+    std::function<void(std::optional<std::vector<backends::log_entry>>)> done)
 {
     auto send = [from, bytes](connection& to) {
         auto request = to.peer.relayRequest();
@@ -344,7 +344,7 @@
             return internal::read(results.getEntries());
         });
     };
-    state_->call<std::vector<platform::log_entry>>(
+    state_->call<std::vector<backends::log_entry>>(
         address, state_->plain_rule(), std::move(send), std::move(done));
 }
 
--- a/src/rosemarytrail/rpc/peer_client.hpp
+++ b/src/rosemarytrail/rpc/peer_client.hpp
@@ -69,7 +69,7 @@
 
     void
     relay(const std::string& address, std::uint64_t from, std::size_t bytes,
-          std::function<void(std::optional<std::vector<platform::log_entry>>)>
+          std::function<void(std::optional<std::vector<backends::log_entry>>)>
               done) override;
 
     void status(
--- a/src/rosemarytrail/rpc/peer_handler.hpp
+++ b/src/rosemarytrail/rpc/peer_handler.hpp
@@ -31,7 +31,7 @@
      * @param bytes Most bytes of payload.
      * @return Entries from that offset on; empty if it is not kept.
      */
-    [[nodiscard]] virtual std::vector<platform::log_entry>
+    [[nodiscard]] virtual std::vector<backends::log_entry>
     on_relay(std::uint64_t from, std::size_t bytes) = 0;
 
     /**
--- a/src/rosemarytrail/standin/fault_fields.hpp
+++ b/src/rosemarytrail/standin/fault_fields.hpp
@@ -1,7 +1,7 @@
 #ifndef ROSEMARYTRAIL_STANDIN_FAULT_FIELDS_HPP
 #define ROSEMARYTRAIL_STANDIN_FAULT_FIELDS_HPP
 
-#include <rosemarytrail/platform/json_fields.hpp>
+#include <rosemarytrail/backends/json_fields.hpp>
 #include <rosemarytrail/standin/log_store.hpp>
 #include <rosemarytrail/standin/upstream_model.hpp>
 #include <rosemarytrail/standin/vm_list_model.hpp>
@@ -78,7 +78,7 @@
 class fault_reader
 {
 public:
-    explicit fault_reader(platform::field_reader& fields) noexcept
+    explicit fault_reader(backends::field_reader& fields) noexcept
         : fields_{fields}
     {}
 
@@ -121,7 +121,7 @@
     }
 
 private:
-    platform::field_reader& fields_;
+    backends::field_reader& fields_;
     std::size_t found_{};
 };
 
@@ -130,7 +130,7 @@
 {
 public:
     /** @return Object with the fields. */
-    [[nodiscard]] const platform::json& object() const noexcept
+    [[nodiscard]] const backends::json& object() const noexcept
     {
         return object_;
     }
@@ -152,7 +152,7 @@
     }
 
 private:
-    platform::json object_;
+    backends::json object_;
 };
 
 } // namespace internal
@@ -167,8 +167,8 @@
 [[nodiscard]] std::optional<Faults> update_faults(Faults faults,
                                                   std::string_view text)
 {
-    const auto value = platform::parse_json(text);
-    platform::field_reader fields{value};
+    const auto value = backends::parse_json(text);
+    backends::field_reader fields{value};
     internal::fault_reader reader{fields};
     visit_fields(faults, reader);
     if (!fields.good() || reader.found() != value.size()) {
@@ -187,7 +187,7 @@
 {
     internal::fault_writer writer;
     visit_fields(faults, writer);
-    return platform::dump_json(writer.object());
+    return backends::dump_json(writer.object());
 }
 
 } // namespace rosemarytrail::standin
--- a/src/rosemarytrail/standin/log_service.cpp
+++ b/src/rosemarytrail/standin/log_service.cpp
@@ -1,6 +1,6 @@
 #include <rosemarytrail/standin/log_service.hpp>
 
-#include <rosemarytrail/platform/log_wire.hpp>
+#include <rosemarytrail/backends/log_wire.hpp>
 #include <rosemarytrail/standin/control_page.hpp>
 
 #include <algorithm>
@@ -34,9 +34,9 @@
     return ec == std::errc{} && last == end ? result : fallback;
 }
 
-[[nodiscard]] http::response append_page(const platform::append_outcome& it)
+[[nodiscard]] http::response append_page(const backends::append_outcome& it)
 {
-    if (it.result == platform::append_result::appended) {
+    if (it.result == backends::append_result::appended) {
         return json_answer(200,
                            "{\"offset\":" + std::to_string(it.offset) + "}");
     }
@@ -49,20 +49,20 @@
     return result;
 }
 
-[[nodiscard]] http::response read_page(const platform::read_outcome& it)
+[[nodiscard]] http::response read_page(const backends::read_outcome& it)
 {
     http::response result;
-    if (it.result == platform::read_result::failed) {
+    if (it.result == backends::read_result::failed) {
         result.status = status_unavailable;
         return result;
     }
     result.headers = {{"X-First-Offset", std::to_string(it.first_offset)},
                       {"X-Next-Offset", std::to_string(it.next_offset)}};
-    if (it.result == platform::read_result::trimmed) {
+    if (it.result == backends::read_result::trimmed) {
         result.status = status_gone;
         return result;
     }
-    result.body = platform::encode_log_entries(it.entries);
+    result.body = backends::encode_log_entries(it.entries);
     return result;
 }
 
@@ -102,7 +102,7 @@
 {
     const auto result =
         store_.append(stream, it->incoming().body, boot_clock::now());
-    if (result.outcome.result == platform::append_result::appended) {
+    if (result.outcome.result == backends::append_result::appended) {
         wake_reads(stream);
     }
     if (result.lost) {
@@ -115,7 +115,7 @@
 void log_service::read(const std::string& stream, const exchange_pointer& it)
 {
     const auto& incoming = it->incoming();
-    platform::read_options options{.stream = stream};
+    backends::read_options options{.stream = stream};
     options.from = parameter(incoming, "from", options.from);
     options.bytes = parameter(incoming, "bytes", options.bytes);
     options.wait = std::chrono::milliseconds{
@@ -154,7 +154,7 @@
     waiting_.erase(found);
 }
 
-void log_service::answer_read(const platform::read_options& options,
+void log_service::answer_read(const backends::read_options& options,
                               const exchange_pointer& it)
 {
     answer(it, read_page(store_.read(options)));
--- a/src/rosemarytrail/standin/log_service.hpp
+++ b/src/rosemarytrail/standin/log_service.hpp
@@ -28,7 +28,7 @@
     /** @brief Read that waits for an entry. */
     struct waiting_read
     {
-        platform::read_options options{};
+        backends::read_options options{};
         std::shared_ptr<http::exchange> exchange;
     };
 
@@ -38,7 +38,7 @@
               const std::shared_ptr<http::exchange>& it);
     void wake_reads(const std::string& stream);
     void end_wait(const std::shared_ptr<http::exchange>& it);
-    void answer_read(const platform::read_options& options,
+    void answer_read(const backends::read_options& options,
                      const std::shared_ptr<http::exchange>& it);
     void answer(const std::shared_ptr<http::exchange>& it,
                 http::response answer);
--- a/src/rosemarytrail/standin/log_store.cpp
+++ b/src/rosemarytrail/standin/log_store.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-using platform::append_result;
-using platform::read_result;
+using backends::append_result;
+using backends::read_result;
 
 constexpr double microseconds_per_second = 1e6;
 
@@ -74,13 +74,13 @@
     }
 }
 
-platform::read_outcome
-log_store::read(const platform::read_options& options) const
+backends::read_outcome
+log_store::read(const backends::read_options& options) const
 {
     if (faults_.mode == fault_mode::down) {
         return {};
     }
-    platform::read_outcome result{.result = read_result::read};
+    backends::read_outcome result{.result = read_result::read};
     const auto found = streams_.find(options.stream);
     if (found == streams_.end()) {
         return result;
--- a/src/rosemarytrail/standin/log_store.hpp
+++ b/src/rosemarytrail/standin/log_store.hpp
@@ -1,8 +1,8 @@
 #ifndef ROSEMARYTRAIL_STANDIN_LOG_STORE_HPP
 #define ROSEMARYTRAIL_STANDIN_LOG_STORE_HPP
 
+#include <rosemarytrail/backends/log_client.hpp>
 #include <rosemarytrail/core/time.hpp>
-#include <rosemarytrail/platform/log_client.hpp>
 #include <rosemarytrail/standin/chance.hpp>
 #include <rosemarytrail/standin/fault_mode.hpp>
 
@@ -32,7 +32,7 @@
 /** @brief What the log did with an append, and what the caller sees. */
 struct append_answer
 {
-    platform::append_outcome outcome{};
+    backends::append_outcome outcome{};
     /** @brief The caller gets no answer: the outcome is unknown to it. */
     bool lost{false};
 };
@@ -65,8 +65,8 @@
      * @param options What to read; at least one entry is returned, if any is.
      * @return The entries.
      */
-    [[nodiscard]] platform::read_outcome
-    read(const platform::read_options& options) const;
+    [[nodiscard]] backends::read_outcome
+    read(const backends::read_options& options) const;
 
     /**
      * @brief Tells where a stream ends.
--- a/src/rosemarytrail/standin/upstream_service.cpp
+++ b/src/rosemarytrail/standin/upstream_service.cpp
@@ -88,10 +88,10 @@
     }
     const std::string key{
         http::find_parameter(incoming.query, "key").value_or("")};
-    platform::json body;
+    backends::json body;
     body["runs"] = runs_.counter.runs(key);
     body["most"] = runs_.counter.most();
-    return json_answer(200, platform::dump_json(body));
+    return json_answer(200, backends::dump_json(body));
 }
 
 void upstream_service::serve(const std::shared_ptr<http::exchange>& it,
@@ -131,13 +131,13 @@
         const std::lock_guard guard{runs_.lock};
         model_.end();
     }
-    platform::json body;
+    backends::json body;
     body["service"] = service.str();
     body["path"] = path;
     body["request_id"] = reply.request_id;
     body["vm"] = vm_.str();
     body["run"] = reply.run;
-    auto page = json_answer(200, platform::dump_json(body));
+    auto page = json_answer(200, backends::dump_json(body));
     page.headers.push_back({"X-Request-Id", reply.request_id});
     page.headers.push_back(
         {"X-Write-Offset", std::to_string(reply.write_offset)});
--- a/src/rosemarytrail/standin/vm_list_model.cpp
+++ b/src/rosemarytrail/standin/vm_list_model.cpp
@@ -13,7 +13,7 @@
     faults_ = faults;
 }
 
-void vm_list_model::upsert(const platform::vm_entry& vm, time_point now)
+void vm_list_model::upsert(const backends::vm_entry& vm, time_point now)
 {
     heard_[vm.vm] = now;
     changes_.push_back({.at = now, .vm = vm.vm, .row = vm});
@@ -54,14 +54,14 @@
     }
 }
 
-platform::vm_list_outcome vm_list_model::list(time_point now)
+backends::vm_list_outcome vm_list_model::list(time_point now)
 {
     expire(now);
     show(now);
     if (faults_.mode == fault_mode::down) {
         return {};
     }
-    platform::vm_list_outcome result{.answered = true};
+    backends::vm_list_outcome result{.answered = true};
     result.vms.reserve(shown_.size());
     for (const auto& [name, row] : shown_) {
         result.vms.push_back(row);
--- a/src/rosemarytrail/standin/vm_list_model.hpp
+++ b/src/rosemarytrail/standin/vm_list_model.hpp
@@ -1,8 +1,8 @@
 #ifndef ROSEMARYTRAIL_STANDIN_VM_LIST_MODEL_HPP
 #define ROSEMARYTRAIL_STANDIN_VM_LIST_MODEL_HPP
 
+#include <rosemarytrail/backends/vm_list_client.hpp>
 #include <rosemarytrail/core/time.hpp>
-#include <rosemarytrail/platform/vm_list_client.hpp>
 #include <rosemarytrail/standin/fault_mode.hpp>
 
 #include <deque>
@@ -42,7 +42,7 @@
      * @param vm Row of the VM.
      * @param now Present time.
      */
-    void upsert(const platform::vm_entry& vm, time_point now);
+    void upsert(const backends::vm_entry& vm, time_point now);
 
     /**
      * @brief Removes a VM.
@@ -56,7 +56,7 @@
      * @param now Present time.
      * @return The list; not answered in mode `down`.
      */
-    [[nodiscard]] platform::vm_list_outcome list(time_point now);
+    [[nodiscard]] backends::vm_list_outcome list(time_point now);
 
 private:
     /** @brief Change that may not show yet. */
@@ -65,7 +65,7 @@
         time_point at{};
         vm_id vm{};
         /** @brief New row, or nothing if the VM was removed. */
-        std::optional<platform::vm_entry> row{};
+        std::optional<backends::vm_entry> row{};
     };
 
     void show(time_point now);
@@ -73,7 +73,7 @@
 
     vm_list_faults faults_;
     std::deque<change> changes_;
-    std::map<vm_id, platform::vm_entry> shown_;
+    std::map<vm_id, backends::vm_entry> shown_;
     std::map<vm_id, time_point> heard_;
 };
 
--- a/src/rosemarytrail/standin/vm_list_service.cpp
+++ b/src/rosemarytrail/standin/vm_list_service.cpp
@@ -1,6 +1,6 @@
 #include <rosemarytrail/standin/vm_list_service.hpp>
 
-#include <rosemarytrail/platform/vm_wire.hpp>
+#include <rosemarytrail/backends/vm_wire.hpp>
 #include <rosemarytrail/standin/control_page.hpp>
 
 #include <functional>
@@ -64,7 +64,7 @@
     if (!result.answered) {
         return json_answer(status_unavailable, "{}");
     }
-    auto answer = json_answer(200, platform::encode_vm_list(result.vms));
+    auto answer = json_answer(200, backends::encode_vm_list(result.vms));
     const auto tag = tag_of(answer.body);
     answer.headers.push_back({"ETag", tag});
     if (http::find_header(incoming.headers, "If-None-Match") == tag) {
@@ -81,7 +81,7 @@
         model_.remove(vm, boot_clock::now());
         return json_answer(200, "{}");
     }
-    const auto row = platform::decode_vm(incoming.body);
+    const auto row = backends::decode_vm(incoming.body);
     if (incoming.method != "PUT" || !row || row->vm != vm) {
         return json_answer(status_bad_request, "{}");
     }
--- a/src/rosemarytrail/standin/worker_model.cpp
+++ b/src/rosemarytrail/standin/worker_model.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-using platform::command_kind;
-using platform::task_phase;
+using backends::command_kind;
+using backends::task_phase;
 
 /** @brief Time after which a task that fails does so. */
 constexpr duration failure_delay = std::chrono::milliseconds{50};
@@ -61,17 +61,17 @@
     return token;
 }
 
-platform::worker_outcome worker_model::refuse(result_code code) const
+backends::worker_outcome worker_model::refuse(result_code code) const
 {
-    platform::worker_outcome result;
+    backends::worker_outcome result;
     result.code = code;
     result.epoch = epoch_;
     result.capacity = options_.capacity;
     return result;
 }
 
-platform::worker_outcome
-worker_model::apply(const platform::worker_batch& batch, time_point now)
+backends::worker_outcome
+worker_model::apply(const backends::worker_batch& batch, time_point now)
 {
     advance(now);
     forget(now);
@@ -86,7 +86,7 @@
         epoch_ = batch.epoch;
         tokens_.clear();
     }
-    platform::worker_outcome result;
+    backends::worker_outcome result;
     result.code = result_code::ok;
     if (commanding) {
         if (batch.renew) {
@@ -107,7 +107,7 @@
     return result;
 }
 
-result_code worker_model::carry_out(const platform::worker_command& command,
+result_code worker_model::carry_out(const backends::worker_command& command,
                                     duration lease, time_point now)
 {
     const attempt_key key{command.task, command.attempt};
@@ -126,7 +126,7 @@
     return result_code::worker_answer_malformed;
 }
 
-result_code worker_model::start(const platform::worker_command& command,
+result_code worker_model::start(const backends::worker_command& command,
                                 duration lease, time_point now)
 {
     const attempt_key key{command.task, command.attempt};
@@ -170,7 +170,7 @@
     return result_code::ok;
 }
 
-result_code worker_model::throttle(const platform::worker_command& command,
+result_code worker_model::throttle(const backends::worker_command& command,
                                    time_point now)
 {
     const auto found = tasks_.find({command.task, command.attempt});
@@ -254,11 +254,11 @@
     return false;
 }
 
-platform::task_report worker_model::report(const attempt_key& key,
+backends::task_report worker_model::report(const attempt_key& key,
                                            const task_state& task,
                                            time_point now) const
 {
-    platform::task_report result{.task = key.task,
+    backends::task_report result{.task = key.task,
                                  .attempt = key.attempt,
                                  .phase = task.phase,
                                  .request = task.request,
--- a/src/rosemarytrail/standin/worker_model.hpp
+++ b/src/rosemarytrail/standin/worker_model.hpp
@@ -1,10 +1,10 @@
 #ifndef ROSEMARYTRAIL_STANDIN_WORKER_MODEL_HPP
 #define ROSEMARYTRAIL_STANDIN_WORKER_MODEL_HPP
 
+#include <rosemarytrail/backends/worker_client.hpp>
 #include <rosemarytrail/core/id.hpp>
 #include <rosemarytrail/core/resources.hpp>
 #include <rosemarytrail/core/time.hpp>
-#include <rosemarytrail/platform/worker_client.hpp>
 #include <rosemarytrail/standin/chance.hpp>
 #include <rosemarytrail/standin/fault_mode.hpp>
 
@@ -81,8 +81,8 @@
      * @param now Present time on the worker's own clock.
      * @return What was done; the caller decides whether the answer is lost.
      */
-    [[nodiscard]] platform::worker_outcome
-    apply(const platform::worker_batch& batch, time_point now);
+    [[nodiscard]] backends::worker_outcome
+    apply(const backends::worker_batch& batch, time_point now);
 
     /** @return Whether the answer to the batch just applied is to be lost. */
     [[nodiscard]] bool loses_answer()
@@ -139,14 +139,14 @@
     /** @brief Task that runs, or has ended and is not acknowledged. */
     struct task_state
     {
-        platform::task_phase phase{platform::task_phase::running};
+        backends::task_phase phase{backends::task_phase::running};
         resources request{};
         service_id service{};
         time_point started{};
         time_point ended{};
         /** @brief When it ends by itself; nothing for a service. */
         std::optional<time_point> due{};
-        platform::task_phase due_phase{platform::task_phase::succeeded};
+        backends::task_phase due_phase{backends::task_phase::succeeded};
         time_point lease_until{};
         std::optional<time_point> throttled{};
         std::int64_t throttled_millicores{};
@@ -163,22 +163,22 @@
 
     [[nodiscard]] bool token_counts(std::uint64_t token, time_point now) const;
     [[nodiscard]] std::uint64_t issue_token(time_point now);
-    [[nodiscard]] platform::worker_outcome refuse(result_code code) const;
-    [[nodiscard]] result_code carry_out(const platform::worker_command& command,
+    [[nodiscard]] backends::worker_outcome refuse(result_code code) const;
+    [[nodiscard]] result_code carry_out(const backends::worker_command& command,
                                         duration lease, time_point now);
-    [[nodiscard]] result_code start(const platform::worker_command& command,
+    [[nodiscard]] result_code start(const backends::worker_command& command,
                                     duration lease, time_point now);
     [[nodiscard]] result_code end_by_command(const attempt_key& key,
-                                             platform::task_phase phase,
+                                             backends::task_phase phase,
                                              time_point now);
-    [[nodiscard]] result_code throttle(const platform::worker_command& command,
+    [[nodiscard]] result_code throttle(const backends::worker_command& command,
                                        time_point now);
     [[nodiscard]] result_code acknowledge(const attempt_key& key,
                                           time_point now);
-    void end(task_state& task, platform::task_phase phase, time_point at);
+    void end(task_state& task, backends::task_phase phase, time_point at);
     void renew(duration lease, time_point now);
     void forget(time_point now);
-    [[nodiscard]] platform::task_report report(const attempt_key& key,
+    [[nodiscard]] backends::task_report report(const attempt_key& key,
                                                const task_state& task,
                                                time_point now) const;
 
--- a/src/rosemarytrail/standin/worker_service.cpp
+++ b/src/rosemarytrail/standin/worker_service.cpp
@@ -1,7 +1,7 @@
 #include <rosemarytrail/standin/worker_service.hpp>
 
-#include <rosemarytrail/platform/vm_wire.hpp>
-#include <rosemarytrail/platform/worker_wire.hpp>
+#include <rosemarytrail/backends/vm_wire.hpp>
+#include <rosemarytrail/backends/worker_wire.hpp>
 #include <rosemarytrail/standin/control_page.hpp>
 
 #include <algorithm>
@@ -18,15 +18,15 @@
 constexpr int status_not_found = 404;
 constexpr int status_precondition = 412;
 
-[[nodiscard]] http::response outcome_page(const platform::worker_outcome& it)
+[[nodiscard]] http::response outcome_page(const backends::worker_outcome& it)
 {
     const int status = it.code == result_code::ok ? 200 : status_precondition;
-    return json_answer(status, platform::encode_worker_outcome(it));
+    return json_answer(status, backends::encode_worker_outcome(it));
 }
 
 } // namespace
 
-hosted_vm::hosted_vm(platform::vm_entry row, const worker_options& options,
+hosted_vm::hosted_vm(backends::vm_entry row, const worker_options& options,
                      shared_run_counter& runs, delay_queue& delays)
     : row_{std::move(row)}
     , model_{options}
@@ -40,7 +40,7 @@
     model_.set_faults(faults);
 }
 
-platform::vm_entry hosted_vm::row()
+backends::vm_entry hosted_vm::row()
 {
     const std::lock_guard guard{lock_};
     auto result = row_;
@@ -66,7 +66,7 @@
 
 void hosted_vm::apply(const exchange_pointer& it)
 {
-    const auto batch = platform::decode_worker_batch(it->incoming().body);
+    const auto batch = backends::decode_worker_batch(it->incoming().body);
     if (!batch) {
         it->respond(json_answer(status_bad_request, "{}"));
         return;
@@ -111,7 +111,7 @@
     upstream_.serve(it, path);
 }
 
-void vm_host::add(const platform::vm_entry& row, const worker_options& options,
+void vm_host::add(const backends::vm_entry& row, const worker_options& options,
                   const worker_faults& faults)
 {
     vms_.push_back(std::make_unique<hosted_vm>(row, options, runs_, delays_));
@@ -176,17 +176,17 @@
 
 void vm_registration::send()
 {
-    send_all([](const platform::vm_entry& row, std::string url) {
+    send_all([](const backends::vm_entry& row, std::string url) {
         return http::client_request{.method = "PUT",
                                     .url = std::move(url),
                                     .headers = {},
-                                    .body = platform::encode_vm(row)};
+                                    .body = backends::encode_vm(row)};
     });
 }
 
 void vm_registration::withdraw()
 {
-    send_all([](const platform::vm_entry& /*row*/, std::string url) {
+    send_all([](const backends::vm_entry& /*row*/, std::string url) {
         return http::client_request{.method = "DELETE", .url = std::move(url)};
     });
 }
--- a/src/rosemarytrail/standin/worker_service.hpp
+++ b/src/rosemarytrail/standin/worker_service.hpp
@@ -1,10 +1,10 @@
 #ifndef ROSEMARYTRAIL_STANDIN_WORKER_SERVICE_HPP
 #define ROSEMARYTRAIL_STANDIN_WORKER_SERVICE_HPP
 
+#include <rosemarytrail/backends/vm_list_client.hpp>
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/http/client.hpp>
 #include <rosemarytrail/http/server.hpp>
-#include <rosemarytrail/platform/vm_list_client.hpp>
 #include <rosemarytrail/standin/delay_queue.hpp>
 #include <rosemarytrail/standin/upstream_service.hpp>
 #include <rosemarytrail/standin/worker_model.hpp>
@@ -31,7 +31,7 @@
      * @param runs Counts the runs of requests.
      * @param delays Holds answers back; is stopped before this ends.
      */
-    hosted_vm(platform::vm_entry row, const worker_options& options,
+    hosted_vm(backends::vm_entry row, const worker_options& options,
               shared_run_counter& runs, delay_queue& delays);
 
     /**
@@ -54,14 +54,14 @@
     void set_faults(const worker_faults& faults);
 
     /** @return Row for the VM list. */
-    [[nodiscard]] platform::vm_entry row();
+    [[nodiscard]] backends::vm_entry row();
 
 private:
     void apply(const std::shared_ptr<http::exchange>& it);
     [[nodiscard]] bool serves(const service_id& service);
 
     std::mutex lock_;
-    platform::vm_entry row_;
+    backends::vm_entry row_;
     worker_model model_;
     upstream_service upstream_;
     delay_queue& delays_;
@@ -81,7 +81,7 @@
      * @param options How the worker is built.
      * @param faults What goes wrong from the start.
      */
-    void add(const platform::vm_entry& row, const worker_options& options,
+    void add(const backends::vm_entry& row, const worker_options& options,
              const worker_faults& faults);
 
     /** @return All VMs. */
@@ -153,7 +153,7 @@
 
 private:
     using make_request = std::function<http::client_request(
-        const platform::vm_entry&, std::string)>;
+        const backends::vm_entry&, std::string)>;
 
     void send_all(const make_request& make);
 
--- a/standin/worker.cpp
+++ b/standin/worker.cpp
@@ -42,7 +42,7 @@
     std::uint16_t service{};
 };
 
-[[nodiscard]] platform::vm_entry make_row(std::uint32_t i,
+[[nodiscard]] backends::vm_entry make_row(std::uint32_t i,
                                           const bound_ports& ports)
 {
     const bool several = absl::GetFlag(FLAGS_count) > 1;
@@ -50,7 +50,7 @@
     const auto suffix = several ? "-" + std::to_string(i) : std::string{};
     const std::vector<std::string> zones =
         absl::StrSplit(absl::GetFlag(FLAGS_zone), ',');
-    platform::vm_entry row;
+    backends::vm_entry row;
     row.vm = vm_id{absl::GetFlag(FLAGS_vm) + suffix};
     row.rack = rack_id{absl::GetFlag(FLAGS_rack) +
                        (several ? "-" + std::to_string(rack) : "")};
--- a/test/platform/vm_list_client.cpp
+++ b/test/backends/vm_list_client.cpp
@@ -1,14 +1,14 @@
 #include <catch2/catch.hpp>
 
-#include <rosemarytrail/platform/http_vm_list_client.hpp>
-#include <rosemarytrail/platform/vm_wire.hpp>
+#include <rosemarytrail/backends/http_vm_list_client.hpp>
+#include <rosemarytrail/backends/vm_wire.hpp>
 
 #include <test/lib/fixed_server.hpp>
 
 #include <future>
 
 using namespace rosemarytrail;           // NOLINT
-using namespace rosemarytrail::platform; // NOLINT
+using namespace rosemarytrail::backends; // NOLINT
 using rosemarytrail::test::fixed_server;
 
 TEST_CASE("The VM list is whole or not answered", "[platform]")
