--- a/test/platform/worker_client.cpp
+++ b/test/backends/worker_client.cpp
@@ -1,15 +1,15 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
-#include <rosemarytrail/platform/http_worker_client.hpp>
-#include <rosemarytrail/platform/worker_wire.hpp>
+#include <rosemarytrail/backends/http_worker_client.hpp>
+#include <rosemarytrail/backends/worker_wire.hpp>
 
 #include <test/lib/fixed_server.hpp>
 
 #include <future>
 
 using namespace rosemarytrail;           // NOLINT
-using namespace rosemarytrail::platform; // NOLINT
+using namespace rosemarytrail::backends; // NOLINT
 using rosemarytrail::test::fixed_server;
 
 namespace {
--- a/test/control/cell_log.cpp
+++ b/test/control/cell_log.cpp
@@ -10,29 +10,29 @@
 
 using namespace std::chrono_literals;
 namespace control = rosemarytrail::control;
-namespace platform = rosemarytrail::platform;
+namespace backends = rosemarytrail::backends;
 namespace test = rosemarytrail::test;
 using rosemarytrail::time_point;
 
 namespace {
 
 /** Log with one entry, which refuses snapshots. */
-class full_log final : public platform::log_client
+class full_log final : public backends::log_client
 {
 public:
     int appends{0};
 
     void append(std::string, std::string,
-                std::function<void(platform::append_outcome)> done) override
+                std::function<void(backends::append_outcome)> done) override
     {
         ++appends;
-        done({.result = platform::append_result::refused});
+        done({.result = backends::append_result::refused});
     }
 
-    void read(platform::read_options options,
-              std::function<void(platform::read_outcome)> done) override
+    void read(backends::read_options options,
+              std::function<void(backends::read_outcome)> done) override
     {
-        platform::read_outcome out{.result = platform::read_result::read};
+        backends::read_outcome out{.result = backends::read_result::read};
         if (options.stream == "cell") {
             out.next_offset = 1;
         }
--- a/test/control/record_writer.cpp
+++ b/test/control/record_writer.cpp
@@ -10,24 +10,24 @@
 
 using namespace std::chrono_literals;
 namespace control = rosemarytrail::control;
-namespace platform = rosemarytrail::platform;
+namespace backends = rosemarytrail::backends;
 namespace state = rosemarytrail::state;
 namespace test = rosemarytrail::test;
 
 namespace {
 
 /** Log that refuses every append. */
-class refusing_log final : public platform::log_client
+class refusing_log final : public backends::log_client
 {
 public:
     void append(std::string, std::string,
-                std::function<void(platform::append_outcome)> done) override
+                std::function<void(backends::append_outcome)> done) override
     {
-        done({.result = platform::append_result::refused});
+        done({.result = backends::append_result::refused});
     }
 
-    void read(platform::read_options,
-              std::function<void(platform::read_outcome)> done) override
+    void read(backends::read_options,
+              std::function<void(backends::read_outcome)> done) override
     {
         done({});
     }
--- a/test/faults/scenario.cpp
+++ b/test/faults/scenario.cpp
@@ -152,12 +152,12 @@
     world.time.after(step.after, [this] { strike(); });
 }
 
-void scenario::check_starts(const platform::worker_batch& batch)
+void scenario::check_starts(const backends::worker_batch& batch)
 {
     constexpr duration time_to_learn = 2s;
     for (const auto& it : batch.commands) {
         const auto ended = finished_tasks.find(it.task);
-        if (it.kind == platform::command_kind::start &&
+        if (it.kind == backends::command_kind::start &&
             ended != finished_tasks.end() &&
             world.time.now() > ended->second + time_to_learn) {
             broken.insert("a task was started after its end was recorded");
--- a/test/faults/scenario.hpp
+++ b/test/faults/scenario.hpp
@@ -120,7 +120,7 @@
     void check_read_your_writes();
     void check_planned_stop();
     void check_reasons();
-    void check_starts(const platform::worker_batch& batch);
+    void check_starts(const backends::worker_batch& batch);
     void note_records(const std::string& payload);
     [[nodiscard]] std::size_t a_running_daemon() const;
     [[nodiscard]] bool all_over();
--- a/test/faults/steps.cpp
+++ b/test/faults/steps.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using platform::command_kind;
+using backends::command_kind;
 
 template <typename Record>
 [[nodiscard]] bool holds(const message_event& event)
--- /dev/null
+++ b/test/fleet/dispatcher.cpp
@@ -0,0 +1,277 @@
+#include <test/lib/worker_fleet.hpp>
+
+#include <catch2/catch.hpp>
+
+namespace rosemarytrail::fleet {
+
+namespace {
+
+using namespace std::chrono_literals;
+using test::make_job;
+using test::task_fate;
+using test::worker_fleet;
+
+constexpr room eight_cores{8000, 16000, 0};
+constexpr room one_core{1000, 1000, 0};
+
+} // namespace
+
+TEST_CASE("Steps run one after another and the job completes", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.add_workers(4, eight_cores);
+    cell.submit(make_job(
+        1, {{.tasks = 20, .need = one_core}, {.tasks = 3, .need = one_core}}));
+    cell.run(300ms);
+    CHECK(cell.running(1) == 20);
+    CHECK(cell.state(1) == job_state::running);
+    cell.run(2s);
+    CHECK(cell.state(1) == job_state::completed);
+    CHECK(cell.starts.size() == 23);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("No worker is filled beyond its capacity", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.add_workers(2, eight_cores);
+    cell.submit(make_job(1, {{.tasks = 50, .need = one_core}}));
+    cell.run(300ms);
+    CHECK(cell.running(1) == 16);
+    cell.run(4s);
+    CHECK(cell.state(1) == job_state::completed);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("Nothing starts before its placement is on record", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.add_workers(2, eight_cores);
+    cell.run(100ms);
+    cell.ledger_down = true;
+    cell.submit(make_job(1, {{.tasks = 4, .need = one_core}}));
+    cell.run(1s);
+    CHECK(cell.starts.empty());
+    cell.ledger_down = false;
+    cell.run(200ms);
+    CHECK(cell.running(1) == 4);
+}
+
+TEST_CASE("Leases are renewed while the ledger is away", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.fate = [](const task_key&) {
+        return task_fate{.length = 20s};
+    };
+    cell.add_workers(2, eight_cores);
+    cell.submit(make_job(1, {{.tasks = 4, .need = one_core}}));
+    cell.run(1s);
+    cell.ledger_down = true;
+    cell.run(9s);
+    CHECK(cell.running(1) == 4);
+}
+
+TEST_CASE("A new leader leaves what runs alone", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.fate = [](const task_key&) {
+        return task_fate{.length = 3s};
+    };
+    cell.add_workers(4, eight_cores);
+    cell.submit(make_job(1, {{.tasks = 20, .need = one_core}}));
+    cell.run(500ms);
+    cell.take_over();
+    cell.run(500ms);
+    CHECK(cell.running(1) == 20);
+    cell.run(4s);
+    CHECK(cell.state(1) == job_state::completed);
+    CHECK(cell.starts.size() == 20);
+    for (const auto& [task, n] : cell.starts) {
+        CHECK(n == 1);
+    }
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("A new leader waits for a worker that it cannot reach",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.fate = [](const task_key&) {
+        return task_fate{.length = 30s};
+    };
+    cell.add_workers(2, eight_cores);
+    cell.submit(make_job(1, {{.tasks = 16, .need = one_core}}));
+    cell.run(500ms);
+    cell.workers["w0"].cut = true;
+    cell.take_over();
+    cell.run(5s);
+    CHECK(cell.starts.size() == 16);
+    // The former leader may have renewed leases for as long as it may go
+    // without news, and a lease lasts on from there.
+    cell.run(12s);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("A start without an answer is stopped and run elsewhere",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.add_workers(2, eight_cores);
+    cell.run(100ms);
+    cell.workers["w0"].start_delay = 2s;
+    cell.workers["w1"].start_delay = 2s;
+    cell.submit(make_job(1, {{.tasks = 4, .need = one_core}}));
+    cell.run(200ms);
+    cell.workers["w0"].start_delay = {};
+    cell.workers["w1"].start_delay = {};
+    cell.run(4s);
+    CHECK(cell.state(1) == job_state::completed);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("Tasks of a silent worker run elsewhere once its lease has lapsed",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.fate = [](const task_key&) {
+        return task_fate{.length = 2s};
+    };
+    cell.add_workers(3, eight_cores);
+    cell.submit(make_job(1, {{.tasks = 16, .need = one_core}}));
+    cell.run(500ms);
+    cell.workers["w0"].cut = true;
+    cell.run(3s);
+    CHECK(cell.state(1) == job_state::running);
+    cell.run(7s);
+    CHECK(cell.state(1) == job_state::completed);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("A job whose task fails in each attempt has failed", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.fate = [](const task_key& task) {
+        return task_fate{.length = 100ms,
+                         .end =
+                             task.index == 1 ? run_end::failed : run_end::done};
+    };
+    cell.add_workers(2, eight_cores);
+    cell.submit(make_job(1, {{.tasks = 2, .need = one_core}}));
+    cell.run(3s);
+    CHECK(cell.state(1) == job_state::failed);
+    CHECK(cell.starts[{.step = {.job = 1}, .index = 1}] == 3);
+}
+
+TEST_CASE("A cancelled job is stopped and stays cancelled", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.fate = [](const task_key&) {
+        return task_fate{.length = 20s};
+    };
+    cell.add_workers(2, eight_cores);
+    cell.submit(make_job(1, {{.tasks = 16, .need = one_core}}));
+    cell.run(500ms);
+    cell.cancel(1);
+    CHECK(cell.state(1) == job_state::cancelled);
+    cell.run(1s);
+    CHECK(cell.running(1) == 0);
+    CHECK(cell.state(1) == job_state::cancelled);
+    CHECK(cell.leader().count().jobs == 0);
+}
+
+TEST_CASE("A gang starts whole or not at all", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.fate = [](const task_key&) {
+        return task_fate{.length = 1s};
+    };
+    cell.add_workers(2, eight_cores);
+    cell.submit(make_job(1, {{.tasks = 10, .need = one_core}}));
+    cell.run(200ms);
+    cell.submit(make_job(2, {{.tasks = 10, .need = one_core, .gang = true}}));
+    cell.run(500ms);
+    CHECK(cell.running(2) == 0);
+    cell.run(900ms);
+    CHECK(cell.running(2) == 10);
+    cell.run(2s);
+    CHECK(cell.state(2) == job_state::completed);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("An account stays under its limit", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.config.accounts["a"] = {.name = "a", .limit = {5000, 0, 0}};
+    cell.take_over();
+    cell.add_workers(2, eight_cores);
+    cell.submit(make_job(1, {{.tasks = 12, .need = one_core}}));
+    cell.run(300ms);
+    CHECK(cell.running(1) == 5);
+    cell.run(4s);
+    CHECK(cell.state(1) == job_state::completed);
+}
+
+TEST_CASE("Tasks of a step are spread where it asks for it", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.add_workers(3, eight_cores);
+    cell.submit(
+        make_job(1, {{.tasks = 9, .need = one_core, .tasks_per_vm = 2}}));
+    cell.run(300ms);
+    CHECK(cell.running(1) == 6);
+    for (const auto* id : {"w0", "w1", "w2"}) {
+        CHECK(cell.running_on(id) == 2);
+    }
+}
+
+TEST_CASE("Only advised workers run a step, and only with a ticket",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.add_workers(4, eight_cores);
+    auto job = make_job(1, {{.tasks = 4, .need = one_core}});
+    job.queue.advice = advice_policy{.valid_ms = 2500};
+    cell.submit(job);
+    cell.run(500ms);
+    CHECK(cell.running(1) == 0);
+    cell.grant({.job = 1}, {"w2"}, 2500ms);
+    cell.run(100ms);
+    CHECK(cell.running_on("w2") == 4);
+}
+
+TEST_CASE("A worker that fails the jobs of many is set aside", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.fate = [](const task_key&) {
+        return task_fate{.length = 100ms};
+    };
+    cell.add_workers(8, eight_cores);
+    cell.workers["w0"].fails_all = true;
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        cell.submit(make_job(id, {{.tasks = 6, .need = one_core}}));
+    }
+    cell.run(2s);
+    std::size_t failed = 0;
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        failed += cell.state(id) == job_state::failed ? 1 : 0;
+    }
+    CHECK(failed == 0);
+}
+
+TEST_CASE("A lasting task is started again however it ends", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.add_workers(3, eight_cores);
+    cell.submit(
+        make_job(1, {{.tasks = 3, .need = one_core, .long_running = true}}));
+    cell.run(300ms);
+    CHECK(cell.running(1) == 3);
+    cell.workers["w0"].cut = true;
+    cell.run(6s);
+    cell.workers["w0"].cut = false;
+    cell.run(2s);
+    CHECK(cell.running(1) == 3);
+    CHECK(cell.violations.empty());
+}
+
+} // namespace rosemarytrail::fleet
--- /dev/null
+++ b/test/fleet/ledger.cpp
@@ -0,0 +1,110 @@
+#include <rosemarytrail/fleet/job_board.hpp>
+
+#include <catch2/catch.hpp>
+
+namespace rosemarytrail::fleet {
+
+namespace {
+
+constexpr std::uint64_t id = 0x71252ff36e752662ULL;
+constexpr time_point now{std::chrono::seconds{5}};
+
+[[nodiscard]] job_record make_record()
+{
+    return {
+        .id = id,
+        .account = "a",
+        .acceptor = "n1",
+        .accepted_unix_ms = 77,
+        .queue = {.name = "q",
+                  .service = "s",
+                  .priority = 2,
+                  .max_attempts = 3,
+                  .slack_factor = 1.5,
+                  .target_latency_ms = 250,
+                  .advice = advice_policy{.base_ms = 13,
+                                          .per_worker_ms = 0.19,
+                                          .valid_ms = 2500}},
+        .spec = {.payload = "text",
+                 .steps = {{.tasks = 2, .need = {1, 2, 3}, .checkpoints = true},
+                           {.tasks = 1,
+                            .depends_on = {0},
+                            .scavenger = true,
+                            .data_rack = "r1-2"}}}};
+}
+
+[[nodiscard]] std::string job_key()
+{
+    return encode_key({.kind = entry_kind::job, .step = {.job = id}});
+}
+
+} // namespace
+
+TEST_CASE("Names of jobs, steps and tasks survive text", "[ledger]")
+{
+    const task_key task{.step = {.job = id, .occurrence = 3, .step = 1},
+                        .index = 17};
+    CHECK(to_text(task) == "71252ff36e752662.3.1.17");
+    CHECK(parse_task_key(to_text(task)) == task);
+    CHECK(parse_step_key(to_text(task.step)) == task.step);
+    for (const auto* bad : {"", "71252ff36e752662", "71252ff36e752662.1",
+                            "71252ff36e752662.1.x.2", "zz252ff36e752662.1.1.1",
+                            "71252ff36e752662.1.1.1.1"}) {
+        CHECK_FALSE(parse_task_key(bad));
+    }
+}
+
+TEST_CASE("A job survives the ledger", "[ledger]")
+{
+    job_board board;
+    REQUIRE(board.apply(job_key(), encode(make_record()), now));
+    const auto* entry = board.find(id);
+    REQUIRE(entry != nullptr);
+    REQUIRE(entry->record);
+    CHECK(entry->record->queue.advice->valid_ms == 2500);
+    CHECK(entry->record->spec.steps[1].scavenger);
+    CHECK(entry->record->spec.steps[1].data_rack == "r1-2");
+    CHECK(entry->record->spec.steps[0].need == room{1, 2, 3});
+    CHECK(entry->state() == job_state::queued);
+    CHECK(board.pending("q") == 1);
+}
+
+TEST_CASE("A submission that comes again after the end changes nothing",
+          "[ledger]")
+{
+    job_board board;
+    REQUIRE(board.apply(job_key(), encode(make_record()), now));
+    REQUIRE(board.apply(
+        encode_key({.kind = entry_kind::outcome, .step = {.job = id}}),
+        encode(job_outcome{.state = job_state::completed, .unix_ms = 1}), now));
+    REQUIRE(board.apply(job_key(), std::nullopt, now));
+    REQUIRE(board.apply(job_key(), encode(make_record()), now));
+    CHECK(board.find(id)->state() == job_state::completed);
+    std::size_t live = 0;
+    board.each_live([&](std::uint64_t, const job_entry&) { ++live; });
+    CHECK(live == 0);
+}
+
+TEST_CASE("Damaged and alien entries are told apart from jobs", "[ledger]")
+{
+    job_board board;
+    CHECK_FALSE(board.apply("x/1", "1", now));
+    CHECK_FALSE(board.apply("j/nonsense", "1", now));
+    CHECK_FALSE(board.apply(job_key(), "\x01\x02", now));
+    CHECK(board.find(id) == nullptr);
+    CHECK(board.pending("q") == 0);
+}
+
+TEST_CASE("A job counts as begun once a task was placed", "[ledger]")
+{
+    job_board board;
+    REQUIRE(board.apply(job_key(), encode(make_record()), now));
+    const std::vector<task_progress> rows{{.run = 1, .worker = "w"}, {}};
+    REQUIRE(board.apply(
+        encode_key({.kind = entry_kind::progress, .step = {.job = id}}),
+        encode(rows), now));
+    CHECK(board.find(id)->state() == job_state::running);
+    CHECK(board.pending("q") == 0);
+}
+
+} // namespace rosemarytrail::fleet
--- a/test/lib/cell.hpp
+++ b/test/lib/cell.hpp
@@ -1,13 +1,13 @@
 #ifndef ROSEMARYTRAIL_TEST_LIB_CELL_HPP
 #define ROSEMARYTRAIL_TEST_LIB_CELL_HPP
 
+#include <rosemarytrail/backends/log_client.hpp>
+#include <rosemarytrail/backends/vm_list_client.hpp>
+#include <rosemarytrail/backends/worker_client.hpp>
 #include <rosemarytrail/control/controller.hpp>
 #include <rosemarytrail/control/peer_network.hpp>
 #include <rosemarytrail/core/job_spec.hpp>
 #include <rosemarytrail/metrics/registry.hpp>
-#include <rosemarytrail/platform/log_client.hpp>
-#include <rosemarytrail/platform/vm_list_client.hpp>
-#include <rosemarytrail/platform/worker_client.hpp>
 #include <rosemarytrail/proxy/proxy_handler.hpp>
 #include <rosemarytrail/request/intent_log.hpp>
 #include <rosemarytrail/request/routing_table.hpp>
@@ -61,7 +61,7 @@
     /** @brief VM, for a worker. */
     vm_id vm{};
     /** @brief Batch, for a worker. */
-    const platform::worker_batch* batch{};
+    const backends::worker_batch* batch{};
     /** @brief Entry, for an append. */
     const std::string* payload{};
 };
@@ -121,9 +121,9 @@
 struct cell_daemon
 {
     std::unique_ptr<metrics::registry> metrics;
-    std::shared_ptr<platform::log_client> log;
-    std::shared_ptr<platform::vm_list_client> vms;
-    std::shared_ptr<platform::worker_client> workers;
+    std::shared_ptr<backends::log_client> log;
+    std::shared_ptr<backends::vm_list_client> vms;
+    std::shared_ptr<backends::worker_client> workers;
     std::shared_ptr<control::peer_network> peers;
     std::shared_ptr<http::client> upstreams;
     std::unique_ptr<control::controller> controller;
@@ -143,7 +143,7 @@
 /** @brief Worker and what a test does to it. */
 struct cell_worker
 {
-    platform::vm_entry entry;
+    backends::vm_entry entry;
     std::unique_ptr<standin::worker_model> model;
     std::unique_ptr<standin::upstream_model> upstream;
     /** @brief Since when the VM list says that it is leaving. */
@@ -305,7 +305,7 @@
     void wake_readers(const std::string& stream);
     void wait_for_entries(const std::string& stream,
                           std::function<void()> wake);
-    void note_start(const platform::worker_command& start,
+    void note_start(const backends::worker_command& start,
                     const cell_worker& worker);
     [[nodiscard]] std::optional<std::size_t>
     daemon_at(const std::string& peer_address) const;
--- a/test/lib/cell_checks.cpp
+++ b/test/lib/cell_checks.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-void cell::note_start(const platform::worker_command& start,
+void cell::note_start(const backends::worker_command& start,
                       const cell_worker& worker)
 {
     const auto& task = start.task;
--- a/test/lib/cell_links.cpp
+++ b/test/lib/cell_links.cpp
@@ -56,7 +56,7 @@
     const auto result = it.log.append(stream, payload, it.time.now());
     // A refused append takes no effect: it is not in the log.
     message_fate now_fate;
-    if (result.outcome.result == platform::append_result::appended) {
+    if (result.outcome.result == backends::append_result::appended) {
         now_fate = it.see({.to = message_peer::log_append,
                            .stage = message_stage::taken_effect,
                            .daemon = end_.daemon,
@@ -77,7 +77,7 @@
     end_.answer(delay, [done, outcome = result.outcome] { done(outcome); });
 }
 
-void cell_log_link::read(platform::read_options options, read_callback done)
+void cell_log_link::read(backends::read_options options, read_callback done)
 {
     auto& it = end_.owner;
     const auto fate =
@@ -96,7 +96,7 @@
         });
 }
 
-void cell_log_link::take_read(const platform::read_options& options,
+void cell_log_link::take_read(const backends::read_options& options,
                               time_point until,
                               const std::shared_ptr<bool>& answered,
                               const read_callback& done)
@@ -106,7 +106,7 @@
         return;
     }
     const auto outcome = it.log.read(options);
-    const bool empty = outcome.result == platform::read_result::read &&
+    const bool empty = outcome.result == backends::read_result::read &&
                        outcome.entries.empty();
     if (empty && it.time.now() < until) {
         const auto again = [this, options, until, answered, done] {
@@ -130,7 +130,7 @@
 }
 
 void cell_vm_list_link::fetch(
-    std::function<void(platform::vm_list_outcome)> done)
+    std::function<void(backends::vm_list_outcome)> done)
 {
     auto& it = end_.owner;
     end_.answer(2 * it.options.latency,
@@ -138,7 +138,7 @@
 }
 
 void cell_worker_link::send(const std::string& address,
-                            platform::worker_batch batch, callback done)
+                            backends::worker_batch batch, callback done)
 {
     auto& it = end_.owner;
     const auto found =
@@ -164,7 +164,7 @@
 }
 
 void cell_worker_link::repeat(std::size_t vm,
-                              const platform::worker_batch& batch,
+                              const backends::worker_batch& batch,
                               const message_fate& fate)
 {
     auto& it = end_.owner;
@@ -178,7 +178,7 @@
 }
 
 void cell_worker_link::take_effect(std::size_t vm,
-                                   const platform::worker_batch& batch,
+                                   const backends::worker_batch& batch,
                                    const message_fate& fate,
                                    const callback& done)
 {
@@ -189,7 +189,7 @@
         return;
     }
     for (const auto& command : batch.commands) {
-        if (command.kind == platform::command_kind::start) {
+        if (command.kind == backends::command_kind::start) {
             it.note_start(command, worker);
         }
     }
@@ -350,9 +350,9 @@
 
 void cell_peer_link::relay(
     const std::string& address, std::uint64_t from, std::size_t bytes,
-    std::function<void(std::optional<std::vector<platform::log_entry>>)> done)
+    std::function<void(std::optional<std::vector<backends::log_entry>>)> done)
 {
-    call<std::vector<platform::log_entry>>(
+    call<std::vector<backends::log_entry>>(
         address,
         [from, bytes](control::controller& peer) {
             return std::optional{peer.relay(from, bytes)};
--- a/test/lib/cell_links.hpp
+++ b/test/lib/cell_links.hpp
@@ -32,7 +32,7 @@
 };
 
 /** @brief Link to the log. */
-class cell_log_link final : public platform::log_client
+class cell_log_link final : public backends::log_client
 {
 public:
     cell_log_link(cell& owner, std::size_t daemon, std::uint64_t generation)
@@ -40,19 +40,19 @@
     {}
 
     void append(std::string stream, std::string payload,
-                std::function<void(platform::append_outcome)> done) override;
-    void read(platform::read_options options,
-              std::function<void(platform::read_outcome)> done) override;
+                std::function<void(backends::append_outcome)> done) override;
+    void read(backends::read_options options,
+              std::function<void(backends::read_outcome)> done) override;
 
 private:
-    using append_callback = std::function<void(platform::append_outcome)>;
-    using read_callback = std::function<void(platform::read_outcome)>;
+    using append_callback = std::function<void(backends::append_outcome)>;
+    using read_callback = std::function<void(backends::read_outcome)>;
 
     void repeat_append(const std::string& stream, const std::string& payload,
                        const message_fate& fate);
     void take_append(const std::string& stream, const std::string& payload,
                      const message_fate& fate, const append_callback& done);
-    void take_read(const platform::read_options& options, time_point until,
+    void take_read(const backends::read_options& options, time_point until,
                    const std::shared_ptr<bool>& answered,
                    const read_callback& done);
 
@@ -60,36 +60,36 @@
 };
 
 /** @brief Link to the VM list. */
-class cell_vm_list_link final : public platform::vm_list_client
+class cell_vm_list_link final : public backends::vm_list_client
 {
 public:
     cell_vm_list_link(cell& owner, std::size_t daemon, std::uint64_t generation)
         : end_{owner, daemon, generation}
     {}
 
-    void fetch(std::function<void(platform::vm_list_outcome)> done) override;
+    void fetch(std::function<void(backends::vm_list_outcome)> done) override;
 
 private:
     link_end end_;
 };
 
 /** @brief Link to all workers. */
-class cell_worker_link final : public platform::worker_client
+class cell_worker_link final : public backends::worker_client
 {
 public:
     cell_worker_link(cell& owner, std::size_t daemon, std::uint64_t generation)
         : end_{owner, daemon, generation}
     {}
 
-    void send(const std::string& address, platform::worker_batch batch,
-              std::function<void(platform::worker_outcome)> done) override;
+    void send(const std::string& address, backends::worker_batch batch,
+              std::function<void(backends::worker_outcome)> done) override;
 
 private:
-    using callback = std::function<void(platform::worker_outcome)>;
+    using callback = std::function<void(backends::worker_outcome)>;
 
-    void repeat(std::size_t vm, const platform::worker_batch& batch,
+    void repeat(std::size_t vm, const backends::worker_batch& batch,
                 const message_fate& fate);
-    void take_effect(std::size_t vm, const platform::worker_batch& batch,
+    void take_effect(std::size_t vm, const backends::worker_batch& batch,
                      const message_fate& fate, const callback& done);
 
     link_end end_;
@@ -126,7 +126,7 @@
         std::function<void(std::optional<control::heartbeat>)> done) override;
     void
     relay(const std::string& address, std::uint64_t from, std::size_t bytes,
-          std::function<void(std::optional<std::vector<platform::log_entry>>)>
+          std::function<void(std::optional<std::vector<backends::log_entry>>)>
               done) override;
     void status(
         const std::string& address, const job_id& job,
--- /dev/null
+++ b/test/lib/worker_fleet.cpp
@@ -0,0 +1,347 @@
+#include <test/lib/worker_fleet.hpp>
+
+#include <algorithm>
+
+namespace rosemarytrail::test {
+
+namespace {
+
+using fleet::run_end;
+using fleet::start_result;
+
+} // namespace
+
+worker_fleet::worker_fleet()
+    : fate{[](const fleet::task_key&) {
+        return task_fate{};
+    }}
+{
+    take_over();
+}
+
+std::int64_t worker_fleet::clock_ms() const
+{
+    return to_milliseconds(now.time_since_epoch());
+}
+
+void worker_fleet::add_workers(std::size_t n, const fleet::room& capacity,
+                               std::size_t per_rack)
+{
+    for (std::size_t i = 0; i < n; ++i) {
+        const auto id = "w" + std::to_string(workers.size());
+        const auto rack = "r1-" + std::to_string(workers.size() / per_rack);
+        workers[id].vm = {.id = id,
+                          .service = "s",
+                          .address = id + ":1",
+                          .zone = "z",
+                          .rack = rack,
+                          .labels = {"a", rack},
+                          .capacity = capacity,
+                          .incarnation = 1};
+    }
+    list_workers();
+}
+
+void worker_fleet::list_workers()
+{
+    std::vector<fleet::worker_vm> vms;
+    for (const auto& [id, it] : workers) {
+        vms.push_back(it.vm);
+    }
+    dispatcher_->set_workers(vms, now);
+}
+
+void worker_fleet::apply(const std::vector<fleet::ledger_entry>& entries)
+{
+    for (const auto& it : entries) {
+        const auto about =
+            board_.apply(it.key,
+                         it.value ? std::optional<std::string_view>{*it.value}
+                                  : std::nullopt,
+                         now);
+        if (!about) {
+            violations.push_back("entry not read: " + it.key);
+        }
+    }
+}
+
+void worker_fleet::submit(fleet::job_record record)
+{
+    record.accepted_unix_ms = clock_ms();
+    jobs_[record.id] = record;
+    apply({{.key = fleet::encode_key(
+                {.kind = fleet::entry_kind::job, .step = {.job = record.id}}),
+            .value = fleet::encode(record)}});
+    dispatcher_->on_job_changed(record.id, *board_.find(record.id), now,
+                                clock_ms());
+}
+
+void worker_fleet::cancel(std::uint64_t id)
+{
+    apply({{.key = fleet::encode_key(
+                {.kind = fleet::entry_kind::cancellation, .step = {.job = id}}),
+            .value = "1"}});
+    dispatcher_->on_job_changed(id, *board_.find(id), now, clock_ms());
+}
+
+void worker_fleet::grant(const fleet::step_key& step,
+                         const std::vector<std::string>& ids, duration valid)
+{
+    fleet::advice_grant it{.valid_ms = to_milliseconds(valid)};
+    for (const auto& id : ids) {
+        it.rows.push_back({.worker = id, .ticket = "t-" + id});
+    }
+    apply({{.key = fleet::encode_key(
+                {.kind = fleet::entry_kind::advice, .step = step}),
+            .value = fleet::encode(it)}});
+    dispatcher_->on_job_changed(step.job, *board_.find(step.job), now,
+                                clock_ms());
+}
+
+void worker_fleet::take_over()
+{
+    if (dispatcher_) {
+        ++options.epoch;
+    }
+    dispatcher_ =
+        std::make_unique<fleet::dispatcher>(options, board_, now, clock_ms());
+    dispatcher_->set_config(std::make_shared<const fleet::cell_config>(config));
+    list_workers();
+}
+
+void worker_fleet::end(model_worker& it, const fleet::task_key& task,
+                       run_end how)
+{
+    const auto found = it.running.find(task);
+    it.highest[task] = std::max(it.highest[task], found->second.run);
+    it.ended.push_back({.number = it.next_end++,
+                        .task = task,
+                        .run = found->second.run,
+                        .how = how,
+                        .checkpoint = found->second.checkpoint});
+    if (how == run_end::done) {
+        done_.insert(task);
+    }
+    it.running.erase(found);
+}
+
+void worker_fleet::advance(model_worker& it)
+{
+    for (auto i = it.delayed.begin(); i != it.delayed.end();) {
+        if (i->first <= now) {
+            const auto late = i->second;
+            i = it.delayed.erase(i);
+            [[maybe_unused]] const auto result = order(it, late);
+        } else {
+            ++i;
+        }
+    }
+    std::vector<std::pair<fleet::task_key, run_end>> ends;
+    for (const auto& [task, run] : it.running) {
+        if (it.lease < now) {
+            ends.emplace_back(task, run_end::lease_lapsed);
+        } else if (run.ends <= now) {
+            ends.emplace_back(task,
+                              it.fails_all ? run_end::failed : fate(task).end);
+        }
+    }
+    for (const auto& [task, how] : ends) {
+        end(it, task, how);
+    }
+}
+
+void worker_fleet::check(model_worker& it)
+{
+    fleet::room used;
+    for (const auto& [task, run] : it.running) {
+        used += run.need;
+    }
+    if (!used.fits(it.vm.capacity)) {
+        violations.push_back("beyond capacity: " + it.vm.id);
+    }
+}
+
+void worker_fleet::start(model_worker& it, const fleet::start_order& order)
+{
+    const auto& spec = jobs_.at(order.task.step.job).spec;
+    const auto& step = spec.steps[order.task.step.step];
+    for (const auto& [id, other] : workers) {
+        if (other.running.contains(order.task)) {
+            violations.push_back("runs twice: " + to_text(order.task));
+        }
+    }
+    if (acknowledged_.contains(order.task)) {
+        violations.push_back("runs after done: " + to_text(order.task));
+    }
+    for (const auto before : step.depends_on) {
+        for (std::uint32_t i = 0; i < spec.steps[before].tasks; ++i) {
+            fleet::task_key key{.step = order.task.step, .index = i};
+            key.step.step = before;
+            if (!done_.contains(key) && !spec.steps[before].gang) {
+                violations.push_back("out of order: " + to_text(order.task));
+            }
+        }
+    }
+    ++starts[order.task];
+    const auto length = step.long_running ? duration{std::chrono::hours{1}}
+                                          : fate(order.task).length;
+    it.running[order.task] = {.run = order.run,
+                              .started = now,
+                              .ends = now + length,
+                              .need = step.reserved(),
+                              .checkpoint = step.checkpoints ? "c" : ""};
+    check(it);
+}
+
+start_result worker_fleet::order(model_worker& it,
+                                 const fleet::start_order& order)
+{
+    if (order.epoch < it.token) {
+        return start_result::fenced;
+    }
+    it.token = order.epoch;
+    if (order.lease_end_ms < clock_ms()) {
+        return start_result::lease_past;
+    }
+    it.lease = std::max(
+        it.lease, time_point{std::chrono::milliseconds{order.lease_end_ms}});
+    if (const auto found = it.highest.find(order.task);
+        found != it.highest.end() && found->second >= order.run) {
+        return start_result::outdated_run;
+    }
+    start(it, order);
+    return start_result::started;
+}
+
+void worker_fleet::stop(model_worker& it, const fleet::stop_order& order)
+{
+    if (order.epoch < it.token) {
+        return;
+    }
+    it.token = order.epoch;
+    it.highest[order.task] = std::max(it.highest[order.task], order.run);
+    if (it.running.contains(order.task)) {
+        end(it, order.task, run_end::stopped);
+    }
+}
+
+void worker_fleet::hold(model_worker& it, const fleet::hold_order& order)
+{
+    if (it.cut) {
+        dispatcher_->on_hold_result(order, fleet::hold_result::failed, {}, now,
+                                    now + tick);
+        return;
+    }
+    if (order.epoch < it.token) {
+        dispatcher_->on_hold_result(order, fleet::hold_result::fenced, {}, now,
+                                    now + tick);
+        return;
+    }
+    it.token = order.epoch;
+    if (order.lease_end_ms) {
+        it.lease = std::max(it.lease, time_point{std::chrono::milliseconds{
+                                          *order.lease_end_ms}});
+    }
+    std::erase_if(it.ended, [&](const fleet::ended_row& row) {
+        const bool known = row.number <= order.acknowledged;
+        if (known && row.how == run_end::done) {
+            acknowledged_.insert(row.task);
+        }
+        return known;
+    });
+    fleet::hold_answer answer{.clock_ms = clock_ms(),
+                              .incarnation = it.vm.incarnation,
+                              .running = {},
+                              .ended = it.ended};
+    for (const auto& [task, run] : it.running) {
+        answer.running.push_back({.task = task,
+                                  .run = run.run,
+                                  .checkpoint = run.checkpoint,
+                                  .percent = 10});
+    }
+    dispatcher_->on_hold_result(order, fleet::hold_result::answered, answer,
+                                now, now + tick);
+}
+
+void worker_fleet::run(duration length)
+{
+    const auto until = now + length;
+    while (now < until) {
+        now += tick;
+        for (auto& [id, it] : workers) {
+            advance(it);
+        }
+        dispatcher_->plan(now, clock_ms());
+        if (!ledger_down) {
+            const auto batch = dispatcher_->take_batch(clock_ms());
+            apply(batch.entries);
+            dispatcher_->on_recorded(batch.number, now);
+        }
+        const auto orders = dispatcher_->take_orders(now);
+        for (const auto& it : orders.stops) {
+            auto& worker = workers.at(it.worker.id);
+            if (!worker.cut) {
+                stop(worker, it);
+            }
+            dispatcher_->on_stop_result(it, !worker.cut, now);
+        }
+        for (const auto& it : orders.starts) {
+            auto& worker = workers.at(it.worker.id);
+            auto result = start_result::unknown;
+            if (worker.start_delay > duration{}) {
+                worker.delayed.emplace_back(now + worker.start_delay, it);
+            } else if (!worker.cut) {
+                result = order(worker, it);
+            }
+            dispatcher_->on_start_result(it, result, now);
+        }
+        paces.insert(paces.end(), orders.paces.begin(), orders.paces.end());
+        for (const auto& it : orders.holds) {
+            hold(workers.at(it.worker.id), it);
+        }
+    }
+}
+
+std::optional<fleet::job_state> worker_fleet::state(std::uint64_t id) const
+{
+    const auto* entry = board_.find(id);
+    return entry == nullptr ? std::nullopt : std::optional{entry->state()};
+}
+
+std::size_t worker_fleet::running(std::uint64_t id) const
+{
+    std::size_t n = 0;
+    for (const auto& [name, it] : workers) {
+        n += static_cast<std::size_t>(
+            std::ranges::count_if(it.running, [id](const auto& run) {
+                return run.first.step.job == id;
+            }));
+    }
+    return n;
+}
+
+std::size_t worker_fleet::running_on(const std::string& worker) const
+{
+    return workers.at(worker).running.size();
+}
+
+fleet::job_record make_job(std::uint64_t id,
+                           std::vector<fleet::step_spec> steps)
+{
+    for (std::uint32_t i = 1; i < steps.size(); ++i) {
+        steps[i].depends_on = {i - 1};
+    }
+    return {.id = id,
+            .account = "a",
+            .acceptor = "n",
+            .queue = {.name = "q",
+                      .service = "s",
+                      .priority = 1,
+                      .max_attempts = 3,
+                      .slack_factor = 2,
+                      .target_latency_ms = 1000,
+                      .advice = std::nullopt},
+            .spec = {.payload = "p", .steps = std::move(steps)}};
+}
+
+} // namespace rosemarytrail::test
--- /dev/null
+++ b/test/lib/worker_fleet.hpp
@@ -0,0 +1,127 @@
+#ifndef ROSEMARYTRAIL_TEST_LIB_WORKER_FLEET_HPP
+#define ROSEMARYTRAIL_TEST_LIB_WORKER_FLEET_HPP
+
+#include <rosemarytrail/fleet/dispatcher.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rosemarytrail::test {
+
+/** @brief Run of a task on a model worker. */
+struct model_run
+{
+    std::uint32_t run{};
+    time_point started;
+    time_point ends;
+    fleet::room need;
+    std::string checkpoint;
+};
+
+/** @brief Worker in virtual time: leases, fencing, ends by number. */
+struct model_worker
+{
+    fleet::worker_vm vm;
+    std::uint64_t token{};
+    time_point lease;
+    std::map<fleet::task_key, model_run> running;
+    std::vector<fleet::ended_row> ended;
+    std::uint64_t next_end{1};
+    /** @brief Highest run that was stopped or ended, by task. */
+    std::map<fleet::task_key, std::uint32_t> highest;
+    /** @brief Calls get no answer and have no effect. */
+    bool cut{false};
+    /** @brief Starts get no answer and are carried out after this time. */
+    duration start_delay{};
+    /** @brief All that it starts fails. */
+    bool fails_all{false};
+    std::vector<std::pair<time_point, fleet::start_order>> delayed;
+};
+
+/** @brief How long a task runs and how it ends. */
+struct task_fate
+{
+    duration length{std::chrono::milliseconds{500}};
+    fleet::run_end end{fleet::run_end::done};
+};
+
+/**
+ * @brief Dispatcher, ledger and workers in virtual time.
+ *
+ * Checks what must always hold while it runs: no worker is beyond its
+ * capacity, no task runs twice at once or again after it was acknowledged as
+ * done, and no step begins before the steps that it depends on are done.
+ */
+class worker_fleet
+{
+public:
+    worker_fleet();
+
+    /** @brief Time between two looks of the dispatcher. */
+    duration tick{std::chrono::milliseconds{10}};
+    fleet::dispatcher_options options{.epoch = 1};
+    std::function<task_fate(const fleet::task_key&)> fate;
+    /** @brief Nothing is appended while it is set. */
+    bool ledger_down{false};
+    time_point now{std::chrono::seconds{1000}};
+    std::map<std::string, model_worker> workers;
+    fleet::cell_config config;
+    std::vector<std::string> violations;
+    /** @brief Starts carried out, by task. */
+    std::map<fleet::task_key, std::size_t> starts;
+    std::vector<fleet::pace_order> paces;
+
+    void add_workers(std::size_t n, const fleet::room& capacity,
+                     std::size_t per_rack = 8);
+    void list_workers();
+    /** @brief The ledger holds the job from here on. */
+    void submit(fleet::job_record record);
+    void cancel(std::uint64_t id);
+    void grant(const fleet::step_key& step, const std::vector<std::string>& ids,
+               duration valid);
+    /** @brief A new leader takes over with the next epoch. */
+    void take_over();
+    void run(duration length);
+
+    [[nodiscard]] std::optional<fleet::job_state> state(std::uint64_t id) const;
+    [[nodiscard]] std::size_t running(std::uint64_t id) const;
+    [[nodiscard]] std::size_t running_on(const std::string& worker) const;
+    [[nodiscard]] fleet::dispatcher& leader() { return *dispatcher_; }
+
+private:
+    void apply(const std::vector<fleet::ledger_entry>& entries);
+    void advance(model_worker& it);
+    void start(model_worker& it, const fleet::start_order& order);
+    [[nodiscard]] fleet::start_result order(model_worker& it,
+                                            const fleet::start_order& order);
+    void stop(model_worker& it, const fleet::stop_order& order);
+    void hold(model_worker& it, const fleet::hold_order& order);
+    void end(model_worker& it, const fleet::task_key& task, fleet::run_end how);
+    void check(model_worker& it);
+    [[nodiscard]] std::int64_t clock_ms() const;
+
+    fleet::job_board board_;
+    std::unique_ptr<fleet::dispatcher> dispatcher_;
+    std::map<std::uint64_t, fleet::job_record> jobs_;
+    std::set<fleet::task_key> done_;
+    /** @brief Ends that the leader has acknowledged as on record. */
+    std::set<fleet::task_key> acknowledged_;
+    std::uint64_t batch_{};
+};
+
+/**
+ * @brief Makes a job whose steps follow one another.
+ * @param id Job.
+ * @param steps Its steps; each depends on the one before.
+ * @return Record of the job.
+ */
+[[nodiscard]] fleet::job_record make_job(std::uint64_t id,
+                                         std::vector<fleet::step_spec> steps);
+
+} // namespace rosemarytrail::test
+
+#endif
--- /dev/null
+++ b/test/platform/decode.cpp
@@ -0,0 +1,101 @@
+#include <platform/decode.hpp>
+#include <platform/settings.hpp>
+
+#include <catch2/catch.hpp>
+
+namespace rosemarytrail::platform {
+
+namespace {
+
+constexpr const char* settings_text =
+    "nodeName=frontend-orkanger-1\nzone=orkanger\nip=10.1.0.17\n"
+    "listen.frontend=10.1.0.17:8183\nlisten.ready=10.1.0.17:8184\n"
+    "platform.address=10.200.1.7:8182\nadvice=10.200.1.9:8182\n"
+    "bounds.graceS=6\nportRange=7420,7435\nsome.new.field=1\n";
+
+} // namespace
+
+TEST_CASE("Settings of the platform are read", "[platform]")
+{
+    reason why;
+    const auto it = parse_settings(settings_text, why);
+    REQUIRE(it);
+    CHECK(it->node == "frontend-orkanger-1");
+    CHECK(it->clients.port == 8183);
+    CHECK(it->store_address == "10.200.1.7:8182");
+    CHECK(it->grace_s == 6);
+    CHECK(it->first_inner_port == 7420);
+}
+
+TEST_CASE("A missing or wrong setting is named", "[platform]")
+{
+    reason why;
+    CHECK_FALSE(parse_settings("nodeName=n\nzone=z\n", why));
+    CHECK(why.code == result_code::settings_field_missing);
+    CHECK(why.detail == "field ip");
+    auto text = std::string{settings_text};
+    text.replace(text.find(":8183"), 5, ":port");
+    CHECK_FALSE(parse_settings(text, why));
+    CHECK(why.code == result_code::settings_field_type);
+}
+
+TEST_CASE("A configuration is read and damaged ones are not", "[platform]")
+{
+    const platform_decoder formats;
+    const auto it = formats.configuration(
+        {.key = "config",
+         .value =
+             R"({"version":7,"routes":[{"name":"r","host":"h.example",)"
+             R"("pathPrefix":"/p/","service":"s","priority":2,"maxAttempts":2,)"
+             R"("slackFactor":2.2,"targetLatencyMs":1200,"advice":)"
+             R"({"decideMs":400.0,"eachMs":5.7,"validMs":2500},)"
+             R"("public":false}],"services":[{"name":"s"}],"tenants":)"
+             R"([{"name":"t","apiKeys":["k1","k2"],"weight":14,)"
+             R"("cap":{"cpu":5,"memMb":6,"gpu":0}}]})"});
+    REQUIRE(it);
+    CHECK(it->version == 7);
+    CHECK(it->find_queue("h.example", "/p/x")->policy.advice->valid_ms == 2500);
+    CHECK(it->find_queue("other", "/p/x") == nullptr);
+    CHECK(it->account_of_key.at("k2") == "t");
+    CHECK(it->accounts.at("t").limit.cpu_millis == 5);
+    CHECK_FALSE(formats.configuration({.key = "config", .value = "{"}));
+    CHECK_FALSE(formats.configuration({.key = "wave/1", .value = "{}"}));
+}
+
+TEST_CASE("Directory entries of other writers name no worker", "[platform]")
+{
+    const platform_decoder formats;
+    const auto read = [&](const char* text) {
+        return formats.worker({.key = "i-1", .value = text});
+    };
+    const auto it =
+        read(R"({"service":"s","address":"1.2.3.4:80","zone":"z",)"
+             R"("state":"ready","capacity":{"cpu":16000,"memMb":3,"gpu":0},)"
+             R"("labels":["a","r1-3"],"born":17})");
+    REQUIRE(it);
+    CHECK(it->rack == "r1-3");
+    CHECK(it->incarnation == 17);
+    CHECK_FALSE(read(R"({"service":"s","address":5,"zone":"z",)"
+                     R"("state":"ready","capacity":{}})"));
+    CHECK_FALSE(read(R"({"service":"s","address":"a","zone":"z",)"
+                     R"("state":"odd","capacity":{}})"));
+    CHECK_FALSE(read("\xff\xfe"));
+}
+
+TEST_CASE("A job is read and nonsense is refused", "[platform]")
+{
+    const auto it = parse_job(
+        R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256,)"
+        R"("estimateMs":900,"affinity":"r1-3"},{"count":20,"cpu":2000,)"
+        R"("dependsOn":[0],"checkpoints":true,"fillCount":true}]})");
+    REQUIRE(it);
+    CHECK(it->steps[0].data_rack == "r1-3");
+    CHECK(it->steps[1].depends_on == std::vector<std::uint32_t>{0});
+    CHECK(it->steps[1].scavenger);
+    CHECK_FALSE(parse_job(R"({"spec":"x","steps":[]})"));
+    CHECK_FALSE(parse_job(R"({"steps":[{"count":1,"dependsOn":[0]}]})"));
+    CHECK_FALSE(parse_job(R"({"steps":[{"count":-1}]})"));
+    CHECK_FALSE(parse_job("no json"));
+}
+
+} // namespace rosemarytrail::platform
--- a/test/request/fake_log.hpp
+++ b/test/request/fake_log.hpp
@@ -1,7 +1,7 @@
 #ifndef ROSEMARYTRAIL_TEST_REQUEST_FAKE_LOG_HPP
 #define ROSEMARYTRAIL_TEST_REQUEST_FAKE_LOG_HPP
 
-#include <rosemarytrail/platform/log_client.hpp>
+#include <rosemarytrail/backends/log_client.hpp>
 
 #include <algorithm>
 #include <functional>
@@ -18,7 +18,7 @@
 };
 
 /** @brief Log as one entry VM sees it; `pump` lets its calls happen. */
-class fake_log final : public platform::log_client
+class fake_log final : public backends::log_client
 {
 public:
     explicit fake_log(fake_stream& stream)
@@ -33,13 +33,13 @@
     bool paused{false};
 
     void append(std::string /*stream*/, std::string payload,
-                std::function<void(platform::append_outcome)> done) override
+                std::function<void(backends::append_outcome)> done) override
     {
         appends_.push_back({std::move(payload), std::move(done)});
     }
 
-    void read(platform::read_options options,
-              std::function<void(platform::read_outcome)> done) override
+    void read(backends::read_options options,
+              std::function<void(backends::read_outcome)> done) override
     {
         reads_.push_back({options.from, options.wait, std::move(done)});
     }
@@ -79,17 +79,17 @@
     struct pending_append
     {
         std::string payload;
-        std::function<void(platform::append_outcome)> done;
+        std::function<void(backends::append_outcome)> done;
     };
 
     struct pending_read
     {
         std::uint64_t from{};
         duration wait{};
-        std::function<void(platform::read_outcome)> done;
+        std::function<void(backends::read_outcome)> done;
     };
 
-    platform::append_outcome append_now(const std::string& payload)
+    backends::append_outcome append_now(const std::string& payload)
     {
         if (down) {
             return {};
@@ -98,16 +98,16 @@
         if (lose_answers) {
             return {};
         }
-        return {.result = platform::append_result::appended,
+        return {.result = backends::append_result::appended,
                 .offset = stream_.entries.size() - 1};
     }
 
-    platform::read_outcome read_now(std::uint64_t from) const
+    backends::read_outcome read_now(std::uint64_t from) const
     {
         if (down) {
             return {};
         }
-        platform::read_outcome outcome{.result = platform::read_result::read};
+        backends::read_outcome outcome{.result = backends::read_result::read};
         outcome.next_offset = stream_.entries.size();
         for (auto n = from; n < stream_.entries.size(); ++n) {
             outcome.entries.push_back({n, stream_.entries[n]});
--- a/test/rpc/peers.cpp
+++ b/test/rpc/peers.cpp
@@ -57,7 +57,7 @@
         heard = theirs;
         return answer;
     }
-    std::vector<platform::log_entry> on_relay(std::uint64_t from,
+    std::vector<backends::log_entry> on_relay(std::uint64_t from,
                                               std::size_t bytes) override
     {
         relay_bytes = bytes;
--- a/test/standin/log_store.cpp
+++ b/test/standin/log_store.cpp
@@ -5,8 +5,8 @@
 
 using namespace rosemarytrail;          // NOLINT
 using namespace rosemarytrail::standin; // NOLINT
-using platform::append_result;
-using platform::read_result;
+using backends::append_result;
+using backends::read_result;
 
 namespace {
 
--- a/test/standin/services.cpp
+++ b/test/standin/services.cpp
@@ -1,9 +1,9 @@
 #include <catch2/catch.hpp>
 
+#include <rosemarytrail/backends/http_log_client.hpp>
+#include <rosemarytrail/backends/http_vm_list_client.hpp>
+#include <rosemarytrail/backends/http_worker_client.hpp>
 #include <rosemarytrail/http/client.hpp>
-#include <rosemarytrail/platform/http_log_client.hpp>
-#include <rosemarytrail/platform/http_vm_list_client.hpp>
-#include <rosemarytrail/platform/http_worker_client.hpp>
 #include <rosemarytrail/standin/log_service.hpp>
 #include <rosemarytrail/standin/vm_list_service.hpp>
 #include <rosemarytrail/standin/worker_service.hpp>
@@ -51,10 +51,10 @@
     return done.get_future().get();
 }
 
-platform::append_outcome append(platform::log_client& log,
+backends::append_outcome append(backends::log_client& log,
                                 const std::string& payload)
 {
-    return wait_for<platform::append_outcome>(
+    return wait_for<backends::append_outcome>(
         [&](auto done) { log.append("cell", payload, done); });
 }
 
@@ -83,26 +83,26 @@
     log_service service{{}};
     fixture it{service};
     const auto log =
-        platform::make_http_log_client(*it.client, "http://" + it.address);
-    std::promise<platform::read_outcome> waiting;
+        backends::make_http_log_client(*it.client, "http://" + it.address);
+    std::promise<backends::read_outcome> waiting;
     log->read({.stream = "cell", .wait = std::chrono::seconds{20}},
-              [&](platform::read_outcome outcome) {
+              [&](backends::read_outcome outcome) {
                   waiting.set_value(std::move(outcome));
               });
     while (it.server.in_flight() == 0) {
         std::this_thread::yield();
     }
-    CHECK(append(*log, "a").result == platform::append_result::appended);
+    CHECK(append(*log, "a").result == backends::append_result::appended);
     const auto woken = waiting.get_future().get();
     REQUIRE(woken.entries.size() == 1);
     CHECK(woken.entries[0].payload == "a");
-    const auto nothing = wait_for<platform::read_outcome>([&](auto done) {
+    const auto nothing = wait_for<backends::read_outcome>([&](auto done) {
         log->read({.stream = "cell",
                    .from = 1,
                    .wait = std::chrono::milliseconds{20}},
                   done);
     });
-    CHECK(nothing.result == platform::read_result::read);
+    CHECK(nothing.result == backends::read_result::read);
     CHECK(nothing.entries.empty());
     CHECK(nothing.next_offset == 1);
 }
@@ -112,20 +112,20 @@
     log_service service{{}};
     fixture it{service};
     const auto log =
-        platform::make_http_log_client(*it.client, "http://" + it.address);
+        backends::make_http_log_client(*it.client, "http://" + it.address);
     const auto control = [&](const std::string& faults) {
         return it.call("POST", "/control", faults).answer.status;
     };
     CHECK(control(R"({"lose_answers":1.0})") == 200);
-    CHECK(append(*log, "a").result == platform::append_result::unknown);
+    CHECK(append(*log, "a").result == backends::append_result::unknown);
     CHECK(control(R"({"lose_answers":0,"mode":"down"})") == 200);
-    CHECK(append(*log, "b").result == platform::append_result::refused);
+    CHECK(append(*log, "b").result == backends::append_result::refused);
     CHECK(control(R"({"mode":"up"})") == 200);
     CHECK(append(*log, "c").offset == 1);
     CHECK(control(R"({"kept_entries":1})") == 200);
-    const auto trimmed = wait_for<platform::read_outcome>(
+    const auto trimmed = wait_for<backends::read_outcome>(
         [&](auto done) { log->read({.stream = "cell"}, done); });
-    CHECK(trimmed.result == platform::read_result::trimmed);
+    CHECK(trimmed.result == backends::read_result::trimmed);
     CHECK(trimmed.first_offset == 1);
     for (const std::string wrong :
          {R"({"mode":"sideways"})", R"({"speed":1})", R"({"seed":-1})", "[]",
@@ -147,9 +147,9 @@
     vm_registration registration{vms.host, *list.client,
                                  "http://" + list.address};
     const auto listed = [&] {
-        const auto client = platform::make_http_vm_list_client(
+        const auto client = backends::make_http_vm_list_client(
             *list.client, "http://" + list.address);
-        return wait_for<platform::vm_list_outcome>(
+        return wait_for<backends::vm_list_outcome>(
                    [&](auto done) { client->fetch(done); })
             .vms;
     };
@@ -177,9 +177,9 @@
     CHECK(ask().answer.body != whole.body);
     CHECK(ask().answer.status == 200);
 
-    const auto workers = platform::make_http_worker_client(*worker.client);
+    const auto workers = backends::make_http_worker_client(*worker.client);
     const auto send = [&](const std::string& vm, record_number epoch) {
-        return wait_for<platform::worker_outcome>([&](auto done) {
+        return wait_for<backends::worker_outcome>([&](auto done) {
             workers->send(worker.address + "/" + vm, {.epoch = epoch}, done);
         });
     };
@@ -210,11 +210,11 @@
     CHECK(refused.status == 503);
     CHECK(http::find_header(refused.headers, "X-Not-Run") == "1");
 
-    const auto workers = platform::make_http_worker_client(*worker.client);
-    platform::worker_batch batch{.epoch = 10,
+    const auto workers = backends::make_http_worker_client(*worker.client);
+    backends::worker_batch batch{.epoch = 10,
                                  .lease = std::chrono::seconds{60}};
     for (int i = 0; i < 2; ++i) {
-        const auto outcome = wait_for<platform::worker_outcome>([&](auto done) {
+        const auto outcome = wait_for<backends::worker_outcome>([&](auto done) {
             workers->send(worker.address + "/vm-0", batch, done);
         });
         REQUIRE(outcome.code == result_code::ok);
--- a/test/standin/worker_model.cpp
+++ b/test/standin/worker_model.cpp
@@ -7,10 +7,10 @@
 
 using namespace rosemarytrail;          // NOLINT
 using namespace rosemarytrail::standin; // NOLINT
-using platform::command_kind;
-using platform::task_phase;
-using platform::worker_command;
-using platform::worker_outcome;
+using backends::command_kind;
+using backends::task_phase;
+using backends::worker_command;
+using backends::worker_outcome;
 
 namespace {
 
