Give out long advice questions from the leader; remember ended jobs

Changes: ended jobs stay known to the dispatcher; advice found at a restart ages by its time of day and a refused ticket ends its whole answer; the leader gives long questions to nodes, at most two each, most urgent first, and renews only the first eight steps or those with room.

Ruled out: fencing and the order of appends (all refused starts were tickets).

--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -81,6 +82,8 @@
     std::vector<fleet::worker_vm> vm_list;
     fleet::advice_plan questions;
     std::vector<std::string> members;
+    /** @brief Questions that the leader gave to this node. */
+    std::deque<fleet::step_key> given_questions;
     std::size_t advice_in_flight{};
     time_point advice_paused_until;
 
@@ -116,6 +119,8 @@
     std::atomic<std::int64_t> last_tick{0};
 
     void on_ledger_record(const feed_record& record);
+    /** @brief Set while the feed's newest records are taken in. */
+    bool loading_ledger{false};
     void on_ledger_caught_up();
     void join();
     void list_members();
@@ -135,6 +140,9 @@
     void run_now();
     void tick();
     void drop_old_outcomes();
+    void on_question(const fleet::step_key& step, std::string_view value);
+    [[nodiscard]] std::optional<fleet::advice_question>
+    next_question(time_point now);
     void ask_advice(time_point now);
     void on_advice(const fleet::step_key& step, advice_answer it,
                    time_point sent);
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -129,6 +129,7 @@
 void node::internal_state::ledger_listener::on_reset()
 {
     owner->board = {};
+    owner->loading_ledger = true;
 }
 
 void node::internal_state::ledger_listener::on_record(const feed_record& record)
@@ -138,6 +139,7 @@
 
 void node::internal_state::ledger_listener::on_caught_up()
 {
+    owner->loading_ledger = false;
     owner->on_ledger_caught_up();
 }
 
@@ -148,7 +150,8 @@
         record.key,
         record.value ? std::optional<std::string_view>{*record.value}
                      : std::nullopt,
-        now);
+        now,
+        loading_ledger ? std::optional{unix_milliseconds()} : std::nullopt);
     if (!about) {
         metrics
             .make_counter("rosemarytrail_ledger_records_unreadable_total",
@@ -159,6 +162,12 @@
         return;
     }
     confirm(record.key);
+    if (about->kind == fleet::entry_kind::question) {
+        if (record.value && !loading_ledger) {
+            on_question(about->step, *record.value);
+        }
+        return;
+    }
     if (about->kind == fleet::entry_kind::batch_mark) {
         const auto mark = record.value ? fleet::decode_batch_mark(*record.value)
                                        : std::nullopt;
@@ -292,6 +301,9 @@
     shared.members([this](std::optional<std::vector<std::string>> it) {
         if (it) {
             members = std::move(*it);
+            if (lead) {
+                lead->decisions.set_members(members);
+            }
         }
     });
     loop.post_at(boot_clock::now() + options.members_period,
@@ -364,6 +376,7 @@
                                         unix_milliseconds());
     lead->decisions.set_config(config);
     lead->decisions.set_workers(vm_list, now);
+    lead->decisions.set_members(members);
     lead->epoch = epoch;
     ledger.set_spacing(options.leader_spacing);
     const auto counts = lead->decisions.count();
@@ -611,14 +624,39 @@
     }
 }
 
+void node::internal_state::on_question(const fleet::step_key& step,
+                                       std::string_view value)
+{
+    const auto question = fleet::decode_question(value);
+    if (question && question->member == options.member) {
+        given_questions.push_back(step);
+    }
+}
+
+std::optional<fleet::advice_question>
+node::internal_state::next_question(time_point now)
+{
+    while (!given_questions.empty()) {
+        const auto step = given_questions.front();
+        given_questions.pop_front();
+        const auto* entry = board.find(step.job);
+        if (entry != nullptr && entry->record && !entry->cancelled &&
+            !entry->outcome) {
+            if (auto it = questions.question(step, *entry, vm_list)) {
+                return it;
+            }
+        }
+    }
+    return questions.next(board, vm_list, members, lead != nullptr, now);
+}
+
 void node::internal_state::ask_advice(time_point now)
 {
     if (!ledger.loaded() || now < advice_paused_until ||
         advice_in_flight >= advice_calls) {
         return;
     }
-    auto question =
-        questions.next(board, vm_list, members, lead != nullptr, now);
+    auto question = next_question(now);
     if (!question) {
         return;
     }
@@ -648,6 +686,7 @@
         return;
     }
     questions.asked(step, now + advice_settle);
+    it.grant.granted_unix_ms = unix_milliseconds();
     append_request request;
     request.entries.push_back(
         {.key = fleet::encode_key(
--- a/src/rosemarytrail/fleet/advice_plan.cpp
+++ b/src/rosemarytrail/fleet/advice_plan.cpp
@@ -61,25 +61,29 @@
 
 } // namespace
 
-std::optional<std::string> advice_owner(const advice_plan_options& options,
-                                        std::span<const std::string> members,
-                                        const job_record& record)
+std::span<const std::string>
+long_advice_nodes(std::span<const std::string> members, double share)
+{
+    if (members.size() < 2) {
+        return members;
+    }
+    // At least one node for each kind.
+    const auto n = static_cast<std::size_t>(
+        std::ceil(share * static_cast<double>(members.size())));
+    return members.first(std::clamp<std::size_t>(n, 1, members.size() - 1));
+}
+
+std::optional<std::string>
+short_advice_node(std::span<const std::string> members, double share,
+                  const job_record& record)
 {
     if (members.empty()) {
         return std::nullopt;
     }
-    const auto n = members.size();
-    // At least one node for each kind, if there are two nodes.
-    const auto long_nodes = std::clamp<std::size_t>(
-        static_cast<std::size_t>(
-            std::ceil(options.long_share * static_cast<double>(n))),
-        1, std::max<std::size_t>(n - 1, 1));
-    const bool is_long = record.queue.advice->base_ms > options.long_ms;
-    auto pool = members;
-    if (n > 1) {
-        pool =
-            is_long ? members.first(long_nodes) : members.subspan(long_nodes);
-    }
+    const auto pool =
+        members.size() < 2
+            ? members
+            : members.subspan(long_advice_nodes(members, share).size());
     if (std::ranges::find(pool, record.acceptor) != pool.end()) {
         return record.acceptor;
     }
@@ -143,10 +147,12 @@
     std::tuple<std::int32_t, std::int64_t> best_rank;
     board.each_live([&](std::uint64_t id, const job_entry& entry) {
         const auto& record = *entry.record;
-        if (!record.queue.advice) {
+        if (!record.queue.advice ||
+            record.queue.advice->base_ms > options_.long_ms) {
             return;
         }
-        const auto owner = advice_owner(options_, members, record);
+        const auto owner =
+            short_advice_node(members, options_.long_share, record);
         const bool own = owner ? *owner == options_.member : leading;
         if (entry.cancelled || (!own && !leading)) {
             return;
@@ -171,25 +177,34 @@
     if (best == nullptr) {
         return std::nullopt;
     }
-    const auto& policy = *best_entry->record->queue.advice;
-    advice_question result{.step = best_key, .workers = {}, .expected = {}};
+    auto result = question(best_key, *best_entry, workers);
+    if (!result) {
+        asked(best_key, now + options_.patience);
+    }
+    return result;
+}
+
+std::optional<advice_question>
+advice_plan::question(const step_key& step, const job_entry& entry,
+                      std::span<const worker_vm> workers) const
+{
+    const auto& policy = *entry.record->queue.advice;
+    advice_question result{.step = step, .workers = {}, .expected = {}};
     std::set<std::string> wanted;
     // What was granted once stays granted; only the ticket lapses.
-    if (const auto it = best_entry->advice.find(best_key);
-        it != best_entry->advice.end()) {
+    if (const auto it = entry.advice.find(step); it != entry.advice.end()) {
         for (const auto& row : it->second.grant.rows) {
             wanted.insert(row.worker);
         }
     }
     for (const auto& it : workers) {
-        if (it.service == best_entry->record->queue.service && !it.draining &&
+        if (it.service == entry.record->queue.service && !it.draining &&
             (wanted.empty() || wanted.contains(it.id)) &&
             result.workers.size() < options_.most_workers) {
             result.workers.push_back(it.id);
         }
     }
     if (result.workers.empty()) {
-        asked(best_key, now + options_.patience);
         return std::nullopt;
     }
     result.expected = milliseconds(
--- a/src/rosemarytrail/fleet/advice_plan.hpp
+++ b/src/rosemarytrail/fleet/advice_plan.hpp
@@ -41,22 +41,31 @@
 };
 
 /**
- * @brief Finds the node that asks for the advice of a job.
+ * @brief Tells which nodes ask the long questions.
  *
  * Answers queues with short and with long questions side by side: a short
  * question behind a long one on the same node would wait for most of its job's
  * slack, so the nodes are split between the two.
- * @param options Shares and bounds.
  * @param members All live nodes, sorted.
+ * @param share Part of them that ask the long questions.
+ * @return Those nodes; with a single node, that one.
+ */
+[[nodiscard]] std::span<const std::string>
+long_advice_nodes(std::span<const std::string> members, double share);
+
+/**
+ * @brief Finds the node that asks the short questions of a job.
+ * @param members All live nodes, sorted.
+ * @param share Part of them that ask the long questions.
  * @param record Job.
  * @return The member, or nothing if there are none.
  */
 [[nodiscard]] std::optional<std::string>
-advice_owner(const advice_plan_options& options,
-             std::span<const std::string> members, const job_record& record);
+short_advice_node(std::span<const std::string> members, double share,
+                  const job_record& record);
 
 /**
- * @brief Decides for which step this node asks the advice service next.
+ * @brief Decides for which step this node asks a short question next.
  *
  * The service takes one call at a time from each node, so the jobs are spread
  * over the nodes. Steps are asked for ahead of time, while the steps
@@ -81,6 +90,17 @@
     next(const job_board& board, std::span<const worker_vm> workers,
          std::span<const std::string> members, bool leading, time_point now);
 
+    /**
+     * @brief Words the question about a step.
+     * @param step Step.
+     * @param entry Its job.
+     * @param workers Directory of workers.
+     * @return Question, or nothing if there is no worker to ask about.
+     */
+    [[nodiscard]] std::optional<advice_question>
+    question(const step_key& step, const job_entry& entry,
+             std::span<const worker_vm> workers) const;
+
     /**
      * @brief Notes that a question was asked.
      * @param step Step.
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -234,6 +234,7 @@
     for (const auto& row : advice.grant.rows) {
         step.tickets.emplace(row.worker, row.ticket);
     }
+    close_question(step);
     step.tickets_until = advice.read_at +
                          std::chrono::milliseconds{advice.grant.valid_ms} -
                          options.ticket_margin;
@@ -311,6 +312,9 @@
 {
     auto& it = *books_;
     const auto found = it.jobs.find(id);
+    if (it.ended.contains(id)) {
+        return;
+    }
     if (found == it.jobs.end()) {
         if (entry.record && !entry.outcome) {
             it.add_job(entry, now, unix_ms);
@@ -335,6 +339,7 @@
         return;
     }
     job.outcome = outcome;
+    ended[job.record.id] = last_plan;
     finished.push_back(&job);
     replan = true;
     for (auto& step : job.steps) {
@@ -524,7 +529,11 @@
         state.deposed = true;
         break;
     case start_result::ticket_refused:
-        step->tickets.erase(order.worker.id);
+        // The tickets of one answer lapse together.
+        if (const auto it = step->tickets.find(order.worker.id);
+            it != step->tickets.end() && it->second == order.ticket) {
+            step->tickets_until = now;
+        }
         break;
     case start_result::no_room:
     case start_result::unhealthy:
@@ -816,7 +825,8 @@
 ledger_batch dispatcher::take_batch(std::int64_t unix_ms)
 {
     auto& state = *books_;
-    ledger_batch result{.number = state.next_batch++, .entries = {}};
+    ledger_batch result{.number = state.next_batch++,
+                        .entries = std::exchange(state.questions, {})};
     auto& open = state.batches[result.number];
     open.placed.swap(state.placed);
     std::vector<task_progress> rows;
@@ -861,6 +871,7 @@
             add(entry_kind::progress, step.key);
             if (job->record.queue.advice) {
                 add(entry_kind::advice, step.key);
+                add(entry_kind::question, step.key);
             }
         }
         job->outcome_written = true;
@@ -911,6 +922,9 @@
 dispatcher_orders dispatcher::take_orders(time_point now)
 {
     auto& state = *books_;
+    std::erase_if(state.ended, [&](const auto& it) {
+        return it.second + state.options.ended_memory < now;
+    });
     const auto& options = state.options;
     dispatcher_orders result;
     for (auto& [id, worker] : state.workers) {
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -45,6 +45,18 @@
     std::uint32_t suspect_failures{3};
     /** @brief Greatest part of the workers that is set aside at once. */
     double quarantine_share{0.25};
+    /** @brief Advice that takes longer is asked for by the leader's word. */
+    double long_advice_ms{100};
+    /** @brief Part of the nodes that ask the long questions. */
+    double long_advice_share{0.6};
+    /** @brief Questions that one node has before it at a time. */
+    std::size_t questions_per_node{2};
+    /** @brief Waiting steps whose tickets are renewed also without room. */
+    std::size_t fresh_steps{8};
+    /** @brief An answer may come this much later than its policy says. */
+    duration advice_slack{std::chrono::milliseconds{1000}};
+    /** @brief Ended jobs are remembered for this long. */
+    duration ended_memory{std::chrono::seconds{600}};
 };
 
 /** @brief Entries for the ledger that are to be appended in one call. */
@@ -94,6 +106,9 @@
     dispatcher& operator=(const dispatcher&) = delete;
     ~dispatcher();
 
+    /** @param members Nodes that live, sorted. */
+    void set_members(std::span<const std::string> members);
+
     /** @param config Configuration in force. */
     void set_config(std::shared_ptr<const cell_config> config);
 
--- /dev/null
+++ b/src/rosemarytrail/fleet/internal/advice_desk.cpp
@@ -0,0 +1,166 @@
+#include <rosemarytrail/fleet/advice_plan.hpp>
+#include <rosemarytrail/fleet/internal/books.hpp>
+
+#include <algorithm>
+
+namespace rosemarytrail::fleet {
+
+namespace {
+
+using internal::step_book;
+using internal::task_phase;
+
+[[nodiscard]] duration milliseconds(double value)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>{value});
+}
+
+/** @return How long an answer about some workers takes. */
+[[nodiscard]] duration cost_of(const advice_policy& policy, std::size_t workers)
+{
+    return milliseconds(policy.base_ms +
+                        policy.per_worker_ms * static_cast<double>(workers));
+}
+
+} // namespace
+
+// Long questions are given out by the leader: it knows how far the steps before
+// are and where room is, so that the few questions that the nodes can ask each
+// second go to the steps that can use an answer.
+
+void dispatcher::books::close_question(step_book& step)
+{
+    if (!step.asked_of.empty()) {
+        auto& open = open_questions[step.asked_of];
+        open -= open > 0 ? 1 : 0;
+        step.asked_of.clear();
+    }
+    step.asked_until = {};
+}
+
+bool dispatcher::books::nearly_ready(const step_book& step, duration ahead,
+                                     time_point now) const
+{
+    const auto& job = *step.job;
+    const auto first = step.key.occurrence * job.record.spec.steps.size();
+    for (const auto n : step.spec->depends_on) {
+        const auto& before = job.steps[first + n];
+        if (before.waiting > 0) {
+            return false;
+        }
+        const auto estimate =
+            milliseconds(static_cast<double>(before.spec->estimate_ms));
+        for (const auto& task : before.tasks) {
+            if (task.phase == task_phase::done) {
+                continue;
+            }
+            if (task.phase != task_phase::running) {
+                return false;
+            }
+            // Progress tells more than the declared duration.
+            constexpr int enough_percent = 20;
+            const auto passed = now - task.since;
+            const auto left = task.percent >= enough_percent
+                                  ? passed * (100 - task.percent) / task.percent
+                                  : estimate - passed;
+            if (left > ahead) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+bool dispatcher::books::wants_advice(const step_book& step, std::size_t rank,
+                                     time_point now) const
+{
+    const auto& policy = *step.job->record.queue.advice;
+    if (step.tickets.empty()) {
+        return true;
+    }
+    const auto cost = cost_of(policy, step.tickets.size());
+    if (step.tickets_until - cost > now) {
+        return false;
+    }
+    if (rank < options.fresh_steps) {
+        return true;
+    }
+    return std::ranges::any_of(step.tickets, [&](const auto& it) {
+        const auto worker = workers.find(it.first);
+        return worker != workers.end() &&
+               is_usable(worker->second, step, now) &&
+               step.spec->reserved().fits(worker->second.available());
+    });
+}
+
+void dispatcher::books::plan_questions(time_point now)
+{
+    const auto pool = long_advice_nodes(members, options.long_advice_share);
+    if (pool.empty()) {
+        return;
+    }
+    std::vector<step_book*> order;
+    for (auto& [id, job] : jobs) {
+        const auto& policy = job->record.queue.advice;
+        if (job->ended() || !policy ||
+            policy->base_ms <= options.long_advice_ms) {
+            continue;
+        }
+        for (auto& step : job->steps) {
+            if (step.waiting == 0) {
+                continue;
+            }
+            if (!step.asked_of.empty() &&
+                (step.asked_until < now ||
+                 std::ranges::find(members, step.asked_of) == members.end())) {
+                close_question(step);
+            }
+            const auto ahead =
+                cost_of(*policy, workers.size()) + options.advice_slack / 4;
+            if (step.ready || nearly_ready(step, ahead, now)) {
+                order.push_back(&step);
+            }
+        }
+    }
+    std::ranges::sort(order, [now](const step_book* a, const step_book* b) {
+        return internal::more_urgent(*a, *b, now);
+    });
+    std::size_t rank = 0;
+    for (auto* step : order) {
+        const bool wanted = wants_advice(*step, rank++, now);
+        if (!wanted || !step->asked_of.empty()) {
+            continue;
+        }
+        const auto node =
+            std::ranges::min_element(pool, {}, [this](const std::string& it) {
+                return open_questions[it];
+            });
+        auto& open = open_questions[*node];
+        if (open >= options.questions_per_node) {
+            return;
+        }
+        ++open;
+        const auto cost = cost_of(*step->job->record.queue.advice,
+                                  step->tickets.empty() ? workers.size()
+                                                        : step->tickets.size());
+        step->asked_of = *node;
+        step->asked_until =
+            now + cost * static_cast<int>(open) + options.advice_slack;
+        questions.push_back({.key = encode_key({.kind = entry_kind::question,
+                                                .step = step->key}),
+                             .value = encode(question_record{
+                                 .member = *node, .number = next_question++})});
+    }
+}
+
+void dispatcher::set_members(std::span<const std::string> members)
+{
+    books_->members.assign(members.begin(), members.end());
+    std::erase_if(books_->open_questions, [&](const auto& it) {
+        return std::ranges::find(books_->members, it.first) ==
+               books_->members.end();
+    });
+}
+
+} // namespace rosemarytrail::fleet
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -14,6 +14,18 @@
 
 namespace rosemarytrail::fleet::internal {
 
+struct step_book;
+
+/**
+ * @brief Order in which waiting steps are served.
+ * @param a Step.
+ * @param b Step.
+ * @param now Present time.
+ * @return True if `a` comes first.
+ */
+[[nodiscard]] bool more_urgent(const step_book& a, const step_book& b,
+                               time_point now);
+
 /** @brief Where a task stands in the leader's books. */
 enum class task_phase : std::uint8_t
 {
@@ -70,6 +82,10 @@
     /** @brief Tickets by worker; empty rows mean no advice was given. */
     std::map<std::string, std::string> tickets;
     time_point tickets_until;
+    /** @brief Until then an answer to the latest question may come. */
+    time_point asked_until;
+    /** @brief Node that was asked; empty if no question is open. */
+    std::string asked_of;
     /** @brief Tasks may be placed from here on. */
     bool ready{false};
 
@@ -183,6 +199,14 @@
     std::map<std::uint64_t, open_batch> batches;
     std::uint64_t next_batch{1};
     std::vector<task_key> placed;
+    std::vector<std::string> members;
+    /** @brief Questions that wait for an answer, by node. */
+    std::map<std::string, std::size_t> open_questions;
+    std::vector<ledger_entry> questions;
+    std::uint64_t next_question{1};
+    /** @brief Ended jobs: late entries must not bring them back. */
+    std::unordered_map<std::uint64_t, time_point> ended;
+    time_point last_plan;
     bool replan{true};
     bool deposed{false};
 
@@ -221,6 +245,14 @@
     [[nodiscard]] std::int64_t lease_end(worker_book& worker, time_point now);
     void note(std::uint64_t job, std::string_view what, std::string detail);
 
+    // internal/advice_desk.cpp
+    void plan_questions(time_point now);
+    void close_question(step_book& step);
+    [[nodiscard]] bool wants_advice(const step_book& step, std::size_t rank,
+                                    time_point now) const;
+    [[nodiscard]] bool nearly_ready(const step_book& step, duration ahead,
+                                    time_point now) const;
+
     // internal/placement.cpp
     [[nodiscard]] bool is_usable(const worker_book& worker,
                                  const step_book& step, time_point now) const;
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -28,6 +28,12 @@
 
 } // namespace
 
+bool internal::more_urgent(const step_book& a, const step_book& b,
+                           time_point now)
+{
+    return urgency(a, now) < urgency(b, now);
+}
+
 bool dispatcher::books::is_usable(const worker_book& worker,
                                   const step_book& step, time_point now) const
 {
@@ -186,11 +192,13 @@
 void dispatcher::plan(time_point now, std::int64_t unix_ms)
 {
     auto& it = *books_;
+    it.last_plan = now;
     for (auto& [id, job] : it.jobs) {
         if (job->record.spec.occurrences > 0 && !job->ended()) {
             it.update_ready(*job, unix_ms);
         }
     }
+    it.plan_questions(now);
     if (!it.replan) {
         return;
     }
@@ -204,7 +212,7 @@
         }
     }
     std::ranges::sort(order, [now](const step_book* a, const step_book* b) {
-        return urgency(*a, now) < urgency(*b, now);
+        return internal::more_urgent(*a, *b, now);
     });
     for (auto* step : order) {
         if (step->spec->gang) {
--- a/src/rosemarytrail/fleet/job.hpp
+++ b/src/rosemarytrail/fleet/job.hpp
@@ -234,8 +234,10 @@
     };
 
     std::vector<row> rows;
-    /** @brief Age of the answer when it was recorded plus its validity. */
+    /** @brief How long the tickets are valid. */
     std::int64_t valid_ms{};
+    /** @brief When they were given, in Unix milliseconds of the asker. */
+    std::int64_t granted_unix_ms{};
 };
 
 /**
--- a/src/rosemarytrail/fleet/job_board.cpp
+++ b/src/rosemarytrail/fleet/job_board.cpp
@@ -53,7 +53,8 @@
 
 std::optional<entry_key> job_board::apply(std::string_view key,
                                           std::optional<std::string_view> value,
-                                          time_point now)
+                                          time_point now,
+                                          std::optional<std::int64_t> unix_ms)
 {
     const auto about = decode_key(key);
     if (!about) {
@@ -63,6 +64,7 @@
     bool readable = true;
     switch (about->kind) {
     case entry_kind::batch_mark:
+    case entry_kind::question:
         return about;
     case entry_kind::leader:
         if (const auto it = value ? decode_leader(*value) : std::nullopt) {
@@ -87,8 +89,11 @@
         break;
     case entry_kind::advice:
         if (auto it = value ? decode_advice(*value) : std::nullopt) {
-            jobs_[id].advice[about->step] = {.grant = std::move(*it),
-                                             .read_at = now};
+            const auto age_ms = std::max<std::int64_t>(
+                unix_ms ? *unix_ms - it->granted_unix_ms : 0, 0);
+            jobs_[id].advice[about->step] = {
+                .grant = std::move(*it),
+                .read_at = now - std::chrono::milliseconds{age_ms}};
         } else {
             jobs_[id].advice.erase(about->step);
             readable = !value;
--- a/src/rosemarytrail/fleet/job_board.hpp
+++ b/src/rosemarytrail/fleet/job_board.hpp
@@ -53,11 +53,13 @@
      * @param key Key of the entry.
      * @param value Value, or nothing if the key was removed.
      * @param now Present time.
+     * @param unix_ms Present time of day if the entry may be old; its age then
+     * counts by the time of day.
      * @return What the entry is about, or nothing if it cannot be read.
      */
-    std::optional<entry_key> apply(std::string_view key,
-                                   std::optional<std::string_view> value,
-                                   time_point now);
+    std::optional<entry_key>
+    apply(std::string_view key, std::optional<std::string_view> value,
+          time_point now, std::optional<std::int64_t> unix_ms = std::nullopt);
 
     /**
      * @brief Finds a job.
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -10,7 +10,7 @@
 
 using json = nlohmann::json;
 
-constexpr char kind_letters[] = {'j', 'c', 's', 'a', 'f', 'l', 'b'};
+constexpr char kind_letters[] = {'j', 'c', 's', 'a', 'f', 'l', 'b', 'q'};
 
 [[nodiscard]] std::string pack(const json& value)
 {
@@ -110,6 +110,7 @@
         return letter;
     case entry_kind::progress:
     case entry_kind::advice:
+    case entry_kind::question:
         return letter + "/" + to_text(it.step);
     default:
         return letter + "/" + to_text(it.step.job);
@@ -136,7 +137,8 @@
         .step = {}};
     text.remove_prefix(2);
     if (result.kind == entry_kind::progress ||
-        result.kind == entry_kind::advice) {
+        result.kind == entry_kind::advice ||
+        result.kind == entry_kind::question) {
         const auto step = parse_step_key(text);
         if (!step) {
             return std::nullopt;
@@ -180,7 +182,8 @@
     for (const auto& row : it.rows) {
         rows.push_back(json::array({row.worker, row.ticket}));
     }
-    return pack(json::array({it.valid_ms, std::move(rows)}));
+    return pack(
+        json::array({it.valid_ms, std::move(rows), it.granted_unix_ms}));
 }
 
 std::string encode(const job_outcome& it)
@@ -193,6 +196,19 @@
     return pack(json::array({it.epoch, it.node}));
 }
 
+std::string encode(const question_record& it)
+{
+    return pack(json::array({it.member, it.number}));
+}
+
+std::optional<question_record> decode_question(std::string_view bytes)
+{
+    return unpack(bytes, [](const json& it) {
+        return question_record{.member = it.at(0).get<std::string>(),
+                               .number = it.at(1)};
+    });
+}
+
 std::string encode(const batch_mark& it)
 {
     return pack(json::array({it.epoch, it.sequence}));
@@ -244,7 +260,8 @@
 std::optional<advice_grant> decode_advice(std::string_view bytes)
 {
     return unpack(bytes, [](const json& it) {
-        advice_grant result{.rows = {}, .valid_ms = it.at(0)};
+        advice_grant result{
+            .rows = {}, .valid_ms = it.at(0), .granted_unix_ms = it.at(2)};
         for (const auto& row : it.at(1)) {
             result.rows.push_back({.worker = row.at(0).get<std::string>(),
                                    .ticket = row.at(1).get<std::string>()});
--- a/src/rosemarytrail/fleet/ledger_codec.hpp
+++ b/src/rosemarytrail/fleet/ledger_codec.hpp
@@ -22,7 +22,9 @@
     outcome,
     leader,
     /** @brief Last entry of each batch; shows the leader that it is there. */
-    batch_mark
+    batch_mark,
+    /** @brief Question to the advice service, with the node that asks it. */
+    question
 };
 
 /** @brief Key of a ledger entry; `step` counts only for some kinds. */
@@ -40,6 +42,15 @@
     std::int64_t unix_ms{};
 };
 
+/** @brief Question that the leader gave to a node. */
+struct question_record
+{
+    /** @brief Node that is to ask. */
+    std::string member;
+    /** @brief Tells a question from an earlier one about the same step. */
+    std::uint64_t number{};
+};
+
 /** @brief Node that leads, and its fencing epoch. */
 struct leader_record
 {
@@ -99,6 +110,9 @@
 /** @copydoc encode(const job_record&) */
 [[nodiscard]] std::string encode(const batch_mark& it);
 
+/** @copydoc encode(const job_record&) */
+[[nodiscard]] std::string encode(const question_record& it);
+
 /**
  * @brief Reads a value.
  * @param bytes Bytes from the ledger.
@@ -124,6 +138,10 @@
 [[nodiscard]] std::optional<batch_mark>
 decode_batch_mark(std::string_view bytes);
 
+/** @copydoc decode_job */
+[[nodiscard]] std::optional<question_record>
+decode_question(std::string_view bytes);
+
 } // namespace rosemarytrail::fleet
 
 #endif
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -274,4 +274,61 @@
     CHECK(cell.violations.empty());
 }
 
+TEST_CASE("An entry that is late does not bring an ended job back",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.add_workers(2, eight_cores);
+    cell.submit(make_job(1, {{.tasks = 2, .need = one_core}}));
+    const job_entry stale = cell.entry(1);
+    cell.run(2s);
+    REQUIRE(cell.state(1) == job_state::completed);
+    // The ledger reader is behind the leader's own appends.
+    cell.leader().on_job_changed(1, stale, cell.now, 0);
+    cell.run(1s);
+    CHECK(cell.running(1) == 0);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("A refused ticket ends the use of its whole answer", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.add_workers(4, eight_cores);
+    auto job = make_job(1, {{.tasks = 8, .need = one_core}});
+    job.queue.advice = advice_policy{.valid_ms = 2500};
+    cell.submit(job);
+    cell.refuse_tickets = true;
+    cell.grant({.job = 1}, {"w0", "w1", "w2", "w3"}, 60s);
+    cell.run(1s);
+    CHECK(cell.refused_starts <= 8);
+    cell.refuse_tickets = false;
+    cell.grant({.job = 1}, {"w0", "w1", "w2", "w3"}, 2500ms);
+    cell.run(200ms);
+    CHECK(cell.running(1) == 8);
+}
+
+TEST_CASE("Long questions go to several nodes, the most urgent first",
+          "[advice]")
+{
+    worker_fleet cell;
+    cell.add_workers(4, eight_cores);
+    const std::vector<std::string> members{"n1", "n2", "n3", "n4"};
+    cell.leader().set_members(members);
+    for (std::uint64_t id = 1; id <= 9; ++id) {
+        auto job = make_job(id, {{.tasks = 1, .need = one_core}});
+        job.queue.advice = advice_policy{.base_ms = 400, .valid_ms = 2500};
+        cell.submit(job);
+    }
+    cell.run(50ms);
+    std::map<std::string, int> asked;
+    for (const auto& [step, question] : cell.questions) {
+        ++asked[question.member];
+    }
+    CHECK(asked == std::map<std::string, int>{{"n1", 2}, {"n2", 2}, {"n3", 2}});
+    // An answer makes room for the next question.
+    cell.grant(cell.questions.begin()->first, {"w0"}, 2500ms);
+    cell.run(50ms);
+    CHECK(cell.questions.size() == 7);
+}
+
 } // namespace rosemarytrail::fleet
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -61,6 +61,8 @@
                          now);
         if (!about) {
             violations.push_back("entry not read: " + it.key);
+        } else if (about->kind == fleet::entry_kind::question && it.value) {
+            questions[about->step] = *fleet::decode_question(*it.value);
         }
     }
 }
@@ -200,6 +202,10 @@
         return start_result::fenced;
     }
     it.token = order.epoch;
+    if (refuse_tickets) {
+        ++refused_starts;
+        return start_result::ticket_refused;
+    }
     if (order.lease_end_ms < clock_ms()) {
         return start_result::lease_past;
     }
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -74,6 +74,11 @@
     /** @brief Starts carried out, by task. */
     std::map<fleet::task_key, std::size_t> starts;
     std::vector<fleet::pace_order> paces;
+    /** @brief Workers refuse all tickets while it is set. */
+    bool refuse_tickets{false};
+    std::size_t refused_starts{};
+    /** @brief Questions to the advice service that were given out. */
+    std::map<fleet::step_key, fleet::question_record> questions;
 
     void add_workers(std::size_t n, const fleet::room& capacity,
                      std::size_t per_rack = 8);
@@ -88,6 +93,10 @@
     void run(duration length);
 
     [[nodiscard]] std::optional<fleet::job_state> state(std::uint64_t id) const;
+    [[nodiscard]] const fleet::job_entry& entry(std::uint64_t id) const
+    {
+        return *board_.find(id);
+    }
     [[nodiscard]] std::size_t running(std::uint64_t id) const;
     [[nodiscard]] std::size_t running_on(const std::string& worker) const;
     [[nodiscard]] fleet::dispatcher& leader() { return *dispatcher_; }
