Wait out former leaders by what the ledger says of each worker

Change: a leader renews a worker's lease only once the ledger names its epoch for that worker, so a successor knows whose renewals to wait for, and counts from the claim that ended that leader's news. Only calls that would show a newer claim count as news; the bound without news is 3 s, the lease 4.5 s. A leader that is no longer chosen goes on until its successor's claim.

Ruled out: a shorter wait without a record; it is unsafe for a leader cut off from the store but not from a worker.

--- a/src/rosemarytrail/cell/feed_reader.cpp
+++ b/src/rosemarytrail/cell/feed_reader.cpp
@@ -124,7 +124,9 @@
         again(options.retry, &internal_state::read);
         return;
     }
-    fresh = std::max(fresh, sent);
+    if (page.at_end) {
+        fresh = std::max(fresh, sent);
+    }
     const auto from =
         page.next_offset - static_cast<std::int64_t>(page.records.size());
     apply(page, from);
--- a/src/rosemarytrail/cell/feed_reader.hpp
+++ b/src/rosemarytrail/cell/feed_reader.hpp
@@ -73,7 +73,7 @@
     /** @return Offset that is read next. */
     [[nodiscard]] std::int64_t offset() const noexcept;
 
-    /** @return When the latest read that succeeded was sent. */
+    /** @return When the latest read that reached the feed's end was sent. */
     [[nodiscard]] time_point fresh_as_of() const noexcept;
 
     /**
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -66,6 +66,9 @@
         bool in_flight{false};
         time_point next_append;
         time_point append_sent;
+        /** @brief When the latest call that would show a newer claim was sent.
+         */
+        time_point news;
     };
 
     node_options options;
@@ -126,7 +129,7 @@
     void list_members();
     void on_join(const membership& it, time_point sent);
     void try_lead();
-    void take_lead(std::uint64_t epoch, std::int64_t at);
+    void take_lead(std::uint64_t epoch, std::int64_t at, time_point sent);
     void step_down(std::string_view why);
     void append_batch();
     void on_batch_appended(const append_answer& it, std::uint64_t sequence);
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -182,6 +182,9 @@
         logging::event(logging::level::info, "leader_changed",
                        {{"leader", board.leader().node},
                         {"epoch", std::to_string(board.leader().epoch)}});
+        if (lead && board.leader().epoch > lead->epoch) {
+            step_down("a newer leader has claimed");
+        }
         return;
     }
     if (!lead || about->kind == fleet::entry_kind::progress ||
@@ -322,9 +325,8 @@
         return;
     }
     chosen = it.chosen;
-    if (!chosen && lead) {
-        step_down("another node was chosen");
-    }
+    // A leader that is no longer chosen goes on until its successor's claim
+    // fences it, so that there is no time without a leader.
     try_lead();
 }
 
@@ -337,34 +339,37 @@
     claiming = true;
     const auto epoch = board.leader().epoch + 1;
     const auto at = ledger.offset();
+    const auto sent = boot_clock::now();
     append_request request{
-        .entries = {{.key = fleet::encode_key(
-                         {.kind = fleet::entry_kind::leader, .step = {}}),
+        .entries = {{.key =
+                         fleet::encode_key({.kind = fleet::entry_kind::leader}),
                      .value = fleet::encode(fleet::leader_record{
                          .epoch = epoch, .node = options.member})}},
         .expected_end = at,
         .writer = fenced_writer{.epoch = epoch, .sequence = 0}};
-    shared.append(std::move(request), [this, epoch, at](append_answer it) {
-        claiming = false;
-        if (it.result == store_result::done) {
-            take_lead(epoch, at);
-            return;
-        }
-        // The next page of the ledger shows who leads; without one, the claim
-        // is tried again at the next sign of life.
-        if (it.result == store_result::conflict) {
-            ledger.catch_up([this](bool whole) {
-                if (whole) {
-                    try_lead();
-                }
-            });
-        } else {
-            chosen = false;
-        }
-    });
+    shared.append(std::move(request),
+                  [this, epoch, at, sent](append_answer it) {
+                      claiming = false;
+                      if (it.result == store_result::done) {
+                          take_lead(epoch, at, sent);
+                          return;
+                      }
+                      // The next page of the ledger shows who leads; without
+                      // one, the claim is tried again at the next sign of life.
+                      if (it.result == store_result::conflict) {
+                          ledger.catch_up([this](bool whole) {
+                              if (whole) {
+                                  try_lead();
+                              }
+                          });
+                      } else {
+                          chosen = false;
+                      }
+                  });
 }
 
-void node::internal_state::take_lead(std::uint64_t epoch, std::int64_t at)
+void node::internal_state::take_lead(std::uint64_t epoch, std::int64_t at,
+                                     time_point sent)
 {
     if (!chosen || shutting_down) {
         return;
@@ -378,6 +383,7 @@
     lead->decisions.set_workers(vm_list, now);
     lead->decisions.set_members(members);
     lead->epoch = epoch;
+    lead->news = sent;
     ledger.set_spacing(options.leader_spacing);
     const auto counts = lead->decisions.count();
     logging::event(logging::level::info, "lead_taken",
@@ -477,6 +483,7 @@
     if (it.result == store_result::done || there) {
         note_store(now);
         note_append(true, now - lead->append_sent);
+        lead->news = lead->append_sent;
         batch_recorded();
         return;
     }
@@ -566,7 +573,8 @@
 {
     const auto now = boot_clock::now();
     if (lead) {
-        const auto seen = std::max(store_seen, ledger.fresh_as_of());
+        // Only what would show a newer claim counts as news.
+        const auto seen = std::max(lead->news, ledger.fresh_as_of());
         if (lead->decisions.deposed()) {
             step_down("a worker knows a newer epoch");
         } else if (now - seen > options.dispatcher.renewal_bound) {
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace rosemarytrail::fleet {
@@ -47,12 +48,26 @@
     board.each_live([&](std::uint64_t /*id*/, const job_entry& entry) {
         books_->add_job(entry, now, unix_ms);
     });
-    // A former leader may still renew leases on workers that it reaches.
-    for (auto& [id, it] : books_->workers) {
-        it.lease_until = now + options.renewal_bound +
+    books_->set_wait_out(board, now);
+}
+
+// A former leader renews a lease only once the ledger names its epoch for the
+// worker, and only while its news is fresh; its news ends at the next claim.
+void dispatcher::books::set_wait_out(const job_board& board, time_point now)
+{
+    const auto longest = options.renewal_bound +
                          std::chrono::duration_cast<duration>(
                              options.lease * (1 + options.clock_drift)) +
                          options.lease_margin;
+    for (auto& [id, it] : workers) {
+        const auto known = board.workers().find(id);
+        if (known == board.workers().end()) {
+            it.lease_until = now;
+            continue;
+        }
+        it.vm.address = known->second.address;
+        const auto claimed = board.claimed_by(known->second.epoch + 1);
+        it.lease_until = claimed.value_or(now) + longest;
     }
 }
 
@@ -431,10 +446,17 @@
         it.vm.incarnation = incarnation;
         it.listed = true;
     }
-    std::erase_if(state.workers, [now](const auto& it) {
+    std::erase_if(state.workers, [&state, now](const auto& it) {
         const auto& worker = it.second;
-        return !worker.listed && worker.load.empty() &&
-               !worker.hold_in_flight && worker.lease_until < now;
+        const bool gone = !worker.listed && worker.load.empty() &&
+                          !worker.hold_in_flight && worker.lease_until < now;
+        if (gone) {
+            state.removals.push_back(
+                {.key = encode_key(
+                     {.kind = entry_kind::worker, .worker = it.first}),
+                 .value = std::nullopt});
+        }
+        return gone;
     });
     state.replan = true;
 }
@@ -770,6 +792,7 @@
                  std::string{cause});
     }
     worker.fenced = false;
+    worker.renewable = false;
     worker.strangers = 0;
     worker.seen = 0;
     worker.recorded = 0;
@@ -807,6 +830,9 @@
     if (worker.unanswered > 0 || !worker.fenced) {
         state.replan = true;
     }
+    if (!worker.fenced) {
+        state.reached.push_back(worker.vm.id);
+    }
     worker.fenced = true;
     worker.unanswered = 0;
     worker.clock_ms = answer.clock_ms;
@@ -828,7 +854,17 @@
     ledger_batch result{.number = state.next_batch++,
                         .entries = std::exchange(state.questions, {})};
     auto& open = state.batches[result.number];
+    std::ranges::move(state.removals, std::back_inserter(result.entries));
+    state.removals.clear();
     open.placed.swap(state.placed);
+    open.workers.swap(state.reached);
+    for (const auto& id : open.workers) {
+        result.entries.push_back(
+            {.key = encode_key({.kind = entry_kind::worker, .worker = id}),
+             .value = encode(
+                 worker_record{.epoch = state.options.epoch,
+                               .address = state.workers[id].vm.address})});
+    }
     std::vector<task_progress> rows;
     for (auto* step : state.dirty) {
         step->dirty = false;
@@ -902,6 +938,11 @@
     while (!state.batches.empty() && state.batches.begin()->first <= number) {
         const auto batch = std::move(state.batches.begin()->second);
         state.batches.erase(state.batches.begin());
+        for (const auto& id : batch.workers) {
+            auto& worker = state.workers[id];
+            worker.renewable = worker.fenced;
+            state.replan = true;
+        }
         for (const auto& key : batch.placed) {
             state.order_start(key, now);
         }
@@ -950,7 +991,7 @@
                 to_record || !worker.fenced ? duration{} : options.hold_wait};
         // A worker that does not answer gets no further lease, so that there
         // is an end to wait for.
-        if (worker.fenced && worker.unanswered == 0 && worker.clock_ms) {
+        if (worker.renewable && worker.unanswered == 0 && worker.clock_ms) {
             order.lease_end_ms = state.lease_end(worker, now);
         }
         worker.last_renewal = now;
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -22,11 +22,11 @@
     /** @brief Fencing epoch that every order bears. */
     std::uint64_t epoch{};
     /** @brief Lease of a worker; long enough for a takeover in between. */
-    duration lease{std::chrono::milliseconds{6000}};
+    duration lease{std::chrono::milliseconds{4500}};
     /** @brief Longest wait of a hold; also the time between renewals. */
     duration hold_wait{std::chrono::milliseconds{1000}};
     /** @brief A former leader renews no lease after this time without news. */
-    duration renewal_bound{std::chrono::milliseconds{10000}};
+    duration renewal_bound{std::chrono::milliseconds{3000}};
     /** @brief Rate error of a worker's clock that leases must allow for. */
     double clock_drift{0.02};
     /** @brief Added to a lease before its tasks count as gone. */
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -133,6 +133,8 @@
     std::set<task_key> load;
     /** @brief Has answered under this leader's epoch. */
     bool fenced{false};
+    /** @brief The ledger says that this leader may renew its lease. */
+    bool renewable{false};
     std::optional<std::int64_t> clock_ms;
     time_point clock_at;
     /** @brief Nothing that this leader ordered runs there after this. */
@@ -195,6 +197,7 @@
     {
         std::vector<task_key> placed;
         std::vector<std::uint64_t> finished;
+        std::vector<std::string> workers;
     };
     std::map<std::uint64_t, open_batch> batches;
     std::uint64_t next_batch{1};
@@ -203,6 +206,8 @@
     /** @brief Questions that wait for an answer, by node. */
     std::map<std::string, std::size_t> open_questions;
     std::vector<ledger_entry> questions;
+    /** @brief Workers that were reached for the first time. */
+    std::vector<std::string> reached;
     std::uint64_t next_question{1};
     /** @brief Ended jobs: late entries must not bring them back. */
     std::unordered_map<std::uint64_t, time_point> ended;
@@ -213,6 +218,7 @@
     [[nodiscard]] step_book* find_step(const step_key& key);
     [[nodiscard]] task_state* find_task(const task_key& key);
     [[nodiscard]] room need_of(const task_key& key);
+    void set_wait_out(const job_board& board, time_point now);
     void add_job(const job_entry& entry, time_point now, std::int64_t unix_ms);
     void inherit(step_book& step, const std::vector<task_progress>& rows,
                  time_point now);
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -38,7 +38,7 @@
                                   const step_book& step, time_point now) const
 {
     const auto& spec = *step.spec;
-    if (!worker.listed || worker.vm.draining || !worker.fenced ||
+    if (!worker.listed || worker.vm.draining || !worker.renewable ||
         worker.unanswered > 0 || worker.strangers > 0 ||
         worker.quarantined_until > now || !worker.clock_ms ||
         worker.vm.service != step.job->record.queue.service) {
--- a/src/rosemarytrail/fleet/job_board.cpp
+++ b/src/rosemarytrail/fleet/job_board.cpp
@@ -66,9 +66,17 @@
     case entry_kind::batch_mark:
     case entry_kind::question:
         return about;
+    case entry_kind::worker:
+        if (const auto it = value ? decode_worker(*value) : std::nullopt) {
+            workers_[about->worker] = *it;
+            return about;
+        }
+        workers_.erase(about->worker);
+        return value ? std::nullopt : about;
     case entry_kind::leader:
         if (const auto it = value ? decode_leader(*value) : std::nullopt) {
             leader_ = *it;
+            claims_.try_emplace(it->epoch, now);
             return about;
         }
         return std::nullopt;
@@ -114,6 +122,12 @@
     return it == jobs_.end() ? nullptr : &it->second;
 }
 
+std::optional<time_point> job_board::claimed_by(std::uint64_t epoch) const
+{
+    const auto it = claims_.lower_bound(epoch);
+    return it == claims_.end() ? std::nullopt : std::optional{it->second};
+}
+
 std::size_t job_board::pending(std::string_view queue) const
 {
     return static_cast<std::size_t>(
--- a/src/rosemarytrail/fleet/job_board.hpp
+++ b/src/rosemarytrail/fleet/job_board.hpp
@@ -96,12 +96,31 @@
         return leader_;
     }
 
+    /** @return What is known of workers, by id. */
+    [[nodiscard]] const std::map<std::string, worker_record>&
+    workers() const noexcept
+    {
+        return workers_;
+    }
+
+    /**
+     * @brief Tells when no leader before an epoch can hear news any more.
+     * @param epoch Epoch.
+     * @return When this node learnt of a claim of this or a later epoch;
+     * nothing if there was none.
+     */
+    [[nodiscard]] std::optional<time_point>
+    claimed_by(std::uint64_t epoch) const;
+
 private:
     void apply_job(std::uint64_t id, std::optional<std::string_view> value);
     void drop_if_empty(std::uint64_t id);
 
     std::unordered_map<std::uint64_t, job_entry> jobs_;
     leader_record leader_;
+    std::map<std::string, worker_record> workers_;
+    /** @brief When this node learnt of the claim of each epoch. */
+    std::map<std::uint64_t, time_point> claims_;
 };
 
 } // namespace rosemarytrail::fleet
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -10,7 +10,7 @@
 
 using json = nlohmann::json;
 
-constexpr char kind_letters[] = {'j', 'c', 's', 'a', 'f', 'l', 'b', 'q'};
+constexpr char kind_letters[] = {'j', 'c', 's', 'a', 'f', 'l', 'b', 'q', 'w'};
 
 [[nodiscard]] std::string pack(const json& value)
 {
@@ -108,6 +108,8 @@
     case entry_kind::leader:
     case entry_kind::batch_mark:
         return letter;
+    case entry_kind::worker:
+        return letter + "/" + it.worker;
     case entry_kind::progress:
     case entry_kind::advice:
     case entry_kind::question:
@@ -120,10 +122,11 @@
 std::optional<entry_key> decode_key(std::string_view text)
 {
     if (text == "l") {
-        return entry_key{.kind = entry_kind::leader, .step = {}};
+        return entry_key{.kind = entry_kind::leader, .step = {}, .worker = {}};
     }
     if (text == "b") {
-        return entry_key{.kind = entry_kind::batch_mark, .step = {}};
+        return entry_key{
+            .kind = entry_kind::batch_mark, .step = {}, .worker = {}};
     }
     if (text.size() < 3 || text[1] != '/') {
         return std::nullopt;
@@ -134,8 +137,13 @@
     }
     entry_key result{
         .kind = static_cast<entry_kind>(letter - std::begin(kind_letters)),
-        .step = {}};
+        .step = {},
+        .worker = {}};
     text.remove_prefix(2);
+    if (result.kind == entry_kind::worker) {
+        result.worker = text;
+        return result;
+    }
     if (result.kind == entry_kind::progress ||
         result.kind == entry_kind::advice ||
         result.kind == entry_kind::question) {
@@ -196,6 +204,19 @@
     return pack(json::array({it.epoch, it.node}));
 }
 
+std::string encode(const worker_record& it)
+{
+    return pack(json::array({it.epoch, it.address}));
+}
+
+std::optional<worker_record> decode_worker(std::string_view bytes)
+{
+    return unpack(bytes, [](const json& it) {
+        return worker_record{.epoch = it.at(0),
+                             .address = it.at(1).get<std::string>()};
+    });
+}
+
 std::string encode(const question_record& it)
 {
     return pack(json::array({it.member, it.number}));
--- a/src/rosemarytrail/fleet/ledger_codec.hpp
+++ b/src/rosemarytrail/fleet/ledger_codec.hpp
@@ -24,7 +24,9 @@
     /** @brief Last entry of each batch; shows the leader that it is there. */
     batch_mark,
     /** @brief Question to the advice service, with the node that asks it. */
-    question
+    question,
+    /** @brief Latest epoch whose leader may have renewed a worker's lease. */
+    worker
 };
 
 /** @brief Key of a ledger entry; `step` counts only for some kinds. */
@@ -32,6 +34,8 @@
 {
     entry_kind kind{entry_kind::job};
     step_key step;
+    /** @brief Worker, if the entry is about one. */
+    std::string worker;
 };
 
 /** @brief Final state of a job. */
@@ -51,6 +55,15 @@
     std::uint64_t number{};
 };
 
+/** @brief What the ledger keeps of a worker. */
+struct worker_record
+{
+    /** @brief Latest epoch whose leader may have renewed its lease. */
+    std::uint64_t epoch{};
+    /** @brief IP number and port, to find it while it is not listed. */
+    std::string address;
+};
+
 /** @brief Node that leads, and its fencing epoch. */
 struct leader_record
 {
@@ -113,6 +126,9 @@
 /** @copydoc encode(const job_record&) */
 [[nodiscard]] std::string encode(const question_record& it);
 
+/** @copydoc encode(const job_record&) */
+[[nodiscard]] std::string encode(const worker_record& it);
+
 /**
  * @brief Reads a value.
  * @param bytes Bytes from the ledger.
@@ -142,6 +158,10 @@
 [[nodiscard]] std::optional<question_record>
 decode_question(std::string_view bytes);
 
+/** @copydoc decode_job */
+[[nodiscard]] std::optional<worker_record>
+decode_worker(std::string_view bytes);
+
 } // namespace rosemarytrail::fleet
 
 #endif
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -105,6 +105,9 @@
     if (dispatcher_) {
         ++options.epoch;
     }
+    apply({{.key = fleet::encode_key({.kind = fleet::entry_kind::leader}),
+            .value = fleet::encode(
+                fleet::leader_record{.epoch = options.epoch, .node = "n"})}});
     dispatcher_ =
         std::make_unique<fleet::dispatcher>(options, board_, now, clock_ms());
     dispatcher_->set_config(std::make_shared<const fleet::cell_config>(config));
