Serve clients under a store that is slow or turns a node away

Changes: an outbox for each node gathers entries into few appends and answers each in time; a node that the store does not serve hands calls to a peer, which carries on the rule that what may have run is never called refused and that no older configuration decides. Workers' speeds are learnt from siblings, urgent steps take the fast ones. Clients' questions read the ledger on demand.

--- a/src/rosemarytrail/cell/client_call.hpp
+++ b/src/rosemarytrail/cell/client_call.hpp
@@ -35,6 +35,12 @@
     std::optional<fleet::job_spec> job;
     /** @brief When the caller stops waiting. */
     time_point deadline;
+    /** @brief Came from another node, so it is not handed on again. */
+    bool forwarded{false};
+    /** @brief Another node was asked and may have carried it out. */
+    bool maybe_done{false};
+    /** @brief It must not be served by an older configuration. */
+    std::int64_t least_config{};
 };
 
 /** @brief Kind of answer to a client. */
@@ -63,6 +69,8 @@
     result_code code{result_code::ok};
     /** @brief When it is worth coming back. */
     std::optional<duration> retry_after;
+    /** @brief Configuration that it was decided on; zero for none. */
+    std::int64_t config{};
 };
 
 } // namespace rosemarytrail::cell
--- /dev/null
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -0,0 +1,319 @@
+#include <rosemarytrail/cell/internal/node_state.hpp>
+
+#include <rosemarytrail/logging/event_log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemarytrail::cell {
+
+namespace {
+
+/** @brief Retry-After while the store is out of reach of all nodes. */
+constexpr duration store_retry_after{std::chrono::seconds{1}};
+/** @brief Peers that a call is handed to, one after another. */
+constexpr std::size_t peers_to_try = 2;
+/** @brief Least time for a peer to answer. */
+constexpr duration peer_patience{std::chrono::milliseconds{700}};
+
+} // namespace
+
+void node::internal_state::serve(client_call call,
+                                 std::function<void(client_answer)> done)
+{
+    const auto now = boot_clock::now();
+    auto noted = [this, kind = call.kind, path = call.path,
+                  done = std::move(done)](client_answer it) {
+        it.config = std::max(it.config, config ? config->version : 0);
+        log_refusal(kind, path, it);
+        done(it);
+    };
+    // The store may turn away this node and serve the others.
+    const bool outdated = config && config->version < peer_config;
+    if (!call.forwarded &&
+        (outdated || shared.doubtful(now, options.store_doubt))) {
+        call.least_config = std::max(peer_config, config ? config->version : 0);
+        serve_by_peer(std::move(call), pick_peers(), std::move(noted));
+        return;
+    }
+    serve_here(std::move(call), std::move(noted));
+}
+
+std::vector<std::string> node::internal_state::pick_peers() const
+{
+    std::vector<std::string> result;
+    for (const auto& it : members) {
+        const auto at = it.rfind('@');
+        if (it != options.member && at != std::string::npos) {
+            result.push_back(it.substr(at + 1));
+        }
+    }
+    // Each node begins with another peer.
+    const auto self = std::ranges::find(members, options.member);
+    const auto shift = self - members.begin();
+    if (!result.empty()) {
+        std::ranges::rotate(
+            result, result.begin() +
+                        shift % static_cast<std::ptrdiff_t>(result.size()));
+    }
+    result.resize(std::min(result.size(), peers_to_try));
+    return result;
+}
+
+void node::internal_state::serve_by_peer(
+    client_call call, std::vector<std::string> candidates,
+    std::function<void(client_answer)> done)
+{
+    const auto now = boot_clock::now();
+    if (candidates.empty() || now + options.answer_margin > call.deadline) {
+        serve_here(std::move(call), std::move(done));
+        return;
+    }
+    const auto address = std::move(candidates.front());
+    candidates.erase(candidates.begin());
+    const auto patience =
+        std::min(peer_patience, call.deadline - options.answer_margin - now);
+    auto handed = call;
+    // The peer gives up before this node does, so that its word is heard.
+    handed.deadline = now + patience;
+    peers.forward(
+        address, handed, patience,
+        [this, call = std::move(call), candidates = std::move(candidates),
+         done = std::move(done)](std::optional<client_answer> it) mutable {
+            metrics
+                .make_counter("rosemarytrail_calls_handed_on_total",
+                              "calls of clients that a peer was asked to serve")
+                .add();
+            if (it) {
+                peer_config = std::max(peer_config, it->config);
+            }
+            // A repeat at another node changes nothing, so an answer that was
+            // lost only rules out saying that the call was refused.
+            if (it && it->kind != answer_kind::unavailable) {
+                done(*it);
+                return;
+            }
+            call.maybe_done = call.maybe_done || !it;
+            serve_by_peer(std::move(call), std::move(candidates),
+                          std::move(done));
+        });
+}
+
+void node::internal_state::log_refusal(call_kind kind, std::string_view path,
+                                       const client_answer& answer)
+{
+    if (answer.code == result_code::ok) {
+        return;
+    }
+    refusals.add(answer.code);
+    const auto now = boot_clock::now();
+    const auto age = [now](time_point since) {
+        return std::to_string(to_milliseconds(now - since));
+    };
+    logging::event(
+        logging::level::info, "call_refused",
+        {{"job", path.substr(std::min(path.rfind('/') + 1, path.size()))},
+         {"call", std::to_string(static_cast<int>(kind))},
+         {"code", std::to_string(static_cast<int>(answer.code))},
+         {"reason", describe(answer.code).name},
+         {"config", config ? std::to_string(config->version) : "none"},
+         {"store_served_ms_ago", age(shared.served())},
+         {"ledger_age_ms", age(ledger.fresh_as_of())}});
+}
+
+void node::internal_state::serve_here(client_call call,
+                                      std::function<void(client_answer)> done)
+{
+    const bool changes =
+        call.kind == call_kind::submit || call.kind == call_kind::cancel;
+    if (call.maybe_done && changes) {
+        done = [done = std::move(done)](client_answer it) {
+            if (it.kind == answer_kind::unavailable) {
+                it.kind = answer_kind::outcome_unknown;
+                it.code = result_code::submission_outcome_unknown;
+            }
+            done(it);
+        };
+    }
+    const auto least = std::max(call.least_config, peer_config);
+    if (!config || config->version < least) {
+        done({.kind = answer_kind::unavailable,
+              .code = result_code::catching_up,
+              .retry_after = store_retry_after});
+        return;
+    }
+    const auto* queue = config->find_queue(call.host, call.path);
+    if (queue == nullptr) {
+        done({.kind = answer_kind::no_such_queue,
+              .code = result_code::path_unknown});
+        return;
+    }
+    const auto account = config->account_of_key.find(call.key);
+    const bool known = account != config->account_of_key.end();
+    if (!known && !queue->is_public) {
+        done({.kind = answer_kind::not_authorised,
+              .code = call.key.empty() ? result_code::key_missing
+                                       : result_code::key_unknown});
+        return;
+    }
+    if (call.kind == call_kind::pending) {
+        done({.kind = answer_kind::pending,
+              .pending = board.pending(queue->policy.name)});
+        return;
+    }
+    const auto id = fleet::parse_job_id(
+        std::string_view{call.path}.substr(queue->path_prefix.size()));
+    if (!id) {
+        done({.kind = call.kind == call_kind::submit ? answer_kind::malformed
+                                                     : answer_kind::no_such_job,
+              .code = result_code::job_unknown});
+        return;
+    }
+    if (call.kind == call_kind::submit) {
+        submit(*id, *queue, known ? account->second : std::string{},
+               std::move(call), std::move(done));
+        return;
+    }
+    if (const auto* entry = board.find(*id);
+        entry != nullptr && (entry->outcome || lead)) {
+        answer_known(*id, call, std::move(done));
+        return;
+    }
+    // Another node may have accepted or ended it a moment ago.
+    catch_up([this, id = *id, call = std::move(call),
+              done = std::move(done)](bool whole) mutable {
+        const auto* entry = board.find(id);
+        if (entry != nullptr && (entry->record || entry->outcome)) {
+            answer_known(id, call, std::move(done));
+        } else if (whole) {
+            done({.kind = answer_kind::no_such_job,
+                  .code = result_code::job_unknown});
+        } else {
+            done({.kind = answer_kind::unavailable,
+                  .code = result_code::submission_log_down,
+                  .retry_after = store_retry_after});
+        }
+    });
+}
+
+// Calls that come while a read is under way share the next one.
+void node::internal_state::catch_up(std::function<void(bool)> done)
+{
+    waiting_for_news.push_back(std::move(done));
+    if (news_asked) {
+        return;
+    }
+    news_asked = true;
+    auto waiting = std::exchange(waiting_for_news, {});
+    ledger.catch_up([this, waiting = std::move(waiting)](bool whole) {
+        news_asked = false;
+        for (const auto& it : waiting) {
+            it(whole);
+        }
+        if (!waiting_for_news.empty()) {
+            auto next = std::move(waiting_for_news.back());
+            waiting_for_news.pop_back();
+            catch_up(std::move(next));
+        }
+    });
+}
+
+void node::internal_state::answer_known(std::uint64_t id,
+                                        const client_call& call,
+                                        std::function<void(client_answer)> done)
+{
+    const auto& entry = *board.find(id);
+    if (call.kind == call_kind::status) {
+        done({.kind = answer_kind::state, .state = entry.state()});
+        return;
+    }
+    if (entry.cancelled) {
+        done({.kind = answer_kind::cancelled});
+        return;
+    }
+    if (entry.outcome) {
+        done({.kind = answer_kind::no_such_job,
+              .code = result_code::job_unknown});
+        return;
+    }
+    logging::event(logging::level::info, "cancel",
+                   {{"job", fleet::to_text(id)}});
+    append_for_client(
+        id,
+        {.key = fleet::encode_key(
+             {.kind = fleet::entry_kind::cancellation, .step = {.job = id}}),
+         .value = "1"},
+        call, answer_kind::cancelled, std::move(done));
+}
+
+void node::internal_state::submit(std::uint64_t id, const fleet::queue& queue,
+                                  std::string account, client_call call,
+                                  std::function<void(client_answer)> done)
+{
+    if (!call.job || call.job->steps.empty()) {
+        done({.kind = answer_kind::malformed,
+              .code = result_code::document_field_type});
+        return;
+    }
+    const auto now = boot_clock::now();
+    if (const auto* entry = board.find(id);
+        entry != nullptr && (entry->record || entry->outcome)) {
+        done({.kind = answer_kind::accepted});
+        return;
+    }
+    if (!store_reached(now)) {
+        done({.kind = answer_kind::unavailable,
+              .code = result_code::submission_log_down,
+              .retry_after = store_retry_after});
+        return;
+    }
+    const fleet::job_record record{.id = id,
+                                   .account = std::move(account),
+                                   .acceptor = shutting_down ? std::string{}
+                                                             : options.member,
+                                   .accepted_unix_ms = unix_milliseconds(),
+                                   .queue = queue.policy,
+                                   .spec = std::move(*call.job)};
+    logging::event(logging::level::info, "submit",
+                   {{"job", fleet::to_text(id)},
+                    {"queue", record.queue.name},
+                    {"account", record.account},
+                    {"config", std::to_string(config->version)},
+                    {"steps", std::to_string(record.spec.steps.size())}});
+    append_for_client(id,
+                      {.key = fleet::encode_key({.kind = fleet::entry_kind::job,
+                                                 .step = {.job = id}}),
+                       .value = fleet::encode(record)},
+                      call, answer_kind::accepted, std::move(done));
+}
+
+void node::internal_state::append_for_client(
+    std::uint64_t id, fleet::ledger_entry entry, const client_call& call,
+    answer_kind on_done, std::function<void(client_answer)> done)
+{
+    const auto kept = entry;
+    entries.add(
+        std::move(entry), call.deadline - options.answer_margin,
+        [this, id, kept, on_done, done = std::move(done)](entry_result it) {
+            if (it == entry_result::recorded) {
+                // Taken in before the ledger is read again, so that the
+                // question for advice goes out at once.
+                if (const auto* known = board.find(id);
+                    known == nullptr || !known->outcome) {
+                    on_ledger_record({.key = kept.key, .value = kept.value});
+                    run();
+                }
+                done({.kind = on_done});
+                return;
+            }
+            const bool unknown = it == entry_result::unknown;
+            done({.kind = unknown ? answer_kind::outcome_unknown
+                                  : answer_kind::unavailable,
+                  .code = unknown ? result_code::submission_outcome_unknown
+                                  : result_code::submission_log_down,
+                  .retry_after = store_retry_after});
+        },
+        boot_clock::now());
+}
+
+} // namespace rosemarytrail::cell
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -3,6 +3,9 @@
 
 #include <rosemarytrail/cell/feed_reader.hpp>
 #include <rosemarytrail/cell/node.hpp>
+#include <rosemarytrail/cell/outbox.hpp>
+#include <rosemarytrail/cell/peer_link.hpp>
+#include <rosemarytrail/cell/store_watch.hpp>
 #include <rosemarytrail/fleet/advice_plan.hpp>
 #include <rosemarytrail/fleet/dispatcher.hpp>
 #include <rosemarytrail/fleet/job_board.hpp>
@@ -23,8 +26,9 @@
 struct node::internal_state
 {
     internal_state(const node_options& options_, http::event_loop& loop_,
-                   store& shared_, worker_port& workers_, advice_port& advice_,
-                   const decoder& formats_, metrics::registry& metrics_);
+                   store& shared_, worker_port& workers_, peer_link& peers_,
+                   advice_port& advice_, const decoder& formats_,
+                   metrics::registry& metrics_);
 
     struct ledger_listener final : feed_listener
     {
@@ -73,14 +77,20 @@
 
     node_options options;
     http::event_loop& loop;
-    store& shared;
+    store_watch shared;
     worker_port& workers;
+    peer_link& peers;
     advice_port& advice;
     const decoder& formats;
     metrics::registry& metrics;
+    metrics::code_counters& refusals;
 
+    /** @brief Entries of this node that are not known to be on record. */
+    outbox entries;
     fleet::job_board board;
     std::shared_ptr<const fleet::cell_config> config;
+    /** @brief Newest configuration that a peer has answered by. */
+    std::int64_t peer_config{};
     std::map<std::string, fleet::worker_vm> vms;
     std::vector<fleet::worker_vm> vm_list;
     fleet::advice_plan questions;
@@ -97,13 +107,9 @@
     feed_reader configuration;
     feed_reader directory;
 
-    /** @brief Entry that a client waits for. */
-    struct client_append;
-    /** @brief Entries of clients that are not known to be on record. */
-    std::multimap<std::string, std::shared_ptr<client_append>> awaited;
-    /** @brief How long this node waits for the answer to an append. */
-    duration patience;
-    duration latest_append{};
+    /** @brief Calls that wait for the next read of the ledger. */
+    std::vector<std::function<void(bool)>> waiting_for_news;
+    bool news_asked{false};
 
     std::unique_ptr<leadership> lead;
     /** @brief Grows with each lead; tells late answers of a former one. */
@@ -114,19 +120,20 @@
     bool shutting_down{false};
     bool run_posted{false};
     time_point last_join;
-    time_point store_seen;
     time_point last_cleanup;
 
     std::atomic<bool> ready_flag{false};
     /** @brief Latest tick, in units of `duration`; read by other threads. */
     std::atomic<std::int64_t> last_tick{0};
 
+    [[nodiscard]] static std::int64_t unix_milliseconds();
     void on_ledger_record(const feed_record& record);
     /** @brief Set while the feed's newest records are taken in. */
     bool loading_ledger{false};
     void on_ledger_caught_up();
     void join();
     void list_members();
+    void choose_spacing();
     void on_join(const membership& it, time_point sent);
     void try_lead();
     void take_lead(std::uint64_t epoch, std::int64_t at, time_point sent);
@@ -134,10 +141,7 @@
     void append_batch();
     void on_batch_appended(const append_answer& it, std::uint64_t sequence);
     void batch_recorded();
-    void note_append(bool answered, duration took);
-    void confirm(std::string_view key);
     void send_orders(time_point now);
-    void note_store(time_point sent);
     [[nodiscard]] bool store_reached(time_point now) const;
     void run();
     void run_now();
@@ -151,17 +155,23 @@
                    time_point sent);
     void shut_down();
     void serve(client_call call, std::function<void(client_answer)> done);
+    void catch_up(std::function<void(bool)> done);
     void answer_known(std::uint64_t id, const client_call& call,
                       std::function<void(client_answer)> done);
     void submit(std::uint64_t id, const fleet::queue& queue,
                 std::string account, client_call call,
                 std::function<void(client_answer)> done);
-    void append_for_client(fleet::ledger_entry entry, time_point deadline,
-                           answer_kind on_done,
+    void append_for_client(std::uint64_t id, fleet::ledger_entry entry,
+                           const client_call& call, answer_kind on_done,
                            std::function<void(client_answer)> done);
-    void give_up(const std::shared_ptr<client_append>& it,
-                 const client_answer& answer);
-    void try_append(const std::shared_ptr<client_append>& it);
+    /** @brief Serves a call by what this node itself knows. */
+    void serve_here(client_call call, std::function<void(client_answer)> done);
+    /** @brief Hands a call to the peers that are left, one after another. */
+    void serve_by_peer(client_call call, std::vector<std::string> peers,
+                       std::function<void(client_answer)> done);
+    [[nodiscard]] std::vector<std::string> pick_peers() const;
+    void log_refusal(call_kind kind, std::string_view path,
+                     const client_answer& answer);
 };
 
 } // namespace rosemarytrail::cell
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -2,6 +2,7 @@
 #define ROSEMARYTRAIL_CELL_NODE_HPP
 
 #include <rosemarytrail/cell/client_call.hpp>
+#include <rosemarytrail/cell/peer_link.hpp>
 #include <rosemarytrail/cell/ports.hpp>
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/fleet/dispatcher.hpp>
@@ -20,7 +21,10 @@
 {
     /** @brief Name of the VM. */
     std::string name;
-    /** @brief Name of this incarnation; unique over restarts. */
+    /**
+     * @brief Name of this incarnation, unique over restarts; ends with `@` and
+     * the address at which peers reach it.
+     */
     std::string member;
     fleet::dispatcher_options dispatcher;
     /** @brief A leader silent for longer is replaced. */
@@ -31,20 +35,18 @@
     duration members_period{std::chrono::milliseconds{1000}};
     /** @brief Without news from the store for longer, no calls are taken. */
     duration store_silence{std::chrono::milliseconds{2500}};
+    /** @brief Without news from the store for longer, peers are asked. */
+    duration store_doubt{std::chrono::milliseconds{1300}};
     /** @brief How long the outcome of a job can be asked for. */
     duration outcome_retention{std::chrono::seconds{150}};
     /** @brief Shortest time between two reads of the ledger by a follower. */
-    duration follower_spacing{std::chrono::milliseconds{60}};
+    duration follower_spacing{std::chrono::milliseconds{200}};
     /** @brief Shortest time between two reads of the ledger by the leader. */
-    duration leader_spacing{std::chrono::milliseconds{12}};
+    duration leader_spacing{std::chrono::milliseconds{30}};
     /** @brief Shortest time between two reads of the directory. */
     duration directory_spacing{std::chrono::milliseconds{500}};
     /** @brief Shortest time between two appends of the leader. */
     duration append_spacing{std::chrono::milliseconds{12}};
-    /** @brief Least time before an unanswered append is sent again. */
-    duration append_patience{std::chrono::milliseconds{150}};
-    /** @brief Greatest such time, for a slow store. */
-    duration append_patience_most{std::chrono::milliseconds{1500}};
     /** @brief Pause before an append without effect is sent again. */
     duration append_retry{std::chrono::milliseconds{50}};
     /** @brief Part of a caller's time kept to say that it is unknown. */
@@ -67,13 +69,14 @@
      * @param loop Loop that it runs on; outlives the node.
      * @param shared Store.
      * @param workers Workers.
+     * @param peers Other nodes.
      * @param advice Advice service.
      * @param formats Reads what others write.
      * @param metrics Owns the node's metrics.
      */
     node(const node_options& options, http::event_loop& loop, store& shared,
-         worker_port& workers, advice_port& advice, const decoder& formats,
-         metrics::registry& metrics);
+         worker_port& workers, peer_link& peers, advice_port& advice,
+         const decoder& formats, metrics::registry& metrics);
     node(const node&) = delete;
     node& operator=(const node&) = delete;
     ~node();
--- /dev/null
+++ b/src/rosemarytrail/cell/peer_link.cpp
@@ -0,0 +1,158 @@
+#include <rosemarytrail/cell/peer_link.hpp>
+
+#include <rosemarytrail/cell/node.hpp>
+#include <rosemarytrail/fleet/ledger_codec.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace rosemarytrail::cell {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr const char* call_path = "/peer/call";
+
+class http_peer_link final : public peer_link
+{
+public:
+    explicit http_peer_link(http::client& http)
+        : http_{http}
+    {}
+
+    void forward(std::string_view address, const client_call& call,
+                 duration patience, callback done) override
+    {
+        http_.fetch({.method = "POST",
+                     .url = "http://" + std::string{address} + call_path,
+                     .headers = {{"Content-Type", "application/octet-stream"}},
+                     .body = encode_call(call, boot_clock::now()),
+                     .timeout = patience},
+                    [done = std::move(done)](const http::client_response& it) {
+                        const bool whole =
+                            it.transport == http::transport_result::complete &&
+                            it.answer.status == 200;
+                        done(whole ? decode_answer(it.answer.body)
+                                   : std::nullopt);
+                    });
+    }
+
+private:
+    http::client& http_;
+};
+
+} // namespace
+
+std::string encode_call(const client_call& call, time_point now)
+{
+    json job;
+    if (call.job) {
+        fleet::job_record record;
+        record.spec = *call.job;
+        job = fleet::encode(record);
+    }
+    const json it =
+        json::array({static_cast<int>(call.kind), call.host, call.path,
+                     call.key, std::move(job),
+                     to_milliseconds(call.deadline - now), call.least_config});
+    std::string bytes;
+    json::to_msgpack(it, bytes);
+    return bytes;
+}
+
+std::optional<client_call> decode_call(std::string_view bytes, time_point now)
+{
+    try {
+        const auto it = json::from_msgpack(bytes.begin(), bytes.end());
+        client_call result{
+            .kind = static_cast<call_kind>(it.at(0).get<int>()),
+            .host = it.at(1).get<std::string>(),
+            .path = it.at(2).get<std::string>(),
+            .key = it.at(3).get<std::string>(),
+            .job = std::nullopt,
+            .deadline =
+                now + std::chrono::milliseconds{it.at(5).get<std::int64_t>()},
+            .forwarded = true,
+            .least_config = it.at(6)};
+        if (it.at(4).is_string()) {
+            if (auto record =
+                    fleet::decode_job(it.at(4).get_ref<const std::string&>())) {
+                result.job = std::move(record->spec);
+            }
+        }
+        return result;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string encode_answer(const client_answer& answer)
+{
+    const json it = json::array(
+        {static_cast<int>(answer.kind), static_cast<int>(answer.state),
+         answer.pending, static_cast<int>(answer.code),
+         answer.retry_after ? to_milliseconds(*answer.retry_after) : -1,
+         answer.config});
+    std::string bytes;
+    json::to_msgpack(it, bytes);
+    return bytes;
+}
+
+std::optional<client_answer> decode_answer(std::string_view bytes)
+{
+    try {
+        const auto it = json::from_msgpack(bytes.begin(), bytes.end());
+        client_answer result{
+            .kind = static_cast<answer_kind>(it.at(0).get<int>()),
+            .state = static_cast<fleet::job_state>(it.at(1).get<int>()),
+            .pending = it.at(2),
+            .code = static_cast<result_code>(it.at(3).get<int>()),
+            .retry_after = std::nullopt,
+            .config = it.at(5)};
+        if (const auto ms = it.at(4).get<std::int64_t>(); ms >= 0) {
+            result.retry_after = std::chrono::milliseconds{ms};
+        }
+        return result;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::unique_ptr<peer_link> make_peer_link(http::client& http)
+{
+    return std::make_unique<http_peer_link>(http);
+}
+
+peer_api::peer_api(http::event_loop& loop, node& target)
+    : loop_{loop}
+    , target_{target}
+{}
+
+std::optional<http::response> peer_api::on_head(const http::request& head)
+{
+    constexpr int not_found = 404;
+    if (head.method != "POST" || head.path != call_path) {
+        return http::response{.status = not_found};
+    }
+    return std::nullopt;
+}
+
+void peer_api::on_request(std::shared_ptr<http::exchange> it)
+{
+    constexpr int bad_request = 400;
+    auto call = decode_call(it->incoming().body, boot_clock::now());
+    if (!call) {
+        it->respond({.status = bad_request});
+        return;
+    }
+    loop_.post([this, it = std::move(it), call = std::move(*call)]() mutable {
+        target_.serve(std::move(call),
+                      [it = std::move(it)](const client_answer& done) {
+                          it->respond({.body = encode_answer(done)});
+                      });
+    });
+}
+
+} // namespace rosemarytrail::cell
--- /dev/null
+++ b/src/rosemarytrail/cell/store_watch.cpp
@@ -0,0 +1,48 @@
+#include <rosemarytrail/cell/store_watch.hpp>
+
+#include <utility>
+
+namespace rosemarytrail::cell {
+
+store_watch::store_watch(store& target)
+    : target_{target}
+    , marks_{std::make_shared<marks>()}
+{}
+
+void store_watch::append(append_request request,
+                         std::function<void(append_answer)> done)
+{
+    target_.append(std::move(request), watch(std::move(done)));
+}
+
+void store_watch::read(feed which, std::int64_t from, duration wait,
+                       std::function<void(feed_page)> done)
+{
+    target_.read(which, from, wait, watch(std::move(done)));
+}
+
+void store_watch::newest(feed which, std::string_view after,
+                         std::function<void(newest_page)> done)
+{
+    target_.newest(which, after, watch(std::move(done)));
+}
+
+void store_watch::join(std::string_view member, std::uint64_t generation,
+                       duration lifetime, std::function<void(membership)> done)
+{
+    target_.join(member, generation, lifetime, watch(std::move(done)));
+}
+
+void store_watch::members(
+    std::function<void(std::optional<std::vector<std::string>>)> done)
+{
+    target_.members(std::move(done));
+}
+
+void store_watch::leave(std::string_view member,
+                        std::function<void(store_result)> done)
+{
+    target_.leave(member, std::move(done));
+}
+
+} // namespace rosemarytrail::cell
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -80,6 +80,30 @@
         {.job = job, .what = what, .detail = std::move(detail)});
 }
 
+// Where the time of a job went, step by step, in milliseconds.
+std::string dispatcher::books::story_of(const job_book& job) const
+{
+    const auto span = [](time_point from, time_point to) {
+        return to > from ? std::to_string(to_milliseconds(to - from)) : "0";
+    };
+    auto text = "state " + std::to_string(static_cast<int>(*job.outcome)) +
+                " queue " + job.record.queue.name + " age " +
+                span(job.accepted, last_plan) + " objective " +
+                span(job.accepted, job.objective) + " declared chain " +
+                std::to_string(job.chain_ms);
+    for (const auto& step : job.steps) {
+        if (step.done_at != time_point{}) {
+            text +=
+                "; step " + std::to_string(step.key.step) + " tasks " +
+                std::to_string(step.tasks.size()) + " advice " +
+                span(step.ready_at, step.advised_at) + " room " +
+                span(std::max(step.ready_at, step.advised_at), step.placed_at) +
+                " run " + span(step.placed_at, step.done_at);
+        }
+    }
+    return text;
+}
+
 internal::step_book* dispatcher::books::find_step(const step_key& key)
 {
     const auto it = jobs.find(key.job);
@@ -185,6 +209,7 @@
                        job.steps[first + it].complete();
             });
         if (step.ready) {
+            step.ready_at = last_plan;
             ready.insert(&step);
             replan = true;
         }
@@ -250,6 +275,9 @@
         step.tickets.emplace(row.worker, row.ticket);
     }
     close_question(step);
+    if (step.advised_at == time_point{}) {
+        step.advised_at = last_plan;
+    }
     step.tickets_until = advice.read_at +
                          std::chrono::milliseconds{advice.grant.valid_ms} -
                          options.ticket_margin;
@@ -649,6 +677,8 @@
     if (row.how == run_end::done && !step->spec->long_running) {
         worker.failures_in_a_row = 0;
         worker.failed_jobs.clear();
+        task.done_on = worker.vm.id;
+        task.done_after = now - task.since;
         set_done(*step, index);
         if (step->spec->gang) {
             // One member's end stands for all; the others are listed later.
@@ -660,6 +690,8 @@
             }
         }
         if (step->complete() && !step->job->ended()) {
+            step->done_at = now;
+            learn_speeds(*step);
             ready.erase(step);
             update_ready(*step->job, 0);
         }
@@ -695,6 +727,7 @@
             task->checkpoint = row.checkpoint;
         }
         task->percent = row.percent;
+        note_progress(worker, *step, row, now);
         if (task->phase == task_phase::ordered ||
             task->phase == task_phase::unsure) {
             task->phase = task_phase::running;
@@ -912,8 +945,7 @@
         }
         job->outcome_written = true;
         open.finished.push_back(id);
-        state.note(id, "ended",
-                   "state " + std::to_string(static_cast<int>(*job->outcome)));
+        state.note(id, "ended", state.story_of(*job));
     }
     state.finished.clear();
     for (auto& [id, worker] : state.workers) {
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -56,6 +56,9 @@
     std::optional<time_point> stop_acknowledged;
     std::int32_t percent{};
     std::uint32_t pace{100};
+    /** @brief Worker and length of the run that ended well. */
+    std::string done_on;
+    duration done_after{};
     /** @brief Worker of the latest failed run, avoided by the next. */
     std::string failed_on;
 
@@ -88,6 +91,11 @@
     std::string asked_of;
     /** @brief Tasks may be placed from here on. */
     bool ready{false};
+    /** @brief When it became ready, had tickets, was placed and was done. */
+    time_point ready_at;
+    time_point advised_at;
+    time_point placed_at;
+    time_point done_at;
 
     [[nodiscard]] bool complete() const noexcept
     {
@@ -153,6 +161,8 @@
     std::set<std::uint64_t> failed_jobs;
     std::uint32_t failures_in_a_row{};
     time_point quarantined_until;
+    /** @brief How much longer than their siblings its tasks take. */
+    double slowness{1.0};
     std::uint32_t scavenger_pace{100};
     time_point pace_changed;
 
@@ -250,6 +260,12 @@
                     std::string_view cause);
     [[nodiscard]] std::int64_t lease_end(worker_book& worker, time_point now);
     void note(std::uint64_t job, std::string_view what, std::string detail);
+    [[nodiscard]] std::string story_of(const job_book& job) const;
+
+    // internal/worker_speed.cpp
+    void learn_speeds(const step_book& step);
+    void note_progress(worker_book& worker, const step_book& step,
+                       const running_row& row, time_point now);
 
     // internal/advice_desk.cpp
     void plan_questions(time_point now);
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -26,6 +26,26 @@
                       latest_start, step.key};
 }
 
+/**
+ * @brief Ranks workers by speed for a step.
+ *
+ * Urgent steps take the fast workers; the others leave these to them, as long
+ * as the slow ones are not so slow that they ail.
+ */
+[[nodiscard]] int speed_rank(const internal::worker_book& worker,
+                             const step_book& step)
+{
+    constexpr double ailing = 1.6;
+    constexpr double per_rank = 0.1;
+    constexpr int ailing_rank = 1000;
+    const int rank = static_cast<int>((worker.slowness - 1.0) / per_rank);
+    if (worker.slowness > ailing) {
+        return ailing_rank + rank;
+    }
+    const bool urgent = step.job->record.queue.priority == 0;
+    return urgent ? std::max(rank, 0) : -std::max(rank, 0);
+}
+
 } // namespace
 
 bool internal::more_urgent(const step_book& a, const step_book& b,
@@ -73,7 +93,7 @@
     const auto need = spec.reserved();
     const auto& failed_on = step.tasks[index].failed_on;
     worker_book* best = nullptr;
-    std::tuple<bool, bool, std::int64_t> best_rank;
+    std::tuple<bool, bool, int, std::int64_t> best_rank;
     const auto consider = [&](worker_book& it) {
         if (!is_usable(it, step, now) || !need.fits(it.available())) {
             return;
@@ -90,9 +110,10 @@
         // The tightest fit keeps whole workers free for wide tasks; a
         // scavenger goes where most is idle.
         const auto left = it.available().cpu_millis - need.cpu_millis;
-        const std::tuple rank{
-            !spec.data_rack.empty() && it.vm.rack != spec.data_rack,
-            it.vm.id == failed_on, spec.scavenger ? -left : left};
+        const std::tuple rank{!spec.data_rack.empty() &&
+                                  it.vm.rack != spec.data_rack,
+                              it.vm.id == failed_on, speed_rank(it, step),
+                              spec.scavenger ? -left : left};
         if (best == nullptr || rank < best_rank) {
             best = &it;
             best_rank = rank;
@@ -120,6 +141,9 @@
     task.phase = task_phase::placed;
     task.since = now;
     ++task.run;
+    if (step.waiting == 0 && step.placed_at == time_point{}) {
+        step.placed_at = now;
+    }
     take_room(step, index, worker.vm.id);
     mark_dirty(step);
     placed.push_back({.step = step.key, .index = index});
--- /dev/null
+++ b/test/cell/outbox.cpp
@@ -0,0 +1,132 @@
+#include <rosemarytrail/cell/outbox.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <map>
+
+namespace rosemarytrail::cell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** @brief Store whose appends are answered by the test. */
+class held_store final : public store
+{
+public:
+    std::deque<std::pair<append_request, std::function<void(append_answer)>>>
+        appends;
+
+    void answer(store_result it)
+    {
+        auto [request, done] = std::move(appends.front());
+        appends.pop_front();
+        done({.result = it, .expected_sequence = std::nullopt});
+    }
+
+    void append(append_request request,
+                std::function<void(append_answer)> done) override
+    {
+        appends.emplace_back(std::move(request), std::move(done));
+    }
+    void read(feed, std::int64_t, duration,
+              std::function<void(feed_page)>) override
+    {}
+    void newest(feed, std::string_view,
+                std::function<void(newest_page)>) override
+    {}
+    void join(std::string_view, std::uint64_t, duration,
+              std::function<void(membership)>) override
+    {}
+    void members(
+        std::function<void(std::optional<std::vector<std::string>>)>) override
+    {}
+    void leave(std::string_view, std::function<void(store_result)>) override {}
+};
+
+struct fixture
+{
+    held_store shared;
+    outbox entries{{}, shared};
+    std::map<std::string, entry_result> results;
+    time_point start{boot_clock::now()};
+
+    void add(const std::string& key, duration time)
+    {
+        entries.add(
+            {.key = key, .value = "v"}, start + time,
+            [this, key](entry_result it) { results.emplace(key, it); }, start);
+    }
+};
+
+} // namespace
+
+TEST_CASE("Entries that wait go out in one append", "[outbox]")
+{
+    fixture it;
+    for (const auto* key : {"a", "b", "c", "d"}) {
+        it.add(key, 1h);
+    }
+    REQUIRE(it.shared.appends.size() == 2);
+    it.shared.answer(store_result::done);
+    REQUIRE(it.shared.appends.size() == 2);
+    CHECK(it.shared.appends.back().first.entries.size() == 2);
+    it.shared.answer(store_result::done);
+    it.shared.answer(store_result::done);
+    CHECK(it.results.size() == 4);
+}
+
+TEST_CASE("An entry without an answer is never called refused", "[outbox]")
+{
+    fixture it;
+    it.add("a", 1h);
+    it.shared.answer(store_result::unknown);
+    REQUIRE(it.shared.appends.size() == 1);
+    it.shared.answer(store_result::refused);
+    CHECK(it.results.empty());
+    it.entries.run(it.start + 2h);
+    CHECK(it.results.at("a") == entry_result::unknown);
+}
+
+TEST_CASE("An entry under way at its deadline may be on record", "[outbox]")
+{
+    fixture it;
+    it.add("a", 1s);
+    it.entries.run(it.start + 2s);
+    CHECK(it.results.at("a") == entry_result::unknown);
+    it.shared.answer(store_result::done);
+    CHECK(it.results.size() == 1);
+}
+
+TEST_CASE("An entry that was never sent is refused at its deadline", "[outbox]")
+{
+    fixture it;
+    it.add("a", 1h);
+    it.add("b", 1h);
+    it.add("c", 1s);
+    it.entries.run(it.start + 2s);
+    CHECK(it.results.at("c") == entry_result::refused);
+}
+
+TEST_CASE("An entry read back from the ledger is recorded", "[outbox]")
+{
+    fixture it;
+    it.add("a", 1h);
+    it.entries.confirm("a");
+    CHECK(it.results.at("a") == entry_result::recorded);
+}
+
+TEST_CASE("Patience grows with a slow store and shrinks again", "[outbox]")
+{
+    fixture it;
+    const auto first = it.entries.patience();
+    it.entries.learn(false, {});
+    CHECK(it.entries.patience() == 2 * first);
+    it.entries.learn(true, 300ms);
+    CHECK(it.entries.patience() == 1200ms);
+    it.entries.learn(true, 5ms);
+    CHECK(it.entries.patience() == first);
+}
+
+} // namespace rosemarytrail::cell
--- /dev/null
+++ b/test/cell/peer_link.cpp
@@ -0,0 +1,50 @@
+#include <rosemarytrail/cell/peer_link.hpp>
+
+#include <catch2/catch.hpp>
+
+namespace rosemarytrail::cell {
+
+namespace {
+
+using namespace std::chrono_literals;
+constexpr time_point now{std::chrono::seconds{50}};
+
+} // namespace
+
+TEST_CASE("A call survives the way to a peer", "[peer]")
+{
+    client_call call{
+        .kind = call_kind::submit,
+        .host = "h",
+        .path = "/p/1",
+        .key = "k",
+        .job = fleet::job_spec{.payload = "x", .steps = {{.tasks = 3}}},
+        .deadline = now + 700ms,
+        .least_config = 9};
+    const auto other_clock = now + 1h;
+    const auto it = decode_call(encode_call(call, now), other_clock);
+    REQUIRE(it);
+    CHECK(it->kind == call_kind::submit);
+    CHECK(it->job->steps[0].tasks == 3);
+    CHECK(it->deadline == other_clock + 700ms);
+    CHECK(it->forwarded);
+    CHECK(it->least_config == 9);
+    CHECK_FALSE(decode_call("\xc1", now));
+}
+
+TEST_CASE("An answer survives the way back", "[peer]")
+{
+    const client_answer answer{.kind = answer_kind::state,
+                               .state = fleet::job_state::completed,
+                               .code = result_code::ok,
+                               .retry_after = 1s,
+                               .config = 7};
+    const auto it = decode_answer(encode_answer(answer));
+    REQUIRE(it);
+    CHECK(it->state == fleet::job_state::completed);
+    CHECK(it->retry_after == duration{1s});
+    CHECK(it->config == 7);
+    CHECK_FALSE(decode_answer("zz"));
+}
+
+} // namespace rosemarytrail::cell
