Turn away an account's excess while the queue is long; help with short advice

Changes: a job's record says whether its account is beyond its share (weight in jobs a second, three seconds at once); such jobs come last, and are refused with a time to come back when the queue is longer than their slack. Nodes without a long question help with short ones, and the leader gives out fewer long ones while short ones wait.

Ruled out: room (0.1 s of 4 s); fewer workers a question (saves a quarter).

Replays of the load in test/fleet/admission.cpp.

--- a/src/rosemarytrail/cell/client_call.hpp
+++ b/src/rosemarytrail/cell/client_call.hpp
@@ -56,6 +56,8 @@
     malformed,
     /** @brief Not run; the caller may come back. */
     unavailable,
+    /** @brief Not run: the account sends more than its share. */
+    too_many,
     /** @brief The call may have taken effect. */
     outcome_unknown
 };
--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -1,5 +1,6 @@
 #include <rosemarytrail/cell/internal/node_state.hpp>
 
+#include <rosemarytrail/fleet/admission.hpp>
 #include <rosemarytrail/logging/event_log.hpp>
 
 #include <algorithm>
@@ -16,6 +17,9 @@
 /** @brief Least time for a peer to answer. */
 constexpr duration peer_patience{std::chrono::milliseconds{700}};
 
+/** @brief Over which a queue's drain is measured. */
+constexpr duration drain_window{std::chrono::seconds{3}};
+
 } // namespace
 
 void node::internal_state::serve(client_call call,
@@ -99,6 +103,36 @@
         });
 }
 
+double
+node::internal_state::weight_of(const std::string& account) const
+{
+    if (!config) {
+        return 0;
+    }
+    const auto it = config->accounts.find(account);
+    return it == config->accounts.end() ? 0 : it->second.weight;
+}
+
+std::optional<duration>
+node::internal_state::turned_away(const fleet::job_record& record,
+                                  time_point now)
+{
+    if (!record.beyond_share) {
+        return std::nullopt;
+    }
+    auto& times = begun[record.queue.name];
+    while (!times.empty() && now - times.front() > drain_window) {
+        times.pop_front();
+    }
+    const std::chrono::duration<double> window = drain_window;
+    return fleet::turned_away(
+        {.beyond_share = true,
+         .pending = board.pending(record.queue.name),
+         .begun_per_s = static_cast<double>(times.size()) / window.count(),
+         .slack = std::chrono::milliseconds{record.queue.target_latency_ms},
+         .job = record.id});
+}
+
 void node::internal_state::log_refusal(call_kind kind, std::string_view path,
                                        const client_answer& answer)
 {
@@ -267,13 +301,21 @@
               .retry_after = store_retry_after});
         return;
     }
-    const fleet::job_record record{.id = id,
-                                   .account = std::move(account),
-                                   .acceptor = shutting_down ? std::string{}
-                                                             : options.member,
-                                   .accepted_unix_ms = unix_milliseconds(),
-                                   .queue = queue.policy,
-                                   .spec = std::move(*call.job)};
+    fleet::job_record record{
+        .id = id,
+        .account = std::move(account),
+        .acceptor = shutting_down ? std::string{} : options.member,
+        .accepted_unix_ms = unix_milliseconds(),
+        .queue = queue.policy,
+        .spec = std::move(*call.job)};
+    record.beyond_share =
+        shares.beyond(record.account, weight_of(record.account), now);
+    if (const auto after = turned_away(record, now)) {
+        done({.kind = answer_kind::too_many,
+              .code = result_code::account_over_limit,
+              .retry_after = after});
+        return;
+    }
     logging::event(logging::level::info, "submit",
                    {{"job", fleet::to_text(id)},
                     {"queue", record.queue.name},
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -9,6 +9,7 @@
 #include <rosemarytrail/fleet/advice_plan.hpp>
 #include <rosemarytrail/fleet/dispatcher.hpp>
 #include <rosemarytrail/fleet/job_board.hpp>
+#include <rosemarytrail/fleet/share_meter.hpp>
 
 #include <atomic>
 #include <cstdint>
@@ -89,6 +90,9 @@
     outbox entries;
     fleet::job_board board;
     std::shared_ptr<const fleet::cell_config> config;
+    fleet::share_meter shares;
+    /** @brief When jobs of a queue began lately, to know its drain. */
+    std::map<std::string, std::deque<time_point>> begun;
     /** @brief Newest configuration that a peer has answered by. */
     std::int64_t peer_config{};
     std::map<std::string, fleet::worker_vm> vms;
@@ -130,6 +134,8 @@
     void on_ledger_record(const feed_record& record);
     /** @brief Set while the feed's newest records are taken in. */
     bool loading_ledger{false};
+    [[nodiscard]] const fleet::job_entry*
+    about_job(std::string_view key) const;
     void on_ledger_caught_up();
     void join();
     void list_members();
@@ -170,6 +176,11 @@
     void serve_by_peer(client_call call, std::vector<std::string> peers,
                        std::function<void(client_answer)> done);
     [[nodiscard]] std::vector<std::string> pick_peers() const;
+    [[nodiscard]] double weight_of(const std::string& account) const;
+    void note_job_entry(const fleet::entry_key& about, bool new_job,
+                        bool had_started, time_point now);
+    [[nodiscard]] std::optional<duration>
+    turned_away(const fleet::job_record& record, time_point now);
     void log_refusal(call_kind kind, std::string_view path,
                      const client_answer& answer);
 };
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -128,6 +128,9 @@
 void node::internal_state::on_ledger_record(const feed_record& record)
 {
     const auto now = boot_clock::now();
+    const auto* before = about_job(record.key);
+    const bool new_job = before == nullptr || !before->record;
+    const bool had_started = before != nullptr && before->has_started();
     const auto about = board.apply(
         record.key,
         record.value ? std::optional<std::string_view>{*record.value}
@@ -144,6 +147,7 @@
         return;
     }
     entries.confirm(record.key);
+    note_job_entry(*about, new_job, had_started, now);
     if (about->kind == fleet::entry_kind::question) {
         if (record.value && !loading_ledger) {
             on_question(about->step, *record.value);
@@ -179,6 +183,30 @@
     }
 }
 
+const fleet::job_entry*
+node::internal_state::about_job(std::string_view key) const
+{
+    const auto about = fleet::decode_key(key);
+    return about ? board.find(about->step.job) : nullptr;
+}
+
+void node::internal_state::note_job_entry(const fleet::entry_key& about,
+                                          bool new_job, bool had_started,
+                                          time_point now)
+{
+    const auto* entry = board.find(about.step.job);
+    if (loading_ledger || entry == nullptr || !entry->record) {
+        return;
+    }
+    const auto& record = *entry->record;
+    if (about.kind == fleet::entry_kind::job && new_job) {
+        shares.note(record.account, weight_of(record.account), now);
+    } else if (about.kind == fleet::entry_kind::progress && !had_started &&
+               entry->has_started()) {
+        begun[record.queue.name].push_back(now);
+    }
+}
+
 void node::internal_state::on_ledger_caught_up()
 {
     try_lead();
--- a/src/rosemarytrail/fleet/advice_plan.cpp
+++ b/src/rosemarytrail/fleet/advice_plan.cpp
@@ -99,8 +99,8 @@
     asked_until_[step] = until;
 }
 
-bool advice_plan::due(const job_entry& entry, const step_key& key, bool own,
-                      time_point now)
+bool advice_plan::due(const job_entry& entry, const step_key& key,
+                      duration patience, time_point now)
 {
     if (const auto it = asked_until_.find(key);
         it != asked_until_.end() && it->second > now) {
@@ -112,7 +112,7 @@
         return false;
     }
     const auto since = near_since_.try_emplace(key, now).first->second;
-    if (!own && now - since < options_.patience) {
+    if (now - since < patience) {
         return false;
     }
     // Declared durations are off by half, so the question comes early.
@@ -136,6 +136,33 @@
     return lapses - cost - options_.renewal_margin <= now;
 }
 
+// The node that a job's questions fall to asks at once; nodes that are free of
+// long questions help in an order of their own for each job; the leader asks for
+// jobs whose node is silent.
+std::optional<duration>
+advice_plan::patience_for(const job_record& record,
+                          std::span<const std::string> members,
+                          bool leading) const
+{
+    const auto owner = short_advice_node(members, options_.long_share, record);
+    if (!owner) {
+        return leading ? std::optional{duration{}} : std::nullopt;
+    }
+    if (*owner == options_.member) {
+        return duration{};
+    }
+    const auto helpers = long_advice_nodes(members, options_.long_share);
+    const auto self = std::ranges::find(helpers, options_.member);
+    if (self != helpers.end()) {
+        const auto place =
+            (static_cast<std::size_t>(self - helpers.begin()) +
+             step_hash(record.id)) %
+            helpers.size();
+        return options_.help_after * static_cast<int>(place + 1);
+    }
+    return leading ? std::optional{options_.patience} : std::nullopt;
+}
+
 std::optional<advice_question>
 advice_plan::next(const job_board& board, std::span<const worker_vm> workers,
                   std::span<const std::string> members, bool leading,
@@ -144,27 +171,26 @@
     const step_key* best = nullptr;
     step_key best_key;
     const job_entry* best_entry = nullptr;
-    std::tuple<std::int32_t, std::int64_t> best_rank;
+    std::tuple<bool, std::int32_t, std::int64_t> best_rank;
     board.each_live([&](std::uint64_t id, const job_entry& entry) {
         const auto& record = *entry.record;
         if (!record.queue.advice ||
             record.queue.advice->base_ms > options_.long_ms) {
             return;
         }
-        const auto owner =
-            short_advice_node(members, options_.long_share, record);
-        const bool own = owner ? *owner == options_.member : leading;
-        if (entry.cancelled || (!own && !leading)) {
+        const auto patience = patience_for(record, members, leading);
+        if (entry.cancelled || !patience) {
             return;
         }
-        const std::tuple rank{record.queue.priority, record.accepted_unix_ms};
+        const std::tuple rank{record.beyond_share, record.queue.priority,
+                              record.accepted_unix_ms};
         if (best != nullptr && !(rank < best_rank)) {
             return;
         }
         for (std::uint32_t n = 0; n < record.spec.rounds(); ++n) {
             for (std::uint32_t i = 0; i < record.spec.steps.size(); ++i) {
                 const step_key key{.job = id, .occurrence = n, .step = i};
-                if (due(entry, key, own, now)) {
+                if (due(entry, key, *patience, now)) {
                     best_key = key;
                     best = &best_key;
                     best_entry = &entry;
--- a/src/rosemarytrail/fleet/advice_plan.hpp
+++ b/src/rosemarytrail/fleet/advice_plan.hpp
@@ -32,6 +32,9 @@
     std::size_t most_workers{100};
     /** @brief Another node's step without advice is asked for after this. */
     duration patience{std::chrono::milliseconds{1200}};
+    /** @brief A node that has no long question helps after this, times its
+     * place in the order of helpers. */
+    duration help_after{std::chrono::milliseconds{50}};
     /** @brief Tickets are renewed this long before they lapse. */
     duration renewal_margin{std::chrono::milliseconds{150}};
     /** @brief A question that takes longer counts as long. */
@@ -109,8 +112,11 @@
     void asked(const step_key& step, time_point until);
 
 private:
+    [[nodiscard]] std::optional<duration>
+    patience_for(const job_record& record,
+                 std::span<const std::string> members, bool leading) const;
     [[nodiscard]] bool due(const job_entry& entry, const step_key& key,
-                           bool own, time_point now);
+                           duration patience, time_point now);
 
     advice_plan_options options_;
     std::map<step_key, time_point> asked_until_;
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -16,9 +16,6 @@
 using internal::task_phase;
 using internal::worker_book;
 
-/** @brief Jobs that an account may send at once beyond its rate. */
-constexpr double share_burst_s = 3.0;
-
 /** @return Longest chain of declared work through the steps. */
 [[nodiscard]] std::int64_t longest_chain(const job_spec& spec)
 {
@@ -216,35 +213,6 @@
     }
 }
 
-// Sorts bursts of one account behind the others: what it sends beyond its
-// weight a second is served once nothing else waits.
-void dispatcher::books::note_share(job_book& job, time_point now)
-{
-    if (!config || job.record.account.empty()) {
-        return;
-    }
-    const auto it = config->accounts.find(job.record.account);
-    if (it == config->accounts.end() || it->second.weight <= 0) {
-        return;
-    }
-    auto& account = accounts[job.record.account];
-    const double limit = it->second.weight * share_burst_s;
-    if (!account.started) {
-        account.started = true;
-        account.tokens = limit;
-        account.refilled = now;
-    }
-    const double passed_s =
-        static_cast<double>((now - account.refilled).count()) / 1e6;
-    account.tokens =
-        std::min(limit, account.tokens + passed_s * it->second.weight);
-    account.refilled = now;
-    job.beyond_share = account.tokens < 1.0;
-    if (!job.beyond_share) {
-        account.tokens -= 1.0;
-    }
-}
-
 void dispatcher::books::inherit(step_book& step,
                                 const std::vector<task_progress>& rows,
                                 time_point now)
@@ -303,7 +271,7 @@
         job.record.queue.slack_factor * static_cast<double>(job.chain_ms) +
         static_cast<double>(job.record.queue.target_latency_ms));
     job.objective = job.accepted + std::chrono::milliseconds{objective_ms};
-    note_share(job, now);
+    job.beyond_share = job.record.beyond_share;
     job.steps.resize(spec.steps.size() * spec.rounds());
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
         auto& step = job.steps[i];
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -49,6 +49,8 @@
     double long_advice_ms{100};
     /** @brief Part of the nodes that ask the long questions. */
     double long_advice_share{0.6};
+    /** @brief Short questions should not wait for longer than this. */
+    duration short_advice_wait{std::chrono::milliseconds{250}};
     /** @brief Questions that one node has before it at a time. */
     std::size_t questions_per_node{2};
     /** @brief Waiting steps whose tickets are renewed also without room. */
--- a/src/rosemarytrail/fleet/internal/advice_desk.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_desk.cpp
@@ -94,12 +94,33 @@
     });
 }
 
+// Answers bursts of jobs with short questions: these are worth far more for the
+// time that they take, so nodes are left free for them as their backlog grows.
+std::size_t dispatcher::books::long_nodes_now(time_point now) const
+{
+    const auto usual =
+        long_advice_nodes(members, options.long_advice_share).size();
+    duration backlog{};
+    for (const auto* step : ready) {
+        const auto& policy = step->job->record.queue.advice;
+        if (step->waiting > 0 && !step->job->ended() && policy &&
+            policy->base_ms <= options.long_advice_ms &&
+            step->tickets_until <= now) {
+            backlog += cost_of(*policy, workers.size());
+        }
+    }
+    const auto needed = static_cast<std::size_t>(
+        backlog / options.short_advice_wait);
+    const auto left = members.size() > needed ? members.size() - needed : 0;
+    return std::clamp<std::size_t>(left, 1, std::max<std::size_t>(usual, 1));
+}
+
 void dispatcher::books::plan_questions(time_point now)
 {
-    const auto pool = long_advice_nodes(members, options.long_advice_share);
-    if (pool.empty()) {
+    if (members.empty()) {
         return;
     }
+    const auto pool = std::span{members}.first(long_nodes_now(now));
     std::vector<step_book*> order;
     for (auto& [id, job] : jobs) {
         const auto& policy = job->record.queue.advice;
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -181,13 +181,10 @@
     using job_book = internal::job_book;
     using worker_book = internal::worker_book;
 
-    /** @brief Jobs a second of an account, for its share. */
+    /** @brief What a client account has running. */
     struct account_book
     {
         room used;
-        double tokens{};
-        time_point refilled;
-        bool started{false};
     };
 
     dispatcher_options options;
@@ -232,7 +229,6 @@
     void add_job(const job_entry& entry, time_point now, std::int64_t unix_ms);
     void inherit(step_book& step, const std::vector<task_progress>& rows,
                  time_point now);
-    void note_share(job_book& job, time_point now);
     void take_advice(step_book& step, const seen_advice& advice);
     void mark_dirty(step_book& step);
     void take_room(step_book& step, std::uint32_t index,
@@ -270,6 +266,7 @@
     // internal/advice_desk.cpp
     void plan_questions(time_point now);
     void close_question(step_book& step);
+    [[nodiscard]] std::size_t long_nodes_now(time_point now) const;
     [[nodiscard]] bool wants_advice(const step_book& step, std::size_t rank,
                                     time_point now) const;
     [[nodiscard]] bool nearly_ready(const step_book& step, duration ahead,
--- a/src/rosemarytrail/fleet/job.hpp
+++ b/src/rosemarytrail/fleet/job.hpp
@@ -160,6 +160,8 @@
     /** @brief Node that asks for advice; empty leaves that to the leader. */
     std::string acceptor;
     std::int64_t accepted_unix_ms{};
+    /** @brief Its account had sent more than its share. */
+    bool beyond_share{false};
     queue_policy queue;
     job_spec spec;
 };
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -171,7 +171,7 @@
     return pack(json::array(
         {it.id, it.account, it.acceptor, it.accepted_unix_ms,
          pack_queue(it.queue), it.spec.payload, std::move(steps),
-         it.spec.occurrences, it.spec.first_due_ms, it.spec.interval_ms}));
+         it.spec.occurrences, it.spec.first_due_ms, it.spec.interval_ms, it.beyond_share}));
 }
 
 std::string encode(std::span<const task_progress> it)
@@ -249,6 +249,7 @@
                           .account = it.at(1).get<std::string>(),
                           .acceptor = it.at(2).get<std::string>(),
                           .accepted_unix_ms = it.at(3),
+                          .beyond_share = it.at(10),
                           .queue = read_queue(it.at(4)),
                           .spec = {.payload = it.at(5).get<std::string>(),
                                    .steps = {},
--- /dev/null
+++ b/test/fleet/admission.cpp
@@ -0,0 +1,115 @@
+#include <rosemarytrail/fleet/admission.hpp>
+#include <rosemarytrail/fleet/advice_plan.hpp>
+#include <rosemarytrail/fleet/share_meter.hpp>
+
+#include <catch2/catch.hpp>
+
+namespace rosemarytrail::fleet {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr time_point start{std::chrono::seconds{100}};
+
+/** @brief Account that sends a number of jobs a second for a while. */
+struct burst_replay
+{
+    std::size_t taken{};
+    std::size_t refused{};
+    std::size_t beyond{};
+};
+
+/**
+ * @brief Replays one account at a multiple of its weight against a queue that
+ * drains at a fixed rate.
+ */
+[[nodiscard]] burst_replay replay(double weight, double sent_per_s,
+                                  double drain_per_s, int seconds)
+{
+    burst_replay result;
+    share_meter shares;
+    double pending = 0;
+    const int n = static_cast<int>(sent_per_s * seconds);
+    for (int i = 0; i < n; ++i) {
+        const auto now = start + std::chrono::duration_cast<duration>(
+                                     std::chrono::duration<double>{
+                                         i / sent_per_s});
+        pending = std::max(0.0, pending - drain_per_s / sent_per_s);
+        const bool beyond = shares.beyond("a", weight, now);
+        result.beyond += beyond ? 1 : 0;
+        const auto after =
+            turned_away({.beyond_share = beyond,
+                         .pending = static_cast<std::size_t>(pending),
+                         .begun_per_s = drain_per_s,
+                         .slack = 250ms,
+                         .job = static_cast<std::uint64_t>(i)});
+        if (after) {
+            ++result.refused;
+            continue;
+        }
+        shares.note("a", weight, now);
+        ++result.taken;
+        ++pending;
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("An account within its share is never turned away", "[admission]")
+{
+    const auto it = replay(10, 9, 1, 20);
+    CHECK(it.refused == 0);
+    CHECK(it.beyond == 0);
+}
+
+TEST_CASE("The excess of an account at five times its share is turned away",
+          "[admission]")
+{
+    const auto it = replay(4, 20, 6, 10);
+    CHECK(it.refused > 100);
+    // What the queue can carry is still taken.
+    CHECK(it.taken >= 60);
+}
+
+TEST_CASE("Excess is taken while the queue is short", "[admission]")
+{
+    const auto it = replay(4, 20, 40, 10);
+    CHECK(it.refused == 0);
+    CHECK(it.beyond > 0);
+}
+
+TEST_CASE("Refused callers are told to return at different times",
+          "[admission]")
+{
+    const auto after = [](std::uint64_t job) {
+        return *turned_away({.beyond_share = true,
+                             .pending = 100,
+                             .begun_per_s = 20,
+                             .slack = 250ms,
+                             .job = job});
+    };
+    CHECK(after(1) >= 5s);
+    CHECK(after(1'000'000) - after(0) >= 900ms);
+    CHECK(after(2'999'999) <= 8s);
+}
+
+TEST_CASE("Short and long questions fall to different nodes", "[advice]")
+{
+    const std::vector<std::string> members{"a", "b", "c", "d", "e", "f"};
+    const auto long_nodes = long_advice_nodes(members, 0.6);
+    CHECK(long_nodes.size() == 4);
+    job_record record{.id = 7, .acceptor = "e"};
+    CHECK(short_advice_node(members, 0.6, record) == "e");
+    record.acceptor = members.front();
+    const auto node = short_advice_node(members, 0.6, record);
+    REQUIRE(node);
+    CHECK((*node == "e" || *node == "f"));
+    const std::vector<std::string> one{"a"};
+    CHECK(long_advice_nodes(one, 0.6).size() == 1);
+    CHECK(short_advice_node(one, 0.6, record) == "a");
+    CHECK_FALSE(short_advice_node({}, 0.6, record));
+}
+
+} // namespace rosemarytrail::fleet
