Record silent workers so that a successor need not wait out their leader

Change: a fenced worker's lease counts from the fence; a worker that misses two holds is recorded as renewed no longer, and a successor waits one lease from that record instead of a leader's news and a lease.

Ruled out: the directory (the worker was unlisted within 0.6 s everywhere).

Two new cases failed before.

--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -103,8 +103,7 @@
         });
 }
 
-double
-node::internal_state::weight_of(const std::string& account) const
+double node::internal_state::weight_of(const std::string& account) const
 {
     if (!config) {
         return 0;
@@ -301,13 +300,13 @@
               .retry_after = store_retry_after});
         return;
     }
-    fleet::job_record record{
-        .id = id,
-        .account = std::move(account),
-        .acceptor = shutting_down ? std::string{} : options.member,
-        .accepted_unix_ms = unix_milliseconds(),
-        .queue = queue.policy,
-        .spec = std::move(*call.job)};
+    fleet::job_record record{.id = id,
+                             .account = std::move(account),
+                             .acceptor =
+                                 shutting_down ? std::string{} : options.member,
+                             .accepted_unix_ms = unix_milliseconds(),
+                             .queue = queue.policy,
+                             .spec = std::move(*call.job)};
     record.beyond_share =
         shares.beyond(record.account, weight_of(record.account), now);
     if (const auto after = turned_away(record, now)) {
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -134,8 +134,7 @@
     void on_ledger_record(const feed_record& record);
     /** @brief Set while the feed's newest records are taken in. */
     bool loading_ledger{false};
-    [[nodiscard]] const fleet::job_entry*
-    about_job(std::string_view key) const;
+    [[nodiscard]] const fleet::job_entry* about_job(std::string_view key) const;
     void on_ledger_caught_up();
     void join();
     void list_members();
--- a/src/rosemarytrail/fleet/admission.cpp
+++ b/src/rosemarytrail/fleet/admission.cpp
@@ -22,9 +22,9 @@
         return std::nullopt;
     }
     const double drain = std::max(view.begun_per_s, least_drain_per_s);
-    const auto wait = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>{static_cast<double>(view.pending) /
-                                      drain});
+    const auto wait =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>{
+            static_cast<double>(view.pending) / drain});
     if (wait < view.slack) {
         return std::nullopt;
     }
--- a/src/rosemarytrail/fleet/advice_plan.cpp
+++ b/src/rosemarytrail/fleet/advice_plan.cpp
@@ -137,8 +137,8 @@
 }
 
 // The node that a job's questions fall to asks at once; nodes that are free of
-// long questions help in an order of their own for each job; the leader asks for
-// jobs whose node is silent.
+// long questions help in an order of their own for each job; the leader asks
+// for jobs whose node is silent.
 std::optional<duration>
 advice_plan::patience_for(const job_record& record,
                           std::span<const std::string> members,
@@ -154,10 +154,9 @@
     const auto helpers = long_advice_nodes(members, options_.long_share);
     const auto self = std::ranges::find(helpers, options_.member);
     if (self != helpers.end()) {
-        const auto place =
-            (static_cast<std::size_t>(self - helpers.begin()) +
-             step_hash(record.id)) %
-            helpers.size();
+        const auto place = (static_cast<std::size_t>(self - helpers.begin()) +
+                            step_hash(record.id)) %
+                           helpers.size();
         return options_.help_after * static_cast<int>(place + 1);
     }
     return leading ? std::optional{options_.patience} : std::nullopt;
--- a/src/rosemarytrail/fleet/advice_plan.hpp
+++ b/src/rosemarytrail/fleet/advice_plan.hpp
@@ -113,8 +113,8 @@
 
 private:
     [[nodiscard]] std::optional<duration>
-    patience_for(const job_record& record,
-                 std::span<const std::string> members, bool leading) const;
+    patience_for(const job_record& record, std::span<const std::string> members,
+                 bool leading) const;
     [[nodiscard]] bool due(const job_entry& entry, const step_key& key,
                            duration patience, time_point now);
 
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -52,22 +52,29 @@
 // worker, and only while its news is fresh; its news ends at the next claim.
 void dispatcher::books::set_wait_out(const job_board& board, time_point now)
 {
-    const auto longest = options.renewal_bound +
-                         std::chrono::duration_cast<duration>(
-                             options.lease * (1 + options.clock_drift)) +
-                         options.lease_margin;
     for (auto& [id, it] : workers) {
         const auto known = board.workers().find(id);
         if (known == board.workers().end()) {
             it.lease_until = now;
             continue;
         }
-        it.vm.address = known->second.address;
-        const auto claimed = board.claimed_by(known->second.epoch + 1);
-        it.lease_until = claimed.value_or(now) + longest;
+        const auto& [record, read_at] = known->second;
+        it.vm.address = record.address;
+        it.lease_until =
+            record.renewing ? board.claimed_by(record.epoch + 1).value_or(now) +
+                                  options.renewal_bound + longest_lease()
+                            : read_at + longest_lease();
     }
 }
 
+// Longest time that a lease given now lasts by this node's clock.
+duration dispatcher::books::longest_lease() const
+{
+    return std::chrono::duration_cast<duration>(options.lease *
+                                                (1 + options.clock_drift)) +
+           options.lease_margin;
+}
+
 dispatcher::~dispatcher() = default;
 
 void dispatcher::books::note(std::uint64_t job, std::string_view what,
@@ -801,6 +808,27 @@
     worker.clock_ms.reset();
 }
 
+// A worker that stays silent is recorded as renewed no longer, so that a
+// successor need not wait out this leader's news for it.
+void dispatcher::books::on_unanswered(worker_book& worker)
+{
+    ++worker.unanswered;
+    if (worker.unanswered == options.silent_after && worker.renewable) {
+        worker.renewable = false;
+        silent.push_back(worker.vm.id);
+    }
+}
+
+ledger_entry dispatcher::books::entry_of(const std::string& worker,
+                                         bool renewing)
+{
+    return {.key = encode_key(
+                {.kind = entry_kind::worker, .step = {}, .worker = worker}),
+            .value = encode(worker_record{.epoch = options.epoch,
+                                          .address = workers[worker].vm.address,
+                                          .renewing = renewing})};
+}
+
 void dispatcher::on_hold_result(const hold_order& order, hold_result result,
                                 const hold_answer& answer, time_point sent_at,
                                 time_point now)
@@ -813,7 +841,7 @@
     auto& worker = found->second;
     worker.hold_in_flight = false;
     if (result != hold_result::answered) {
-        ++worker.unanswered;
+        state.on_unanswered(worker);
         worker.next_hold = now + state.options.hold_retry;
         state.deposed = state.deposed || result == hold_result::fenced;
         return;
@@ -832,6 +860,12 @@
         state.replan = true;
     }
     if (!worker.fenced) {
+        // No former leader renews from here on.
+        worker.lease_until =
+            std::min(worker.lease_until, now + state.longest_lease());
+    }
+    if (!worker.renewable &&
+        std::ranges::find(state.reached, worker.vm.id) == state.reached.end()) {
         state.reached.push_back(worker.vm.id);
     }
     worker.fenced = true;
@@ -859,12 +893,12 @@
     state.removals.clear();
     open.placed.swap(state.placed);
     open.workers.swap(state.reached);
+    for (const auto& id : state.silent) {
+        result.entries.push_back(state.entry_of(id, false));
+    }
+    state.silent.clear();
     for (const auto& id : open.workers) {
-        result.entries.push_back(
-            {.key = encode_key({.kind = entry_kind::worker, .worker = id}),
-             .value = encode(
-                 worker_record{.epoch = state.options.epoch,
-                               .address = state.workers[id].vm.address})});
+        result.entries.push_back(state.entry_of(id, true));
     }
     std::vector<task_progress> rows;
     for (auto* step : state.dirty) {
@@ -940,7 +974,7 @@
         state.batches.erase(state.batches.begin());
         for (const auto& id : batch.workers) {
             auto& worker = state.workers[id];
-            worker.renewable = worker.fenced;
+            worker.renewable = worker.fenced && worker.unanswered == 0;
             state.replan = true;
         }
         for (const auto& key : batch.placed) {
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -33,6 +33,8 @@
     duration lease_margin{std::chrono::milliseconds{200}};
     /** @brief A stop without effect is sent again after this time. */
     duration stop_retry{std::chrono::milliseconds{400}};
+    /** @brief Holds in a row without answer after which a worker is silent. */
+    std::uint32_t silent_after{2};
     /** @brief Pause before a worker that failed to answer is asked again. */
     duration hold_retry{std::chrono::milliseconds{150}};
     /** @brief Time between two holds of one worker that has ends to tell. */
--- a/src/rosemarytrail/fleet/internal/advice_desk.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_desk.cpp
@@ -109,8 +109,8 @@
             backlog += cost_of(*policy, workers.size());
         }
     }
-    const auto needed = static_cast<std::size_t>(
-        backlog / options.short_advice_wait);
+    const auto needed =
+        static_cast<std::size_t>(backlog / options.short_advice_wait);
     const auto left = members.size() > needed ? members.size() - needed : 0;
     return std::clamp<std::size_t>(left, 1, std::max<std::size_t>(usual, 1));
 }
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -213,8 +213,10 @@
     /** @brief Questions that wait for an answer, by node. */
     std::map<std::string, std::size_t> open_questions;
     std::vector<ledger_entry> questions;
-    /** @brief Workers that were reached for the first time. */
+    /** @brief Workers that are to be recorded as renewed from now on. */
     std::vector<std::string> reached;
+    /** @brief Workers that are to be recorded as renewed no longer. */
+    std::vector<std::string> silent;
     std::uint64_t next_question{1};
     /** @brief Ended jobs: late entries must not bring them back. */
     std::unordered_map<std::uint64_t, time_point> ended;
@@ -225,6 +227,10 @@
     [[nodiscard]] step_book* find_step(const step_key& key);
     [[nodiscard]] task_state* find_task(const task_key& key);
     [[nodiscard]] room need_of(const task_key& key);
+    [[nodiscard]] duration longest_lease() const;
+    void on_unanswered(worker_book& worker);
+    [[nodiscard]] ledger_entry entry_of(const std::string& worker,
+                                        bool renewing);
     void set_wait_out(const job_board& board, time_point now);
     void add_job(const job_entry& entry, time_point now, std::int64_t unix_ms);
     void inherit(step_book& step, const std::vector<task_progress>& rows,
--- a/src/rosemarytrail/fleet/job_board.cpp
+++ b/src/rosemarytrail/fleet/job_board.cpp
@@ -68,7 +68,7 @@
         return about;
     case entry_kind::worker:
         if (const auto it = value ? decode_worker(*value) : std::nullopt) {
-            workers_[about->worker] = *it;
+            workers_[about->worker] = {.record = *it, .read_at = now};
             return about;
         }
         workers_.erase(about->worker);
--- a/src/rosemarytrail/fleet/job_board.hpp
+++ b/src/rosemarytrail/fleet/job_board.hpp
@@ -22,6 +22,14 @@
     time_point read_at;
 };
 
+/** @brief Worker as this node read it from the ledger. */
+struct seen_worker
+{
+    worker_record record;
+    /** @brief When it was read; what it tells held by then. */
+    time_point read_at;
+};
+
 /** @brief All that the ledger says of one job. */
 struct job_entry
 {
@@ -97,7 +105,7 @@
     }
 
     /** @return What is known of workers, by id. */
-    [[nodiscard]] const std::map<std::string, worker_record>&
+    [[nodiscard]] const std::map<std::string, seen_worker>&
     workers() const noexcept
     {
         return workers_;
@@ -118,7 +126,7 @@
 
     std::unordered_map<std::uint64_t, job_entry> jobs_;
     leader_record leader_;
-    std::map<std::string, worker_record> workers_;
+    std::map<std::string, seen_worker> workers_;
     /** @brief When this node learnt of the claim of each epoch. */
     std::map<std::uint64_t, time_point> claims_;
 };
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -168,10 +168,11 @@
     for (const auto& step : it.spec.steps) {
         steps.push_back(pack_step(step));
     }
-    return pack(json::array(
-        {it.id, it.account, it.acceptor, it.accepted_unix_ms,
-         pack_queue(it.queue), it.spec.payload, std::move(steps),
-         it.spec.occurrences, it.spec.first_due_ms, it.spec.interval_ms, it.beyond_share}));
+    return pack(
+        json::array({it.id, it.account, it.acceptor, it.accepted_unix_ms,
+                     pack_queue(it.queue), it.spec.payload, std::move(steps),
+                     it.spec.occurrences, it.spec.first_due_ms,
+                     it.spec.interval_ms, it.beyond_share}));
 }
 
 std::string encode(std::span<const task_progress> it)
@@ -206,14 +207,15 @@
 
 std::string encode(const worker_record& it)
 {
-    return pack(json::array({it.epoch, it.address}));
+    return pack(json::array({it.epoch, it.address, it.renewing}));
 }
 
 std::optional<worker_record> decode_worker(std::string_view bytes)
 {
     return unpack(bytes, [](const json& it) {
         return worker_record{.epoch = it.at(0),
-                             .address = it.at(1).get<std::string>()};
+                             .address = it.at(1).get<std::string>(),
+                             .renewing = it.at(2)};
     });
 }
 
--- a/src/rosemarytrail/fleet/ledger_codec.hpp
+++ b/src/rosemarytrail/fleet/ledger_codec.hpp
@@ -62,6 +62,8 @@
     std::uint64_t epoch{};
     /** @brief IP number and port, to find it while it is not listed. */
     std::string address;
+    /** @brief That leader may renew it still; false once it fell silent. */
+    bool renewing{true};
 };
 
 /** @brief Node that leads, and its fencing epoch. */
--- a/test/fleet/admission.cpp
+++ b/test/fleet/admission.cpp
@@ -32,9 +32,9 @@
     double pending = 0;
     const int n = static_cast<int>(sent_per_s * seconds);
     for (int i = 0; i < n; ++i) {
-        const auto now = start + std::chrono::duration_cast<duration>(
-                                     std::chrono::duration<double>{
-                                         i / sent_per_s});
+        const auto now =
+            start + std::chrono::duration_cast<duration>(
+                        std::chrono::duration<double>{i / sent_per_s});
         pending = std::max(0.0, pending - drain_per_s / sent_per_s);
         const bool beyond = shares.beyond("a", weight, now);
         result.beyond += beyond ? 1 : 0;
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -132,6 +132,38 @@
     CHECK(cell.violations.empty());
 }
 
+TEST_CASE("A successor waits only for the lease of a worker known as silent",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.add_workers(3, eight_cores);
+    cell.submit(
+        make_job(1, {{.tasks = 12, .need = one_core, .long_running = true}}));
+    cell.run(500ms);
+    cell.workers["w0"].cut = true;
+    cell.run(2s);
+    cell.take_over();
+    cell.run(4s);
+    CHECK(cell.running_on("w1") + cell.running_on("w2") == 12);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("A worker that is fenced outlives its former leader by one lease",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.add_workers(3, eight_cores);
+    cell.submit(
+        make_job(1, {{.tasks = 12, .need = one_core, .long_running = true}}));
+    cell.run(500ms);
+    cell.take_over();
+    cell.run(200ms);
+    cell.workers["w0"].cut = true;
+    cell.run(6500ms);
+    CHECK(cell.running_on("w1") + cell.running_on("w2") == 12);
+    CHECK(cell.violations.empty());
+}
+
 TEST_CASE("A start without an answer is stopped and run elsewhere",
           "[dispatcher]")
 {
