Send advice and questions between nodes; entries by way of the leader when slow

Change: advice goes to the leader directly and is told again to a new leader; the leader gives questions directly; once appends are slow, entries of clients travel to the leader, whose next append carries them all.

Ruled out: shorter patience (more repeats); more partitions (each reader pays for each).

--- /dev/null
+++ b/src/rosemarytrail/cell/internal/node_advice.cpp
@@ -0,0 +1,231 @@
+#include <rosemarytrail/cell/internal/node_state.hpp>
+
+#include <rosemarytrail/logging/event_log.hpp>
+
+#include <utility>
+
+namespace rosemarytrail::cell {
+
+namespace {
+
+/** @brief An advice answer may come later than its policy says. */
+constexpr duration advice_slack{std::chrono::milliseconds{1500}};
+/** @brief Pause after the advice service gave no answer. */
+constexpr duration advice_pause{std::chrono::milliseconds{200}};
+/** @brief A step is not asked about again while its answer may be on its way.
+ */
+constexpr duration advice_settle{std::chrono::milliseconds{500}};
+/** @brief Questions that are under way to the advice service at once; it takes
+ * one at a time from each node. */
+constexpr std::size_t advice_calls = 1;
+
+} // namespace
+
+std::string node::internal_state::leader_address() const
+{
+    const auto& name = board.leader().node;
+    const auto at = name.rfind('@');
+    return at == std::string::npos ? std::string{} : name.substr(at + 1);
+}
+
+void node::internal_state::send_questions(
+    std::span<const fleet::question_order> orders)
+{
+    for (const auto& it : orders) {
+        if (it.member == options.member) {
+            given_questions.push_back(it.step);
+            continue;
+        }
+        const auto at = it.member.rfind('@');
+        const auto address =
+            it.member.substr(at == std::string::npos ? 0 : at + 1);
+        peers.send(address, {.entries = {}, .questions = {it.step}},
+                   options.peer_patience,
+                   [this, it, number = lead_number](message_result result) {
+                       if (lead && number == lead_number &&
+                           result == message_result::refused) {
+                           lead->decisions.on_question_lost(it);
+                       }
+                   });
+    }
+}
+
+std::optional<fleet::advice_question>
+node::internal_state::next_question(time_point now)
+{
+    while (!given_questions.empty()) {
+        const auto step = given_questions.front();
+        given_questions.pop_front();
+        const auto* entry = board.find(step.job);
+        if (entry != nullptr && entry->record && !entry->cancelled &&
+            !entry->outcome) {
+            if (auto it = questions.question(step, *entry, vm_list)) {
+                return it;
+            }
+        }
+    }
+    return questions.next(board, vm_list, members, now);
+}
+
+void node::internal_state::ask_advice(time_point now)
+{
+    if (!ledger.loaded() || now < advice_paused_until ||
+        advice_in_flight >= advice_calls) {
+        return;
+    }
+    auto question = next_question(now);
+    if (!question) {
+        return;
+    }
+    ++advice_in_flight;
+    const auto longest = question->expected * 2 + advice_slack;
+    questions.asked(question->step, now + longest);
+    advice.advise(question->step, question->workers, longest,
+                  [this, step = question->step, sent = now](advice_answer it) {
+                      --advice_in_flight;
+                      on_advice(step, std::move(it), sent);
+                  });
+}
+
+void node::internal_state::on_advice(const fleet::step_key& step,
+                                     advice_answer it, time_point sent)
+{
+    const auto now = boot_clock::now();
+    logging::event(logging::level::info, "advice",
+                   {{"job", fleet::to_text(step.job)},
+                    {"step", fleet::to_text(step)},
+                    {"answered", it.answered ? "true" : "false"},
+                    {"granted", std::to_string(it.grant.rows.size())},
+                    {"took_ms", std::to_string(to_milliseconds(now - sent))}});
+    if (!it.answered) {
+        advice_paused_until = now + advice_pause;
+        questions.asked(step, now + advice_pause);
+        return;
+    }
+    questions.asked(step, now + advice_settle);
+    it.grant.granted_unix_ms = unix_milliseconds();
+    own_grants.push_back(
+        {.entry = {.key = fleet::encode_key(
+                       {.kind = fleet::entry_kind::advice, .step = step}),
+                   .value = fleet::encode(it.grant)},
+         .until = now + std::chrono::milliseconds{it.grant.valid_ms}});
+    while (!own_grants.empty() && own_grants.front().until < now) {
+        own_grants.pop_front();
+    }
+    take_grant(own_grants.back().entry);
+    tell_leader(own_grants.back());
+    run();
+}
+
+// Tickets last for seconds, so they go to the leader directly; a new leader is
+// told again what still lasts.
+void node::internal_state::tell_leader(const own_grant& grant)
+{
+    const auto address = leader_address();
+    if (lead || address.empty()) {
+        return;
+    }
+    peers.send(address, {.entries = {grant.entry}, .questions = {}},
+               options.peer_patience, [this, grant](message_result result) {
+                   if (result != message_result::taken) {
+                       entries.add(
+                           grant.entry, grant.until, [](entry_result) {},
+                           boot_clock::now());
+                   }
+               });
+}
+
+void node::internal_state::tell_leader_all()
+{
+    const auto now = boot_clock::now();
+    for (const auto& it : own_grants) {
+        if (it.until > now) {
+            tell_leader(it);
+        }
+    }
+}
+
+void node::internal_state::take_grant(const fleet::ledger_entry& entry)
+{
+    on_ledger_record({.key = entry.key, .value = entry.value});
+}
+
+// Under a slow store each append takes its turn behind those of all nodes, so
+// entries go by way of the leader, whose next append carries them all.
+void node::internal_state::append_entries(
+    append_request request, std::function<void(append_answer)> done)
+{
+    const bool slow = entries.patience() > options.slow_append * 4;
+    const auto address = leader_address();
+    if (slow && lead) {
+        lead->waiting_guests.push_back(
+            {.entries = std::move(request.entries), .done = std::move(done)});
+        run();
+        return;
+    }
+    if (!slow || address.empty() || members.empty()) {
+        shared.append(std::move(request), std::move(done));
+        return;
+    }
+    peer_message message{.entries = request.entries, .questions = {}};
+    const auto patience = request.patience;
+    peers.send(address, message, patience,
+               [this, request = std::move(request),
+                done = std::move(done)](message_result result) mutable {
+                   if (result == message_result::refused) {
+                       shared.append(std::move(request), std::move(done));
+                       return;
+                   }
+                   done({.result = result == message_result::taken
+                                       ? store_result::done
+                                       : store_result::unknown,
+                         .expected_sequence = std::nullopt});
+               });
+}
+
+void node::internal_state::receive(peer_message message,
+                                   std::function<void(message_result)> done)
+{
+    for (const auto& it : message.questions) {
+        given_questions.push_back(it);
+    }
+    if (message.entries.empty()) {
+        run();
+        done(message_result::taken);
+        return;
+    }
+    if (!lead) {
+        done(message_result::refused);
+        return;
+    }
+    std::vector<fleet::ledger_entry> to_record;
+    for (auto& it : message.entries) {
+        const auto about = fleet::decode_key(it.key);
+        if (about && about->kind == fleet::entry_kind::advice) {
+            take_grant(it);
+        } else if (about) {
+            to_record.push_back(std::move(it));
+        }
+    }
+    run();
+    if (to_record.empty()) {
+        done(message_result::taken);
+        return;
+    }
+    lead->waiting_guests.push_back(
+        {.entries = std::move(to_record),
+         .done = [done = std::move(done)](const append_answer& it) {
+             done(it.result == store_result::done ? message_result::taken
+                  : it.result == store_result::refused
+                      ? message_result::refused
+                      : message_result::unknown);
+         }});
+}
+
+void node::receive(peer_message message,
+                   std::function<void(message_result)> done)
+{
+    state_->receive(std::move(message), std::move(done));
+}
+
+} // namespace rosemarytrail::cell
--- a/src/rosemarytrail/cell/internal/node_lead.cpp
+++ b/src/rosemarytrail/cell/internal/node_lead.cpp
@@ -120,8 +120,16 @@
 {
     logging::event(logging::level::info, "lead_lost",
                    {{"epoch", std::to_string(lead->epoch)}, {"why", why}});
-    lead.reset();
+    const auto former = std::move(lead);
     ++lead_number;
+    for (const auto& guest : former->waiting_guests) {
+        guest.done({.result = store_result::refused,
+                    .expected_sequence = std::nullopt});
+    }
+    for (const auto& guest : former->batch_guests) {
+        guest.done({.result = store_result::unknown,
+                    .expected_sequence = std::nullopt});
+    }
     choose_spacing();
 }
 
@@ -148,6 +156,11 @@
             return;
         }
         auto batch = lead->decisions.take_batch(unix_milliseconds());
+        lead->batch_guests = std::exchange(lead->waiting_guests, {});
+        for (const auto& guest : lead->batch_guests) {
+            batch.entries.insert(batch.entries.end(), guest.entries.begin(),
+                                 guest.entries.end());
+        }
         if (batch.entries.empty()) {
             lead->decisions.on_recorded(batch.number, now);
             return;
@@ -183,6 +196,14 @@
     lead->decisions.on_recorded(lead->batch->number, now);
     lead->batch.reset();
     lead->in_flight = false;
+    const auto guests = std::exchange(lead->batch_guests, {});
+    for (const auto& guest : guests) {
+        for (const auto& it : guest.entries) {
+            on_ledger_record({.key = it.key, .value = it.value});
+        }
+        guest.done(
+            {.result = store_result::done, .expected_sequence = std::nullopt});
+    }
     run();
 }
 
@@ -228,6 +249,7 @@
 void node::internal_state::send_orders(time_point now)
 {
     auto orders = lead->decisions.take_orders(now);
+    send_questions(orders.questions);
     for (const auto& it : orders.stops) {
         workers.stop(it, [this, it, number = lead_number](bool answered) {
             if (lead && number == lead_number) {
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,6 +69,14 @@
         std::uint64_t epoch{};
         std::uint64_t sequence{};
         std::optional<fleet::ledger_batch> batch;
+        /** @brief Entries of nodes, with what they are told once recorded. */
+        struct guest
+        {
+            std::vector<fleet::ledger_entry> entries;
+            std::function<void(append_answer)> done;
+        };
+        std::vector<guest> waiting_guests;
+        std::vector<guest> batch_guests;
         bool in_flight{false};
         time_point next_append;
         time_point append_sent;
@@ -152,10 +161,25 @@
     void run_now();
     void tick();
     void drop_old_outcomes();
-    void on_question(const fleet::step_key& step, std::string_view value);
     [[nodiscard]] std::optional<fleet::advice_question>
     next_question(time_point now);
     void ask_advice(time_point now);
+    /** @brief Advice that this node was given, while its tickets last. */
+    struct own_grant
+    {
+        fleet::ledger_entry entry;
+        time_point until;
+    };
+    std::deque<own_grant> own_grants;
+    void tell_leader(const own_grant& grant);
+    void tell_leader_all();
+    void take_grant(const fleet::ledger_entry& entry);
+    void append_entries(append_request request,
+                        std::function<void(append_answer)> done);
+    void send_questions(std::span<const fleet::question_order> orders);
+    [[nodiscard]] std::string leader_address() const;
+    void receive(peer_message message,
+                 std::function<void(message_result)> done);
     void on_advice(const fleet::step_key& step, advice_answer it,
                    time_point sent);
     void shut_down();
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -44,9 +44,12 @@
     , refusals{metrics_.make_code_counters(
           "rosemarytrail_call_refusals_total",
           "calls of clients that were not served, by code")}
-    , entries{{}, shared}
-    , questions{{.member = options_.member,
-                 .patience = options_.advice_patience}}
+    , entries{{},
+              [this](append_request request,
+                     std::function<void(append_answer)> done) {
+                  append_entries(std::move(request), std::move(done));
+              }}
+    , questions{{.member = options_.member}}
     , ledger{{.which = feed::ledger, .spacing = options_.follower_spacing},
              loop_,
              shared,
@@ -148,12 +151,6 @@
     }
     entries.confirm(record.key);
     note_job_entry(*about, new_job, had_started, now);
-    if (about->kind == fleet::entry_kind::question) {
-        if (record.value && !loading_ledger) {
-            on_question(about->step, *record.value);
-        }
-        return;
-    }
     if (about->kind == fleet::entry_kind::batch_mark) {
         const auto mark = record.value ? fleet::decode_batch_mark(*record.value)
                                        : std::nullopt;
@@ -171,6 +168,7 @@
         if (lead && board.leader().epoch > lead->epoch) {
             step_down("a newer leader has claimed");
         }
+        tell_leader_all();
         return;
     }
     if (!lead || about->kind == fleet::entry_kind::progress ||
@@ -362,78 +360,6 @@
     }
 }
 
-void node::internal_state::on_question(const fleet::step_key& step,
-                                       std::string_view value)
-{
-    const auto question = fleet::decode_question(value);
-    if (question && question->member == options.member) {
-        given_questions.push_back(step);
-    }
-}
-
-std::optional<fleet::advice_question>
-node::internal_state::next_question(time_point now)
-{
-    while (!given_questions.empty()) {
-        const auto step = given_questions.front();
-        given_questions.pop_front();
-        const auto* entry = board.find(step.job);
-        if (entry != nullptr && entry->record && !entry->cancelled &&
-            !entry->outcome) {
-            if (auto it = questions.question(step, *entry, vm_list)) {
-                return it;
-            }
-        }
-    }
-    return questions.next(board, vm_list, members, lead != nullptr, now);
-}
-
-void node::internal_state::ask_advice(time_point now)
-{
-    if (!ledger.loaded() || now < advice_paused_until ||
-        advice_in_flight >= advice_calls) {
-        return;
-    }
-    auto question = next_question(now);
-    if (!question) {
-        return;
-    }
-    ++advice_in_flight;
-    const auto longest = question->expected * 2 + advice_slack;
-    questions.asked(question->step, now + longest);
-    advice.advise(question->step, question->workers, longest,
-                  [this, step = question->step, sent = now](advice_answer it) {
-                      --advice_in_flight;
-                      on_advice(step, std::move(it), sent);
-                  });
-}
-
-void node::internal_state::on_advice(const fleet::step_key& step,
-                                     advice_answer it, time_point sent)
-{
-    const auto now = boot_clock::now();
-    logging::event(logging::level::info, "advice",
-                   {{"job", fleet::to_text(step.job)},
-                    {"step", fleet::to_text(step)},
-                    {"answered", it.answered ? "true" : "false"},
-                    {"granted", std::to_string(it.grant.rows.size())},
-                    {"took_ms", std::to_string(to_milliseconds(now - sent))}});
-    if (!it.answered) {
-        advice_paused_until = now + advice_pause;
-        questions.asked(step, now + advice_pause);
-        return;
-    }
-    questions.asked(step, now + advice_settle);
-    it.grant.granted_unix_ms = unix_milliseconds();
-    entries.add(
-        {.key = fleet::encode_key(
-             {.kind = fleet::entry_kind::advice, .step = step}),
-         .value = fleet::encode(it.grant)},
-        now + std::chrono::milliseconds{it.grant.valid_ms}, [](entry_result) {},
-        now);
-    run();
-}
-
 void node::internal_state::shut_down()
 {
     shutting_down = true;
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -51,8 +51,10 @@
     duration append_retry{std::chrono::milliseconds{50}};
     /** @brief Part of a caller's time kept to say that it is unknown. */
     duration answer_margin{std::chrono::milliseconds{300}};
-    /** @brief A ready step without advice is asked for by the leader. */
-    duration advice_patience{std::chrono::milliseconds{1200}};
+    /** @brief An append that takes longer goes by way of the leader. */
+    duration slow_append{std::chrono::milliseconds{100}};
+    /** @brief Least time for a peer to answer a message. */
+    duration peer_patience{std::chrono::milliseconds{150}};
 };
 
 /**
@@ -91,6 +93,14 @@
      */
     void serve(client_call call, std::function<void(client_answer)> done);
 
+    /**
+     * @brief Takes a message of another node; only on the loop.
+     * @param message Message.
+     * @param done Called once with what became of it.
+     */
+    void receive(peer_message message,
+                 std::function<void(message_result)> done);
+
     /**
      * @brief Tells whether callers should be sent here; any thread.
      * @param now Present time.
--- a/src/rosemarytrail/cell/outbox.cpp
+++ b/src/rosemarytrail/cell/outbox.cpp
@@ -22,9 +22,9 @@
     }
 };
 
-outbox::outbox(const outbox_options& options, store& shared)
+outbox::outbox(const outbox_options& options, appender append)
     : options_{options}
-    , shared_{shared}
+    , append_{std::move(append)}
     , patience_{options.patience}
     , alive_{std::make_shared<bool>(true)}
 {}
@@ -101,13 +101,12 @@
         request.entries.push_back(it->entry);
     }
     ++in_flight_;
-    shared_.append(std::move(request),
-                   [this, alive = alive_, sent = std::move(sent),
-                    now](append_answer answer) {
-                       if (*alive) {
-                           on_answer(sent, answer, now);
-                       }
-                   });
+    append_(std::move(request), [this, alive = alive_, sent = std::move(sent),
+                                 now](append_answer answer) {
+        if (*alive) {
+            on_answer(sent, answer, now);
+        }
+    });
 }
 
 void outbox::on_answer(const item_list& sent, const append_answer& answer,
--- a/src/rosemarytrail/cell/outbox.hpp
+++ b/src/rosemarytrail/cell/outbox.hpp
@@ -53,12 +53,16 @@
     /** @brief Receives what became of an entry, once. */
     using callback = std::function<void(entry_result)>;
 
+    /** @brief Appends entries and tells what became of them. */
+    using appender =
+        std::function<void(append_request, std::function<void(append_answer)>)>;
+
     /**
      * @brief Prepares an empty outbox.
      * @param options How to append.
-     * @param shared Store; outlives the outbox.
+     * @param append Appends; must not call back before it returns.
      */
-    outbox(const outbox_options& options, store& shared);
+    outbox(const outbox_options& options, appender append);
     outbox(const outbox&) = delete;
     outbox& operator=(const outbox&) = delete;
     ~outbox();
@@ -104,7 +108,7 @@
                    time_point sent_at);
 
     outbox_options options_;
-    store& shared_;
+    appender append_;
     duration patience_;
     item_list waiting_;
     std::size_t in_flight_{};
--- a/src/rosemarytrail/cell/peer_link.cpp
+++ b/src/rosemarytrail/cell/peer_link.cpp
@@ -14,6 +14,12 @@
 using json = nlohmann::json;
 
 constexpr const char* call_path = "/peer/call";
+constexpr const char* message_path = "/peer/message";
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+constexpr int status_unknown = 504;
 
 class http_peer_link final : public peer_link
 {
@@ -39,12 +45,83 @@
                     });
     }
 
+    void send(std::string_view address, const peer_message& message,
+              duration patience,
+              std::function<void(message_result)> done) override
+    {
+        http_.fetch({.method = "POST",
+                     .url = "http://" + std::string{address} + message_path,
+                     .headers = {{"Content-Type", "application/octet-stream"}},
+                     .body = encode_message(message),
+                     .timeout = patience},
+                    [done = std::move(done)](const http::client_response& it) {
+                        if (it.transport == http::transport_result::not_sent) {
+                            done(message_result::refused);
+                        } else if (it.transport !=
+                                       http::transport_result::complete ||
+                                   it.answer.status >= 500) {
+                            done(message_result::unknown);
+                        } else {
+                            done(it.answer.status == status_ok
+                                     ? message_result::taken
+                                     : message_result::refused);
+                        }
+                    });
+    }
+
 private:
     http::client& http_;
 };
 
 } // namespace
 
+std::string encode_message(const peer_message& message)
+{
+    json entries = json::array();
+    for (const auto& it : message.entries) {
+        json value;
+        if (it.value) {
+            value = *it.value;
+        }
+        entries.push_back(json::array({it.key, std::move(value)}));
+    }
+    json questions = json::array();
+    for (const auto& it : message.questions) {
+        questions.push_back(fleet::to_text(it));
+    }
+    std::string bytes;
+    json::to_msgpack(json::array({std::move(entries), std::move(questions)}),
+                     bytes);
+    return bytes;
+}
+
+std::optional<peer_message> decode_message(std::string_view bytes)
+{
+    try {
+        const auto it = json::from_msgpack(bytes.begin(), bytes.end());
+        peer_message result;
+        for (const auto& row : it.at(0)) {
+            fleet::ledger_entry entry{.key = row.at(0).get<std::string>(),
+                                      .value = std::nullopt};
+            if (row.at(1).is_string()) {
+                entry.value = row.at(1).get<std::string>();
+            }
+            result.entries.push_back(std::move(entry));
+        }
+        for (const auto& name : it.at(1)) {
+            const auto step =
+                fleet::parse_step_key(name.get_ref<const std::string&>());
+            if (!step) {
+                return std::nullopt;
+            }
+            result.questions.push_back(*step);
+        }
+        return result;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::string encode_call(const client_call& call, time_point now)
 {
     json job;
@@ -132,19 +209,22 @@
 
 std::optional<http::response> peer_api::on_head(const http::request& head)
 {
-    constexpr int not_found = 404;
-    if (head.method != "POST" || head.path != call_path) {
-        return http::response{.status = not_found};
+    if (head.method != "POST" ||
+        (head.path != call_path && head.path != message_path)) {
+        return http::response{.status = status_not_found};
     }
     return std::nullopt;
 }
 
 void peer_api::on_request(std::shared_ptr<http::exchange> it)
 {
-    constexpr int bad_request = 400;
+    if (it->incoming().path == message_path) {
+        on_message(std::move(it));
+        return;
+    }
     auto call = decode_call(it->incoming().body, boot_clock::now());
     if (!call) {
-        it->respond({.status = bad_request});
+        it->respond({.status = status_bad_request});
         return;
     }
     loop_.post([this, it = std::move(it), call = std::move(*call)]() mutable {
@@ -155,4 +235,23 @@
     });
 }
 
+void peer_api::on_message(std::shared_ptr<http::exchange> it)
+{
+    auto message = decode_message(it->incoming().body);
+    if (!message) {
+        it->respond({.status = status_bad_request});
+        return;
+    }
+    loop_.post([this, it = std::move(it),
+                message = std::move(*message)]() mutable {
+        target_.receive(
+            std::move(message), [it = std::move(it)](message_result done) {
+                it->respond({.status = done == message_result::taken ? status_ok
+                                       : done == message_result::refused
+                                           ? status_conflict
+                                           : status_unknown});
+            });
+    });
+}
+
 } // namespace rosemarytrail::cell
--- a/src/rosemarytrail/cell/peer_link.hpp
+++ b/src/rosemarytrail/cell/peer_link.hpp
@@ -3,6 +3,7 @@
 
 #include <rosemarytrail/cell/client_call.hpp>
 #include <rosemarytrail/core/time.hpp>
+#include <rosemarytrail/fleet/ledger_codec.hpp>
 #include <rosemarytrail/http/client.hpp>
 #include <rosemarytrail/http/server.hpp>
 
@@ -11,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace rosemarytrail::cell {
 
@@ -48,7 +50,42 @@
 [[nodiscard]] std::optional<client_answer>
 decode_answer(std::string_view bytes);
 
-/** @brief Hands calls to other nodes. */
+/** @brief What one node tells another. */
+struct peer_message
+{
+    /** @brief Entries that the leader is to put on record, or advice. */
+    std::vector<fleet::ledger_entry> entries;
+    /** @brief Steps that the receiver is to ask the advice service about. */
+    std::vector<fleet::step_key> questions;
+};
+
+/**
+ * @brief Writes a message.
+ * @param message Message.
+ * @return Bytes.
+ */
+[[nodiscard]] std::string encode_message(const peer_message& message);
+
+/**
+ * @brief Reads a message.
+ * @param bytes Bytes.
+ * @return Message, or nothing if the bytes are damaged.
+ */
+[[nodiscard]] std::optional<peer_message>
+decode_message(std::string_view bytes);
+
+/** @brief What became of a message. */
+enum class message_result : std::uint8_t
+{
+    /** @brief Taken; entries for the ledger are on record. */
+    taken,
+    /** @brief Nothing was done. */
+    refused,
+    /** @brief No answer; it may have been taken. */
+    unknown
+};
+
+/** @brief Hands calls and messages to other nodes. */
 class peer_link
 {
 public:
@@ -66,6 +103,17 @@
      */
     virtual void forward(std::string_view address, const client_call& call,
                          duration patience, callback done) = 0;
+
+    /**
+     * @brief Sends a message to another node.
+     * @param address IP number and port of the node.
+     * @param message Message.
+     * @param patience How long to wait for the answer.
+     * @param done Called once.
+     */
+    virtual void send(std::string_view address, const peer_message& message,
+                      duration patience,
+                      std::function<void(message_result)> done) = 0;
 };
 
 /**
@@ -91,6 +139,8 @@
     void on_request(std::shared_ptr<http::exchange> it) override;
 
 private:
+    void on_message(std::shared_ptr<http::exchange> it);
+
     http::event_loop& loop_;
     node& target_;
 };
--- a/src/rosemarytrail/cell/store_watch.cpp
+++ b/src/rosemarytrail/cell/store_watch.cpp
@@ -1,9 +1,29 @@
 #include <rosemarytrail/cell/store_watch.hpp>
 
+#include <rosemarytrail/logging/event_log.hpp>
+
+#include <string>
 #include <utility>
 
 namespace rosemarytrail::cell {
 
+namespace {
+
+/** @brief An append takes some ms; one that takes longer is told. */
+constexpr duration slow_append{std::chrono::milliseconds{200}};
+
+} // namespace
+
+void store_watch::note_slow(const append_answer& it, duration took)
+{
+    if (took > slow_append) {
+        logging::event(
+            logging::level::info, "append_slow",
+            {{"took_ms", std::to_string(to_milliseconds(took))},
+             {"result", std::to_string(static_cast<int>(it.result))}});
+    }
+}
+
 store_watch::store_watch(store& target)
     : target_{target}
     , marks_{std::make_shared<marks>()}
--- a/src/rosemarytrail/cell/store_watch.hpp
+++ b/src/rosemarytrail/cell/store_watch.hpp
@@ -4,7 +4,9 @@
 #include <rosemarytrail/cell/ports.hpp>
 #include <rosemarytrail/core/time.hpp>
 
+#include <algorithm>
 #include <memory>
+#include <type_traits>
 
 namespace rosemarytrail::cell {
 
@@ -67,10 +69,15 @@
     {
         const bool failed = it.result == store_result::unknown ||
                             it.result == store_result::refused;
+        if constexpr (std::is_same_v<Answer, append_answer>) {
+            note_slow(it, boot_clock::now() - sent);
+        }
         auto& mark = failed ? to.failed : to.served;
         mark = std::max(mark, sent);
     }
 
+    static void note_slow(const append_answer& it, duration took);
+
     store& target_;
     std::shared_ptr<marks> marks_;
 };
--- a/src/rosemarytrail/fleet/advice_plan.cpp
+++ b/src/rosemarytrail/fleet/advice_plan.cpp
@@ -100,7 +100,7 @@
 }
 
 bool advice_plan::due(const job_entry& entry, const step_key& key,
-                      duration patience, time_point now)
+                      time_point now)
 {
     if (const auto it = asked_until_.find(key);
         it != asked_until_.end() && it->second > now) {
@@ -112,9 +112,6 @@
         return false;
     }
     const auto since = near_since_.try_emplace(key, now).first->second;
-    if (now - since < patience) {
-        return false;
-    }
     // Declared durations are off by half, so the question comes early.
     constexpr double early = 0.4;
     const auto valid = std::chrono::milliseconds{policy.valid_ms};
@@ -136,36 +133,9 @@
     return lapses - cost - options_.renewal_margin <= now;
 }
 
-// The node that a job's questions fall to asks at once; nodes that are free of
-// long questions help in an order of their own for each job; the leader asks
-// for jobs whose node is silent.
-std::optional<duration>
-advice_plan::patience_for(const job_record& record,
-                          std::span<const std::string> members,
-                          bool leading) const
-{
-    const auto owner = short_advice_node(members, options_.long_share, record);
-    if (!owner) {
-        return leading ? std::optional{duration{}} : std::nullopt;
-    }
-    if (*owner == options_.member) {
-        return duration{};
-    }
-    const auto helpers = long_advice_nodes(members, options_.long_share);
-    const auto self = std::ranges::find(helpers, options_.member);
-    if (self != helpers.end()) {
-        const auto place = (static_cast<std::size_t>(self - helpers.begin()) +
-                            step_hash(record.id)) %
-                           helpers.size();
-        return options_.help_after * static_cast<int>(place + 1);
-    }
-    return leading ? std::optional{options_.patience} : std::nullopt;
-}
-
 std::optional<advice_question>
 advice_plan::next(const job_board& board, std::span<const worker_vm> workers,
-                  std::span<const std::string> members, bool leading,
-                  time_point now)
+                  std::span<const std::string> members, time_point now)
 {
     const step_key* best = nullptr;
     step_key best_key;
@@ -177,8 +147,8 @@
             record.queue.advice->base_ms > options_.long_ms) {
             return;
         }
-        const auto patience = patience_for(record, members, leading);
-        if (entry.cancelled || !patience) {
+        if (entry.cancelled || short_advice_node(members, options_.long_share,
+                                                 record) != options_.member) {
             return;
         }
         const std::tuple rank{record.beyond_share, record.queue.priority,
@@ -189,7 +159,7 @@
         for (std::uint32_t n = 0; n < record.spec.rounds(); ++n) {
             for (std::uint32_t i = 0; i < record.spec.steps.size(); ++i) {
                 const step_key key{.job = id, .occurrence = n, .step = i};
-                if (due(entry, key, *patience, now)) {
+                if (due(entry, key, now)) {
                     best_key = key;
                     best = &best_key;
                     best_entry = &entry;
@@ -204,7 +174,7 @@
     }
     auto result = question(best_key, *best_entry, workers);
     if (!result) {
-        asked(best_key, now + options_.patience);
+        asked(best_key, now + options_.pause);
     }
     return result;
 }
--- a/src/rosemarytrail/fleet/advice_plan.hpp
+++ b/src/rosemarytrail/fleet/advice_plan.hpp
@@ -30,11 +30,8 @@
     std::string member;
     /** @brief Most workers that one question may name. */
     std::size_t most_workers{100};
-    /** @brief Another node's step without advice is asked for after this. */
-    duration patience{std::chrono::milliseconds{1200}};
-    /** @brief A node that has no long question helps after this, times its
-     * place in the order of helpers. */
-    duration help_after{std::chrono::milliseconds{50}};
+    /** @brief Pause before a question without workers is worded again. */
+    duration pause{std::chrono::milliseconds{500}};
     /** @brief Tickets are renewed this long before they lapse. */
     duration renewal_margin{std::chrono::milliseconds{150}};
     /** @brief A question that takes longer counts as long. */
@@ -85,13 +82,12 @@
      * @param board Jobs.
      * @param workers Directory of workers.
      * @param members All live nodes, sorted.
-     * @param leading Whether this node also asks for jobs of silent nodes.
      * @param now Present time.
      * @return Question, or nothing if none is due.
      */
     [[nodiscard]] std::optional<advice_question>
     next(const job_board& board, std::span<const worker_vm> workers,
-         std::span<const std::string> members, bool leading, time_point now);
+         std::span<const std::string> members, time_point now);
 
     /**
      * @brief Words the question about a step.
@@ -112,11 +108,8 @@
     void asked(const step_key& step, time_point until);
 
 private:
-    [[nodiscard]] std::optional<duration>
-    patience_for(const job_record& record, std::span<const std::string> members,
-                 bool leading) const;
     [[nodiscard]] bool due(const job_entry& entry, const step_key& key,
-                           duration patience, time_point now);
+                           time_point now);
 
     advice_plan_options options_;
     std::map<step_key, time_point> asked_until_;
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -886,8 +886,7 @@
 ledger_batch dispatcher::take_batch(std::int64_t unix_ms)
 {
     auto& state = *books_;
-    ledger_batch result{.number = state.next_batch++,
-                        .entries = std::exchange(state.questions, {})};
+    ledger_batch result{.number = state.next_batch++, .entries = {}};
     auto& open = state.batches[result.number];
     std::ranges::move(state.removals, std::back_inserter(result.entries));
     state.removals.clear();
@@ -942,7 +941,6 @@
             add(entry_kind::progress, step.key);
             if (job->record.queue.advice) {
                 add(entry_kind::advice, step.key);
-                add(entry_kind::question, step.key);
             }
         }
         job->outcome_written = true;
@@ -1035,6 +1033,7 @@
     result.starts.swap(state.starts);
     result.stops.swap(state.stops);
     result.paces.swap(state.paces);
+    result.questions.swap(state.questions);
     return result;
 }
 
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -53,8 +53,13 @@
     double long_advice_share{0.6};
     /** @brief Short questions should not wait for longer than this. */
     duration short_advice_wait{std::chrono::milliseconds{250}};
-    /** @brief Questions that one node has before it at a time. */
+    /** @brief Long questions that one node has before it at a time. */
     std::size_t questions_per_node{2};
+    /** @brief Work in short questions that one node has before it. */
+    duration short_work_per_node{std::chrono::milliseconds{150}};
+    /** @brief A short question that its own node has not asked by then is
+     * given to another one. */
+    duration short_advice_help{std::chrono::milliseconds{80}};
     /** @brief Waiting steps whose tickets are renewed also without room. */
     std::size_t fresh_steps{8};
     /** @brief An answer may come this much later than its policy says. */
@@ -70,9 +75,17 @@
     std::vector<ledger_entry> entries;
 };
 
+/** @brief Question to the advice service that a node is to ask. */
+struct question_order
+{
+    std::string member;
+    step_key step;
+};
+
 /** @brief Calls to make now. */
 struct dispatcher_orders
 {
+    std::vector<question_order> questions;
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
     std::vector<pace_order> paces;
@@ -133,6 +146,12 @@
     void on_job_changed(std::uint64_t id, const job_entry& entry,
                         time_point now, std::int64_t unix_ms);
 
+    /**
+     * @brief Learns that a node did not take a question.
+     * @param order Question.
+     */
+    void on_question_lost(const question_order& order);
+
     /**
      * @brief Takes what became of an order to start.
      * @param order Order that was sent.
--- a/src/rosemarytrail/fleet/internal/advice_desk.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_desk.cpp
@@ -33,12 +33,25 @@
 {
     if (!step.asked_of.empty()) {
         auto& open = open_questions[step.asked_of];
-        open -= open > 0 ? 1 : 0;
+        open.questions -= open.questions > 0 ? 1 : 0;
+        open.cost = std::max(open.cost - step.asked_cost, duration{});
         step.asked_of.clear();
     }
     step.asked_until = {};
 }
 
+void dispatcher::books::open_question(step_book& step, const std::string& node,
+                                      duration cost, time_point now)
+{
+    auto& open = open_questions[node];
+    ++open.questions;
+    open.cost += cost;
+    step.asked_of = node;
+    step.asked_cost = cost;
+    step.asked_until = now + open.cost + options.advice_slack;
+    questions.push_back({.member = node, .step = step.key});
+}
+
 bool dispatcher::books::nearly_ready(const step_book& step, duration ahead,
                                      time_point now) const
 {
@@ -120,6 +133,57 @@
     if (members.empty()) {
         return;
     }
+    for (auto& [id, job] : jobs) {
+        for (auto& step : job->steps) {
+            const bool gone =
+                !step.asked_of.empty() &&
+                (step.asked_until < now ||
+                 std::ranges::find(members, step.asked_of) == members.end());
+            if (gone || (job->ended() && !step.asked_of.empty())) {
+                close_question(step);
+            }
+        }
+    }
+    plan_short_questions(now);
+    plan_long_questions(now);
+}
+
+// The node that took a job asks its short questions by itself; what it has not
+// asked soon goes to the node with the least before it.
+void dispatcher::books::plan_short_questions(time_point now)
+{
+    std::vector<step_book*> order;
+    for (auto* step : ready) {
+        const auto& policy = step->job->record.queue.advice;
+        const auto since = std::max(step->ready_at, step->job->accepted);
+        if (step->waiting > 0 && !step->job->ended() && policy &&
+            policy->base_ms <= options.long_advice_ms &&
+            step->tickets_until <= now && step->asked_of.empty() &&
+            now - since > options.short_advice_help) {
+            order.push_back(step);
+        }
+    }
+    std::ranges::sort(order, [now](const step_book* a, const step_book* b) {
+        return internal::more_urgent(*a, *b, now);
+    });
+    for (auto* step : order) {
+        const auto node =
+            std::ranges::min_element(members, {}, [this](const auto& it) {
+                return open_questions[it].cost;
+            });
+        if (open_questions[*node].cost > options.short_work_per_node) {
+            return;
+        }
+        open_question(*step, *node,
+                      cost_of(*step->job->record.queue.advice,
+                              step->tickets.empty() ? workers.size()
+                                                    : step->tickets.size()),
+                      now);
+    }
+}
+
+void dispatcher::books::plan_long_questions(time_point now)
+{
     const auto pool = std::span{members}.first(long_nodes_now(now));
     std::vector<step_book*> order;
     for (auto& [id, job] : jobs) {
@@ -128,18 +192,11 @@
             policy->base_ms <= options.long_advice_ms) {
             continue;
         }
+        const auto ahead =
+            cost_of(*policy, workers.size()) + options.advice_slack / 4;
         for (auto& step : job->steps) {
-            if (step.waiting == 0) {
-                continue;
-            }
-            if (!step.asked_of.empty() &&
-                (step.asked_until < now ||
-                 std::ranges::find(members, step.asked_of) == members.end())) {
-                close_question(step);
-            }
-            const auto ahead =
-                cost_of(*policy, workers.size()) + options.advice_slack / 4;
-            if (step.ready || nearly_ready(step, ahead, now)) {
+            if (step.waiting > 0 &&
+                (step.ready || nearly_ready(step, ahead, now))) {
                 order.push_back(&step);
             }
         }
@@ -154,24 +211,25 @@
             continue;
         }
         const auto node =
-            std::ranges::min_element(pool, {}, [this](const std::string& it) {
-                return open_questions[it];
+            std::ranges::min_element(pool, {}, [this](const auto& it) {
+                return open_questions[it].cost;
             });
-        auto& open = open_questions[*node];
-        if (open >= options.questions_per_node) {
+        if (open_questions[*node].questions >= options.questions_per_node) {
             return;
         }
-        ++open;
-        const auto cost = cost_of(*step->job->record.queue.advice,
-                                  step->tickets.empty() ? workers.size()
-                                                        : step->tickets.size());
-        step->asked_of = *node;
-        step->asked_until =
-            now + cost * static_cast<int>(open) + options.advice_slack;
-        questions.push_back({.key = encode_key({.kind = entry_kind::question,
-                                                .step = step->key}),
-                             .value = encode(question_record{
-                                 .member = *node, .number = next_question++})});
+        open_question(*step, *node,
+                      cost_of(*step->job->record.queue.advice,
+                              step->tickets.empty() ? workers.size()
+                                                    : step->tickets.size()),
+                      now);
+    }
+}
+
+void dispatcher::on_question_lost(const question_order& order)
+{
+    auto* step = books_->find_step(order.step);
+    if (step != nullptr && step->asked_of == order.member) {
+        books_->close_question(*step);
     }
 }
 
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -89,6 +89,7 @@
     time_point asked_until;
     /** @brief Node that was asked; empty if no question is open. */
     std::string asked_of;
+    duration asked_cost{};
     /** @brief Tasks may be placed from here on. */
     bool ready{false};
     /** @brief When it became ready, had tickets, was placed and was done. */
@@ -211,13 +212,17 @@
     std::vector<task_key> placed;
     std::vector<std::string> members;
     /** @brief Questions that wait for an answer, by node. */
-    std::map<std::string, std::size_t> open_questions;
-    std::vector<ledger_entry> questions;
+    struct open_work
+    {
+        std::size_t questions{};
+        duration cost{};
+    };
+    std::map<std::string, open_work> open_questions;
+    std::vector<question_order> questions;
     /** @brief Workers that are to be recorded as renewed from now on. */
     std::vector<std::string> reached;
     /** @brief Workers that are to be recorded as renewed no longer. */
     std::vector<std::string> silent;
-    std::uint64_t next_question{1};
     /** @brief Ended jobs: late entries must not bring them back. */
     std::unordered_map<std::uint64_t, time_point> ended;
     time_point last_plan;
@@ -272,6 +277,10 @@
     // internal/advice_desk.cpp
     void plan_questions(time_point now);
     void close_question(step_book& step);
+    void open_question(step_book& step, const std::string& node, duration cost,
+                       time_point now);
+    void plan_long_questions(time_point now);
+    void plan_short_questions(time_point now);
     [[nodiscard]] std::size_t long_nodes_now(time_point now) const;
     [[nodiscard]] bool wants_advice(const step_book& step, std::size_t rank,
                                     time_point now) const;
--- a/src/rosemarytrail/fleet/job_board.cpp
+++ b/src/rosemarytrail/fleet/job_board.cpp
@@ -64,7 +64,6 @@
     bool readable = true;
     switch (about->kind) {
     case entry_kind::batch_mark:
-    case entry_kind::question:
         return about;
     case entry_kind::worker:
         if (const auto it = value ? decode_worker(*value) : std::nullopt) {
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -10,7 +10,7 @@
 
 using json = nlohmann::json;
 
-constexpr char kind_letters[] = {'j', 'c', 's', 'a', 'f', 'l', 'b', 'q', 'w'};
+constexpr char kind_letters[] = {'j', 'c', 's', 'a', 'f', 'l', 'b', 'w'};
 
 [[nodiscard]] std::string pack(const json& value)
 {
@@ -112,7 +112,6 @@
         return letter + "/" + it.worker;
     case entry_kind::progress:
     case entry_kind::advice:
-    case entry_kind::question:
         return letter + "/" + to_text(it.step);
     default:
         return letter + "/" + to_text(it.step.job);
@@ -145,8 +144,7 @@
         return result;
     }
     if (result.kind == entry_kind::progress ||
-        result.kind == entry_kind::advice ||
-        result.kind == entry_kind::question) {
+        result.kind == entry_kind::advice) {
         const auto step = parse_step_key(text);
         if (!step) {
             return std::nullopt;
@@ -219,19 +217,6 @@
     });
 }
 
-std::string encode(const question_record& it)
-{
-    return pack(json::array({it.member, it.number}));
-}
-
-std::optional<question_record> decode_question(std::string_view bytes)
-{
-    return unpack(bytes, [](const json& it) {
-        return question_record{.member = it.at(0).get<std::string>(),
-                               .number = it.at(1)};
-    });
-}
-
 std::string encode(const batch_mark& it)
 {
     return pack(json::array({it.epoch, it.sequence}));
--- a/src/rosemarytrail/fleet/ledger_codec.hpp
+++ b/src/rosemarytrail/fleet/ledger_codec.hpp
@@ -23,8 +23,6 @@
     leader,
     /** @brief Last entry of each batch; shows the leader that it is there. */
     batch_mark,
-    /** @brief Question to the advice service, with the node that asks it. */
-    question,
     /** @brief Latest epoch whose leader may have renewed a worker's lease. */
     worker
 };
@@ -46,15 +44,6 @@
     std::int64_t unix_ms{};
 };
 
-/** @brief Question that the leader gave to a node. */
-struct question_record
-{
-    /** @brief Node that is to ask. */
-    std::string member;
-    /** @brief Tells a question from an earlier one about the same step. */
-    std::uint64_t number{};
-};
-
 /** @brief What the ledger keeps of a worker. */
 struct worker_record
 {
@@ -125,9 +114,6 @@
 /** @copydoc encode(const job_record&) */
 [[nodiscard]] std::string encode(const batch_mark& it);
 
-/** @copydoc encode(const job_record&) */
-[[nodiscard]] std::string encode(const question_record& it);
-
 /** @copydoc encode(const job_record&) */
 [[nodiscard]] std::string encode(const worker_record& it);
 
@@ -156,10 +142,6 @@
 [[nodiscard]] std::optional<batch_mark>
 decode_batch_mark(std::string_view bytes);
 
-/** @copydoc decode_job */
-[[nodiscard]] std::optional<question_record>
-decode_question(std::string_view bytes);
-
 /** @copydoc decode_job */
 [[nodiscard]] std::optional<worker_record>
 decode_worker(std::string_view bytes);
--- a/test/cell/outbox.cpp
+++ b/test/cell/outbox.cpp
@@ -48,7 +48,11 @@
 struct fixture
 {
     held_store shared;
-    outbox entries{{}, shared};
+    outbox entries{{},
+                   [this](append_request request,
+                          std::function<void(append_answer)> done) {
+                       shared.append(std::move(request), std::move(done));
+                   }};
     std::map<std::string, entry_result> results;
     time_point start{boot_clock::now()};
 
--- a/test/cell/peer_link.cpp
+++ b/test/cell/peer_link.cpp
@@ -32,6 +32,21 @@
     CHECK_FALSE(decode_call("\xc1", now));
 }
 
+TEST_CASE("A message survives the way to a peer", "[peer]")
+{
+    const peer_message message{
+        .entries = {{.key = "j/1", .value = "v"},
+                    {.key = "c/2", .value = std::nullopt}},
+        .questions = {{.job = 5, .occurrence = 1, .step = 2}}};
+    const auto it = decode_message(encode_message(message));
+    REQUIRE(it);
+    REQUIRE(it->entries.size() == 2);
+    CHECK(it->entries[0].value == "v");
+    CHECK_FALSE(it->entries[1].value);
+    CHECK(it->questions == message.questions);
+    CHECK_FALSE(decode_message("\xc1"));
+}
+
 TEST_CASE("An answer survives the way back", "[peer]")
 {
     const client_answer answer{.kind = answer_kind::state,
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -373,14 +373,41 @@
     }
     cell.run(50ms);
     std::map<std::string, int> asked;
-    for (const auto& [step, question] : cell.questions) {
+    for (const auto& question : cell.questions) {
         ++asked[question.member];
     }
     CHECK(asked == std::map<std::string, int>{{"n1", 2}, {"n2", 2}, {"n3", 2}});
     // An answer makes room for the next question.
-    cell.grant(cell.questions.begin()->first, {"w0"}, 2500ms);
+    cell.grant(cell.questions.front().step, {"w0"}, 2500ms);
     cell.run(50ms);
     CHECK(cell.questions.size() == 7);
 }
 
+TEST_CASE("A burst of short questions is spread over all nodes", "[advice]")
+{
+    worker_fleet cell;
+    cell.add_workers(40, eight_cores);
+    const std::vector<std::string> members{"n1", "n2", "n3", "n4"};
+    cell.leader().set_members(members);
+    for (std::uint64_t id = 1; id <= 60; ++id) {
+        auto job = make_job(id, {{.tasks = 1, .need = one_core}});
+        job.queue.advice = advice_policy{
+            .base_ms = 13, .per_worker_ms = 0.2, .valid_ms = 2500};
+        cell.submit(job);
+    }
+    // Their own nodes are asked first.
+    cell.run(60ms);
+    CHECK(cell.questions.empty());
+    cell.run(60ms);
+    std::map<std::string, int> asked;
+    for (const auto& question : cell.questions) {
+        ++asked[question.member];
+    }
+    REQUIRE(asked.size() == 4);
+    for (const auto& [node, n] : asked) {
+        CHECK(n >= 7);
+        CHECK(n <= 9);
+    }
+}
+
 } // namespace rosemarytrail::fleet
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -61,8 +61,6 @@
                          now);
         if (!about) {
             violations.push_back("entry not read: " + it.key);
-        } else if (about->kind == fleet::entry_kind::question && it.value) {
-            questions[about->step] = *fleet::decode_question(*it.value);
         }
     }
 }
@@ -287,6 +285,8 @@
             dispatcher_->on_recorded(batch.number, now);
         }
         const auto orders = dispatcher_->take_orders(now);
+        questions.insert(questions.end(), orders.questions.begin(),
+                         orders.questions.end());
         for (const auto& it : orders.stops) {
             auto& worker = workers.at(it.worker.id);
             if (!worker.cut) {
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -78,7 +78,7 @@
     bool refuse_tickets{false};
     std::size_t refused_starts{};
     /** @brief Questions to the advice service that were given out. */
-    std::map<fleet::step_key, fleet::question_record> questions;
+    std::vector<fleet::question_order> questions;
 
     void add_workers(std::size_t n, const fleet::room& capacity,
                      std::size_t per_rack = 8);
