Start gangs whole or not at all, and stop members that wait in vain

Change: before the first start of a gang all members are checked, and a member that does not start stops the others at once; members resume from one checkpoint. Starts with a lapsed ticket are not sent.

Ruled out: the orders' spread in time (all go out in one pass).

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -477,29 +477,56 @@
     return clock + to_milliseconds(options.lease);
 }
 
+bool dispatcher::books::can_start(const step_book& step, std::uint32_t index,
+                                  time_point now) const
+{
+    const auto& task = step.tasks[index];
+    const auto worker = workers.find(task.worker);
+    if (task.phase != task_phase::placed || step.job->ended() ||
+        worker == workers.end() || !is_usable(worker->second, step, now)) {
+        return false;
+    }
+    return !step.job->record.queue.advice ||
+           (step.tickets_until > now && step.tickets.contains(task.worker));
+}
+
+// Members of a gang that wait for one that does not come only take room.
+void dispatcher::books::abort_gang(step_book& step, time_point now)
+{
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+        const auto phase = step.tasks[i].phase;
+        if (phase == task_phase::placed || phase == task_phase::ordered ||
+            phase == task_phase::running || phase == task_phase::unsure) {
+            stop_task(step, i, now);
+        }
+    }
+}
+
 void dispatcher::books::order_start(const task_key& key, time_point now)
 {
     auto* step = find_step(key.step);
-    if (step == nullptr) {
+    if (step == nullptr || step->tasks[key.index].phase != task_phase::placed) {
         return;
     }
     auto& task = step->tasks[key.index];
-    if (task.phase != task_phase::placed) {
-        return;
+    bool possible = can_start(*step, key.index, now);
+    if (step->spec->gang && key.index == 0) {
+        for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
+            possible = possible && can_start(*step, i, now);
+        }
     }
-    auto& worker = workers[task.worker];
-    if (step->job->ended() || !is_usable(worker, *step, now)) {
-        back_to_waiting(*step, key.index, now);
+    if (!possible) {
+        if (step->spec->gang) {
+            abort_gang(*step, now);
+        } else {
+            back_to_waiting(*step, key.index, now);
+        }
         return;
     }
+    auto& worker = workers[task.worker];
     std::string ticket;
     if (step->job->record.queue.advice) {
-        const auto it = step->tickets.find(task.worker);
-        if (it == step->tickets.end()) {
-            back_to_waiting(*step, key.index, now);
-            return;
-        }
-        ticket = it->second;
+        ticket = step->tickets[task.worker];
     }
     task.phase = task_phase::ordered;
     task.since = now;
@@ -542,6 +569,9 @@
             state.note(order.task.step.job, "start unanswered",
                        to_text(order.task) + " on " + order.worker.id);
             state.stop_task(*step, order.task.index, now);
+            if (step->spec->gang) {
+                state.abort_gang(*step, now);
+            }
         }
         return;
     }
@@ -570,6 +600,9 @@
     }
     if (ordered || stopping) {
         state.back_to_waiting(*step, order.task.index, now);
+        if (step->spec->gang) {
+            state.abort_gang(*step, now);
+        }
         state.check_finished(*step->job);
     }
 }
@@ -726,6 +759,9 @@
              *task.stop_acknowledged <= sent_at);
         if (gone) {
             back_to_waiting(*step, key.index, now);
+            if (step->spec->gang) {
+                abort_gang(*step, now);
+            }
             check_finished(*step->job);
         } else if (task.phase == task_phase::stopping &&
                    now - task.stop_sent > options.stop_retry) {
@@ -792,6 +828,9 @@
             continue;
         }
         back_to_waiting(*step, key.index, now);
+        if (step->spec->gang) {
+            abort_gang(*step, now);
+        }
         check_finished(*step->job);
     }
     if (!load.empty()) {
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -254,6 +254,9 @@
     void fail_job(job_book& job, time_point now);
     void stop_all(job_book& job, time_point now);
     void stop_task(step_book& step, std::uint32_t index, time_point now);
+    [[nodiscard]] bool can_start(const step_book& step, std::uint32_t index,
+                                 time_point now) const;
+    void abort_gang(step_book& step, time_point now);
     void order_start(const task_key& key, time_point now);
     void on_ended(worker_book& worker, const ended_row& row, time_point now);
     void on_run_failed(worker_book& worker, step_book& step,
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -201,6 +201,15 @@
         place(step, n, *worker, now);
     }
     if (n == step.tasks.size()) {
+        // All members resume from one checkpoint, whichever has one.
+        const auto saved = std::ranges::find_if(
+            step.tasks, [](const auto& it) { return !it.checkpoint.empty(); });
+        if (saved != step.tasks.end()) {
+            const auto checkpoint = saved->checkpoint;
+            for (auto& it : step.tasks) {
+                it.checkpoint = checkpoint;
+            }
+        }
         note(step.key.job, "gang placed", to_text(step.key));
         return;
     }
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -250,6 +250,52 @@
     CHECK(cell.violations.empty());
 }
 
+TEST_CASE("A gang whose worker leaves meanwhile starts as a whole elsewhere",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.fate = [](const task_key&) {
+        return task_fate{.length = 1s};
+    };
+    cell.add_workers(3, eight_cores);
+    cell.run(100ms);
+    cell.ledger_down = true;
+    cell.submit(make_job(1, {{.tasks = 16, .need = one_core, .gang = true}}));
+    cell.run(50ms);
+    cell.workers["w0"].vm.draining = true;
+    cell.list_workers();
+    cell.ledger_down = false;
+    cell.run(30ms);
+    // It was placed anew as a whole on the workers that stay.
+    CHECK(cell.running_on("w0") == 0);
+    CHECK(cell.running(1) == 16);
+    cell.run(3s);
+    CHECK(cell.state(1) == job_state::completed);
+    for (const auto& [task, n] : cell.starts) {
+        CHECK(n == 1);
+    }
+}
+
+TEST_CASE("Members of a gang do not wait for one that was refused",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.fate = [](const task_key&) {
+        return task_fate{.length = 10s};
+    };
+    cell.add_workers(2, eight_cores);
+    cell.run(100ms);
+    cell.workers["w1"].start_delay = 2s;
+    cell.submit(make_job(1, {{.tasks = 12, .need = one_core, .gang = true}}));
+    cell.run(100ms);
+    CHECK(cell.running_on("w0") <= 8);
+    CHECK(cell.running(1) < 12);
+    cell.workers["w1"].start_delay = {};
+    cell.run(700ms);
+    CHECK(cell.running(1) == 12);
+    CHECK(cell.violations.empty());
+}
+
 TEST_CASE("An account stays under its limit", "[dispatcher]")
 {
     worker_fleet cell;
