--- a/src/rosemarytrail/cell/feed_reader.cpp
+++ b/src/rosemarytrail/cell/feed_reader.cpp
@@ -27,10 +27,10 @@
     std::vector<feed_record> loading;
     std::int64_t load_end{};
 
-    void load(std::string after);
+    void load(const std::string& after);
     void on_newest(newest_page page, time_point sent);
     void read();
-    void on_page(feed_page page, time_point sent);
+    void on_page(const feed_page& page, time_point sent);
     void apply(const feed_page& page, std::int64_t from);
     void again(duration pause, void (internal_state::*next)());
     void begin() { load({}); }
@@ -46,7 +46,7 @@
     });
 }
 
-void feed_reader::internal_state::load(std::string after)
+void feed_reader::internal_state::load(const std::string& after)
 {
     if (after.empty()) {
         loading.clear();
@@ -92,13 +92,13 @@
 
 void feed_reader::internal_state::read()
 {
-    source.read(
-        options.which, offset, options.wait,
-        [self = shared_from_this(), sent = boot_clock::now()](feed_page page) {
-            if (!self->stopped) {
-                self->on_page(std::move(page), sent);
-            }
-        });
+    source.read(options.which, offset, options.wait,
+                [self = shared_from_this(),
+                 sent = boot_clock::now()](const feed_page& page) {
+                    if (!self->stopped) {
+                        self->on_page(page, sent);
+                    }
+                });
 }
 
 void feed_reader::internal_state::apply(const feed_page& page,
@@ -113,7 +113,8 @@
     offset = std::max(offset, page.next_offset);
 }
 
-void feed_reader::internal_state::on_page(feed_page page, time_point sent)
+void feed_reader::internal_state::on_page(const feed_page& page,
+                                          time_point sent)
 {
     if (page.result == store_result::history_lost) {
         loaded = false;
@@ -183,7 +184,7 @@
     const auto from = state_->offset;
     state_->source.read(
         state_->options.which, from, duration{},
-        [state = state_, from, done = std::move(done)](feed_page page) {
+        [state = state_, from, done = std::move(done)](const feed_page& page) {
             const bool whole = !state->stopped && state->loaded &&
                                page.result == store_result::done;
             if (whole) {
--- a/src/rosemarytrail/cell/internal/node_advice.cpp
+++ b/src/rosemarytrail/cell/internal/node_advice.cpp
@@ -2,6 +2,7 @@
 
 #include <rosemarytrail/logging/event_log.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace rosemarytrail::cell {
@@ -103,20 +104,28 @@
         return;
     }
     questions.asked(step, now + advice_settle);
+    metrics.advice.add(now - sent);
     it.grant.granted_unix_ms = unix_milliseconds();
+    const auto until = now + std::chrono::milliseconds{it.grant.valid_ms};
     own_grants.push_back(
-        {.entry = {.key = fleet::encode_key(
-                       {.kind = fleet::entry_kind::advice, .step = step}),
-                   .value = fleet::encode(it.grant)},
-         .until = now + std::chrono::milliseconds{it.grant.valid_ms}});
+        {.step = step, .grant = std::move(it.grant), .until = until});
     while (!own_grants.empty() && own_grants.front().until < now) {
         own_grants.pop_front();
     }
-    take_grant(own_grants.back().entry);
+    take_grant(own_grants.back().entry(now));
     tell_leader(own_grants.back());
     run();
 }
 
+fleet::ledger_entry node::internal_state::own_grant::entry(time_point now) const
+{
+    auto left = grant;
+    left.valid_ms = std::max<std::int64_t>(to_milliseconds(until - now), 0);
+    return {.key = fleet::encode_key(
+                {.kind = fleet::entry_kind::advice, .step = step}),
+            .value = fleet::encode(left)};
+}
+
 // Tickets last for seconds, so they go to the leader directly; a new leader is
 // told again what still lasts.
 void node::internal_state::tell_leader(const own_grant& grant)
@@ -125,14 +134,15 @@
     if (lead || address.empty()) {
         return;
     }
-    peers.send(address, {.entries = {grant.entry}, .questions = {}},
-               options.peer_patience, [this, grant](message_result result) {
-                   if (result != message_result::taken) {
-                       entries.add(
-                           grant.entry, grant.until, [](entry_result) {},
-                           boot_clock::now());
-                   }
-               });
+    peers.send(
+        address, {.entries = {grant.entry(boot_clock::now())}, .questions = {}},
+        options.peer_patience, [this, grant](message_result result) {
+            if (result != message_result::taken) {
+                const auto now = boot_clock::now();
+                entries.add(
+                    grant.entry(now), grant.until, [](entry_result) {}, now);
+            }
+        });
 }
 
 void node::internal_state::tell_leader_all()
--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -26,8 +26,9 @@
                                  std::function<void(client_answer)> done)
 {
     const auto now = boot_clock::now();
-    auto noted = [this, kind = call.kind, path = call.path,
+    auto noted = [this, kind = call.kind, path = call.path, now,
                   done = std::move(done)](client_answer it) {
+        metrics.client_call.add(boot_clock::now() - now);
         it.config = std::max(it.config, config ? config->version : 0);
         log_refusal(kind, path, it);
         done(it);
@@ -84,10 +85,7 @@
         address, handed, patience,
         [this, call = std::move(call), candidates = std::move(candidates),
          done = std::move(done)](std::optional<client_answer> it) mutable {
-            metrics
-                .make_counter("rosemarytrail_calls_handed_on_total",
-                              "calls of clients that a peer was asked to serve")
-                .add();
+            metrics.handed_on.add();
             if (it) {
                 peer_config = std::max(peer_config, it->config);
             }
@@ -138,7 +136,7 @@
     if (answer.code == result_code::ok) {
         return;
     }
-    refusals.add(answer.code);
+    metrics.refusals.add(answer.code);
     const auto now = boot_clock::now();
     const auto age = [now](time_point since) {
         return std::to_string(to_milliseconds(now - since));
--- a/src/rosemarytrail/cell/internal/node_lead.cpp
+++ b/src/rosemarytrail/cell/internal/node_lead.cpp
@@ -221,6 +221,7 @@
                        it.expected_sequence == lead->sequence + 1;
     if (it.result == store_result::done || there) {
         entries.learn(true, now - lead->append_sent);
+        metrics.append.add(now - lead->append_sent);
         lead->news = lead->append_sent;
         batch_recorded();
         return;
@@ -230,10 +231,7 @@
         step_down("a newer leader writes");
         return;
     }
-    metrics
-        .make_counter("rosemarytrail_append_retries_total",
-                      "appends of the leader that were sent again")
-        .add();
+    metrics.append_retries.add();
     if (it.result == store_result::unknown) {
         entries.learn(false, {});
         append_batch();
@@ -259,8 +257,11 @@
         });
     }
     for (const auto& it : orders.starts) {
-        workers.start(it, [this, it,
+        workers.start(it, [this, it, sent = now,
                            number = lead_number](fleet::start_result result) {
+            if (result == fleet::start_result::started) {
+                metrics.start_call.add(boot_clock::now() - sent);
+            }
             if (lead && number == lead_number) {
                 lead->decisions.on_start_result(it, result, boot_clock::now());
                 run();
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -3,6 +3,7 @@
 
 #include <rosemarytrail/cell/feed_reader.hpp>
 #include <rosemarytrail/cell/node.hpp>
+#include <rosemarytrail/cell/node_metrics.hpp>
 #include <rosemarytrail/cell/outbox.hpp>
 #include <rosemarytrail/cell/peer_link.hpp>
 #include <rosemarytrail/cell/store_watch.hpp>
@@ -92,8 +93,7 @@
     peer_link& peers;
     advice_port& advice;
     const decoder& formats;
-    metrics::registry& metrics;
-    metrics::code_counters& refusals;
+    node_metrics metrics;
 
     /** @brief Entries of this node that are not known to be on record. */
     outbox entries;
@@ -134,6 +134,7 @@
     bool run_posted{false};
     time_point last_join;
     time_point last_cleanup;
+    time_point last_shown;
 
     std::atomic<bool> ready_flag{false};
     /** @brief Latest tick, in units of `duration`; read by other threads. */
@@ -167,8 +168,12 @@
     /** @brief Advice that this node was given, while its tickets last. */
     struct own_grant
     {
-        fleet::ledger_entry entry;
+        fleet::step_key step;
+        fleet::advice_grant grant;
         time_point until;
+
+        /** @return Entry with the time that its tickets still last. */
+        [[nodiscard]] fleet::ledger_entry entry(time_point now) const;
     };
     std::deque<own_grant> own_grants;
     void tell_leader(const own_grant& grant);
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -14,16 +14,10 @@
 
 /** @brief How often clean-up of old outcomes is tried. */
 constexpr duration cleanup_period{std::chrono::seconds{5}};
+/** @brief How often the gauges are set; metrics are fetched every 5 s. */
+constexpr duration show_period{std::chrono::seconds{1}};
 /** @brief Time between two looks at what is due. */
 constexpr duration tick_period{std::chrono::milliseconds{20}};
-/** @brief An advice answer may come later than its policy says. */
-constexpr duration advice_slack{std::chrono::milliseconds{1500}};
-/** @brief Pause after the advice service gave no answer. */
-constexpr duration advice_pause{std::chrono::milliseconds{200}};
-/** @brief Time for an answer to be read back from the ledger. */
-constexpr duration advice_settle{std::chrono::milliseconds{500}};
-/** @brief Questions that are under way to the advice service at once. */
-constexpr std::size_t advice_calls = 1;
 
 } // namespace
 
@@ -41,9 +35,6 @@
     , advice{advice_}
     , formats{formats_}
     , metrics{metrics_}
-    , refusals{metrics_.make_code_counters(
-          "rosemarytrail_call_refusals_total",
-          "calls of clients that were not served, by code")}
     , entries{{},
               [this](append_request request,
                      std::function<void(append_answer)> done) {
@@ -141,10 +132,7 @@
         now,
         loading_ledger ? std::optional{unix_milliseconds()} : std::nullopt);
     if (!about) {
-        metrics
-            .make_counter("rosemarytrail_ledger_records_unreadable_total",
-                          "entries of the ledger that cannot be read")
-            .add();
+        metrics.unreadable.add();
         logging::event(logging::level::warning, "ledger_record_unreadable",
                        {{"key", record.key}});
         return;
@@ -312,6 +300,7 @@
         lead->decisions.plan(now, unix_milliseconds());
         append_batch();
         send_orders(now);
+        metrics.add(lead->decisions.take_timings());
         for (const auto& it : lead->decisions.take_decisions()) {
             logging::event(logging::level::info, "decision",
                            {{"job", fleet::to_text(it.job)},
@@ -333,6 +322,12 @@
         ready_flag = reached;
     }
     entries.run(now);
+    if (now - last_shown > show_period) {
+        last_shown = now;
+        metrics.leading.set(lead ? 1 : 0);
+        metrics.show(lead ? lead->decisions.count()
+                          : fleet::dispatcher_counts{});
+    }
     if (lead && now - last_cleanup > cleanup_period) {
         last_cleanup = now;
         drop_old_outcomes();
--- /dev/null
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -0,0 +1,77 @@
+#include <rosemarytrail/cell/node_metrics.hpp>
+
+namespace rosemarytrail::cell {
+
+node_metrics::node_metrics(metrics::registry& all)
+    : refusals{all.make_code_counters(
+          "rosemarytrail_call_refusals_total",
+          "calls of clients that were not served, by code")}
+    , unreadable{all.make_counter(
+          "rosemarytrail_ledger_records_unreadable_total",
+          "entries of the ledger that cannot be read")}
+    , append_retries{all.make_counter(
+          "rosemarytrail_append_retries_total",
+          "appends of the leader that were sent again")}
+    , handed_on{all.make_counter("rosemarytrail_calls_handed_on_total",
+                                 "calls that a peer was asked to serve")}
+    , jobs_in_time{all.make_counter(
+          "rosemarytrail_jobs_in_time_total",
+          "jobs that ended within their latency objective")}
+    , jobs_late{all.make_counter("rosemarytrail_jobs_late_total",
+                                 "jobs that ended after their objective")}
+    , leading{all.make_gauge("rosemarytrail_leading",
+                             "1 while this node leads the cell")}
+    , jobs{all.make_gauge("rosemarytrail_jobs_live",
+                          "jobs that have not ended, at the leader")}
+    , tasks_waiting{all.make_gauge("rosemarytrail_tasks_waiting",
+                                   "tasks whose turn has come, at the leader")}
+    , tasks_placed{all.make_gauge("rosemarytrail_tasks_placed",
+                                  "tasks that take room, at the leader")}
+    , workers_reached{all.make_gauge(
+          "rosemarytrail_workers_reached",
+          "workers that answer under this leader's epoch")}
+    , client_call{all.make_summary(
+          "rosemarytrail_client_call_seconds",
+          "calls of clients, from decoded to answered")}
+    , append{all.make_summary("rosemarytrail_append_seconds",
+                              "appends to the store that were answered")}
+    , advice{all.make_summary("rosemarytrail_advice_seconds",
+                              "answers of the advice service")}
+    , start_call{all.make_summary("rosemarytrail_start_call_seconds",
+                                  "orders to start that a worker answered")}
+    , advice_wait{all.make_summary("rosemarytrail_step_advice_wait_seconds",
+                                   "steps, from ready to their first tickets")}
+    , room_wait{all.make_summary(
+          "rosemarytrail_step_room_wait_seconds",
+          "steps, from tickets to the placement of all tasks")}
+    , step_run{all.make_summary("rosemarytrail_step_run_seconds",
+                                "steps, from placement to their last end")}
+    , job{all.make_summary("rosemarytrail_job_seconds",
+                           "jobs, from acceptance to their end")}
+{}
+
+void node_metrics::add(std::span<const fleet::job_timing> timings)
+{
+    for (const auto& it : timings) {
+        job.add(it.total);
+        (it.in_time ? jobs_in_time : jobs_late).add();
+        for (const auto& step : it.steps) {
+            advice_wait.add(step.advice);
+            room_wait.add(step.room);
+            step_run.add(step.run);
+        }
+    }
+}
+
+void node_metrics::show(const fleet::dispatcher_counts& counts)
+{
+    const auto set = [](metrics::gauge& gauge, std::size_t value) {
+        gauge.set(static_cast<std::int64_t>(value));
+    };
+    set(jobs, counts.jobs);
+    set(tasks_waiting, counts.waiting);
+    set(tasks_placed, counts.placed);
+    set(workers_reached, counts.fenced_workers);
+}
+
+} // namespace rosemarytrail::cell
--- /dev/null
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -0,0 +1,52 @@
+#ifndef ROSEMARYTRAIL_CELL_NODE_METRICS_HPP
+#define ROSEMARYTRAIL_CELL_NODE_METRICS_HPP
+
+#include <rosemarytrail/fleet/dispatcher.hpp>
+#include <rosemarytrail/metrics/registry.hpp>
+
+#include <span>
+
+namespace rosemarytrail::cell {
+
+/** @brief Metrics of a node; docs/OPERATIONS.md tells what each means. */
+struct node_metrics
+{
+    /** @param all Owns the metrics. */
+    explicit node_metrics(metrics::registry& all);
+
+    /**
+     * @brief Adds where the time of ended jobs went.
+     * @param timings Jobs that ended.
+     */
+    void add(std::span<const fleet::job_timing> timings);
+
+    /**
+     * @brief Shows how much is in the leader's books; zeros while not leading.
+     * @param counts How much.
+     */
+    void show(const fleet::dispatcher_counts& counts);
+
+    metrics::code_counters& refusals;
+    metrics::counter& unreadable;
+    metrics::counter& append_retries;
+    metrics::counter& handed_on;
+    metrics::counter& jobs_in_time;
+    metrics::counter& jobs_late;
+    metrics::gauge& leading;
+    metrics::gauge& jobs;
+    metrics::gauge& tasks_waiting;
+    metrics::gauge& tasks_placed;
+    metrics::gauge& workers_reached;
+    metrics::summary& client_call;
+    metrics::summary& append;
+    metrics::summary& advice;
+    metrics::summary& start_call;
+    metrics::summary& advice_wait;
+    metrics::summary& room_wait;
+    metrics::summary& step_run;
+    metrics::summary& job;
+};
+
+} // namespace rosemarytrail::cell
+
+#endif
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 using internal::job_book;
-using internal::step_book;
 using internal::task_phase;
 using internal::worker_book;
 
@@ -42,6 +41,7 @@
     : books_{std::make_unique<books>()}
 {
     books_->options = options;
+    books_->last_plan = now;
     board.each_live([&](std::uint64_t /*id*/, const job_entry& entry) {
         books_->add_job(entry, now, unix_ms);
     });
@@ -84,26 +84,42 @@
         {.job = job, .what = what, .detail = std::move(detail)});
 }
 
-// Where the time of a job went, step by step, in milliseconds.
-std::string dispatcher::books::story_of(const job_book& job) const
+job_timing dispatcher::books::timing_of(const job_book& job) const
 {
     const auto span = [](time_point from, time_point to) {
-        return to > from ? std::to_string(to_milliseconds(to - from)) : "0";
+        return std::max(to - from, duration{});
+    };
+    job_timing result{.total = span(job.accepted, last_plan),
+                      .in_time = last_plan <= job.objective,
+                      .steps = {}};
+    for (const auto& step : job.steps) {
+        // A step that a former leader placed has no times of its own.
+        if (step.done_at != time_point{} && step.placed_at != time_point{}) {
+            result.steps.push_back(
+                {.advice = span(step.ready_at, step.advised_at),
+                 .room = span(std::max(step.ready_at, step.advised_at),
+                              step.placed_at),
+                 .run = span(step.placed_at, step.done_at)});
+        }
+    }
+    return result;
+}
+
+// One line that tells where the time of a job went, in milliseconds.
+std::string dispatcher::books::story_of(const job_book& job,
+                                        const job_timing& timing) const
+{
+    const auto text_of = [](duration it) {
+        return std::to_string(to_milliseconds(it));
     };
     auto text = "state " + std::to_string(static_cast<int>(*job.outcome)) +
                 " queue " + job.record.queue.name + " age " +
-                span(job.accepted, last_plan) + " objective " +
-                span(job.accepted, job.objective) + " declared chain " +
+                text_of(timing.total) + " objective " +
+                text_of(job.objective - job.accepted) + " declared chain " +
                 std::to_string(job.chain_ms);
-    for (const auto& step : job.steps) {
-        if (step.done_at != time_point{}) {
-            text +=
-                "; step " + std::to_string(step.key.step) + " tasks " +
-                std::to_string(step.tasks.size()) + " advice " +
-                span(step.ready_at, step.advised_at) + " room " +
-                span(std::max(step.ready_at, step.advised_at), step.placed_at) +
-                " run " + span(step.placed_at, step.done_at);
-        }
+    for (const auto& step : timing.steps) {
+        text += "; step advice " + text_of(step.advice) + " room " +
+                text_of(step.room) + " run " + text_of(step.run);
     }
     return text;
 }
@@ -464,7 +480,8 @@
     state.replan = true;
 }
 
-std::int64_t dispatcher::books::lease_end(worker_book& worker, time_point now)
+std::int64_t dispatcher::books::lease_end(worker_book& worker,
+                                          time_point now) const
 {
     const auto clock =
         *worker.clock_ms + to_milliseconds(now - worker.clock_at);
@@ -984,7 +1001,9 @@
         }
         job->outcome_written = true;
         open.finished.push_back(id);
-        state.note(id, "ended", state.story_of(*job));
+        const auto timing = state.timing_of(*job);
+        state.note(id, "ended", state.story_of(*job, timing));
+        state.timings.push_back(timing);
     }
     state.finished.clear();
     for (auto& [id, worker] : state.workers) {
@@ -1081,14 +1100,19 @@
     return std::exchange(books_->decisions, {});
 }
 
+std::vector<job_timing> dispatcher::take_timings()
+{
+    return std::exchange(books_->timings, {});
+}
+
 bool dispatcher::deposed() const noexcept
 {
     return books_->deposed;
 }
 
-dispatcher::counts dispatcher::count() const
+dispatcher_counts dispatcher::count() const
 {
-    counts result;
+    dispatcher_counts result;
     result.jobs = books_->jobs.size();
     for (const auto* step : books_->ready) {
         result.waiting += step->waiting;
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -100,6 +100,36 @@
     std::string detail;
 };
 
+/** @brief Where the time of a step went. */
+struct step_timing
+{
+    /** @brief From ready to the first tickets. */
+    duration advice{};
+    /** @brief From tickets to the placement of its last task. */
+    duration room{};
+    /** @brief From there to the end of its last task. */
+    duration run{};
+};
+
+/** @brief Where the time of a job went. */
+struct job_timing
+{
+    duration total{};
+    /** @brief It ended within its latency objective. */
+    bool in_time{false};
+    std::vector<step_timing> steps;
+};
+
+/** @brief How much is in a dispatcher's books. */
+struct dispatcher_counts
+{
+    std::size_t jobs{};
+    std::size_t waiting{};
+    std::size_t placed{};
+    std::size_t workers{};
+    std::size_t fenced_workers{};
+};
+
 /**
  * @brief Decides which task runs on which worker; one node runs it at a time.
  *
@@ -215,16 +245,11 @@
     /** @return True once a worker has answered that a newer leader exists. */
     [[nodiscard]] bool deposed() const noexcept;
 
-    /** @return Tasks that wait, run and jobs that are live, for metrics. */
-    struct counts
-    {
-        std::size_t jobs{};
-        std::size_t waiting{};
-        std::size_t placed{};
-        std::size_t workers{};
-        std::size_t fenced_workers{};
-    };
-    [[nodiscard]] counts count() const;
+    /** @return Where the time of jobs that ended since the last call went. */
+    [[nodiscard]] std::vector<job_timing> take_timings();
+
+    /** @return How much is in the books. */
+    [[nodiscard]] dispatcher_counts count() const;
 
 private:
     struct books;
--- a/src/rosemarytrail/fleet/internal/advice_desk.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_desk.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-using internal::step_book;
-using internal::task_phase;
-
 [[nodiscard]] duration milliseconds(double value)
 {
     return std::chrono::duration_cast<duration>(
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -200,6 +200,7 @@
     std::vector<stop_order> stops;
     std::vector<pace_order> paces;
     std::vector<decision> decisions;
+    std::vector<job_timing> timings;
     std::vector<ledger_entry> removals;
     struct open_batch
     {
@@ -268,9 +269,12 @@
                          time_point now);
     void lose_tasks(worker_book& worker, time_point now,
                     std::string_view cause);
-    [[nodiscard]] std::int64_t lease_end(worker_book& worker, time_point now);
+    [[nodiscard]] std::int64_t lease_end(worker_book& worker,
+                                         time_point now) const;
     void note(std::uint64_t job, std::string_view what, std::string detail);
-    [[nodiscard]] std::string story_of(const job_book& job) const;
+    [[nodiscard]] job_timing timing_of(const job_book& job) const;
+    [[nodiscard]] std::string story_of(const job_book& job,
+                                       const job_timing& timing) const;
 
     // internal/worker_speed.cpp
     void learn_speeds(const step_book& step);
--- a/src/rosemarytrail/fleet/job_board.cpp
+++ b/src/rosemarytrail/fleet/job_board.cpp
@@ -56,7 +56,7 @@
                                           time_point now,
                                           std::optional<std::int64_t> unix_ms)
 {
-    const auto about = decode_key(key);
+    auto about = decode_key(key);
     if (!about) {
         return std::nullopt;
     }
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -103,7 +103,7 @@
 
 std::string encode_key(const entry_key& it)
 {
-    const std::string letter(1, kind_letters[static_cast<int>(it.kind)]);
+    std::string letter(1, kind_letters[static_cast<int>(it.kind)]);
     switch (it.kind) {
     case entry_kind::leader:
     case entry_kind::batch_mark:
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -119,7 +119,6 @@
     std::set<fleet::task_key> done_;
     /** @brief Ends that the leader has acknowledged as on record. */
     std::set<fleet::task_key> acknowledged_;
-    std::uint64_t batch_{};
 };
 
 /**
