--- a/src/rosemarytrail/cell/internal/node_advice.cpp
+++ b/src/rosemarytrail/cell/internal/node_advice.cpp
@@ -24,9 +24,7 @@
 
 std::string node::internal_state::leader_address() const
 {
-    const auto& name = board.leader().node;
-    const auto at = name.rfind('@');
-    return at == std::string::npos ? std::string{} : name.substr(at + 1);
+    return address_of(board.leader().node);
 }
 
 void node::internal_state::send_questions(
@@ -37,10 +35,8 @@
             given_questions.push_back(it.step);
             continue;
         }
-        const auto at = it.member.rfind('@');
-        const auto address =
-            it.member.substr(at == std::string::npos ? 0 : at + 1);
-        peers.send(address, {.entries = {}, .questions = {it.step}},
+        peers.send(address_of(it.member),
+                   {.entries = {}, .questions = {it.step}},
                    options.peer_patience,
                    [this, it, number = lead_number](message_result result) {
                        if (lead && number == lead_number &&
--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -48,18 +48,19 @@
 {
     std::vector<std::string> result;
     for (const auto& it : members) {
-        const auto at = it.rfind('@');
-        if (it != options.member && at != std::string::npos) {
-            result.push_back(it.substr(at + 1));
+        auto address = address_of(it);
+        if (it != options.member && !address.empty()) {
+            result.push_back(std::move(address));
         }
     }
     // Each node begins with another peer.
     const auto self = std::ranges::find(members, options.member);
     const auto shift = self - members.begin();
     if (!result.empty()) {
-        std::ranges::rotate(
-            result, result.begin() +
-                        shift % static_cast<std::ptrdiff_t>(result.size()));
+        std::rotate(result.begin(),
+                    result.begin() +
+                        shift % static_cast<std::ptrdiff_t>(result.size()),
+                    result.end());
     }
     result.resize(std::min(result.size(), peers_to_try));
     return result;
--- a/src/rosemarytrail/cell/internal/node_lead.cpp
+++ b/src/rosemarytrail/cell/internal/node_lead.cpp
@@ -3,10 +3,39 @@
 #include <rosemarytrail/logging/event_log.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace rosemarytrail::cell {
 
+// A member's name ends with `@ADDRESS#CPU`.
+std::string node::internal_state::address_of(std::string_view member)
+{
+    const auto at = member.rfind('@');
+    if (at == std::string_view::npos) {
+        return {};
+    }
+    const auto address = member.substr(at + 1);
+    return std::string{address.substr(0, address.rfind('#'))};
+}
+
+// The leader carries the calls to all workers, so a small VM does not lead
+// while a larger one lives.
+bool node::internal_state::large_enough() const
+{
+    std::int64_t largest = options.cpu_millis;
+    for (const auto& it : members) {
+        const auto mark = it.rfind('#');
+        std::int64_t cpu = 0;
+        if (mark != std::string::npos) {
+            std::from_chars(it.data() + mark + 1, it.data() + it.size(), cpu);
+        }
+        largest = std::max(largest, cpu);
+    }
+    return static_cast<double>(options.cpu_millis) >=
+           options.lead_share * static_cast<double>(largest);
+}
+
 void node::internal_state::join()
 {
     if (shutting_down) {
@@ -14,12 +43,33 @@
     }
     const auto sent = boot_clock::now();
     if (ledger.loaded() && configuration.loaded()) {
-        shared.join(options.member, generation, options.member_lifetime,
-                    [this, sent](const membership& it) { on_join(it, sent); });
+        shared.join(node_group::members, options.member, generation,
+                    options.member_lifetime, [this](const membership& it) {
+                        generation = std::max(generation, it.generation);
+                    });
+        join_candidates(sent);
     }
     loop.post_at(sent + options.join_period, [this] { join(); });
 }
 
+void node::internal_state::join_candidates(time_point sent)
+{
+    if (members.empty()) {
+        return;
+    }
+    if (large_enough()) {
+        candidate = true;
+        shared.join(node_group::candidates, options.member, lead_generation,
+                    options.member_lifetime,
+                    [this, sent](const membership& it) { on_join(it, sent); });
+    } else if (candidate) {
+        candidate = false;
+        chosen = false;
+        shared.leave(node_group::candidates, options.member,
+                     [](store_result) {});
+    }
+}
+
 void node::internal_state::list_members()
 {
     shared.members([this](std::optional<std::vector<std::string>> it) {
@@ -41,7 +91,7 @@
         return;
     }
     last_join = sent;
-    generation = std::max(generation, it.generation);
+    lead_generation = std::max(lead_generation, it.generation);
     if (chosen == it.chosen) {
         return;
     }
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -128,6 +128,8 @@
     /** @brief Grows with each lead; tells late answers of a former one. */
     std::uint64_t lead_number{};
     std::uint64_t generation{};
+    std::uint64_t lead_generation{};
+    bool candidate{false};
     bool chosen{false};
     bool claiming{false};
     bool shutting_down{false};
@@ -147,6 +149,9 @@
     [[nodiscard]] const fleet::job_entry* about_job(std::string_view key) const;
     void on_ledger_caught_up();
     void join();
+    void join_candidates(time_point sent);
+    [[nodiscard]] bool large_enough() const;
+    [[nodiscard]] static std::string address_of(std::string_view member);
     void list_members();
     void choose_spacing();
     void on_join(const membership& it, time_point sent);
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -362,7 +362,9 @@
     if (lead) {
         step_down("shutting down");
     }
-    shared.leave(options.member, [](store_result) {});
+    for (const auto group : {node_group::members, node_group::candidates}) {
+        shared.leave(group, options.member, [](store_result) {});
+    }
 }
 
 void node::serve(client_call call, std::function<void(client_answer)> done)
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -22,10 +22,14 @@
     /** @brief Name of the VM. */
     std::string name;
     /**
-     * @brief Name of this incarnation, unique over restarts; ends with `@` and
-     * the address at which peers reach it.
+     * @brief Name of this incarnation, unique over restarts; ends with `@`,
+     * the address at which peers reach it, `#` and its part of a core.
      */
     std::string member;
+    /** @brief Part of a core that the VM has, in thousandths. */
+    std::int64_t cpu_millis{};
+    /** @brief Nodes with less than this part of the largest VM do not lead. */
+    double lead_share{0.8};
     fleet::dispatcher_options dispatcher;
     /** @brief A leader silent for longer is replaced. */
     duration member_lifetime{std::chrono::milliseconds{1200}};
--- a/src/rosemarytrail/cell/ports.hpp
+++ b/src/rosemarytrail/cell/ports.hpp
@@ -100,6 +100,15 @@
     bool more{false};
 };
 
+/** @brief Group of nodes in the store. */
+enum class node_group : std::uint8_t
+{
+    /** @brief All nodes that live. */
+    members,
+    /** @brief Nodes that may lead; one of them is chosen. */
+    candidates
+};
+
 /** @brief Whether this node is to lead. */
 struct membership
 {
@@ -142,14 +151,15 @@
                         std::function<void(newest_page)> done) = 0;
 
     /**
-     * @brief Joins the nodes of which one leads, or stays among them.
+     * @brief Joins a group of nodes, or stays in it.
+     * @param group Group.
      * @param member Name of this incarnation.
      * @param generation Latest generation known; zero at first.
      * @param lifetime A member silent for longer is struck off.
      * @param done Called once.
      */
-    virtual void join(std::string_view member, std::uint64_t generation,
-                      duration lifetime,
+    virtual void join(node_group group, std::string_view member,
+                      std::uint64_t generation, duration lifetime,
                       std::function<void(membership)> done) = 0;
 
     /**
@@ -160,11 +170,12 @@
         std::function<void(std::optional<std::vector<std::string>>)> done) = 0;
 
     /**
-     * @brief Leaves the nodes at once.
+     * @brief Leaves a group at once.
+     * @param group Group.
      * @param member Name of this incarnation.
      * @param done Called once.
      */
-    virtual void leave(std::string_view member,
+    virtual void leave(node_group group, std::string_view member,
                        std::function<void(store_result)> done) = 0;
 };
 
--- a/src/rosemarytrail/cell/store_watch.cpp
+++ b/src/rosemarytrail/cell/store_watch.cpp
@@ -47,10 +47,11 @@
     target_.newest(which, after, watch(std::move(done)));
 }
 
-void store_watch::join(std::string_view member, std::uint64_t generation,
-                       duration lifetime, std::function<void(membership)> done)
+void store_watch::join(node_group group, std::string_view member,
+                       std::uint64_t generation, duration lifetime,
+                       std::function<void(membership)> done)
 {
-    target_.join(member, generation, lifetime, watch(std::move(done)));
+    target_.join(group, member, generation, lifetime, watch(std::move(done)));
 }
 
 void store_watch::members(
@@ -59,10 +60,10 @@
     target_.members(std::move(done));
 }
 
-void store_watch::leave(std::string_view member,
+void store_watch::leave(node_group group, std::string_view member,
                         std::function<void(store_result)> done)
 {
-    target_.leave(member, std::move(done));
+    target_.leave(group, member, std::move(done));
 }
 
 } // namespace rosemarytrail::cell
--- a/src/rosemarytrail/cell/store_watch.hpp
+++ b/src/rosemarytrail/cell/store_watch.hpp
@@ -23,11 +23,12 @@
               std::function<void(feed_page)> done) override;
     void newest(feed which, std::string_view after,
                 std::function<void(newest_page)> done) override;
-    void join(std::string_view member, std::uint64_t generation,
-              duration lifetime, std::function<void(membership)> done) override;
+    void join(node_group group, std::string_view member,
+              std::uint64_t generation, duration lifetime,
+              std::function<void(membership)> done) override;
     void members(std::function<void(std::optional<std::vector<std::string>>)>
                      done) override;
-    void leave(std::string_view member,
+    void leave(node_group group, std::string_view member,
                std::function<void(store_result)> done) override;
 
     /** @return When the latest call that was served was sent. */
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -53,6 +53,8 @@
     double long_advice_share{0.6};
     /** @brief Short questions should not wait for longer than this. */
     duration short_advice_wait{std::chrono::milliseconds{250}};
+    /** @brief Shortest time between two looks for questions. */
+    duration question_spacing{std::chrono::milliseconds{8}};
     /** @brief Long questions that one node has before it at a time. */
     std::size_t questions_per_node{2};
     /** @brief Work in short questions that one node has before it. */
--- a/src/rosemarytrail/fleet/internal/advice_desk.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_desk.cpp
@@ -127,9 +127,10 @@
 
 void dispatcher::books::plan_questions(time_point now)
 {
-    if (members.empty()) {
+    if (members.empty() || now - last_questions < options.question_spacing) {
         return;
     }
+    last_questions = now;
     for (auto& [id, job] : jobs) {
         for (auto& step : job->steps) {
             const bool gone =
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -227,6 +227,7 @@
     /** @brief Ended jobs: late entries must not bring them back. */
     std::unordered_map<std::uint64_t, time_point> ended;
     time_point last_plan;
+    time_point last_questions;
     bool replan{true};
     bool deposed{false};
 
--- a/test/cell/outbox.cpp
+++ b/test/cell/outbox.cpp
@@ -36,13 +36,15 @@
     void newest(feed, std::string_view,
                 std::function<void(newest_page)>) override
     {}
-    void join(std::string_view, std::uint64_t, duration,
+    void join(node_group, std::string_view, std::uint64_t, duration,
               std::function<void(membership)>) override
     {}
     void members(
         std::function<void(std::optional<std::vector<std::string>>)>) override
     {}
-    void leave(std::string_view, std::function<void(store_result)>) override {}
+    void leave(node_group, std::string_view,
+               std::function<void(store_result)>) override
+    {}
 };
 
 struct fixture
