Give the form of a member's name a file and tests of its own

Cause: three places took the address and size out of a member's name by hand. Change: cell/member_name writes and reads it and decides who may lead. Ruled out: keeping the address in the ledger, which a node turned away by the store could not read.

--- a/src/rosemarytrail/cell/internal/node_lead.cpp
+++ b/src/rosemarytrail/cell/internal/node_lead.cpp
@@ -3,37 +3,14 @@
 #include <rosemarytrail/logging/event_log.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace rosemarytrail::cell {
 
-// A member's name ends with `@ADDRESS#CPU`.
 std::string node::internal_state::address_of(std::string_view member)
 {
-    const auto at = member.rfind('@');
-    if (at == std::string_view::npos) {
-        return {};
-    }
-    const auto address = member.substr(at + 1);
-    return std::string{address.substr(0, address.rfind('#'))};
-}
-
-// The leader carries the calls to all workers, so a small VM does not lead
-// while a larger one lives.
-bool node::internal_state::large_enough() const
-{
-    std::int64_t largest = options.cpu_millis;
-    for (const auto& it : members) {
-        const auto mark = it.rfind('#');
-        std::int64_t cpu = 0;
-        if (mark != std::string::npos) {
-            std::from_chars(it.data() + mark + 1, it.data() + it.size(), cpu);
-        }
-        largest = std::max(largest, cpu);
-    }
-    return static_cast<double>(options.cpu_millis) >=
-           options.lead_share * static_cast<double>(largest);
+    const auto name = parse_member_name(member);
+    return name ? name->address : std::string{};
 }
 
 void node::internal_state::join()
@@ -57,7 +34,7 @@
     if (members.empty()) {
         return;
     }
-    if (large_enough()) {
+    if (may_lead(members, options.cpu_millis, options.lead_share)) {
         candidate = true;
         shared.join(node_group::candidates, options.member, lead_generation,
                     options.member_lifetime,
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -2,6 +2,7 @@
 #define ROSEMARYTRAIL_CELL_INTERNAL_NODE_STATE_HPP
 
 #include <rosemarytrail/cell/feed_reader.hpp>
+#include <rosemarytrail/cell/member_name.hpp>
 #include <rosemarytrail/cell/node.hpp>
 #include <rosemarytrail/cell/node_metrics.hpp>
 #include <rosemarytrail/cell/outbox.hpp>
@@ -150,7 +151,6 @@
     void on_ledger_caught_up();
     void join();
     void join_candidates(time_point sent);
-    [[nodiscard]] bool large_enough() const;
     [[nodiscard]] static std::string address_of(std::string_view member);
     void list_members();
     void choose_spacing();
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -21,10 +21,7 @@
 {
     /** @brief Name of the VM. */
     std::string name;
-    /**
-     * @brief Name of this incarnation, unique over restarts; ends with `@`,
-     * the address at which peers reach it, `#` and its part of a core.
-     */
+    /** @brief Name of this incarnation, as `member_name` writes it. */
     std::string member;
     /** @brief Part of a core that the VM has, in thousandths. */
     std::int64_t cpu_millis{};
