--- a/src/rosemarytrail/fleet/fwd.hpp
+++ b/src/rosemarytrail/fleet/fwd.hpp
@@ -6,7 +6,9 @@
 namespace rosemarytrail::fleet {
 
 enum class job_state : std::uint8_t;
-enum class task_phase : std::uint8_t;
+enum class entry_kind : std::uint8_t;
+enum class run_end : std::uint8_t;
+enum class start_result : std::uint8_t;
 
 struct room;
 struct step_spec;
@@ -20,6 +22,8 @@
 
 class job_board;
 class dispatcher;
+class advice_plan;
+class share_meter;
 
 } // namespace rosemarytrail::fleet
 
--- /dev/null
+++ b/src/rosemarytrail/fleet/internal/orders.cpp
@@ -0,0 +1,205 @@
+#include <rosemarytrail/fleet/internal/books.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemarytrail::fleet {
+
+using internal::task_phase;
+
+void dispatcher::books::stop_task(step_book& step, std::uint32_t index,
+                                  time_point now)
+{
+    auto& task = step.tasks[index];
+    if (task.phase == task_phase::placed) {
+        // Nothing was sent yet.
+        back_to_waiting(step, index, now);
+        return;
+    }
+    if (task.phase != task_phase::stopping) {
+        task.phase = task_phase::stopping;
+        task.since = now;
+        task.stop_acknowledged.reset();
+    }
+    task.stop_sent = now;
+    const auto& vm = workers[task.worker].vm;
+    if (!vm.address.empty()) {
+        stops.push_back({.worker = {.id = vm.id, .address = vm.address},
+                         .task = {.step = step.key, .index = index},
+                         .run = task.run,
+                         .epoch = options.epoch});
+    }
+}
+
+void dispatcher::books::stop_all(job_book& job, time_point now)
+{
+    for (auto& step : job.steps) {
+        ready.erase(&step);
+        for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+            if (step.tasks[i].holds_room()) {
+                stop_task(step, i, now);
+            }
+        }
+    }
+}
+
+std::int64_t dispatcher::books::lease_end(worker_book& worker,
+                                          time_point now) const
+{
+    const auto clock =
+        *worker.clock_ms + to_milliseconds(now - worker.clock_at);
+    const auto bound = now +
+                       std::chrono::duration_cast<duration>(
+                           (options.lease + (now - worker.clock_at)) *
+                           (1 + options.clock_drift)) -
+                       (now - worker.clock_at) + options.lease_margin;
+    worker.lease_until = std::max(worker.lease_until, bound);
+    return clock + to_milliseconds(options.lease);
+}
+
+bool dispatcher::books::can_start(const step_book& step, std::uint32_t index,
+                                  time_point now) const
+{
+    const auto& task = step.tasks[index];
+    const auto worker = workers.find(task.worker);
+    if (task.phase != task_phase::placed || step.job->ended() ||
+        worker == workers.end() || !is_usable(worker->second, step, now)) {
+        return false;
+    }
+    return !step.job->record.queue.advice ||
+           (step.tickets_until > now && step.tickets.contains(task.worker));
+}
+
+// Members of a gang that wait for one that does not come only take room.
+void dispatcher::books::abort_gang(step_book& step, time_point now)
+{
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+        const auto phase = step.tasks[i].phase;
+        if (phase == task_phase::placed || phase == task_phase::ordered ||
+            phase == task_phase::running || phase == task_phase::unsure) {
+            stop_task(step, i, now);
+        }
+    }
+}
+
+void dispatcher::books::order_start(const task_key& key, time_point now)
+{
+    auto* step = find_step(key.step);
+    if (step == nullptr || step->tasks[key.index].phase != task_phase::placed) {
+        return;
+    }
+    auto& task = step->tasks[key.index];
+    bool possible = can_start(*step, key.index, now);
+    if (step->spec->gang && key.index == 0) {
+        for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
+            possible = possible && can_start(*step, i, now);
+        }
+    }
+    if (!possible) {
+        if (step->spec->gang) {
+            abort_gang(*step, now);
+        } else {
+            back_to_waiting(*step, key.index, now);
+        }
+        return;
+    }
+    auto& worker = workers[task.worker];
+    std::string ticket;
+    if (step->job->record.queue.advice) {
+        ticket = step->tickets[task.worker];
+    }
+    task.phase = task_phase::ordered;
+    task.since = now;
+    starts.push_back(
+        {.worker = {.id = worker.vm.id, .address = worker.vm.address},
+         .task = key,
+         .run = task.run,
+         .payload = step->job->payload,
+         .lease_end_ms = lease_end(worker, now),
+         .epoch = options.epoch,
+         .checkpoint = step->spec->checkpoints ? task.checkpoint : "",
+         .ticket = std::move(ticket)});
+}
+
+void dispatcher::on_start_result(const start_order& order, start_result result,
+                                 time_point now)
+{
+    auto& state = *books_;
+    auto* step = state.find_step(order.task.step);
+    if (step == nullptr) {
+        return;
+    }
+    auto& task = step->tasks[order.task.index];
+    if (task.run != order.run || task.worker != order.worker.id) {
+        return;
+    }
+    const bool ordered = task.phase == task_phase::ordered;
+    const bool stopping = task.phase == task_phase::stopping;
+    if (result == start_result::started) {
+        if (ordered) {
+            task.phase = task_phase::running;
+            task.since = now;
+        }
+        return;
+    }
+    if (result == start_result::unknown) {
+        // It may be carried out later: only a stop that is acknowledged, or
+        // the end of the lease, rules that out.
+        if (ordered) {
+            state.note(order.task.step.job, "start unanswered",
+                       to_text(order.task) + " on " + order.worker.id);
+            state.stop_task(*step, order.task.index, now);
+            if (step->spec->gang) {
+                state.abort_gang(*step, now);
+            }
+        }
+        return;
+    }
+    state.note(order.task.step.job, "start refused",
+               to_text(order.task) + " on " + order.worker.id + " result " +
+                   std::to_string(static_cast<int>(result)));
+    auto& worker = state.workers[order.worker.id];
+    switch (result) {
+    case start_result::fenced:
+        state.deposed = true;
+        break;
+    case start_result::ticket_refused:
+        // The tickets of one answer lapse together.
+        if (const auto it = step->tickets.find(order.worker.id);
+            it != step->tickets.end() && it->second == order.ticket) {
+            step->tickets_until = now;
+        }
+        break;
+    case start_result::no_room:
+    case start_result::unhealthy:
+    case start_result::invalid:
+        state.note_failure(worker, order.task.step.job, now);
+        break;
+    default:
+        break;
+    }
+    if (ordered || stopping) {
+        state.back_to_waiting(*step, order.task.index, now);
+        if (step->spec->gang) {
+            state.abort_gang(*step, now);
+        }
+        state.check_finished(*step->job);
+    }
+}
+
+void dispatcher::on_stop_result(const stop_order& order, bool answered,
+                                time_point now)
+{
+    auto* task = books_->find_task(order.task);
+    if (task != nullptr && answered && task->run == order.run &&
+        task->phase == task_phase::stopping && !task->stop_acknowledged) {
+        task->stop_acknowledged = now;
+        // The end shows in the next hold.
+        if (const auto it = books_->workers.find(order.worker.id);
+            it != books_->workers.end()) {
+            it->second.next_hold = now;
+        }
+    }
+}
+
+} // namespace rosemarytrail::fleet
--- /dev/null
+++ b/src/rosemarytrail/fleet/internal/records.cpp
@@ -0,0 +1,181 @@
+#include <rosemarytrail/fleet/internal/books.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace rosemarytrail::fleet {
+
+using internal::task_phase;
+
+job_timing dispatcher::books::timing_of(const job_book& job) const
+{
+    const auto span = [](time_point from, time_point to) {
+        return std::max(to - from, duration{});
+    };
+    job_timing result{.total = span(job.accepted, last_plan),
+                      .in_time = last_plan <= job.objective,
+                      .steps = {}};
+    for (const auto& step : job.steps) {
+        // A step that a former leader placed has no times of its own.
+        if (step.done_at != time_point{} && step.placed_at != time_point{}) {
+            result.steps.push_back(
+                {.advice = span(step.ready_at, step.advised_at),
+                 .room = span(std::max(step.ready_at, step.advised_at),
+                              step.placed_at),
+                 .run = span(step.placed_at, step.done_at)});
+        }
+    }
+    return result;
+}
+
+// One line that tells where the time of a job went, in milliseconds.
+std::string dispatcher::books::story_of(const job_book& job,
+                                        const job_timing& timing) const
+{
+    const auto text_of = [](duration it) {
+        return std::to_string(to_milliseconds(it));
+    };
+    auto text = "state " + std::to_string(static_cast<int>(*job.outcome)) +
+                " queue " + job.record.queue.name + " age " +
+                text_of(timing.total) + " objective " +
+                text_of(job.objective - job.accepted) + " declared chain " +
+                std::to_string(job.chain_ms);
+    for (const auto& step : timing.steps) {
+        text += "; step advice " + text_of(step.advice) + " room " +
+                text_of(step.room) + " run " + text_of(step.run);
+    }
+    return text;
+}
+
+void dispatcher::books::finish_job(job_book& job, job_state outcome)
+{
+    if (job.outcome) {
+        return;
+    }
+    job.outcome = outcome;
+    ended[job.record.id] = last_plan;
+    finished.push_back(&job);
+    replan = true;
+    for (auto& step : job.steps) {
+        ready.erase(&step);
+    }
+}
+
+ledger_batch dispatcher::take_batch(std::int64_t unix_ms)
+{
+    auto& state = *books_;
+    ledger_batch result{.number = state.next_batch++, .entries = {}};
+    auto& open = state.batches[result.number];
+    std::ranges::move(state.removals, std::back_inserter(result.entries));
+    state.removals.clear();
+    open.placed.swap(state.placed);
+    open.workers.swap(state.reached);
+    for (const auto& id : state.silent) {
+        result.entries.push_back(state.entry_of(id, false));
+    }
+    state.silent.clear();
+    for (const auto& id : open.workers) {
+        result.entries.push_back(state.entry_of(id, true));
+    }
+    std::vector<task_progress> rows;
+    for (auto* step : state.dirty) {
+        step->dirty = false;
+        if (step->job->outcome) {
+            continue;
+        }
+        rows.clear();
+        for (const auto& task : step->tasks) {
+            rows.push_back({.done = task.phase == task_phase::done,
+                            .run = task.run,
+                            .failures = task.failures,
+                            .worker = task.worker,
+                            .checkpoint = step->spec->checkpoints
+                                              ? task.checkpoint
+                                              : std::string{}});
+        }
+        result.entries.push_back(
+            {.key =
+                 encode_key({.kind = entry_kind::progress, .step = step->key}),
+             .value = encode(rows)});
+    }
+    state.dirty.clear();
+    for (auto* job : state.finished) {
+        const auto id = job->record.id;
+        const auto add = [&](entry_kind kind, const step_key& key) {
+            result.entries.push_back(
+                {.key = encode_key({.kind = kind, .step = key}),
+                 .value = std::nullopt});
+        };
+        result.entries.push_back(
+            {.key =
+                 encode_key({.kind = entry_kind::outcome, .step = {.job = id}}),
+             .value = encode(
+                 job_outcome{.state = *job->outcome, .unix_ms = unix_ms})});
+        add(entry_kind::job, {.job = id});
+        if (job->cancelled) {
+            add(entry_kind::cancellation, {.job = id});
+        }
+        for (const auto& step : job->steps) {
+            add(entry_kind::progress, step.key);
+            if (job->record.queue.advice) {
+                add(entry_kind::advice, step.key);
+            }
+        }
+        job->outcome_written = true;
+        open.finished.push_back(id);
+        const auto timing = state.timing_of(*job);
+        state.note(id, "ended", state.story_of(*job, timing));
+        state.timings.push_back(timing);
+    }
+    state.finished.clear();
+    for (auto& [id, worker] : state.workers) {
+        if (worker.seen > worker.recorded) {
+            worker.in_batch[result.number] = worker.seen;
+        }
+    }
+    return result;
+}
+
+void dispatcher::on_recorded(std::uint64_t number, time_point now)
+{
+    auto& state = *books_;
+    for (auto& [id, worker] : state.workers) {
+        while (!worker.in_batch.empty() &&
+               worker.in_batch.begin()->first <= number) {
+            worker.recorded =
+                std::max(worker.recorded, worker.in_batch.begin()->second);
+            worker.in_batch.erase(worker.in_batch.begin());
+        }
+    }
+    while (!state.batches.empty() && state.batches.begin()->first <= number) {
+        const auto batch = std::move(state.batches.begin()->second);
+        state.batches.erase(state.batches.begin());
+        for (const auto& id : batch.workers) {
+            auto& worker = state.workers[id];
+            worker.renewable = worker.fenced && worker.unanswered == 0;
+            state.replan = true;
+        }
+        for (const auto& key : batch.placed) {
+            state.order_start(key, now);
+        }
+        for (const auto id : batch.finished) {
+            const auto it = state.jobs.find(id);
+            // A failed job stays until its tasks have been stopped.
+            if (it != state.jobs.end() && it->second->active == 0) {
+                for (auto& step : it->second->steps) {
+                    state.dirty.erase(&step);
+                    state.ready.erase(&step);
+                }
+                state.jobs.erase(it);
+            }
+        }
+    }
+}
+
+std::vector<job_timing> dispatcher::take_timings()
+{
+    return std::exchange(books_->timings, {});
+}
+
+} // namespace rosemarytrail::fleet
