Drop failed jobs from the books with their last task

Cause: a job that failed while tasks of it ran stayed in the leader's books for good; each one lengthened every look over the jobs. Change: jobs whose outcome is on record go once none of their tasks takes room. Ruled out: dropping them at the outcome, when the room of tasks that are being stopped would be lost from the books.

--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -228,6 +228,8 @@
     std::unordered_map<std::uint64_t, time_point> ended;
     time_point last_plan;
     time_point last_questions;
+    /** @brief Jobs whose outcome is on record; they go with their last task. */
+    std::set<std::uint64_t> leaving;
     bool replan{true};
     bool deposed{false};
 
@@ -250,6 +252,7 @@
     void back_to_waiting(step_book& step, std::uint32_t index, time_point now);
     void set_done(step_book& step, std::uint32_t index);
     void update_ready(job_book& job, std::int64_t unix_ms);
+    void drop_ended_jobs();
     void finish_job(job_book& job, job_state outcome);
     void check_finished(job_book& job);
     void cancel_job(job_book& job, time_point now);
--- a/src/rosemarytrail/fleet/internal/records.cpp
+++ b/src/rosemarytrail/fleet/internal/records.cpp
@@ -67,6 +67,7 @@
     auto& state = *books_;
     ledger_batch result{.number = state.next_batch++, .entries = {}};
     auto& open = state.batches[result.number];
+    state.drop_ended_jobs();
     std::ranges::move(state.removals, std::back_inserter(result.entries));
     state.removals.clear();
     open.placed.swap(state.placed);
@@ -137,6 +138,24 @@
     return result;
 }
 
+// A failed job stays until its tasks have been stopped.
+void dispatcher::books::drop_ended_jobs()
+{
+    std::erase_if(leaving, [this](std::uint64_t id) {
+        const auto it = jobs.find(id);
+        if (it == jobs.end() || it->second->active > 0) {
+            return it == jobs.end();
+        }
+        for (auto& step : it->second->steps) {
+            close_question(step);
+            dirty.erase(&step);
+            ready.erase(&step);
+        }
+        jobs.erase(it);
+        return true;
+    });
+}
+
 void dispatcher::on_recorded(std::uint64_t number, time_point now)
 {
     auto& state = *books_;
@@ -159,17 +178,7 @@
         for (const auto& key : batch.placed) {
             state.order_start(key, now);
         }
-        for (const auto id : batch.finished) {
-            const auto it = state.jobs.find(id);
-            // A failed job stays until its tasks have been stopped.
-            if (it != state.jobs.end() && it->second->active == 0) {
-                for (auto& step : it->second->steps) {
-                    state.dirty.erase(&step);
-                    state.ready.erase(&step);
-                }
-                state.jobs.erase(it);
-            }
-        }
+        state.leaving.insert(batch.finished.begin(), batch.finished.end());
     }
 }
 
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -214,6 +214,23 @@
     CHECK(cell.starts[{.step = {.job = 1}, .index = 1}] == 3);
 }
 
+TEST_CASE("A failed job leaves the books once its tasks are stopped",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.fate = [](const task_key& task) {
+        return task.index == 1
+                   ? task_fate{.length = 100ms, .end = run_end::failed}
+                   : task_fate{.length = 60s};
+    };
+    cell.add_workers(2, eight_cores);
+    cell.submit(make_job(1, {{.tasks = 2, .need = one_core}}));
+    cell.run(3s);
+    CHECK(cell.state(1) == job_state::failed);
+    CHECK(cell.running(1) == 0);
+    CHECK(cell.leader().count().jobs == 0);
+}
+
 TEST_CASE("A cancelled job is stopped and stays cancelled", "[dispatcher]")
 {
     worker_fleet cell;
