Forget steps of ended jobs and old marks of drain; watch the configuration feed

Cause, found by reading the change: what a node remembers of its questions, and when jobs of a queue began, grew with each job for good; the configuration feed went past the watch that tells whether the store serves this node. Change: both are trimmed; the feed goes by way of the watch. Ruled out: a bound by number, which would forget live steps in a burst.

--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -17,9 +17,6 @@
 /** @brief Least time for a peer to answer. */
 constexpr duration peer_patience{std::chrono::milliseconds{700}};
 
-/** @brief Over which a queue's drain is measured. */
-constexpr duration drain_window{std::chrono::seconds{3}};
-
 } // namespace
 
 void node::internal_state::serve(client_call call,
@@ -119,10 +116,10 @@
         return std::nullopt;
     }
     auto& times = begun[record.queue.name];
-    while (!times.empty() && now - times.front() > drain_window) {
+    while (!times.empty() && now - times.front() > options.drain_window) {
         times.pop_front();
     }
-    const std::chrono::duration<double> window = drain_window;
+    const std::chrono::duration<double> window = options.drain_window;
     return fleet::turned_away(
         {.beyond_share = true,
          .pending = board.pending(record.queue.name),
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-/** @brief How often clean-up of old outcomes is tried. */
+/** @brief How often what is no longer needed is dropped. */
 constexpr duration cleanup_period{std::chrono::seconds{5}};
 /** @brief How often the gauges are set; metrics are fetched every 5 s. */
 constexpr duration show_period{std::chrono::seconds{1}};
@@ -47,7 +47,7 @@
              ledger_target}
     , configuration{{.which = feed::configuration},
                     loop_,
-                    shared_,
+                    shared,
                     configuration_target}
     , directory{{.which = feed::workers, .spacing = options_.directory_spacing},
                 loop_,
@@ -189,7 +189,11 @@
         shares.note(record.account, weight_of(record.account), now);
     } else if (about.kind == fleet::entry_kind::progress && !had_started &&
                entry->has_started()) {
-        begun[record.queue.name].push_back(now);
+        auto& times = begun[record.queue.name];
+        times.push_back(now);
+        while (now - times.front() > options.drain_window) {
+            times.pop_front();
+        }
     }
 }
 
@@ -328,9 +332,12 @@
         metrics.show(lead ? lead->decisions.count()
                           : fleet::dispatcher_counts{});
     }
-    if (lead && now - last_cleanup > cleanup_period) {
+    if (now - last_cleanup > cleanup_period) {
         last_cleanup = now;
-        drop_old_outcomes();
+        questions.forget_ended(board);
+        if (lead) {
+            drop_old_outcomes();
+        }
     }
     run_now();
     loop.post_at(now + tick_period, [this] { tick(); });
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -50,6 +50,8 @@
     duration append_spacing{std::chrono::milliseconds{12}};
     /** @brief Pause before an append without effect is sent again. */
     duration append_retry{std::chrono::milliseconds{50}};
+    /** @brief Span over which the drain of a queue is measured. */
+    duration drain_window{std::chrono::seconds{3}};
     /** @brief Part of a caller's time kept to say that it is unknown. */
     duration answer_margin{std::chrono::milliseconds{300}};
     /** @brief An append that takes longer goes by way of the leader. */
--- a/src/rosemarytrail/fleet/advice_plan.cpp
+++ b/src/rosemarytrail/fleet/advice_plan.cpp
@@ -99,6 +99,16 @@
     asked_until_[step] = until;
 }
 
+void advice_plan::forget_ended(const job_board& board)
+{
+    const auto ended = [&board](const auto& it) {
+        const auto* entry = board.find(it.first.job);
+        return entry == nullptr || !entry->record || entry->outcome;
+    };
+    std::erase_if(asked_until_, ended);
+    std::erase_if(near_since_, ended);
+}
+
 bool advice_plan::due(const job_entry& entry, const step_key& key,
                       time_point now)
 {
--- a/src/rosemarytrail/fleet/advice_plan.hpp
+++ b/src/rosemarytrail/fleet/advice_plan.hpp
@@ -107,6 +107,18 @@
      */
     void asked(const step_key& step, time_point until);
 
+    /**
+     * @brief Forgets steps of jobs that have ended.
+     * @param board Jobs.
+     */
+    void forget_ended(const job_board& board);
+
+    /** @return Steps that are remembered. */
+    [[nodiscard]] std::size_t remembered() const noexcept
+    {
+        return asked_until_.size() + near_since_.size();
+    }
+
 private:
     [[nodiscard]] bool due(const job_entry& entry, const step_key& key,
                            time_point now);
--- a/test/fleet/admission.cpp
+++ b/test/fleet/admission.cpp
@@ -95,6 +95,31 @@
     CHECK(after(2'999'999) <= 8s);
 }
 
+TEST_CASE("Steps of ended jobs are forgotten", "[advice]")
+{
+    job_board board;
+    const std::vector<std::string> members{"a"};
+    const std::vector<worker_vm> workers{{.id = "w", .service = "s"}};
+    advice_plan plan{{.member = "a"}};
+    job_record record{.id = 9};
+    record.queue.service = "s";
+    record.queue.advice = advice_policy{.base_ms = 13, .valid_ms = 2500};
+    record.spec.steps = {{.tasks = 1}};
+    REQUIRE(
+        board.apply(encode_key({.kind = entry_kind::job, .step = {.job = 9}}),
+                    encode(record), start));
+    const auto question = plan.next(board, workers, members, start);
+    REQUIRE(question);
+    plan.asked(question->step, start + 1s);
+    plan.forget_ended(board);
+    CHECK(plan.remembered() == 2);
+    REQUIRE(board.apply(
+        encode_key({.kind = entry_kind::outcome, .step = {.job = 9}}),
+        encode(job_outcome{}), start));
+    plan.forget_ended(board);
+    CHECK(plan.remembered() == 0);
+}
+
 TEST_CASE("Short and long questions fall to different nodes", "[advice]")
 {
     const std::vector<std::string> members{"a", "b", "c", "d", "e", "f"};
