Keep ended jobs in order of their end; drop state that nothing reads

Cause, found on reading the change: each pass over the orders walked all ended jobs of ten minutes, up to 12,000 at 20 a second, to find those to forget; and step_book::dirty, job_book::outcome_written and books::need_of had no reader. Change: ended jobs are queued by time and the oldest go when one is added.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -76,7 +76,6 @@
 
 void dispatcher::books::mark_dirty(step_book& step)
 {
-    step.dirty = true;
     dirty.insert(&step);
     replan = true;
 }
@@ -329,9 +328,6 @@
 dispatcher_orders dispatcher::take_orders(time_point now)
 {
     auto& state = *books_;
-    std::erase_if(state.ended, [&](const auto& it) {
-        return it.second + state.options.ended_memory < now;
-    });
     const auto& options = state.options;
     dispatcher_orders result;
     for (auto& [id, worker] : state.workers) {
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -4,12 +4,15 @@
 #include <rosemarytrail/fleet/dispatcher.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace rosemarytrail::fleet::internal {
@@ -80,8 +83,6 @@
     std::vector<task_state> tasks;
     std::size_t waiting{};
     std::size_t done{};
-    /** @brief Changed since the last batch. */
-    bool dirty{false};
     /** @brief Tickets by worker; empty rows mean no advice was given. */
     std::map<std::string, std::string> tickets;
     time_point tickets_until;
@@ -114,8 +115,6 @@
     bool cancelled{false};
     bool failed{false};
     std::optional<job_state> outcome;
-    /** @brief The outcome was handed out in a batch. */
-    bool outcome_written{false};
     /** @brief Beyond what its account may send; served after others. */
     bool beyond_share{false};
     time_point accepted;
@@ -225,7 +224,9 @@
     /** @brief Workers that are to be recorded as renewed no longer. */
     std::vector<std::string> silent;
     /** @brief Ended jobs: late entries must not bring them back. */
-    std::unordered_map<std::uint64_t, time_point> ended;
+    std::unordered_set<std::uint64_t> ended;
+    /** @brief The same in the order in which they ended. */
+    std::deque<std::pair<time_point, std::uint64_t>> ended_order;
     time_point last_plan;
     time_point last_questions;
     /** @brief Jobs whose outcome is on record; they go with their last task. */
@@ -235,7 +236,6 @@
 
     [[nodiscard]] step_book* find_step(const step_key& key);
     [[nodiscard]] task_state* find_task(const task_key& key);
-    [[nodiscard]] room need_of(const task_key& key);
     [[nodiscard]] duration longest_lease() const;
     void on_unanswered(worker_book& worker);
     [[nodiscard]] ledger_entry entry_of(const std::string& worker,
@@ -254,6 +254,7 @@
     void update_ready(job_book& job, std::int64_t unix_ms);
     void drop_ended_jobs();
     void finish_job(job_book& job, job_state outcome);
+    void remember_ended(std::uint64_t id);
     void check_finished(job_book& job);
     void cancel_job(job_book& job, time_point now);
     void fail_job(job_book& job, time_point now);
--- a/src/rosemarytrail/fleet/internal/records.cpp
+++ b/src/rosemarytrail/fleet/internal/records.cpp
@@ -54,7 +54,7 @@
         return;
     }
     job.outcome = outcome;
-    ended[job.record.id] = last_plan;
+    remember_ended(job.record.id);
     finished.push_back(&job);
     replan = true;
     for (auto& step : job.steps) {
@@ -62,6 +62,16 @@
     }
 }
 
+void dispatcher::books::remember_ended(std::uint64_t id)
+{
+    ended.insert(id);
+    ended_order.emplace_back(last_plan, id);
+    while (ended_order.front().first + options.ended_memory < last_plan) {
+        ended.erase(ended_order.front().second);
+        ended_order.pop_front();
+    }
+}
+
 ledger_batch dispatcher::take_batch(std::int64_t unix_ms)
 {
     auto& state = *books_;
@@ -81,7 +91,6 @@
     }
     std::vector<task_progress> rows;
     for (auto* step : state.dirty) {
-        step->dirty = false;
         if (step->job->outcome) {
             continue;
         }
@@ -123,7 +132,6 @@
                 add(entry_kind::advice, step.key);
             }
         }
-        job->outcome_written = true;
         open.finished.push_back(id);
         const auto timing = state.timing_of(*job);
         state.note(id, "ended", state.story_of(*job, timing));
