One cost of advice, one way to lose a run, one lookup of an account

Cause, found on reading the change: the cost of an answer stood in two files and five places, choosing the least loaded node and telling a step without short advice in two each, giving back a gang's member in three, looking up an account and trimming a queue's drain in two each. Change: advice_cost, least_loaded, lacks_short_advice, lose_run, find_account and trim_drain serve all of them. No behaviour is meant to change. Ruled out: one planner for short and long questions, whose candidates and bounds differ; sharing block_signals and complain of the two programs, which link no library in common that fits them.

--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -101,11 +101,16 @@
 
 double node::internal_state::weight_of(const std::string& account) const
 {
-    if (!config) {
-        return 0;
+    const auto* found = config ? config->find_account(account) : nullptr;
+    return found == nullptr ? 0 : found->weight;
+}
+
+void node::internal_state::trim_drain(std::deque<time_point>& times,
+                                      time_point now) const
+{
+    while (!times.empty() && now - times.front() > options.drain_window) {
+        times.pop_front();
     }
-    const auto it = config->accounts.find(account);
-    return it == config->accounts.end() ? 0 : it->second.weight;
 }
 
 std::optional<duration>
@@ -116,9 +121,7 @@
         return std::nullopt;
     }
     auto& times = begun[record.queue.name];
-    while (!times.empty() && now - times.front() > options.drain_window) {
-        times.pop_front();
-    }
+    trim_drain(times, now);
     const std::chrono::duration<double> window = options.drain_window;
     return fleet::turned_away(
         {.beyond_share = true,
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -210,6 +210,8 @@
                        std::function<void(client_answer)> done);
     [[nodiscard]] std::vector<std::string> pick_peers() const;
     [[nodiscard]] double weight_of(const std::string& account) const;
+    /** @brief Drops marks that are older than the drain's window. */
+    void trim_drain(std::deque<time_point>& times, time_point now) const;
     void note_job_entry(const fleet::entry_key& about, bool new_job,
                         bool had_started, time_point now);
     [[nodiscard]] std::optional<duration>
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -191,9 +191,7 @@
                entry->has_started()) {
         auto& times = begun[record.queue.name];
         times.push_back(now);
-        while (now - times.front() > options.drain_window) {
-            times.pop_front();
-        }
+        trim_drain(times, now);
     }
 }
 
--- a/src/rosemarytrail/fleet/advice_plan.cpp
+++ b/src/rosemarytrail/fleet/advice_plan.cpp
@@ -13,12 +13,6 @@
     return key_hash{}(step_key{.job = id});
 }
 
-[[nodiscard]] duration milliseconds(double value)
-{
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, std::milli>{value});
-}
-
 [[nodiscard]] bool waits(const job_entry& entry, const step_key& key)
 {
     const auto it = entry.progress.find(key);
@@ -61,6 +55,14 @@
 
 } // namespace
 
+duration advice_cost(const advice_policy& policy, std::size_t workers)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>{
+            policy.base_ms +
+            policy.per_worker_ms * static_cast<double>(workers)});
+}
+
 std::span<const std::string>
 long_advice_nodes(std::span<const std::string> members, double share)
 {
@@ -135,9 +137,7 @@
         return true;
     }
     const auto& grant = it->second.grant;
-    const auto cost = milliseconds(policy.base_ms +
-                                   policy.per_worker_ms *
-                                       static_cast<double>(grant.rows.size()));
+    const auto cost = advice_cost(policy, grant.rows.size());
     const auto lapses =
         it->second.read_at + std::chrono::milliseconds{grant.valid_ms};
     return lapses - cost - options_.renewal_margin <= now;
@@ -212,9 +212,7 @@
     if (result.workers.empty()) {
         return std::nullopt;
     }
-    result.expected = milliseconds(
-        policy.base_ms +
-        policy.per_worker_ms * static_cast<double>(result.workers.size()));
+    result.expected = advice_cost(policy, result.workers.size());
     return result;
 }
 
--- a/src/rosemarytrail/fleet/advice_plan.hpp
+++ b/src/rosemarytrail/fleet/advice_plan.hpp
@@ -23,6 +23,15 @@
     duration expected{};
 };
 
+/**
+ * @brief Tells how long the advice service takes for an answer.
+ * @param policy Cost of asking.
+ * @param workers Number of workers that the question names.
+ * @return Time by the policy.
+ */
+[[nodiscard]] duration advice_cost(const advice_policy& policy,
+                                   std::size_t workers);
+
 /** @brief How advice is asked for. */
 struct advice_plan_options
 {
--- a/src/rosemarytrail/fleet/cell_config.cpp
+++ b/src/rosemarytrail/fleet/cell_config.cpp
@@ -17,4 +17,10 @@
     return best;
 }
 
+const client_account* cell_config::find_account(const std::string& name) const
+{
+    const auto it = accounts.find(name);
+    return it == accounts.end() ? nullptr : &it->second;
+}
+
 } // namespace rosemarytrail::fleet
--- a/src/rosemarytrail/fleet/cell_config.hpp
+++ b/src/rosemarytrail/fleet/cell_config.hpp
@@ -51,6 +51,14 @@
      */
     [[nodiscard]] const queue* find_queue(std::string_view host,
                                           std::string_view path) const noexcept;
+
+    /**
+     * @brief Finds a client account.
+     * @param name Its name; empty for a job without an account.
+     * @return The account, or null.
+     */
+    [[nodiscard]] const client_account*
+    find_account(const std::string& name) const;
 };
 
 } // namespace rosemarytrail::fleet
--- a/src/rosemarytrail/fleet/internal/advice_desk.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_desk.cpp
@@ -5,23 +5,6 @@
 
 namespace rosemarytrail::fleet {
 
-namespace {
-
-[[nodiscard]] duration milliseconds(double value)
-{
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, std::milli>{value});
-}
-
-/** @return How long an answer about some workers takes. */
-[[nodiscard]] duration cost_of(const advice_policy& policy, std::size_t workers)
-{
-    return milliseconds(policy.base_ms +
-                        policy.per_worker_ms * static_cast<double>(workers));
-}
-
-} // namespace
-
 // Long questions are given out by the leader: it knows how far the steps before
 // are and where room is, so that the few questions that the nodes can ask each
 // second go to the steps that can use an answer.
@@ -37,9 +20,20 @@
     step.asked_until = {};
 }
 
+const std::string&
+dispatcher::books::least_loaded(std::span<const std::string> nodes)
+{
+    return *std::ranges::min_element(
+        nodes, {}, [this](const auto& it) { return open_questions[it].cost; });
+}
+
 void dispatcher::books::open_question(step_book& step, const std::string& node,
-                                      duration cost, time_point now)
+                                      time_point now)
 {
+    // What was granted once stays granted; only these are asked about again.
+    const auto named =
+        step.tickets.empty() ? workers.size() : step.tickets.size();
+    const auto cost = advice_cost(*step.job->record.queue.advice, named);
     auto& open = open_questions[node];
     ++open.questions;
     open.cost += cost;
@@ -59,8 +53,8 @@
         if (before.waiting > 0) {
             return false;
         }
-        const auto estimate =
-            milliseconds(static_cast<double>(before.spec->estimate_ms));
+        const duration estimate =
+            std::chrono::milliseconds{before.spec->estimate_ms};
         for (const auto& task : before.tasks) {
             if (task.phase == task_phase::done) {
                 continue;
@@ -89,7 +83,7 @@
     if (step.tickets.empty()) {
         return true;
     }
-    const auto cost = cost_of(policy, step.tickets.size());
+    const auto cost = advice_cost(policy, step.tickets.size());
     if (step.tickets_until - cost > now) {
         return false;
     }
@@ -104,6 +98,15 @@
     });
 }
 
+bool dispatcher::books::lacks_short_advice(const step_book& step,
+                                           time_point now) const
+{
+    const auto& policy = step.job->record.queue.advice;
+    return step.waiting > 0 && !step.job->ended() && policy &&
+           policy->base_ms <= options.long_advice_ms &&
+           step.tickets_until <= now;
+}
+
 // Answers bursts of jobs with short questions: these are worth far more for the
 // time that they take, so nodes are left free for them as their backlog grows.
 std::size_t dispatcher::books::long_nodes_now(time_point now) const
@@ -112,11 +115,9 @@
         long_advice_nodes(members, options.long_advice_share).size();
     duration backlog{};
     for (const auto* step : ready) {
-        const auto& policy = step->job->record.queue.advice;
-        if (step->waiting > 0 && !step->job->ended() && policy &&
-            policy->base_ms <= options.long_advice_ms &&
-            step->tickets_until <= now) {
-            backlog += cost_of(*policy, workers.size());
+        if (lacks_short_advice(*step, now)) {
+            backlog +=
+                advice_cost(*step->job->record.queue.advice, workers.size());
         }
     }
     const auto needed =
@@ -152,11 +153,8 @@
 {
     std::vector<step_book*> order;
     for (auto* step : ready) {
-        const auto& policy = step->job->record.queue.advice;
         const auto since = std::max(step->ready_at, step->job->accepted);
-        if (step->waiting > 0 && !step->job->ended() && policy &&
-            policy->base_ms <= options.long_advice_ms &&
-            step->tickets_until <= now && step->asked_of.empty() &&
+        if (lacks_short_advice(*step, now) && step->asked_of.empty() &&
             now - since > options.short_advice_help) {
             order.push_back(step);
         }
@@ -165,18 +163,11 @@
         return internal::more_urgent(*a, *b, now);
     });
     for (auto* step : order) {
-        const auto node =
-            std::ranges::min_element(members, {}, [this](const auto& it) {
-                return open_questions[it].cost;
-            });
-        if (open_questions[*node].cost > options.short_work_per_node) {
+        const auto& node = least_loaded(members);
+        if (open_questions[node].cost > options.short_work_per_node) {
             return;
         }
-        open_question(*step, *node,
-                      cost_of(*step->job->record.queue.advice,
-                              step->tickets.empty() ? workers.size()
-                                                    : step->tickets.size()),
-                      now);
+        open_question(*step, node, now);
     }
 }
 
@@ -191,7 +182,7 @@
             continue;
         }
         const auto ahead =
-            cost_of(*policy, workers.size()) + options.advice_slack / 4;
+            advice_cost(*policy, workers.size()) + options.advice_slack / 4;
         for (auto& step : job->steps) {
             if (step.waiting > 0 &&
                 (step.ready || nearly_ready(step, ahead, now))) {
@@ -208,18 +199,11 @@
         if (!wanted || !step->asked_of.empty()) {
             continue;
         }
-        const auto node =
-            std::ranges::min_element(pool, {}, [this](const auto& it) {
-                return open_questions[it].cost;
-            });
-        if (open_questions[*node].questions >= options.questions_per_node) {
+        const auto& node = least_loaded(pool);
+        if (open_questions[node].questions >= options.questions_per_node) {
             return;
         }
-        open_question(*step, *node,
-                      cost_of(*step->job->record.queue.advice,
-                              step->tickets.empty() ? workers.size()
-                                                    : step->tickets.size()),
-                      now);
+        open_question(*step, node, now);
     }
 }
 
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -263,6 +264,7 @@
     [[nodiscard]] bool can_start(const step_book& step, std::uint32_t index,
                                  time_point now) const;
     void abort_gang(step_book& step, time_point now);
+    void lose_run(step_book& step, std::uint32_t index, time_point now);
     void order_start(const task_key& key, time_point now);
     void on_ended(worker_book& worker, const ended_row& row, time_point now);
     void on_run_failed(worker_book& worker, step_book& step,
@@ -289,8 +291,12 @@
     // internal/advice_desk.cpp
     void plan_questions(time_point now);
     void close_question(step_book& step);
-    void open_question(step_book& step, const std::string& node, duration cost,
+    void open_question(step_book& step, const std::string& node,
                        time_point now);
+    [[nodiscard]] const std::string&
+    least_loaded(std::span<const std::string> nodes);
+    [[nodiscard]] bool lacks_short_advice(const step_book& step,
+                                          time_point now) const;
     void plan_long_questions(time_point now);
     void plan_short_questions(time_point now);
     [[nodiscard]] std::size_t long_nodes_now(time_point now) const;
--- a/src/rosemarytrail/fleet/internal/orders.cpp
+++ b/src/rosemarytrail/fleet/internal/orders.cpp
@@ -82,6 +82,17 @@
     }
 }
 
+// A run that did not start or is gone: its task waits again, and the members of
+// its gang do not wait for it.
+void dispatcher::books::lose_run(step_book& step, std::uint32_t index,
+                                 time_point now)
+{
+    back_to_waiting(step, index, now);
+    if (step.spec->gang) {
+        abort_gang(step, now);
+    }
+}
+
 void dispatcher::books::order_start(const task_key& key, time_point now)
 {
     auto* step = find_step(key.step);
@@ -179,10 +190,7 @@
         break;
     }
     if (ordered || stopping) {
-        state.back_to_waiting(*step, order.task.index, now);
-        if (step->spec->gang) {
-            state.abort_gang(*step, now);
-        }
+        state.lose_run(*step, order.task.index, now);
         state.check_finished(*step->job);
     }
 }
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -74,11 +74,11 @@
     if (!config || job.record.account.empty()) {
         return true;
     }
-    const auto it = config->accounts.find(job.record.account);
-    if (it == config->accounts.end()) {
+    const auto* account = config->find_account(job.record.account);
+    if (account == nullptr) {
         return true;
     }
-    const auto& limit = it->second.limit;
+    const auto& limit = account->limit;
     const auto total = accounts[job.record.account].used + need;
     return (limit.cpu_millis == 0 || total.cpu_millis <= limit.cpu_millis) &&
            (limit.memory_mb == 0 || total.memory_mb <= limit.memory_mb) &&
--- a/src/rosemarytrail/fleet/internal/worker_answers.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_answers.cpp
@@ -202,10 +202,7 @@
             (task.phase == task_phase::stopping && task.stop_acknowledged &&
              *task.stop_acknowledged <= sent_at);
         if (gone) {
-            back_to_waiting(*step, key.index, now);
-            if (step->spec->gang) {
-                abort_gang(*step, now);
-            }
+            lose_run(*step, key.index, now);
             check_finished(*step->job);
         } else if (task.phase == task_phase::stopping &&
                    now - task.stop_sent > options.stop_retry) {
@@ -271,10 +268,7 @@
         if (step == nullptr) {
             continue;
         }
-        back_to_waiting(*step, key.index, now);
-        if (step->spec->gang) {
-            abort_gang(*step, now);
-        }
+        lose_run(*step, key.index, now);
         check_finished(*step->job);
     }
     if (!load.empty()) {
