Ask the advice service about workers that have room; word long questions at the leader

A question names at most 100 workers, and each question named the first 100 of the directory. Long questions took 4.3 s instead of 0.96 s: the node that was given one had not read the job yet (followers read each 200 ms) and dropped it without a word, so that the leader asked another after 3.3 s. Ruled out: processor time. Change: a step's question begins at a place of its own in the directory. The leader words long questions: those with most room for the step's tasks, as many as the share that is usually granted calls for, at least 30 (what the objective allows for), and others once all granted workers are full. The question travels whole, so the node that asks need not know the job. The leader looks at its books at most each 4 ms, not at each of thousands of answers a second. Tests: "Questions of many steps reach all workers", "A question names the workers that have room", "A step whose granted workers are full asks about others"; the first two fail on the former code by construction (no worker list in a leader's question, the same 100 ids each time).

--- a/src/rosemarytrail/cell/internal/node_advice.cpp
+++ b/src/rosemarytrail/cell/internal/node_advice.cpp
@@ -32,11 +32,11 @@
 {
     for (const auto& it : orders) {
         if (it.member == options.member) {
-            given_questions.push_back(it.step);
+            given_questions.push_back(it.question);
             continue;
         }
         peers.send(address_of(it.member),
-                   {.entries = {}, .questions = {it.step}},
+                   {.entries = {}, .questions = {it.question}},
                    options.peer_patience,
                    [this, it, number = lead_number](message_result result) {
                        if (lead && number == lead_number &&
@@ -51,14 +51,13 @@
 node::internal_state::next_question(time_point now)
 {
     while (!given_questions.empty()) {
-        const auto step = given_questions.front();
+        auto it = std::move(given_questions.front());
         given_questions.pop_front();
-        const auto* entry = board.find(step.job);
-        if (entry != nullptr && entry->record && !entry->cancelled &&
-            !entry->outcome) {
-            if (auto it = questions.question(step, *entry, vm_list)) {
-                return it;
-            }
+        // The leader reads the ledger more closely, so that a job may be
+        // unknown here.
+        const auto* entry = board.find(it.step.job);
+        if (entry == nullptr || (!entry->cancelled && !entry->outcome)) {
+            return it;
         }
     }
     return questions.next(board, vm_list, members, now);
--- a/src/rosemarytrail/cell/internal/node_lead.cpp
+++ b/src/rosemarytrail/cell/internal/node_lead.cpp
@@ -133,7 +133,7 @@
     lead->epoch = epoch;
     lead->news = sent;
     choose_spacing();
-    const auto counts = lead->decisions.count();
+    const auto counts = lead->decisions.count(now);
     logging::event(logging::level::info, "lead_taken",
                    {{"epoch", std::to_string(epoch)},
                     {"ledger_offset", std::to_string(at)},
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -110,7 +110,7 @@
     fleet::advice_plan questions;
     std::vector<std::string> members;
     /** @brief Questions that the leader gave to this node. */
-    std::deque<fleet::step_key> given_questions;
+    std::deque<fleet::advice_question> given_questions;
     std::size_t advice_in_flight{};
     time_point advice_paused_until;
 
@@ -135,6 +135,7 @@
     bool claiming{false};
     bool shutting_down{false};
     bool run_posted{false};
+    time_point last_run;
     time_point last_join;
     time_point last_cleanup;
     time_point last_shown;
@@ -167,6 +168,7 @@
     void run_now();
     void tick();
     void drop_old_outcomes();
+    static void log_counts(const fleet::dispatcher_counts& counts);
     [[nodiscard]] std::optional<fleet::advice_question>
     next_question(time_point now);
     void ask_advice(time_point now);
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -280,15 +280,24 @@
         return;
     }
     run_posted = true;
-    loop.post([this] {
+    const auto again = [this] {
         run_posted = false;
         run_now();
-    });
+    };
+    // Answers of workers come in thousands a second; each look at the books
+    // takes them in together.
+    const auto due = last_run + options.run_spacing;
+    if (boot_clock::now() < due) {
+        loop.post_at(due, again);
+    } else {
+        loop.post(again);
+    }
 }
 
 void node::internal_state::run_now()
 {
     const auto now = boot_clock::now();
+    last_run = now;
     if (lead) {
         // Only what would show a newer claim counts as news.
         const auto seen = std::max(lead->news, ledger.fresh_as_of());
@@ -327,8 +336,12 @@
     if (now - last_shown > show_period) {
         last_shown = now;
         metrics.leading.set(lead ? 1 : 0);
-        metrics.show(lead ? lead->decisions.count()
-                          : fleet::dispatcher_counts{});
+        const auto counts =
+            lead ? lead->decisions.count(now) : fleet::dispatcher_counts{};
+        metrics.show(counts);
+        if (lead) {
+            log_counts(counts);
+        }
     }
     if (now - last_cleanup > cleanup_period) {
         last_cleanup = now;
@@ -341,6 +354,19 @@
     loop.post_at(now + tick_period, [this] { tick(); });
 }
 
+void node::internal_state::log_counts(const fleet::dispatcher_counts& counts)
+{
+    logging::event(
+        logging::level::info, "books",
+        {{"jobs", std::to_string(counts.jobs)},
+         {"waiting", std::to_string(counts.waiting)},
+         {"placed", std::to_string(counts.placed)},
+         {"workers", std::to_string(counts.workers)},
+         {"usable", std::to_string(counts.usable_workers)},
+         {"cpu_millis", std::to_string(counts.capacity.cpu_millis)},
+         {"cpu_millis_used", std::to_string(counts.used.cpu_millis)}});
+}
+
 void node::internal_state::drop_old_outcomes()
 {
     const auto before =
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -46,6 +46,9 @@
     duration leader_spacing{std::chrono::milliseconds{30}};
     /** @brief Shortest time between two reads of the directory. */
     duration directory_spacing{std::chrono::milliseconds{500}};
+    /** @brief Shortest time between two looks at the leader's books; short
+     * beside an append, which every start waits for. */
+    duration run_spacing{std::chrono::milliseconds{4}};
     /** @brief Shortest time between two appends of the leader. */
     duration append_spacing{std::chrono::milliseconds{12}};
     /** @brief Pause before an append without effect is sent again. */
--- a/src/rosemarytrail/cell/peer_link.cpp
+++ b/src/rosemarytrail/cell/peer_link.cpp
@@ -87,7 +87,8 @@
     }
     json questions = json::array();
     for (const auto& it : message.questions) {
-        questions.push_back(fleet::to_text(it));
+        questions.push_back(json::array({fleet::to_text(it.step), it.workers,
+                                         to_milliseconds(it.expected)}));
     }
     std::string bytes;
     json::to_msgpack(json::array({std::move(entries), std::move(questions)}),
@@ -108,13 +109,17 @@
             }
             result.entries.push_back(std::move(entry));
         }
-        for (const auto& name : it.at(1)) {
+        for (const auto& row : it.at(1)) {
             const auto step =
-                fleet::parse_step_key(name.get_ref<const std::string&>());
+                fleet::parse_step_key(row.at(0).get_ref<const std::string&>());
             if (!step) {
                 return std::nullopt;
             }
-            result.questions.push_back(*step);
+            result.questions.push_back(
+                {.step = *step,
+                 .workers = row.at(1).get<std::vector<std::string>>(),
+                 .expected =
+                     std::chrono::milliseconds{row.at(2).get<std::int64_t>()}});
         }
         return result;
     } catch (const json::exception&) {
--- a/src/rosemarytrail/cell/peer_link.hpp
+++ b/src/rosemarytrail/cell/peer_link.hpp
@@ -3,6 +3,7 @@
 
 #include <rosemarytrail/cell/client_call.hpp>
 #include <rosemarytrail/core/time.hpp>
+#include <rosemarytrail/fleet/advice_question.hpp>
 #include <rosemarytrail/fleet/ledger_codec.hpp>
 #include <rosemarytrail/http/client.hpp>
 #include <rosemarytrail/http/server.hpp>
@@ -55,8 +56,8 @@
 {
     /** @brief Entries that the leader is to put on record, or advice. */
     std::vector<fleet::ledger_entry> entries;
-    /** @brief Steps that the receiver is to ask the advice service about. */
-    std::vector<fleet::step_key> questions;
+    /** @brief What the receiver is to ask the advice service. */
+    std::vector<fleet::advice_question> questions;
 };
 
 /**
--- a/src/rosemarytrail/fleet/advice_plan.cpp
+++ b/src/rosemarytrail/fleet/advice_plan.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-[[nodiscard]] std::size_t step_hash(std::uint64_t id) noexcept
+[[nodiscard]] std::size_t step_hash(const step_key& step) noexcept
 {
-    return key_hash{}(step_key{.job = id});
+    return key_hash{}(step);
 }
 
 [[nodiscard]] bool waits(const job_entry& entry, const step_key& key)
@@ -55,14 +55,6 @@
 
 } // namespace
 
-duration advice_cost(const advice_policy& policy, std::size_t workers)
-{
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, std::milli>{
-            policy.base_ms +
-            policy.per_worker_ms * static_cast<double>(workers)});
-}
-
 std::span<const std::string>
 long_advice_nodes(std::span<const std::string> members, double share)
 {
@@ -89,7 +81,7 @@
     if (std::ranges::find(pool, record.acceptor) != pool.end()) {
         return record.acceptor;
     }
-    return pool[step_hash(record.id) % pool.size()];
+    return pool[step_hash({.job = record.id}) % pool.size()];
 }
 
 advice_plan::advice_plan(const advice_plan_options& options)
@@ -202,7 +194,11 @@
             wanted.insert(row.worker);
         }
     }
-    for (const auto& it : workers) {
+    // Where one question cannot name all workers, each step asks about others,
+    // so that the steps together reach all of them.
+    const auto first = workers.empty() ? 0 : step_hash(step) % workers.size();
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+        const auto& it = workers[(first + i) % workers.size()];
         if (it.service == entry.record->queue.service && !it.draining &&
             (wanted.empty() || wanted.contains(it.id)) &&
             result.workers.size() < options_.most_workers) {
--- a/src/rosemarytrail/fleet/advice_plan.hpp
+++ b/src/rosemarytrail/fleet/advice_plan.hpp
@@ -2,6 +2,7 @@
 #define ROSEMARYTRAIL_FLEET_ADVICE_PLAN_HPP
 
 #include <rosemarytrail/core/time.hpp>
+#include <rosemarytrail/fleet/advice_question.hpp>
 #include <rosemarytrail/fleet/job_board.hpp>
 #include <rosemarytrail/fleet/worker_vm.hpp>
 
@@ -14,31 +15,13 @@
 
 namespace rosemarytrail::fleet {
 
-/** @brief Question to the advice service. */
-struct advice_question
-{
-    step_key step;
-    std::vector<std::string> workers;
-    /** @brief How long the answer takes by the queue's policy. */
-    duration expected{};
-};
-
-/**
- * @brief Tells how long the advice service takes for an answer.
- * @param policy Cost of asking.
- * @param workers Number of workers that the question names.
- * @return Time by the policy.
- */
-[[nodiscard]] duration advice_cost(const advice_policy& policy,
-                                   std::size_t workers);
-
 /** @brief How advice is asked for. */
 struct advice_plan_options
 {
     /** @brief This node among the members. */
     std::string member;
     /** @brief Most workers that one question may name. */
-    std::size_t most_workers{100};
+    std::size_t most_workers{workers_per_question};
     /** @brief Pause before a question without workers is worded again. */
     duration pause{std::chrono::milliseconds{500}};
     /** @brief Tickets are renewed this long before they lapse. */
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -192,6 +192,17 @@
     step.tickets.clear();
     for (const auto& row : advice.grant.rows) {
         step.tickets.emplace(row.worker, row.ticket);
+        step.granted.insert(row.worker);
+    }
+    if (step.named > 0) {
+        const auto part = static_cast<double>(advice.grant.rows.size()) /
+                          static_cast<double>(step.named);
+        auto& share =
+            granted_share
+                .try_emplace(step.job->record.queue.name, options.granted_share)
+                .first->second;
+        share += (part - share) * options.granted_weight;
+        step.named = 0;
     }
     close_question(step);
     if (step.advised_at == time_point{}) {
@@ -377,7 +388,7 @@
     return books_->deposed;
 }
 
-dispatcher_counts dispatcher::count() const
+dispatcher_counts dispatcher::count(time_point now) const
 {
     dispatcher_counts result;
     result.jobs = books_->jobs.size();
@@ -388,6 +399,11 @@
         ++result.workers;
         result.fenced_workers += worker.fenced ? 1U : 0U;
         result.placed += worker.load.size();
+        if (books_->takes_work(worker, now)) {
+            ++result.usable_workers;
+            result.capacity += worker.vm.capacity;
+            result.used += worker.used;
+        }
     }
     return result;
 }
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -2,6 +2,7 @@
 #define ROSEMARYTRAIL_FLEET_DISPATCHER_HPP
 
 #include <rosemarytrail/core/time.hpp>
+#include <rosemarytrail/fleet/advice_question.hpp>
 #include <rosemarytrail/fleet/cell_config.hpp>
 #include <rosemarytrail/fleet/job_board.hpp>
 #include <rosemarytrail/fleet/worker_calls.hpp>
@@ -62,6 +63,21 @@
     /** @brief A short question that its own node has not asked by then is
      * given to another one. */
     duration short_advice_help{std::chrono::milliseconds{80}};
+    /** @brief Fewest workers that a question names; what the latency objective
+     * allows for is one question about so many. */
+    std::size_t named_least{30};
+    /** @brief Room that the named workers should have, as a multiple of what
+     * the waiting tasks need; others take some of it before the answer. */
+    double named_room{2.0};
+    /** @brief What a full worker counts for, in tasks: some will end there. */
+    double full_worker_tasks{0.3};
+    /** @brief Part of the named workers that is granted, until answers tell. */
+    double granted_share{0.35};
+    /** @brief Weight of one answer in the share that is granted. */
+    double granted_weight{0.1};
+    /** @brief Time between two looks whether a step whose workers are full has
+     * others to ask about. */
+    duration widen_period{std::chrono::milliseconds{100}};
     /** @brief Waiting steps whose tickets are renewed also without room. */
     std::size_t fresh_steps{8};
     /** @brief An answer may come this much later than its policy says. */
@@ -81,7 +97,7 @@
 struct question_order
 {
     std::string member;
-    step_key step;
+    advice_question question;
 };
 
 /** @brief Calls to make now. */
@@ -130,6 +146,11 @@
     std::size_t placed{};
     std::size_t workers{};
     std::size_t fenced_workers{};
+    /** @brief Workers that take new work now. */
+    std::size_t usable_workers{};
+    /** @brief Room of these workers, and what is taken of it. */
+    room capacity;
+    room used;
 };
 
 /**
@@ -250,8 +271,12 @@
     /** @return Where the time of jobs that ended since the last call went. */
     [[nodiscard]] std::vector<job_timing> take_timings();
 
-    /** @return How much is in the books. */
-    [[nodiscard]] dispatcher_counts count() const;
+    /**
+     * @brief Counts what is in the books.
+     * @param now Present time.
+     * @return How much.
+     */
+    [[nodiscard]] dispatcher_counts count(time_point now) const;
 
 private:
     struct books;
--- a/src/rosemarytrail/fleet/internal/advice_desk.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_desk.cpp
@@ -30,17 +30,117 @@
 void dispatcher::books::open_question(step_book& step, const std::string& node,
                                       time_point now)
 {
-    // What was granted once stays granted; only these are asked about again.
-    const auto named =
-        step.tickets.empty() ? workers.size() : step.tickets.size();
-    const auto cost = advice_cost(*step.job->record.queue.advice, named);
+    auto named = workers_to_name(step, now);
+    if (named.empty()) {
+        return;
+    }
+    const auto cost = advice_cost(*step.job->record.queue.advice, named.size());
+    step.named = named.size();
+    step.named_before.insert(named.begin(), named.end());
     auto& open = open_questions[node];
     ++open.questions;
     open.cost += cost;
     step.asked_of = node;
     step.asked_cost = cost;
     step.asked_until = now + open.cost + options.advice_slack;
-    questions.push_back({.member = node, .step = step.key});
+    questions.push_back({.member = node,
+                         .question = {.step = step.key,
+                                      .workers = std::move(named),
+                                      .expected = cost}});
+}
+
+std::size_t dispatcher::books::tasks_that_fit(const worker_book& worker,
+                                              const step_book& step,
+                                              time_point now) const
+{
+    if (!is_usable(worker, step, now)) {
+        return 0;
+    }
+    const auto need = step.spec->reserved();
+    const auto left = worker.available();
+    auto n = static_cast<std::int64_t>(step.waiting);
+    const auto bound = [&n](std::int64_t available, std::int64_t each) {
+        if (each > 0) {
+            n = std::min(n, available / each);
+        }
+    };
+    bound(left.cpu_millis, need.cpu_millis);
+    bound(left.memory_mb, need.memory_mb);
+    bound(left.gpus, need.gpus);
+    if (step.spec->tasks_per_vm > 0) {
+        n = std::min<std::int64_t>(n, step.spec->tasks_per_vm);
+    }
+    return n > 0 ? static_cast<std::size_t>(n) : 0;
+}
+
+// Answers cells with more workers than a question may name, and questions whose
+// cost grows with each worker named: those with room come first, as many as the
+// waiting tasks are likely to need. Who was refused once is not named again.
+std::vector<std::string>
+dispatcher::books::workers_to_name(const step_book& step, time_point now) const
+{
+    struct candidate
+    {
+        const std::string* id{};
+        double tasks{};
+    };
+    const auto known = granted_share.find(step.job->record.queue.name);
+    const auto share =
+        known == granted_share.end() ? options.granted_share : known->second;
+    std::vector<candidate> order;
+    for (const auto& [id, it] : workers) {
+        if (!it.listed || it.vm.draining ||
+            it.vm.service != step.job->record.queue.service) {
+            continue;
+        }
+        const bool granted = step.granted.contains(id);
+        if (!granted && step.named_before.contains(id)) {
+            continue;
+        }
+        const auto tasks =
+            std::max(static_cast<double>(tasks_that_fit(it, step, now)),
+                     options.full_worker_tasks);
+        order.push_back({.id = &id, .tasks = granted ? tasks : tasks * share});
+    }
+    // Each step begins elsewhere, so that steps of the same moment do not all
+    // name the same workers.
+    if (!order.empty()) {
+        const auto first = key_hash{}(step.key) % order.size();
+        std::rotate(order.begin(),
+                    order.begin() + static_cast<std::ptrdiff_t>(first),
+                    order.end());
+    }
+    std::ranges::stable_sort(order, std::ranges::greater{}, &candidate::tasks);
+    const auto wanted = options.named_room * static_cast<double>(step.waiting);
+    std::vector<std::string> result;
+    double tasks = 0;
+    for (const auto& it : order) {
+        if (result.size() >= workers_per_question ||
+            (result.size() >= options.named_least && tasks >= wanted)) {
+            break;
+        }
+        result.push_back(*it.id);
+        tasks += it.tasks;
+    }
+    return result;
+}
+
+// Whether only workers that were not asked about have room for the step.
+bool dispatcher::books::has_more_to_ask(const step_book& step,
+                                        time_point now) const
+{
+    bool more = false;
+    for (const auto& [id, it] : workers) {
+        if (tasks_that_fit(it, step, now) == 0) {
+            continue;
+        }
+        if (step.tickets.contains(id)) {
+            return false;
+        }
+        more = more || step.granted.contains(id) ||
+               !step.named_before.contains(id);
+    }
+    return more;
 }
 
 bool dispatcher::books::nearly_ready(const step_book& step, duration ahead,
@@ -76,7 +176,7 @@
     return true;
 }
 
-bool dispatcher::books::wants_advice(const step_book& step, std::size_t rank,
+bool dispatcher::books::wants_advice(step_book& step, std::size_t rank,
                                      time_point now) const
 {
     const auto& policy = *step.job->record.queue.advice;
@@ -85,7 +185,11 @@
     }
     const auto cost = advice_cost(policy, step.tickets.size());
     if (step.tickets_until - cost > now) {
-        return false;
+        if (!step.ready || now < step.next_widening) {
+            return false;
+        }
+        step.next_widening = now + options.widen_period;
+        return has_more_to_ask(step, now);
     }
     if (rank < options.fresh_steps) {
         return true;
@@ -209,7 +313,7 @@
 
 void dispatcher::on_question_lost(const question_order& order)
 {
-    auto* step = books_->find_step(order.step);
+    auto* step = books_->find_step(order.question.step);
     if (step != nullptr && step->asked_of == order.member) {
         books_->close_question(*step);
     }
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -92,6 +92,14 @@
     /** @brief Node that was asked; empty if no question is open. */
     std::string asked_of;
     duration asked_cost{};
+    /** @brief Workers that the latest question named. */
+    std::size_t named{};
+    /** @brief Workers named so far, and those of them that were granted; an
+     * answer about a worker does not change. */
+    std::set<std::string> named_before;
+    std::set<std::string> granted;
+    /** @brief Next look whether to ask about more workers. */
+    time_point next_widening;
     /** @brief Tasks may be placed from here on. */
     bool ready{false};
     /** @brief When it became ready, had tickets, was placed and was done. */
@@ -220,6 +228,8 @@
     };
     std::map<std::string, open_work> open_questions;
     std::vector<question_order> questions;
+    /** @brief Part of the named workers that answers grant, by queue. */
+    std::map<std::string, double> granted_share;
     /** @brief Workers that are to be recorded as renewed from now on. */
     std::vector<std::string> reached;
     /** @brief Workers that are to be recorded as renewed no longer. */
@@ -293,6 +303,13 @@
     void close_question(step_book& step);
     void open_question(step_book& step, const std::string& node,
                        time_point now);
+    [[nodiscard]] std::size_t tasks_that_fit(const worker_book& worker,
+                                             const step_book& step,
+                                             time_point now) const;
+    [[nodiscard]] std::vector<std::string>
+    workers_to_name(const step_book& step, time_point now) const;
+    [[nodiscard]] bool has_more_to_ask(const step_book& step,
+                                       time_point now) const;
     [[nodiscard]] const std::string&
     least_loaded(std::span<const std::string> nodes);
     [[nodiscard]] bool lacks_short_advice(const step_book& step,
@@ -300,12 +317,14 @@
     void plan_long_questions(time_point now);
     void plan_short_questions(time_point now);
     [[nodiscard]] std::size_t long_nodes_now(time_point now) const;
-    [[nodiscard]] bool wants_advice(const step_book& step, std::size_t rank,
+    [[nodiscard]] bool wants_advice(step_book& step, std::size_t rank,
                                     time_point now) const;
     [[nodiscard]] bool nearly_ready(const step_book& step, duration ahead,
                                     time_point now) const;
 
     // internal/placement.cpp
+    [[nodiscard]] bool takes_work(const worker_book& worker,
+                                  time_point now) const;
     [[nodiscard]] bool is_usable(const worker_book& worker,
                                  const step_book& step, time_point now) const;
     [[nodiscard]] bool within_limit(const job_book& job, const room& need);
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -54,13 +54,19 @@
     return urgency(a, now) < urgency(b, now);
 }
 
+bool dispatcher::books::takes_work(const worker_book& worker,
+                                   time_point now) const
+{
+    return worker.listed && !worker.vm.draining && worker.renewable &&
+           worker.unanswered == 0 && worker.strangers == 0 &&
+           worker.quarantined_until <= now && worker.clock_ms.has_value();
+}
+
 bool dispatcher::books::is_usable(const worker_book& worker,
                                   const step_book& step, time_point now) const
 {
     const auto& spec = *step.spec;
-    if (!worker.listed || worker.vm.draining || !worker.renewable ||
-        worker.unanswered > 0 || worker.strangers > 0 ||
-        worker.quarantined_until > now || !worker.clock_ms ||
+    if (!takes_work(worker, now) ||
         worker.vm.service != step.job->record.queue.service) {
         return false;
     }
--- a/test/cell/peer_link.cpp
+++ b/test/cell/peer_link.cpp
@@ -37,7 +37,9 @@
     const peer_message message{
         .entries = {{.key = "j/1", .value = "v"},
                     {.key = "c/2", .value = std::nullopt}},
-        .questions = {{.job = 5, .occurrence = 1, .step = 2}}};
+        .questions = {{.step = {.job = 5, .occurrence = 1, .step = 2},
+                       .workers = {"w1", "w2"},
+                       .expected = std::chrono::milliseconds{700}}}};
     const auto it = decode_message(encode_message(message));
     REQUIRE(it);
     REQUIRE(it->entries.size() == 2);
--- a/test/fleet/admission.cpp
+++ b/test/fleet/admission.cpp
@@ -120,6 +120,31 @@
     CHECK(plan.remembered() == 0);
 }
 
+// Answers cells with more workers than a question may name: questions about the
+// same first hundred left the other workers idle.
+TEST_CASE("Questions of many steps reach all workers", "[advice]")
+{
+    constexpr std::size_t cell_size = 350;
+    std::vector<worker_vm> workers;
+    for (std::size_t i = 0; i < cell_size; ++i) {
+        workers.push_back({.id = "w" + std::to_string(i), .service = "s"});
+    }
+    const advice_plan plan{{.member = "a"}};
+    std::set<std::string> named;
+    for (std::uint64_t id = 1; id <= 40; ++id) {
+        job_record record{.id = id * 0x9E3779B97F4A7C15ULL};
+        record.queue.service = "s";
+        record.queue.advice = advice_policy{.base_ms = 13, .valid_ms = 2500};
+        record.spec.steps = {{.tasks = 1}};
+        const job_entry entry{.record = record};
+        const auto question = plan.question({.job = record.id}, entry, workers);
+        REQUIRE(question);
+        CHECK(question->workers.size() == workers_per_question);
+        named.insert(question->workers.begin(), question->workers.end());
+    }
+    CHECK(named.size() == cell_size);
+}
+
 TEST_CASE("Short and long questions fall to different nodes", "[advice]")
 {
     const std::vector<std::string> members{"a", "b", "c", "d", "e", "f"};
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <set>
+
 namespace rosemarytrail::fleet {
 
 namespace {
@@ -107,9 +110,9 @@
     cell.run(5s);
     // The former leader may have renewed leases for as long as it may go
     // without news, and a lease lasts on from there.
-    CHECK(cell.leader().count().placed == 16);
+    CHECK(cell.leader().count(cell.now).placed == 16);
     cell.run(12s);
-    CHECK(cell.leader().count().placed == 8);
+    CHECK(cell.leader().count(cell.now).placed == 8);
     CHECK(cell.violations.empty());
 }
 
@@ -228,7 +231,7 @@
     cell.run(3s);
     CHECK(cell.state(1) == job_state::failed);
     CHECK(cell.running(1) == 0);
-    CHECK(cell.leader().count().jobs == 0);
+    CHECK(cell.leader().count(cell.now).jobs == 0);
 }
 
 TEST_CASE("A cancelled job is stopped and stays cancelled", "[dispatcher]")
@@ -245,7 +248,7 @@
     cell.run(1s);
     CHECK(cell.running(1) == 0);
     CHECK(cell.state(1) == job_state::cancelled);
-    CHECK(cell.leader().count().jobs == 0);
+    CHECK(cell.leader().count(cell.now).jobs == 0);
 }
 
 TEST_CASE("A gang starts whole or not at all", "[dispatcher]")
@@ -441,11 +444,82 @@
     }
     CHECK(asked == std::map<std::string, int>{{"n1", 2}, {"n2", 2}, {"n3", 2}});
     // An answer makes room for the next question.
-    cell.grant(cell.questions.front().step, {"w0"}, 2500ms);
+    cell.grant(cell.questions.front().question.step, {"w0"}, 2500ms);
     cell.run(50ms);
     CHECK(cell.questions.size() == 7);
 }
 
+namespace {
+
+/** @return Job of one step whose questions are long. */
+job_record make_advised_job(std::uint64_t id, const step_spec& step)
+{
+    auto job = make_job(id, {step});
+    job.queue.advice =
+        advice_policy{.base_ms = 400, .per_worker_ms = 5.7, .valid_ms = 2500};
+    return job;
+}
+
+} // namespace
+
+TEST_CASE("A question names the workers that have room", "[advice]")
+{
+    worker_fleet cell;
+    cell.fate = [](const task_key&) {
+        return task_fate{.length = 60s};
+    };
+    cell.add_workers(60, eight_cores);
+    const std::vector<std::string> members{"n1", "n2"};
+    cell.leader().set_members(members);
+    cell.submit(make_job(1, {{.tasks = 160, .need = one_core}}));
+    cell.run(300ms);
+    std::set<std::string> full;
+    for (const auto& [id, it] : cell.workers) {
+        if (!it.running.empty()) {
+            full.insert(id);
+        }
+    }
+    REQUIRE(full.size() == 20);
+    cell.submit(make_advised_job(2, {.tasks = 4, .need = one_core}));
+    cell.run(50ms);
+    REQUIRE(cell.questions.size() == 1);
+    const auto& named = cell.questions.front().question.workers;
+    CHECK(named.size() == 30);
+    CHECK(std::ranges::none_of(
+        named, [&](const auto& id) { return full.contains(id); }));
+    CHECK(cell.questions.front().question.expected == 571ms);
+}
+
+TEST_CASE("A step whose granted workers are full asks about others", "[advice]")
+{
+    worker_fleet cell;
+    cell.fate = [](const task_key&) {
+        return task_fate{.length = 60s};
+    };
+    cell.add_workers(80, eight_cores);
+    const std::vector<std::string> members{"n1", "n2"};
+    cell.leader().set_members(members);
+    // All workers have answered before the job comes.
+    cell.run(100ms);
+    cell.submit(make_advised_job(1, {.tasks = 12, .need = one_core}));
+    cell.run(50ms);
+    REQUIRE(cell.questions.size() == 1);
+    const auto first = cell.questions.front().question.workers;
+    REQUIRE(first.size() < 80);
+    cell.grant({.job = 1}, {first.front()}, 2500ms);
+    cell.run(300ms);
+    CHECK(cell.running(1) == 8);
+    REQUIRE(cell.questions.size() == 2);
+    const auto& second = cell.questions.back().question.workers;
+    // Who was refused is not asked about again.
+    for (const auto& id : second) {
+        CHECK((id == first.front() || std::ranges::count(first, id) == 0));
+    }
+    cell.grant({.job = 1}, {second.front(), second.back()}, 2500ms);
+    cell.run(300ms);
+    CHECK(cell.running(1) == 12);
+}
+
 TEST_CASE("A burst of short questions is spread over all nodes", "[advice]")
 {
     worker_fleet cell;
