Let followers read the ledger at leisure; hand short questions on directly

Half of the calls were reads of the ledger each 30 ms by the nodes that ask short questions, only to see which steps to ask about. Ruled out: clients' calls (a sixth), appends. Change: the node that takes a job hands its first questions to the node that asks them; the leader, which reads closely anyway, gives out those of later steps and renewals. Followers read the ledger each 200 ms, the directory each 1.5 s.

--- a/src/rosemarytrail/cell/internal/node_advice.cpp
+++ b/src/rosemarytrail/cell/internal/node_advice.cpp
@@ -47,6 +47,35 @@
     }
 }
 
+// Nodes that ask long questions leave the short ones of the jobs that they take
+// to the others.
+void node::internal_state::hand_on_questions(const fleet::job_entry& entry)
+{
+    const auto& record = *entry.record;
+    const auto& policy = record.queue.advice;
+    if (!policy || policy->base_ms > options.dispatcher.long_advice_ms) {
+        return;
+    }
+    const auto node = fleet::short_advice_node(
+        members, options.dispatcher.long_advice_share, record);
+    if (!node || *node == options.member) {
+        return;
+    }
+    peer_message message;
+    for (std::uint32_t i = 0; i < record.spec.steps.size(); ++i) {
+        if (!record.spec.steps[i].depends_on.empty()) {
+            continue;
+        }
+        const fleet::step_key key{.job = record.id, .step = i};
+        if (auto it = questions.question(key, entry, vm_list)) {
+            message.questions.push_back(std::move(*it));
+        }
+    }
+    // What gets lost is asked by the leader's word.
+    peers.send(address_of(*node), message, options.peer_patience,
+               [](message_result) {});
+}
+
 std::optional<fleet::advice_question>
 node::internal_state::next_question(time_point now)
 {
--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -338,9 +338,14 @@
             if (it == entry_result::recorded) {
                 // Taken in before the ledger is read again, so that the
                 // question for advice goes out at once.
-                if (const auto* known = board.find(id);
-                    known == nullptr || !known->outcome) {
+                const auto* before = board.find(id);
+                const bool is_new = before == nullptr || !before->record;
+                if (before == nullptr || !before->outcome) {
                     on_ledger_record({.key = kept.key, .value = kept.value});
+                    const auto* known = board.find(id);
+                    if (is_new && known != nullptr && known->record) {
+                        hand_on_questions(*known);
+                    }
                     run();
                 }
                 done({.kind = on_done});
--- a/src/rosemarytrail/cell/internal/node_lead.cpp
+++ b/src/rosemarytrail/cell/internal/node_lead.cpp
@@ -52,7 +52,6 @@
     shared.members([this](std::optional<std::vector<std::string>> it) {
         if (it) {
             members = std::move(*it);
-            choose_spacing();
             if (lead) {
                 lead->decisions.set_members(members);
             }
@@ -160,16 +159,13 @@
     choose_spacing();
 }
 
-// Who leads or asks short questions follows the ledger closely; the others read
-// on demand.
+// Who leads follows the feeds closely; the others read on demand.
 void node::internal_state::choose_spacing()
 {
-    const auto long_nodes =
-        fleet::long_advice_nodes(members, options.dispatcher.long_advice_share);
-    const bool asks_short =
-        std::ranges::find(long_nodes, options.member) == long_nodes.end();
-    ledger.set_spacing(lead || asks_short ? options.leader_spacing
-                                          : options.follower_spacing);
+    ledger.set_spacing(lead ? options.leader_spacing
+                            : options.follower_spacing);
+    directory.set_spacing(lead ? options.directory_spacing
+                               : options.follower_directory_spacing);
 }
 
 void node::internal_state::append_batch()
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -189,6 +189,7 @@
     void append_entries(append_request request,
                         std::function<void(append_answer)> done);
     void send_questions(std::span<const fleet::question_order> orders);
+    void hand_on_questions(const fleet::job_entry& entry);
     [[nodiscard]] std::string leader_address() const;
     void receive(peer_message message,
                  std::function<void(message_result)> done);
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -49,7 +49,8 @@
                     loop_,
                     shared,
                     configuration_target}
-    , directory{{.which = feed::workers, .spacing = options_.directory_spacing},
+    , directory{{.which = feed::workers,
+                 .spacing = options_.follower_directory_spacing},
                 loop_,
                 shared,
                 directory_target}
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -44,8 +44,11 @@
     duration follower_spacing{std::chrono::milliseconds{200}};
     /** @brief Shortest time between two reads of the ledger by the leader. */
     duration leader_spacing{std::chrono::milliseconds{30}};
-    /** @brief Shortest time between two reads of the directory. */
+    /** @brief Shortest time between two reads of the directory by the leader.
+     */
     duration directory_spacing{std::chrono::milliseconds{500}};
+    /** @brief The same by a follower, which only names workers in questions. */
+    duration follower_directory_spacing{std::chrono::milliseconds{1500}};
     /** @brief Shortest time between two looks at the leader's books; short
      * beside an append, which every start waits for. */
     duration run_spacing{std::chrono::milliseconds{4}};
--- a/src/rosemarytrail/fleet/advice_plan.cpp
+++ b/src/rosemarytrail/fleet/advice_plan.cpp
@@ -13,46 +13,6 @@
     return key_hash{}(step);
 }
 
-[[nodiscard]] bool waits(const job_entry& entry, const step_key& key)
-{
-    const auto it = entry.progress.find(key);
-    return it == entry.progress.end() ||
-           std::ranges::any_of(it->second, [](const task_progress& task) {
-               return !task.done && task.worker.empty();
-           });
-}
-
-/** @brief How far the steps before a step are. */
-struct readiness
-{
-    bool all_begun{true};
-    bool all_done{true};
-    std::int64_t longest_ms{};
-};
-
-[[nodiscard]] readiness before(const job_entry& entry, const step_key& key)
-{
-    readiness result;
-    const auto& steps = entry.record->spec.steps;
-    for (const auto n : steps[key.step].depends_on) {
-        const auto it = entry.progress.find(
-            {.job = key.job, .occurrence = key.occurrence, .step = n});
-        if (n >= steps.size() || it == entry.progress.end()) {
-            return {.all_begun = false, .all_done = false};
-        }
-        for (const auto& task : it->second) {
-            result.all_done = result.all_done && task.done;
-            result.all_begun =
-                result.all_begun && (task.done || !task.worker.empty());
-        }
-        if (!result.all_done) {
-            result.longest_ms =
-                std::max(result.longest_ms, steps[n].estimate_ms);
-        }
-    }
-    return result;
-}
-
 } // namespace
 
 std::span<const std::string>
@@ -100,39 +60,15 @@
         return entry == nullptr || !entry->record || entry->outcome;
     };
     std::erase_if(asked_until_, ended);
-    std::erase_if(near_since_, ended);
 }
 
 bool advice_plan::due(const job_entry& entry, const step_key& key,
-                      time_point now)
+                      time_point now) const
 {
-    if (const auto it = asked_until_.find(key);
-        it != asked_until_.end() && it->second > now) {
-        return false;
-    }
-    const auto& policy = *entry.record->queue.advice;
-    const auto reach = before(entry, key);
-    if (!reach.all_begun || !waits(entry, key)) {
-        return false;
-    }
-    const auto since = near_since_.try_emplace(key, now).first->second;
-    // Declared durations are off by half, so the question comes early.
-    constexpr double early = 0.4;
-    const auto valid = std::chrono::milliseconds{policy.valid_ms};
-    const auto run = std::chrono::milliseconds{reach.longest_ms};
-    if (!reach.all_done && run > valid / 2 &&
-        now - since < std::chrono::duration_cast<duration>(run * early)) {
-        return false;
-    }
-    const auto it = entry.advice.find(key);
-    if (it == entry.advice.end()) {
-        return true;
-    }
-    const auto& grant = it->second.grant;
-    const auto cost = advice_cost(policy, grant.rows.size());
-    const auto lapses =
-        it->second.read_at + std::chrono::milliseconds{grant.valid_ms};
-    return lapses - cost - options_.renewal_margin <= now;
+    const auto it = asked_until_.find(key);
+    return entry.record->spec.steps[key.step].depends_on.empty() &&
+           !entry.advice.contains(key) && !entry.progress.contains(key) &&
+           (it == asked_until_.end() || it->second <= now);
 }
 
 std::optional<advice_question>
--- a/src/rosemarytrail/fleet/advice_plan.hpp
+++ b/src/rosemarytrail/fleet/advice_plan.hpp
@@ -24,8 +24,6 @@
     std::size_t most_workers{workers_per_question};
     /** @brief Pause before a question without workers is worded again. */
     duration pause{std::chrono::milliseconds{500}};
-    /** @brief Tickets are renewed this long before they lapse. */
-    duration renewal_margin{std::chrono::milliseconds{150}};
     /** @brief A question that takes longer counts as long. */
     double long_ms{100};
     /** @brief Part of the nodes that ask the long questions only. */
@@ -60,8 +58,9 @@
  * @brief Decides for which step this node asks a short question next.
  *
  * The service takes one call at a time from each node, so the jobs are spread
- * over the nodes. Steps are asked for ahead of time, while the steps
- * before them run, and tickets are renewed as long as tasks wait.
+ * over the nodes. A node asks by itself about the steps that a new job begins
+ * with; all later questions are given out by the leader, which knows how far
+ * the steps before are.
  */
 class advice_plan
 {
@@ -108,17 +107,15 @@
     /** @return Steps that are remembered. */
     [[nodiscard]] std::size_t remembered() const noexcept
     {
-        return asked_until_.size() + near_since_.size();
+        return asked_until_.size();
     }
 
 private:
     [[nodiscard]] bool due(const job_entry& entry, const step_key& key,
-                           time_point now);
+                           time_point now) const;
 
     advice_plan_options options_;
     std::map<step_key, time_point> asked_until_;
-    /** @brief When a step was first seen with all steps before it begun. */
-    std::map<step_key, time_point> near_since_;
 };
 
 } // namespace rosemarytrail::fleet
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -60,6 +60,9 @@
     std::size_t questions_per_node{2};
     /** @brief Work in short questions that one node has before it. */
     duration short_work_per_node{std::chrono::milliseconds{150}};
+    /** @brief Short tickets are renewed this long before they lapse, beside the
+     * time of the question: a hop to the node that asks and one back. */
+    duration renewal_margin{std::chrono::milliseconds{50}};
     /** @brief A short question that its own node has not asked by then is
      * given to another one. */
     duration short_advice_help{std::chrono::milliseconds{80}};
--- a/src/rosemarytrail/fleet/internal/advice_desk.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_desk.cpp
@@ -251,16 +251,52 @@
     plan_long_questions(now);
 }
 
-// The node that took a job asks its short questions by itself; what it has not
-// asked soon goes to the node with the least before it.
+bool dispatcher::books::all_begun_before(const step_book& step) const
+{
+    const auto& job = *step.job;
+    const auto first = step.key.occurrence * job.record.spec.steps.size();
+    return std::ranges::all_of(step.spec->depends_on, [&](std::uint32_t n) {
+        return job.steps[first + n].waiting == 0;
+    });
+}
+
+// The node that took a job asks about the steps that it begins with. The leader
+// gives out what that node has not asked soon, the steps that follow while
+// those before them run, and renewals.
+bool dispatcher::books::wants_short_advice(const step_book& step,
+                                           time_point now) const
+{
+    const auto& policy = step.job->record.queue.advice;
+    if (step.waiting == 0 || step.job->ended() || !step.asked_of.empty() ||
+        !policy || policy->base_ms > options.long_advice_ms) {
+        return false;
+    }
+    const auto cost = advice_cost(*policy, options.named_least);
+    if (!step.tickets.empty()) {
+        return step.ready &&
+               step.tickets_until - cost - options.renewal_margin <= now;
+    }
+    if (step.spec->depends_on.empty()) {
+        const auto since = std::max(step.ready_at, step.job->accepted);
+        return step.ready && now - since > options.short_advice_help;
+    }
+    if (step.ready) {
+        return true;
+    }
+    // Tickets for a step that follows soon last until it begins.
+    const auto valid = std::chrono::milliseconds{policy->valid_ms};
+    return step.key.occurrence == 0 && all_begun_before(step) &&
+           nearly_ready(step, valid / 2, now);
+}
+
 void dispatcher::books::plan_short_questions(time_point now)
 {
     std::vector<step_book*> order;
-    for (auto* step : ready) {
-        const auto since = std::max(step->ready_at, step->job->accepted);
-        if (lacks_short_advice(*step, now) && step->asked_of.empty() &&
-            now - since > options.short_advice_help) {
-            order.push_back(step);
+    for (auto& [id, job] : jobs) {
+        for (auto& step : job->steps) {
+            if (wants_short_advice(step, now)) {
+                order.push_back(&step);
+            }
         }
     }
     std::ranges::sort(order, [now](const step_book* a, const step_book* b) {
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -314,6 +314,9 @@
     least_loaded(std::span<const std::string> nodes);
     [[nodiscard]] bool lacks_short_advice(const step_book& step,
                                           time_point now) const;
+    [[nodiscard]] bool wants_short_advice(const step_book& step,
+                                          time_point now) const;
+    [[nodiscard]] bool all_begun_before(const step_book& step) const;
     void plan_long_questions(time_point now);
     void plan_short_questions(time_point now);
     [[nodiscard]] std::size_t long_nodes_now(time_point now) const;
