Confirm a claim to lead by reading it back; soak of real nodes against stand-ins

Two nodes claimed epoch 1 at offset 50 within a millisecond, after the group of candidates was dealt anew. Both claims had the same writer, epoch, sequence and condition, so that the store took the second for a repeat and answered it like the first; both nodes led under one epoch, which neither the store nor the workers can tell apart. Ruled out: a fault of the stand-in. Change: a node leads only once it has read the ledger up to its claim and the claim names it. Test: "Of two nodes that claim one epoch at once, one leads" fails on the former code; test/lib/model_cell has an event loop, a store, workers, advice and peers in memory for tests of whole nodes. soak/: real rosemarytrail-node processes on loopback, proxies between them and stand-ins of store, workers and advice, faults in overlapping series, promises judged by what clients and workers see.

--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,96 @@
+"""What must hold, judged from what clients and workers see."""
+
+import random
+
+
+class Job:
+    """Job as its client handed it in, and what became of it."""
+
+    def __init__(self, job_id, spec, steps, rng: random.Random):
+        self.id = job_id
+        self.spec = spec
+        self.steps = steps
+        self.accepted = False
+        self.maybe_taken = False  # a submission went without an answer
+        self.cancelled = False
+        self.state = None
+        self.lengths = {n: rng.uniform(0.05, 0.8) for n in range(len(steps))}
+
+
+class Promises:
+    """Ledger of all starts and ends; collects the promises that were broken."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.jobs = {}
+        self.running = {}  # task: worker
+        self.done = set()
+        self.acknowledged = set()
+        self.failures = {}
+        self.starts = 0
+        self.broken = []
+
+    def breach(self, rule, text):
+        self.broken.append(f"{rule}: {text}")
+
+    def on_start(self, worker, task, spec):
+        """Checks a start; returns how long the run takes and how it ends."""
+        self.starts += 1
+        job_id, _, step, _ = task.split(".")
+        job = self.jobs.get(job_id)
+        if job is None or job.spec != spec:
+            self.breach("UNASKED", f"{task} on {worker.name}")
+            return 0.1, "done"
+        if not job.accepted and not job.maybe_taken:
+            self.breach("REFUSED", f"{task} started, all submissions were refused")
+        if task in self.running:
+            self.breach("TWICE", f"{task} on {self.running[task].name} and {worker.name}")
+        if task in self.acknowledged:
+            self.breach("TWICE", f"{task} on {worker.name} after its end was acknowledged")
+        step = job.steps[int(step)]
+        for before in step.get("dependsOn", []):
+            for index in range(job.steps[before]["count"]):
+                if f"{job_id}.0.{before}.{index}" not in self.done:
+                    self.breach("ORDER", f"{task} before step {before} was done")
+                    break
+        used = sum(self.cpu_of(it) for it in worker.running) + step["cpu"]
+        if used > worker.cpu:
+            self.breach("LIMIT", f"{used} of {worker.cpu} on {worker.name}")
+        self.running[task] = worker
+        if step.get("longRunning"):
+            return 1e9, "done"
+        failing = self.rng.random() < 0.02
+        return job.lengths[job.steps.index(step)], "failed" if failing else "done"
+
+    def cpu_of(self, task):
+        job_id, _, step, _ = task.split(".")
+        return self.jobs[job_id].steps[int(step)]["cpu"] if job_id in self.jobs else 0
+
+    def on_end(self, worker, task, how):
+        if self.running.get(task) is worker:
+            del self.running[task]
+        if how == "done":
+            self.done.add(task)
+        elif how == "failed":
+            self.failures[task] = self.failures.get(task, 0) + 1
+
+    def on_acknowledged(self, task, how):
+        if how == "done":
+            self.acknowledged.add(task)
+
+    def on_state(self, job, state):
+        """Checks the state of a job that a client was shown."""
+        job.state = state
+        if state == "completed":
+            for n, step in enumerate(job.steps):
+                for index in range(step["count"]):
+                    if f"{job.id}.0.{n}.{index}" not in self.done:
+                        self.breach("MIXED", f"{job.id} completed without step {n} task {index}")
+                        return
+        if state == "cancelled" and not job.cancelled:
+            self.breach("LOST", f"{job.id} cancelled by nobody")
+        if state == "failed" and not any(t.startswith(job.id) for t in self.failures):
+            self.breach("LOST", f"{job.id} failed without a failed run")
+
+    def left_running(self, job):
+        return [task for task in self.running if task.startswith(job.id)]
--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,465 @@
+#!/usr/bin/env python3
+"""Runs real nodes against stand-ins on loopback while faults come in series.
+
+Nodes are started, stopped, paused and killed by signals; their connections to
+the store, the advice service and the workers go through proxies that delay,
+reset or silence them. Promises are judged from what clients and workers see.
+"""
+
+import argparse
+import asyncio
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from http_io import Client
+from promises import Job, Promises
+from proxy import Proxy
+from store_model import Store
+from worker_model import Advice, Worker
+from http_io import serve
+
+HOST = "queue.example"
+PREFIX = "/jobs/"
+KEY = "key-of-the-soak"
+CLIENT_PORT, READY_PORT, INNER_PORT = 8183, 8184, 7420
+BEAT_S = 0.5
+CLIENT_PAUSE_S = 0.25
+SUBMIT_DEADLINE_S = 3.0
+READY_WITHIN_S = 30
+# Leases, takeover and retries take seconds; work that stands still for this
+# long after the last fault has been lost.
+SETTLE_WITHIN_S = 60
+
+
+class Node:
+    """One process of the system on a loopback address of its own."""
+
+    def __init__(self, name, ip, program, folder):
+        self.name, self.ip, self.program = name, ip, program
+        self.settings = folder / f"{name}.conf"
+        self.log = folder / f"{name}.log"
+        self.process = None
+        self.paused = False
+        self.expected_end = False
+        self.store = self.advice = None
+
+    def write_settings(self):
+        lines = {
+            "nodeName": self.name, "zone": "z1", "region": "r1", "ip": self.ip,
+            "listen.frontend": f"{self.ip}:{CLIENT_PORT}",
+            "listen.ready": f"{self.ip}:{READY_PORT}",
+            "portRange": f"{INNER_PORT},{INNER_PORT + 15}",
+            "advice": f"127.0.0.1:{self.advice.port}",
+            "platform.address": f"127.0.0.1:{self.store.port}",
+            "platform.parts": 4, "platform.ttlMinMs": 1000,
+            "bounds.holdMaxMs": 10000, "bounds.graceS": 6, "bounds.status_s": 600,
+            "limits.cpuShare": 0.25, "limits.cores": 1,
+        }  # fmt: skip
+        self.settings.write_text("".join(f"{k}={v}\n" for k, v in lines.items()))
+
+    async def start(self):
+        self.expected_end = False
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                str(self.program), stdout=log, stderr=log,
+                env={"ROSEMARYTRAIL_CONFIG": str(self.settings), "PATH": os.environ["PATH"]},
+            )  # fmt: skip
+
+    @property
+    def alive(self):
+        return self.process is not None and self.process.returncode is None
+
+    def send(self, number):
+        if self.alive:
+            self.process.send_signal(number)
+
+    async def end(self, number):
+        """Ends the process and waits until it is gone."""
+        self.expected_end = True
+        if self.paused:
+            self.resume()
+        self.send(number)
+        try:
+            await asyncio.wait_for(self.process.wait(), 10)
+        except asyncio.TimeoutError:
+            self.send(signal.SIGKILL)
+            await self.process.wait()
+
+    def pause(self):
+        self.paused = True
+        self.send(signal.SIGSTOP)
+
+    def resume(self):
+        self.paused = False
+        self.send(signal.SIGCONT)
+
+
+class Soak:
+    """One seeded run."""
+
+    def __init__(self, options):
+        self.options = options
+        self.rng = random.Random(options.seed)
+        self.promises = Promises(random.Random(options.seed + 1))
+        self.store = Store(random.Random(options.seed + 2))
+        self.workers = {}
+        self.worker_proxies = {}
+        self.nodes = []
+        self.folder = Path(tempfile.mkdtemp(prefix="rosemarytrail-soak-"))
+        self.stopping = False
+        self.calm = True
+        self.version = 0
+        self.tasks = []
+
+    def say(self, text):
+        print(f"{time.monotonic() - self.begun:7.2f} {text}", flush=True)
+
+    def publish(self):
+        """Writes the next configuration, as the operator does."""
+        self.version += self.rng.randint(1, 3)
+        routes = [
+            {
+                "name": "jobs", "host": HOST, "pathPrefix": PREFIX, "service": "work",
+                "priority": 0, "maxAttempts": 20, "slackFactor": 2.0, "targetLatencyMs": 500,
+                "advice": {"decideMs": 5.0, "eachMs": 0.1, "validMs": 2500},
+            },
+            {"name": f"v{self.version}", "host": HOST, "pathPrefix": "/other/", "service": "work"},
+        ]  # fmt: skip
+        self.store.put("keyed.op", "config", {
+            "version": self.version, "routes": routes,
+            "services": [{"name": "work", "admissionCheck": False}],
+            "tenants": [{"name": "t", "apiKeys": [KEY], "weight": 1000}],
+        })  # fmt: skip
+
+    async def prepare(self):
+        program = Path(self.options.program).resolve()
+        self.publish()
+        for n in range(self.options.workers):
+            worker = Worker(f"w{n}", 8000, random.Random(self.options.seed + 10 + n), self.promises)
+            server = await serve("127.0.0.1", 0, worker.handle)
+            proxy = Proxy(server.sockets[0].getsockname())
+            await proxy.start("127.0.0.1", 0)
+            self.workers[worker.name], self.worker_proxies[worker.name] = worker, proxy
+        store = await serve("127.0.0.1", 0, self.store.handle)
+        advice = Advice(self.workers)
+        # Addresses of this run only, so that runs side by side do not meet.
+        block = f"127.{10 + os.getpid() % 200}.{1 + os.getpid() // 200 % 250}"
+        for n in range(self.options.nodes):
+            node = Node(f"n{n}", f"{block}.{n + 1}", program, self.folder)
+            answers = await serve("127.0.0.1", 0, advice.handler())
+            node.store = Proxy(store.sockets[0].getsockname())
+            node.advice = Proxy(answers.sockets[0].getsockname())
+            await node.store.start("127.0.0.1", 0)
+            await node.advice.start("127.0.0.1", 0)
+            node.write_settings()
+            self.nodes.append(node)
+            await node.start()
+
+    async def beat(self):
+        """Workers write themselves into the directory and end what is due."""
+        last = 0.0
+        while True:
+            now = time.monotonic()
+            for name, worker in self.workers.items():
+                worker.advance()
+                if now - last >= BEAT_S and self.store.mode == "up":
+                    address = f"127.0.0.1:{self.worker_proxies[name].port}"
+                    self.store.put("keyed.servers", name, worker.entry(address))
+            last = now if now - last >= BEAT_S else last
+            await asyncio.sleep(0.01)
+
+    async def watch(self):
+        """Starts processes again; an end of its own is a breach."""
+        while True:
+            for node in self.nodes:
+                if not node.alive and not node.expected_end and not self.stopping:
+                    code = node.process.returncode
+                    self.promises.breach("FAULT", f"{node.name} ended by itself with {code}")
+                    await node.start()
+            await asyncio.sleep(0.1)
+
+    async def call(self, clients, method, path, body=b""):
+        """Calls one node after another until one answers for good."""
+        headers = {"Host": HOST, "Authorization": f"Bearer {KEY}"}
+        index = self.rng.randrange(len(clients))
+        return await clients[index].call(method, path, headers, body, SUBMIT_DEADLINE_S)
+
+    def make_job(self):
+        steps = []
+        for n in range(self.rng.randint(1, 3)):
+            step = {
+                "count": self.rng.randint(1, 8),
+                "cpu": self.rng.choice([500, 1000, 3000]),
+                "memMb": 100,
+                "estimateMs": 400,
+            }
+            if n:
+                step["dependsOn"] = [n - 1]
+            steps.append(step)
+        job_id = f"{self.rng.getrandbits(64):016x}"
+        return Job(job_id, f"spec of {job_id}", steps, self.rng)
+
+    async def submit(self, clients, job):
+        import json
+
+        body = json.dumps({"spec": job.spec, "steps": job.steps}).encode()
+        for _ in range(4):
+            # Set before the call: a start may be seen before its answer.
+            job.maybe_taken = True
+            status, _ = await self.call(clients, "POST", PREFIX + job.id, body)
+            if status == 200:
+                job.accepted = True
+                return
+            if status in (429, 503):
+                refused_before = not self.maybe_earlier.get(job.id)
+                job.maybe_taken = not refused_before
+            else:
+                self.maybe_earlier[job.id] = True
+                if status in (400, 401, 404):
+                    self.promises.breach("CONFIG", f"{job.id} was answered {status}")
+            await asyncio.sleep(self.rng.uniform(0.1, 0.6))
+
+    async def client(self):
+        clients = [Client(node.ip, CLIENT_PORT) for node in self.nodes]
+        while not self.stopping:
+            job = self.make_job()
+            self.promises.jobs[job.id] = job
+            await self.submit(clients, job)
+            if not job.accepted:
+                continue
+            if self.rng.random() < 0.1:
+                await self.cancel(clients, job)
+            elif self.rng.random() < 0.2:
+                # A repeat that arrives late changes nothing.
+                await self.submit(clients, job)
+            await asyncio.sleep(self.rng.uniform(0, CLIENT_PAUSE_S))
+            await self.look(clients, job)
+        for client in clients:
+            client.close()
+
+    async def cancel(self, clients, job):
+        job.cancelled = True
+        for _ in range(20):
+            status, _ = await self.call(clients, "DELETE", PREFIX + job.id)
+            if status in (200, 410):
+                return
+            await asyncio.sleep(0.3)
+
+    async def look(self, clients, job):
+        status, body = await self.call(clients, "GET", PREFIX + job.id)
+        if status == 200:
+            self.promises.on_state(job, body.split(b'"')[3].decode())
+        elif status == 410:
+            self.promises.breach("LOST", f"{job.id} is unknown")
+
+    def pick(self):
+        return self.rng.choice(self.nodes)
+
+    async def fault(self):
+        """Brings one fault, waits and mends it; several overlap."""
+        rng, node = self.rng, self.pick()
+        name, worker = rng.choice(list(self.workers.items()))
+        proxy = self.worker_proxies[name]
+        length = rng.uniform(0.3, 4)
+        kind = rng.choice(list(FAULTS))
+        self.say(f"{kind} {node.name} {name} {length:.1f} s")
+        await FAULTS[kind](self, node, worker, proxy, length)
+
+    async def kill(self, node, worker, proxy, length):
+        await node.end(signal.SIGKILL)
+        await asyncio.sleep(length / 2)
+        await node.start()
+
+    async def terminate(self, node, worker, proxy, length):
+        await node.end(signal.SIGTERM)
+        await node.start()
+
+    async def herd(self, node, worker, proxy, length):
+        await asyncio.gather(*(it.end(signal.SIGKILL) for it in self.nodes if not it.expected_end))
+        await asyncio.gather(*(it.start() for it in self.nodes if not it.alive))
+
+    async def freeze(self, node, worker, proxy, length):
+        node.pause()
+        await asyncio.sleep(length)
+        node.resume()
+
+    async def reload(self, node, worker, proxy, length):
+        for _ in range(3):
+            node.send(signal.SIGHUP)
+            self.publish()
+            await asyncio.sleep(length / 3)
+
+    async def store_mode(self, node, worker, proxy, length):
+        self.store.mode = self.rng.choice(["busy", "silent", "reset", "slow", "lost", "late"])
+        await asyncio.sleep(length)
+        self.store.mode = "up"
+
+    async def compact(self, node, worker, proxy, length):
+        self.store.forget_history()
+
+    async def cut_store(self, node, worker, proxy, length):
+        way = self.rng.choice(["silent_to", "silent_from", "refusing"])
+        setattr(node.store, way, True)
+        if way == "refusing":
+            node.store.reset()
+        await asyncio.sleep(length)
+        node.store.heal()
+
+    async def cut_worker(self, node, worker, proxy, length):
+        setattr(proxy, self.rng.choice(["silent_to", "silent_from"]), True)
+        await asyncio.sleep(length)
+        proxy.heal()
+
+    async def crash_worker(self, node, worker, proxy, length):
+        proxy.refusing = True
+        proxy.reset()
+        worker.restart()
+        await asyncio.sleep(length / 2)
+        worker.restart()
+        proxy.heal()
+
+    async def late_orders(self, node, worker, proxy, length):
+        worker.late_share = 0.5
+        await asyncio.sleep(length)
+        worker.late_share = 0.0
+
+    async def failing_worker(self, node, worker, proxy, length):
+        worker.failing = True
+        await asyncio.sleep(length / 2)
+        worker.failing = False
+
+    async def disturb(self, node, worker, proxy, length):
+        for it in (node.store, node.advice, proxy):
+            it.delay = self.rng.uniform(0, 0.1)
+        self.rng.choice([node.store, proxy]).reset()
+        self.rng.choice([node.store, proxy]).silence_open()
+        await asyncio.sleep(length)
+        for it in (node.store, node.advice, proxy):
+            it.heal()
+
+    async def mend(self):
+        """Ends all faults, so that what was accepted can be carried out."""
+        self.store.mode = "up"
+        for node in self.nodes:
+            node.store.heal()
+            node.advice.heal()
+            if node.paused:
+                node.resume()
+            if not node.alive:
+                await node.start()
+        for name, worker in self.workers.items():
+            worker.late_share, worker.failing = 0.0, False
+            self.worker_proxies[name].heal()
+
+    async def settle(self):
+        """Waits until each accepted job has reached its end."""
+        clients = [Client(node.ip, CLIENT_PORT) for node in self.nodes]
+        until = time.monotonic() + SETTLE_WITHIN_S
+        final = ("completed", "failed", "cancelled")
+        left = [job for job in self.promises.jobs.values() if job.accepted]
+        while left and time.monotonic() < until:
+            for job in left:
+                await self.look(clients, job)
+            left = [
+                job for job in left
+                if job.state not in final or (job.cancelled and self.promises.left_running(job))
+            ]  # fmt: skip
+            await asyncio.sleep(0.2)
+        for job in left:
+            running = self.promises.left_running(job)
+            self.promises.breach("LOST", f"{job.id} is {job.state} at the end, runs {running}")
+
+    async def ready(self):
+        clients = [Client(node.ip, READY_PORT) for node in self.nodes]
+        until = time.monotonic() + READY_WITHIN_S
+        for node, client in zip(self.nodes, clients):
+            while (await client.call("GET", "/-/readyz", {}))[0] != 200:
+                if time.monotonic() > until:
+                    self.promises.breach("FAULT", f"{node.name} is not ready")
+                    return
+                await asyncio.sleep(0.1)
+
+    async def run(self):
+        self.begun = time.monotonic()
+        self.maybe_earlier = {}
+        await self.prepare()
+        background = [asyncio.create_task(it) for it in (self.beat(), self.watch())]
+        faults = []
+        try:
+            await self.ready()
+            callers = [asyncio.create_task(self.client()) for _ in range(self.options.clients)]
+            until = time.monotonic() + self.options.seconds
+            while time.monotonic() < until:
+                faults = [it for it in faults if not it.done()]
+                if len(faults) < self.options.overlap:
+                    faults.append(asyncio.create_task(self.fault()))
+                await asyncio.sleep(self.rng.uniform(0.2, 1.5))
+            await asyncio.gather(*faults)
+            await self.mend()
+            self.stopping = True
+            await asyncio.gather(*callers)
+            await self.ready()
+            await self.settle()
+        finally:
+            self.stopping = True
+            for task in background:
+                task.cancel()
+            for node in self.nodes:
+                if node.alive:
+                    await node.end(signal.SIGKILL)
+        jobs = self.promises.jobs.values()
+        states = [job.state for job in jobs]
+        print(
+            f"seed {self.options.seed}: {len(states)} jobs, "
+            f"{sum(job.accepted for job in jobs)} accepted, {states.count('completed')} completed, "
+            f"{self.promises.starts} starts, {len(self.promises.broken)} broken promises"
+        )
+        for line in self.promises.broken:
+            print(f"BROKEN {line}")
+        if self.promises.broken:
+            print(f"logs: {self.folder}")
+        else:
+            for path in self.folder.iterdir():
+                path.unlink()
+            self.folder.rmdir()
+        return not self.promises.broken
+
+
+FAULTS = {
+    it.__name__: it
+    for it in (
+        Soak.kill, Soak.terminate, Soak.herd, Soak.freeze, Soak.reload, Soak.store_mode,
+        Soak.compact, Soak.cut_store, Soak.cut_worker, Soak.crash_worker, Soak.late_orders,
+        Soak.failing_worker, Soak.disturb,
+    )
+}  # fmt: skip
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--program", default="build/bin/rosemarytrail-node")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1, help="runs, each with the next seed")
+    parser.add_argument("--seconds", type=float, default=10, help="time with faults, each run")
+    parser.add_argument("--nodes", type=int, default=3)
+    parser.add_argument("--workers", type=int, default=6)
+    parser.add_argument("--clients", type=int, default=6)
+    parser.add_argument("--overlap", type=int, default=3, help="faults at the same time")
+    options = parser.parse_args()
+    failed = []
+    for seed in range(options.seed, options.seed + options.seeds):
+        options.seed = seed
+        if not asyncio.run(Soak(options).run()):
+            failed.append(seed)
+    if failed:
+        print(f"failed seeds: {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/worker_model.py
@@ -0,0 +1,171 @@
+"""Stand-ins of the workers and of the advice service."""
+
+import asyncio
+import json
+import time
+
+from http_io import SILENT, reply
+
+HOLD_MAX_MS = 10000
+ADVICE_VALID_MS = 2500
+ADVICE_BASE_S = 0.005
+GRANTED_SHARE = 0.7
+
+
+class Worker:
+    """Worker under leases and fencing; its steady clock runs at its own rate."""
+
+    def __init__(self, name, cpu, rng, ledger):
+        self.name = name
+        self.cpu = cpu
+        self.rng = rng
+        self.ledger = ledger  # told of starts, ends and acknowledgements
+        self.rate = rng.uniform(0.98, 1.0)
+        self.late_share = 0.0
+        self.failing = False
+        self.beat = 0
+        self.restart()
+
+    def restart(self):
+        """A crash: it runs nothing and has seen no fencing token."""
+        for task in list(getattr(self, "running", {})):
+            self.ledger.on_end(self, task, "crashed")
+        self.born = int(time.time() * 1000)
+        self.origin = time.monotonic()
+        self.token, self.deadline, self.beat = 0, 0, 0
+        self.running, self.highest = {}, {}
+        self.finished, self.next_end = [], 1
+        self.ended = asyncio.Event()
+
+    @property
+    def clock(self):
+        return int((time.monotonic() - self.origin) * self.rate * 1000)
+
+    def entry(self, address):
+        self.beat += 1
+        return {
+            "service": "work", "address": address, "zone": "z1", "version": "v1",
+            "slots": 8, "state": "ready", "coldLeftMs": 0, "labels": ["a", "r1-1"],
+            "capacity": {"cpu": self.cpu, "memMb": 1 << 20, "gpu": 0},
+            "clockMs": self.clock, "born": self.born, "sequence": self.beat,
+        }  # fmt: skip
+
+    def advance(self):
+        """Ends what is done, and all once the lease has lapsed."""
+        now = time.monotonic()
+        lapsed = self.running and self.deadline <= self.clock
+        for task, (_, ends, how) in list(self.running.items()):
+            if lapsed:
+                self._end(task, "lapsed")
+            elif ends <= now:
+                self._end(task, "failed" if self.failing else how)
+
+    def _end(self, task, how):
+        run, _, _ = self.running.pop(task)
+        self.highest[task] = max(self.highest.get(task, 0), run)
+        self.finished.append([self.next_end, task, run, how, ""])
+        self.next_end += 1
+        self.ledger.on_end(self, task, how)
+        self.ended.set()
+        self.ended = asyncio.Event()
+
+    def _answer(self, status, **fields):
+        return reply(status, {"clockMs": self.clock, "born": self.born, **fields})
+
+    async def handle(self, method, path, query, headers, body):
+        call = json.loads(body)
+        if headers.get("rosemarytrail-expect-instance", self.name) != self.name:
+            return reply(421, {})
+        if path != "/-/hold" and self.rng.random() < self.late_share:
+            delay = self.rng.uniform(0.5, 6)
+            asyncio.get_running_loop().call_later(delay, self._order, path, call)
+            return SILENT
+        if path != "/-/hold":
+            return self._order(path, call)
+        refused = self._fence(call)
+        if refused:
+            return refused
+        self._extend(call)
+        for row in self.finished:
+            if row[0] <= call["ackCursor"]:
+                self.ledger.on_acknowledged(row[1], row[3])
+        self.finished = [row for row in self.finished if row[0] > call["ackCursor"]]
+        if not self.finished and call.get("waitMs"):
+            try:
+                await asyncio.wait_for(self.ended.wait(), call["waitMs"] / 1000)
+            except asyncio.TimeoutError:
+                pass
+        self.advance()
+        rows = [[task, run, "", 10, 0] for task, (run, _, _) in self.running.items()]
+        return self._answer(200, running=rows, finished=self.finished[:500])
+
+    def _fence(self, call):
+        token = call.get("fencingToken", 0)
+        if token < self.token:
+            return self._answer(409, reason="fence")
+        self.token = token
+        return None
+
+    def _extend(self, call):
+        if "deadlineMs" in call:
+            granted = min(call["deadlineMs"], self.clock + HOLD_MAX_MS)
+            self.deadline = max(self.deadline, granted)
+
+    def _order(self, path, call):
+        refused = self._fence(call)
+        if refused:
+            return refused
+        self.advance()
+        task, run = call["task"], call["run"]
+        if path == "/-/run-stop":
+            self.highest[task] = max(self.highest.get(task, 0), run)
+            if task in self.running and self.running[task][0] <= run:
+                self._end(task, "stopped")
+            return self._answer(200)
+        if path == "/-/pace":
+            return self._answer(200)
+        if call["deadlineMs"] <= self.clock:
+            return self._answer(409, reason="late")
+        self._extend(call)
+        if task in self.running and self.running[task][0] == run:
+            return self._answer(200)
+        if run <= self.highest.get(task, 0) or task in self.running:
+            return self._answer(409, reason="old")
+        if not call.get("ticket", "").endswith(f"{self.name}.{self.born}"):
+            return self._answer(409, reason="ticket")
+        length, how = self.ledger.on_start(self, task, call["spec"])
+        self.running[task] = (run, time.monotonic() + length, how)
+        return self._answer(200)
+
+
+class Advice:
+    """Advice service: takes one call at a time from each caller."""
+
+    def __init__(self, workers):
+        self.workers = workers
+
+    def handler(self):
+        """Returns the handler of one caller."""
+        turn = asyncio.Lock()
+
+        async def handle(method, path, query, headers, body):
+            call = json.loads(body)
+            async with turn:
+                await asyncio.sleep(ADVICE_BASE_S)
+            rows = [
+                [name, f"{call['step']}.{name}.{self.workers[name].born}"]
+                for name in call["workers"]
+                if name in self.workers
+                and hash_share(call["step"] + name) < GRANTED_SHARE
+            ]
+            return reply(200, {"granted": rows, "validMs": ADVICE_VALID_MS})
+
+        return handle
+
+
+def hash_share(text):
+    """Maps a text to a number from 0 to 1 that never changes."""
+    n = 2166136261
+    for byte in text.encode():
+        n = (n ^ byte) * 16777619 & 0xFFFFFFFF
+    return (n * 2654435761 & 0xFFFFFFFF) / 0xFFFFFFFF
--- a/src/rosemarytrail/cell/internal/node_lead.cpp
+++ b/src/rosemarytrail/cell/internal/node_lead.cpp
@@ -79,8 +79,8 @@
 
 void node::internal_state::try_lead()
 {
-    if (!chosen || lead || claiming || shutting_down || !ledger.loaded() ||
-        !directory.loaded() || !config) {
+    if (!chosen || lead || claiming || claim || shutting_down ||
+        !ledger.loaded() || !directory.loaded() || !config) {
         return;
     }
     claiming = true;
@@ -94,25 +94,46 @@
                          .epoch = epoch, .node = options.member})}},
         .expected_end = at,
         .writer = fenced_writer{.epoch = epoch, .sequence = 0}};
-    shared.append(std::move(request),
-                  [this, epoch, at, sent](append_answer it) {
-                      claiming = false;
-                      if (it.result == store_result::done) {
-                          take_lead(epoch, at, sent);
-                          return;
-                      }
-                      // The next page of the ledger shows who leads; without
-                      // one, the claim is tried again at the next sign of life.
-                      if (it.result == store_result::conflict) {
-                          ledger.catch_up([this](bool whole) {
-                              if (whole) {
-                                  try_lead();
-                              }
-                          });
-                      } else {
-                          chosen = false;
-                      }
-                  });
+    shared.append(
+        std::move(request), [this, epoch, at, sent](append_answer it) {
+            claiming = false;
+            if (it.result == store_result::done) {
+                claim = claim_made{.epoch = epoch, .at = at, .sent = sent};
+                ledger.catch_up([this](bool) { confirm_claim(); });
+                return;
+            }
+            // The next page of the ledger shows who leads; without
+            // one, the claim is tried again at the next sign of life.
+            if (it.result == store_result::conflict) {
+                ledger.catch_up([this](bool whole) {
+                    if (whole) {
+                        try_lead();
+                    }
+                });
+            } else {
+                chosen = false;
+            }
+        });
+}
+
+// Two nodes may claim the same epoch at the same moment; to the store the
+// second append is a repeat of the first, which it answers alike. The ledger
+// holds one of the claims and tells whose.
+void node::internal_state::confirm_claim()
+{
+    if (!claim || board.leader().epoch < claim->epoch) {
+        return;
+    }
+    const auto made = *std::exchange(claim, std::nullopt);
+    if (board.leader().epoch == made.epoch &&
+        board.leader().node == options.member) {
+        take_lead(made.epoch, made.at, made.sent);
+        return;
+    }
+    logging::event(logging::level::info, "claim_lost",
+                   {{"epoch", std::to_string(made.epoch)},
+                    {"leader", board.leader().node}});
+    chosen = false;
 }
 
 void node::internal_state::take_lead(std::uint64_t epoch, std::int64_t at,
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -133,6 +133,14 @@
     bool candidate{false};
     bool chosen{false};
     bool claiming{false};
+    /** @brief Claim that the store took and that is not read back yet. */
+    struct claim_made
+    {
+        std::uint64_t epoch{};
+        std::int64_t at{};
+        time_point sent;
+    };
+    std::optional<claim_made> claim;
     bool shutting_down{false};
     bool run_posted{false};
     time_point last_run;
@@ -157,6 +165,7 @@
     void choose_spacing();
     void on_join(const membership& it, time_point sent);
     void try_lead();
+    void confirm_claim();
     void take_lead(std::uint64_t epoch, std::int64_t at, time_point sent);
     void step_down(std::string_view why);
     void append_batch();
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -198,6 +198,7 @@
 
 void node::internal_state::on_ledger_caught_up()
 {
+    confirm_claim();
     try_lead();
     run();
 }
--- /dev/null
+++ b/test/cell/node.cpp
@@ -0,0 +1,136 @@
+#include <test/lib/model_cell.hpp>
+
+#include <rosemarytrail/cell/member_name.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <set>
+
+namespace rosemarytrail::cell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** @brief Longest that a condition may take; a healthy node needs far less. */
+constexpr duration patience = 20s;
+
+/** @brief Two nodes beside one store and one worker. */
+struct two_nodes
+{
+    two_nodes()
+    {
+        store.put(feed::configuration, "c", "1");
+        store.put(feed::workers, "w1", "1");
+        for (int n = 0; n < 2; ++n) {
+            const auto name = "n" + std::to_string(n);
+            const auto address = name + ":1";
+            node_options options{.name = name,
+                                 .member = to_text({.incarnation = name,
+                                                    .address = address,
+                                                    .cpu_millis = 250}),
+                                 .cpu_millis = 250};
+            nodes.push_back(std::make_unique<node>(options, loop, store,
+                                                   *workers[n], peers, advice,
+                                                   formats, metrics[n]));
+            peers.nodes[address] = nodes.back().get();
+        }
+    }
+
+    void start()
+    {
+        for (const auto& it : nodes) {
+            it->start();
+        }
+    }
+
+    [[nodiscard]] std::size_t holds(std::size_t n) const
+    {
+        return workers[n]->holds.size();
+    }
+
+    test::stepped_loop loop;
+    test::model_store store{loop};
+    std::array<std::unique_ptr<test::model_workers>, 2> workers{
+        std::make_unique<test::model_workers>(loop),
+        std::make_unique<test::model_workers>(loop)};
+    test::model_advice advice{loop};
+    test::model_peers peers{loop};
+    test::model_formats formats;
+    std::array<metrics::registry, 2> metrics;
+    std::vector<std::unique_ptr<node>> nodes;
+};
+
+[[nodiscard]] client_call submission(std::uint64_t id)
+{
+    client_call call{.kind = call_kind::submit,
+                     .host = "h",
+                     .path = "/q/" + fleet::to_text(id),
+                     .key = {},
+                     .job = fleet::job_spec{},
+                     .deadline = boot_clock::now() + patience};
+    call.job->steps = {
+        {.tasks = 1, .need = {.cpu_millis = 1000, .memory_mb = 1}}};
+    return call;
+}
+
+} // namespace
+
+TEST_CASE("Of two nodes that claim one epoch at once, one leads", "[node]")
+{
+    two_nodes cell;
+    // All partitions are dealt anew, and each node believes that it is chosen.
+    cell.store.chooses_all = true;
+    cell.start();
+    const auto both = [&] {
+        return cell.holds(0) > 3 || cell.holds(1) > 3;
+    };
+    REQUIRE(cell.loop.run_until(both, patience));
+    std::set<std::uint64_t> first;
+    std::set<std::uint64_t> second;
+    for (const auto& it : cell.workers[0]->holds) {
+        first.insert(it.epoch);
+    }
+    for (const auto& it : cell.workers[1]->holds) {
+        second.insert(it.epoch);
+    }
+    std::vector<std::uint64_t> shared;
+    std::ranges::set_intersection(first, second, std::back_inserter(shared));
+    CHECK(shared.empty());
+}
+
+TEST_CASE("A question reaches a node that has not read the job", "[node]")
+{
+    two_nodes cell;
+    cell.formats.advice =
+        fleet::advice_policy{.base_ms = 400, .valid_ms = 2500};
+    cell.start();
+    REQUIRE(cell.loop.run_until(
+        [&] {
+            return cell.nodes[0]->ready(boot_clock::now()) &&
+                   cell.nodes[1]->ready(boot_clock::now()) &&
+                   cell.holds(0) + cell.holds(1) > 3;
+        },
+        patience));
+    constexpr std::uint64_t jobs = 8;
+    std::size_t accepted = 0;
+    for (std::uint64_t id = 1; id <= jobs; ++id) {
+        cell.nodes[id % 2]->serve(submission(id), [&](const client_answer& it) {
+            accepted += it.kind == answer_kind::accepted ? 1U : 0U;
+        });
+    }
+    // A question that was dropped would be asked once more after seconds only.
+    const auto started = [&] {
+        return cell.workers[0]->starts.size() +
+                   cell.workers[1]->starts.size() ==
+               jobs;
+    };
+    REQUIRE(cell.loop.run_until(started, patience));
+    CHECK(accepted == jobs);
+    CHECK(cell.advice.asked.size() == jobs);
+}
+
+} // namespace rosemarytrail::cell
--- /dev/null
+++ b/test/lib/model_cell.cpp
@@ -0,0 +1,265 @@
+#include <test/lib/model_cell.hpp>
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+namespace rosemarytrail::test {
+
+using namespace std::chrono_literals;
+
+void stepped_loop::fetch(http::client_request /*outgoing*/, callback done)
+{
+    post([done = std::move(done)] { done({}); });
+}
+
+void stepped_loop::post(task work)
+{
+    post_at(time_point{}, std::move(work));
+}
+
+void stepped_loop::post_at(time_point at, task work)
+{
+    due_.emplace(at, std::move(work));
+}
+
+bool stepped_loop::run_until(const std::function<bool()>& done, duration most)
+{
+    const auto end = boot_clock::now() + most;
+    while (!done()) {
+        const auto now = boot_clock::now();
+        if (now > end) {
+            return false;
+        }
+        if (due_.empty() || due_.begin()->first > now) {
+            std::this_thread::sleep_for(500us);
+            continue;
+        }
+        const auto work = std::move(due_.begin()->second);
+        due_.erase(due_.begin());
+        work();
+    }
+    return true;
+}
+
+void model_store::answer(std::function<void()> with)
+{
+    constexpr duration answer_time = 2ms;
+    loop_.post_at(boot_clock::now() + answer_time, std::move(with));
+}
+
+void model_store::put(cell::feed which, std::string key, std::string value)
+{
+    records_[which].push_back(
+        {.key = std::move(key), .value = std::move(value)});
+}
+
+void model_store::append(cell::append_request request,
+                         std::function<void(cell::append_answer)> done)
+{
+    auto& ledger = records_[cell::feed::ledger];
+    cell::append_answer result{.result = cell::store_result::done,
+                               .expected_sequence = std::nullopt};
+    bool repeat = false;
+    if (const auto& it = request.writer) {
+        if (it->epoch < epoch_) {
+            result.result = cell::store_result::fenced;
+        } else if (it->epoch == epoch_) {
+            repeat = it->sequence <= sequence_;
+        }
+    }
+    const bool conflict =
+        request.expected_end &&
+        *request.expected_end != static_cast<std::int64_t>(ledger.size());
+    if (result.result == cell::store_result::done && !repeat && conflict) {
+        result.result = cell::store_result::conflict;
+    }
+    if (result.result == cell::store_result::done && !repeat) {
+        if (request.writer) {
+            epoch_ = request.writer->epoch;
+            sequence_ = request.writer->sequence;
+        }
+        for (auto& it : request.entries) {
+            ledger.push_back({.key = it.key, .value = it.value});
+        }
+    }
+    answer([done = std::move(done), result] { done(result); });
+}
+
+void model_store::read(cell::feed which, std::int64_t from, duration wait,
+                       std::function<void(cell::feed_page)> done)
+{
+    constexpr duration look_again = 10ms;
+    const auto& records = records_[which];
+    const auto n = static_cast<std::int64_t>(records.size());
+    if (from >= n && wait > look_again) {
+        loop_.post_at(boot_clock::now() + look_again,
+                      [this, which, from, left = wait - look_again,
+                       done = std::move(done)]() mutable {
+                          read(which, from, left, std::move(done));
+                      });
+        return;
+    }
+    cell::feed_page page{
+        .result = cell::store_result::done,
+        .records = {records.begin() + std::min(from, n), records.end()},
+        .next_offset = n,
+        .at_end = true};
+    answer([done = std::move(done), page = std::move(page)] { done(page); });
+}
+
+void model_store::newest(cell::feed which, std::string_view /*after*/,
+                         std::function<void(cell::newest_page)> done)
+{
+    const auto& records = records_[which];
+    answer([done = std::move(done),
+            page = cell::newest_page{.result = cell::store_result::done,
+                                     .records = records,
+                                     .end_offset = static_cast<std::int64_t>(
+                                         records.size())}] { done(page); });
+}
+
+void model_store::join(cell::node_group /*group*/, std::string_view member,
+                       std::uint64_t /*generation*/, duration /*lifetime*/,
+                       std::function<void(cell::membership)> done)
+{
+    if (std::ranges::find(names, member) == names.end()) {
+        names.emplace_back(member);
+    }
+    answer([done = std::move(done),
+            chosen = chooses_all || names.front() == member] {
+        done({.result = cell::store_result::done,
+              .generation = 1,
+              .chosen = chosen});
+    });
+}
+
+void model_store::members(
+    std::function<void(std::optional<std::vector<std::string>>)> done)
+{
+    answer([this, done = std::move(done)] {
+        auto sorted = names;
+        std::ranges::sort(sorted);
+        done(sorted);
+    });
+}
+
+void model_store::leave(cell::node_group /*group*/, std::string_view member,
+                        std::function<void(cell::store_result)> done)
+{
+    std::erase(names, member);
+    answer([done = std::move(done)] { done(cell::store_result::done); });
+}
+
+void model_workers::start(const fleet::start_order& order,
+                          std::function<void(fleet::start_result)> done)
+{
+    starts.push_back(order);
+    loop_.post(
+        [done = std::move(done)] { done(fleet::start_result::started); });
+}
+
+void model_workers::stop(const fleet::stop_order& /*order*/,
+                         std::function<void(bool)> done)
+{
+    loop_.post([done = std::move(done)] { done(true); });
+}
+
+void model_workers::pace(const fleet::pace_order& /*order*/,
+                         std::function<void(bool)> done)
+{
+    loop_.post([done = std::move(done)] { done(true); });
+}
+
+void model_workers::hold(
+    const fleet::hold_order& order,
+    std::function<void(fleet::hold_result, fleet::hold_answer)> done)
+{
+    holds.push_back(order);
+    fleet::hold_answer answer{.clock_ms = 1000,
+                              .incarnation = std::nullopt,
+                              .running = {},
+                              .ended = {}};
+    for (const auto& it : starts) {
+        if (it.worker == order.worker) {
+            answer.running.push_back({.task = it.task, .run = it.run});
+        }
+    }
+    loop_.post_at(boot_clock::now() + std::min<duration>(order.wait, 50ms),
+                  [done = std::move(done), answer = std::move(answer)] {
+                      done(fleet::hold_result::answered, answer);
+                  });
+}
+
+void model_advice::advise(const fleet::step_key& step,
+                          std::span<const std::string> workers,
+                          duration /*patience*/,
+                          std::function<void(cell::advice_answer)> done)
+{
+    asked.push_back(step);
+    cell::advice_answer result{.answered = true, .grant = {.valid_ms = 2500}};
+    for (const auto& it : workers) {
+        result.grant.rows.push_back({.worker = it, .ticket = "t"});
+    }
+    loop_.post_at(
+        boot_clock::now() + 5ms,
+        [done = std::move(done), result = std::move(result)] { done(result); });
+}
+
+void model_peers::forward(std::string_view address,
+                          const cell::client_call& call, duration /*patience*/,
+                          callback done)
+{
+    const auto it = nodes.find(std::string{address});
+    if (it == nodes.end()) {
+        loop_.post([done = std::move(done)] { done(std::nullopt); });
+        return;
+    }
+    auto handed = call;
+    handed.forwarded = true;
+    it->second->serve(std::move(handed),
+                      [done = std::move(done)](
+                          const cell::client_answer& answer) { done(answer); });
+}
+
+void model_peers::send(std::string_view address,
+                       const cell::peer_message& message, duration /*patience*/,
+                       std::function<void(cell::message_result)> done)
+{
+    const auto it = nodes.find(std::string{address});
+    if (it == nodes.end()) {
+        loop_.post(
+            [done = std::move(done)] { done(cell::message_result::refused); });
+        return;
+    }
+    loop_.post([to = it->second, message, done = std::move(done)] {
+        to->receive(message, done);
+    });
+}
+
+std::optional<fleet::cell_config>
+model_formats::configuration(const cell::feed_record& /*record*/) const
+{
+    fleet::cell_config result{.version = 1};
+    result.queues.push_back(
+        {.host = "h",
+         .path_prefix = "/q/",
+         .is_public = true,
+         .policy = {.name = "q", .service = "s", .advice = advice}});
+    return result;
+}
+
+std::optional<fleet::worker_vm>
+model_formats::worker(const cell::feed_record& record) const
+{
+    return fleet::worker_vm{.id = record.key,
+                            .service = "s",
+                            .address = record.key + ":1",
+                            .zone = "z",
+                            .rack = {},
+                            .labels = {},
+                            .capacity = {.cpu_millis = 8000, .memory_mb = 8000},
+                            .incarnation = 1};
+}
+
+} // namespace rosemarytrail::test
--- /dev/null
+++ b/test/lib/model_cell.hpp
@@ -0,0 +1,155 @@
+#ifndef ROSEMARYTRAIL_TEST_LIB_MODEL_CELL_HPP
+#define ROSEMARYTRAIL_TEST_LIB_MODEL_CELL_HPP
+
+#include <rosemarytrail/cell/node.hpp>
+#include <rosemarytrail/cell/ports.hpp>
+#include <rosemarytrail/http/client.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rosemarytrail::test {
+
+/** @brief Event loop that the test's own thread runs. */
+class stepped_loop final : public http::event_loop
+{
+public:
+    void fetch(http::client_request outgoing, callback done) override;
+    void post(task work) override;
+    void post_at(time_point at, task work) override;
+
+    /**
+     * @brief Runs what is due until a condition holds.
+     * @param done Condition.
+     * @param most Longest time to run.
+     * @return Whether the condition held.
+     */
+    bool run_until(const std::function<bool()>& done, duration most);
+
+private:
+    std::multimap<time_point, task> due_;
+};
+
+/** @brief Store in memory that answers repeats as the platform's does. */
+class model_store final : public cell::store
+{
+public:
+    explicit model_store(stepped_loop& loop)
+        : loop_{loop}
+    {}
+
+    void append(cell::append_request request,
+                std::function<void(cell::append_answer)> done) override;
+    void read(cell::feed which, std::int64_t from, duration wait,
+              std::function<void(cell::feed_page)> done) override;
+    void newest(cell::feed which, std::string_view after,
+                std::function<void(cell::newest_page)> done) override;
+    void join(cell::node_group group, std::string_view member,
+              std::uint64_t generation, duration lifetime,
+              std::function<void(cell::membership)> done) override;
+    void members(std::function<void(std::optional<std::vector<std::string>>)>
+                     done) override;
+    void leave(cell::node_group group, std::string_view member,
+               std::function<void(cell::store_result)> done) override;
+
+    /** @brief Adds a record as its writer outside of the nodes does. */
+    void put(cell::feed which, std::string key, std::string value);
+
+    /** @brief Nodes that have joined. */
+    std::vector<std::string> names;
+    /** @brief Tells each candidate that it is chosen, not only the first. */
+    bool chooses_all{false};
+
+private:
+    void answer(std::function<void()> with);
+
+    stepped_loop& loop_;
+    std::map<cell::feed, std::vector<cell::feed_record>> records_;
+    std::uint64_t epoch_{};
+    std::uint64_t sequence_{};
+};
+
+/** @brief Workers that answer each hold at once and start what they are told.
+ */
+class model_workers final : public cell::worker_port
+{
+public:
+    explicit model_workers(stepped_loop& loop)
+        : loop_{loop}
+    {}
+
+    void start(const fleet::start_order& order,
+               std::function<void(fleet::start_result)> done) override;
+    void stop(const fleet::stop_order& order,
+              std::function<void(bool)> done) override;
+    void pace(const fleet::pace_order& order,
+              std::function<void(bool)> done) override;
+    void hold(const fleet::hold_order& order,
+              std::function<void(fleet::hold_result, fleet::hold_answer)> done)
+        override;
+
+    std::vector<fleet::hold_order> holds;
+    std::vector<fleet::start_order> starts;
+
+private:
+    stepped_loop& loop_;
+};
+
+/** @brief Advice service that allows all workers that a question names. */
+class model_advice final : public cell::advice_port
+{
+public:
+    explicit model_advice(stepped_loop& loop)
+        : loop_{loop}
+    {}
+
+    void advise(const fleet::step_key& step,
+                std::span<const std::string> workers, duration patience,
+                std::function<void(cell::advice_answer)> done) override;
+
+    std::vector<fleet::step_key> asked;
+
+private:
+    stepped_loop& loop_;
+};
+
+/** @brief Peers within one test: messages reach the other node's loop. */
+class model_peers final : public cell::peer_link
+{
+public:
+    explicit model_peers(stepped_loop& loop)
+        : loop_{loop}
+    {}
+
+    void forward(std::string_view address, const cell::client_call& call,
+                 duration patience, callback done) override;
+    void send(std::string_view address, const cell::peer_message& message,
+              duration patience,
+              std::function<void(cell::message_result)> done) override;
+
+    /** @brief Nodes by address. */
+    std::map<std::string, cell::node*> nodes;
+
+private:
+    stepped_loop& loop_;
+};
+
+/** @brief Takes any configuration record for one queue, and names workers. */
+class model_formats final : public cell::decoder
+{
+public:
+    [[nodiscard]] std::optional<fleet::cell_config>
+    configuration(const cell::feed_record& record) const override;
+    [[nodiscard]] std::optional<fleet::worker_vm>
+    worker(const cell::feed_record& record) const override;
+
+    /** @brief Cost of advice on the queue `q`; none if it needs no advice. */
+    std::optional<fleet::advice_policy> advice;
+};
+
+} // namespace rosemarytrail::test
+
+#endif
