Hold a worker for refused only once an answer says so

The question that named all workers had been lost with its node; the leader had noted its workers as asked about when it sent the question, so that there was nobody left to name. Ruled out: lost costs of open questions (0 in the books of the stuck leader). Change: workers count as refused when an answer that fits the question leaves them out; when all are refused, they are asked about again after a pause. Test: "A question whose answer is lost is asked again" fails on the former code. The soak itself started nodes twice when two faults ended the same one, and its load was more than its workers could carry; both are mended.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -28,7 +28,9 @@
 KEY = "key-of-the-soak"
 CLIENT_PORT, READY_PORT, INNER_PORT = 8183, 8184, 7420
 BEAT_S = 0.5
-CLIENT_PAUSE_S = 0.25
+# Keeps the load below what the workers can carry, so that the backlog at the
+# end is short.
+CLIENT_PAUSE_S = 1.0
 SUBMIT_DEADLINE_S = 3.0
 READY_WITHIN_S = 30
 # Leases, takeover and retries take seconds; work that stands still for this
@@ -45,7 +47,7 @@
         self.log = folder / f"{name}.log"
         self.process = None
         self.paused = False
-        self.expected_end = False
+        self.turn = asyncio.Lock()  # faults that end and start it take turns
         self.store = self.advice = None
 
     def write_settings(self):
@@ -63,7 +65,6 @@
         self.settings.write_text("".join(f"{k}={v}\n" for k, v in lines.items()))
 
     async def start(self):
-        self.expected_end = False
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 str(self.program), stdout=log, stderr=log,
@@ -80,7 +81,6 @@
 
     async def end(self, number):
         """Ends the process and waits until it is gone."""
-        self.expected_end = True
         if self.paused:
             self.resume()
         self.send(number)
@@ -90,6 +90,13 @@
             self.send(signal.SIGKILL)
             await self.process.wait()
 
+    async def replace(self, number, pause):
+        """Ends the process and starts another one after a pause."""
+        async with self.turn:
+            await self.end(number)
+            await asyncio.sleep(pause)
+            await self.start()
+
     def pause(self):
         self.paused = True
         self.send(signal.SIGSTOP)
@@ -177,10 +184,11 @@
         """Starts processes again; an end of its own is a breach."""
         while True:
             for node in self.nodes:
-                if not node.alive and not node.expected_end and not self.stopping:
+                if not node.alive and not node.turn.locked() and not self.stopping:
                     code = node.process.returncode
                     self.promises.breach("FAULT", f"{node.name} ended by itself with {code}")
-                    await node.start()
+                    async with node.turn:
+                        await node.start()
             await asyncio.sleep(0.1)
 
     async def call(self, clients, method, path, body=b""):
@@ -271,17 +279,13 @@
         await FAULTS[kind](self, node, worker, proxy, length)
 
     async def kill(self, node, worker, proxy, length):
-        await node.end(signal.SIGKILL)
-        await asyncio.sleep(length / 2)
-        await node.start()
+        await node.replace(signal.SIGKILL, length / 2)
 
     async def terminate(self, node, worker, proxy, length):
-        await node.end(signal.SIGTERM)
-        await node.start()
+        await node.replace(signal.SIGTERM, 0)
 
     async def herd(self, node, worker, proxy, length):
-        await asyncio.gather(*(it.end(signal.SIGKILL) for it in self.nodes if not it.expected_end))
-        await asyncio.gather(*(it.start() for it in self.nodes if not it.alive))
+        await asyncio.gather(*(it.replace(signal.SIGKILL, 0) for it in self.nodes))
 
     async def freeze(self, node, worker, proxy, length):
         node.pause()
@@ -350,8 +354,6 @@
             node.advice.heal()
             if node.paused:
                 node.resume()
-            if not node.alive:
-                await node.start()
         for name, worker in self.workers.items():
             worker.late_share, worker.failing = 0.0, False
             self.worker_proxies[name].heal()
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -194,16 +194,7 @@
         step.tickets.emplace(row.worker, row.ticket);
         step.granted.insert(row.worker);
     }
-    if (step.named > 0) {
-        const auto part = static_cast<double>(advice.grant.rows.size()) /
-                          static_cast<double>(step.named);
-        auto& share =
-            granted_share
-                .try_emplace(step.job->record.queue.name, options.granted_share)
-                .first->second;
-        share += (part - share) * options.granted_weight;
-        step.named = 0;
-    }
+    learn_grants(step, advice.grant);
     close_question(step);
     if (step.advised_at == time_point{}) {
         step.advised_at = last_plan;
@@ -214,6 +205,32 @@
     replan = true;
 }
 
+void dispatcher::books::learn_grants(step_book& step, const advice_grant& grant)
+{
+    // The node that took the job may have asked as well, about other workers.
+    const bool answers_question =
+        !step.named.empty() &&
+        std::ranges::all_of(grant.rows, [&step](const auto& row) {
+            return step.named.contains(row.worker);
+        });
+    if (!answers_question) {
+        return;
+    }
+    const auto part = static_cast<double>(grant.rows.size()) /
+                      static_cast<double>(step.named.size());
+    auto& share =
+        granted_share
+            .try_emplace(step.job->record.queue.name, options.granted_share)
+            .first->second;
+    share += (part - share) * options.granted_weight;
+    for (const auto& id : step.named) {
+        if (!step.granted.contains(id)) {
+            step.refused.insert(id);
+        }
+    }
+    step.named.clear();
+}
+
 void dispatcher::books::add_job(const job_entry& entry, time_point now,
                                 std::int64_t unix_ms)
 {
--- a/src/rosemarytrail/fleet/internal/advice_desk.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_desk.cpp
@@ -18,6 +18,7 @@
         step.asked_of.clear();
     }
     step.asked_until = {};
+    step.named.clear();
 }
 
 const std::string&
@@ -32,11 +33,19 @@
 {
     auto named = workers_to_name(step, now);
     if (named.empty()) {
-        return;
+        if (now < step.next_widening) {
+            return;
+        }
+        // All were refused, or are gone: look once more after a pause.
+        step.next_widening = now + options.advice_slack;
+        step.refused.clear();
+        named = workers_to_name(step, now);
+        if (named.empty()) {
+            return;
+        }
     }
     const auto cost = advice_cost(*step.job->record.queue.advice, named.size());
-    step.named = named.size();
-    step.named_before.insert(named.begin(), named.end());
+    step.named = {named.begin(), named.end()};
     auto& open = open_questions[node];
     ++open.questions;
     open.cost += cost;
@@ -94,7 +103,7 @@
             continue;
         }
         const bool granted = step.granted.contains(id);
-        if (!granted && step.named_before.contains(id)) {
+        if (step.refused.contains(id)) {
             continue;
         }
         const auto tasks =
@@ -137,8 +146,7 @@
         if (step.tickets.contains(id)) {
             return false;
         }
-        more = more || step.granted.contains(id) ||
-               !step.named_before.contains(id);
+        more = more || !step.refused.contains(id);
     }
     return more;
 }
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -92,11 +92,11 @@
     /** @brief Node that was asked; empty if no question is open. */
     std::string asked_of;
     duration asked_cost{};
-    /** @brief Workers that the latest question named. */
-    std::size_t named{};
-    /** @brief Workers named so far, and those of them that were granted; an
-     * answer about a worker does not change. */
-    std::set<std::string> named_before;
+    /** @brief Workers that the open question names. */
+    std::set<std::string> named;
+    /** @brief Workers that answers refused or granted; an answer about a worker
+     * does not change. */
+    std::set<std::string> refused;
     std::set<std::string> granted;
     /** @brief Next look whether to ask about more workers. */
     time_point next_widening;
@@ -256,6 +256,7 @@
     void inherit(step_book& step, const std::vector<task_progress>& rows,
                  time_point now);
     void take_advice(step_book& step, const seen_advice& advice);
+    void learn_grants(step_book& step, const advice_grant& grant);
     void mark_dirty(step_book& step);
     void take_room(step_book& step, std::uint32_t index,
                    const std::string& worker);
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -520,6 +520,23 @@
     CHECK(cell.running(1) == 12);
 }
 
+TEST_CASE("A question whose answer is lost is asked again", "[advice]")
+{
+    worker_fleet cell;
+    cell.add_workers(3, eight_cores);
+    const std::vector<std::string> members{"n1", "n2"};
+    cell.leader().set_members(members);
+    cell.submit(make_advised_job(1, {.tasks = 2, .need = one_core}));
+    cell.run(50ms);
+    REQUIRE(cell.questions.size() == 1);
+    cell.run(5s);
+    REQUIRE(cell.questions.size() > 1);
+    CHECK(cell.questions.back().question.workers.size() == 3);
+    cell.grant({.job = 1}, {"w0"}, 2500ms);
+    cell.run(100ms);
+    CHECK(cell.running(1) == 2);
+}
+
 TEST_CASE("A burst of short questions is spread over all nodes", "[advice]")
 {
     worker_fleet cell;
