Find the steps that need advice in one pass; order waiting steps by a rank made once

Change: one pass with early exits, a rank made once for a step, flat sets, and a list of the jobs that have occurrences to come. The backlog of short questions counts as many workers as a question names, not all of a large cell.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -272,6 +272,9 @@
             take_advice(step, it->second);
         }
     }
+    if (spec.occurrences > 0) {
+        scheduled.insert(job.record.id);
+    }
     jobs.emplace(job.record.id, std::move(owned));
     for (auto& step : job.steps) {
         for (const auto& task : step.tasks) {
--- a/src/rosemarytrail/fleet/internal/advice_desk.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_desk.cpp
@@ -184,7 +184,7 @@
     return true;
 }
 
-bool dispatcher::books::wants_advice(step_book& step, std::size_t rank,
+bool dispatcher::books::wants_advice(step_book& step, std::size_t place,
                                      time_point now) const
 {
     const auto& policy = *step.job->record.queue.advice;
@@ -199,7 +199,7 @@
         step.next_widening = now + options.widen_period;
         return has_more_to_ask(step, now);
     }
-    if (rank < options.fresh_steps) {
+    if (place < options.fresh_steps) {
         return true;
     }
     return std::ranges::any_of(step.tickets, [&](const auto& it) {
@@ -210,53 +210,73 @@
     });
 }
 
-bool dispatcher::books::lacks_short_advice(const step_book& step,
-                                           time_point now) const
+duration dispatcher::books::usual_cost(const advice_policy& policy) const
 {
-    const auto& policy = step.job->record.queue.advice;
-    return step.waiting > 0 && !step.job->ended() && policy &&
-           policy->base_ms <= options.long_advice_ms &&
-           step.tickets_until <= now;
+    return advice_cost(policy, std::min(workers.size(), workers_per_question));
 }
 
 // Answers bursts of jobs with short questions: these are worth far more for the
 // time that they take, so nodes are left free for them as their backlog grows.
-std::size_t dispatcher::books::long_nodes_now(time_point now) const
+std::size_t dispatcher::books::long_nodes_now(duration short_backlog) const
 {
     const auto usual =
         long_advice_nodes(members, options.long_advice_share).size();
-    duration backlog{};
-    for (const auto* step : ready) {
-        if (lacks_short_advice(*step, now)) {
-            backlog +=
-                advice_cost(*step->job->record.queue.advice, workers.size());
-        }
-    }
     const auto needed =
-        static_cast<std::size_t>(backlog / options.short_advice_wait);
+        static_cast<std::size_t>(short_backlog / options.short_advice_wait);
     const auto left = members.size() > needed ? members.size() - needed : 0;
     return std::clamp<std::size_t>(left, 1, std::max<std::size_t>(usual, 1));
 }
 
+// One pass finds all steps that may need advice; thousands of steps may wait
+// in a backlog.
 void dispatcher::books::plan_questions(time_point now)
 {
     if (members.empty() || now - last_questions < options.question_spacing) {
         return;
     }
     last_questions = now;
+    duration short_backlog{};
+    std::vector<ranked_step> short_steps;
+    std::vector<ranked_step> long_steps;
     for (auto& [id, job] : jobs) {
+        const auto& policy = job->record.queue.advice;
+        if (!policy) {
+            continue;
+        }
+        const bool is_long = policy->base_ms > options.long_advice_ms;
         for (auto& step : job->steps) {
-            const bool gone =
-                !step.asked_of.empty() &&
-                (step.asked_until < now ||
-                 std::ranges::find(members, step.asked_of) == members.end());
-            if (gone || (job->ended() && !step.asked_of.empty())) {
-                close_question(step);
+            close_if_gone(step, now);
+            if (step.waiting == 0 || job->ended()) {
+                continue;
+            }
+            if (!is_long && step.ready && step.tickets_until <= now) {
+                short_backlog += usual_cost(*policy);
+            }
+            if (is_long ? wants_long_advice(step, now)
+                        : wants_short_advice(step, now)) {
+                (is_long ? long_steps : short_steps)
+                    .push_back(
+                        {.rank = internal::rank_of(step, now), .step = &step});
             }
         }
     }
-    plan_short_questions(now);
-    plan_long_questions(now);
+    std::ranges::sort(short_steps, {}, &ranked_step::rank);
+    std::ranges::sort(long_steps, {}, &ranked_step::rank);
+    ask_short_questions(short_steps, now);
+    ask_long_questions(long_steps,
+                       std::span{members}.first(long_nodes_now(short_backlog)),
+                       now);
+}
+
+void dispatcher::books::close_if_gone(step_book& step, time_point now)
+{
+    if (step.asked_of.empty()) {
+        return;
+    }
+    if (step.job->ended() || step.asked_until < now ||
+        std::ranges::find(members, step.asked_of) == members.end()) {
+        close_question(step);
+    }
 }
 
 bool dispatcher::books::all_begun_before(const step_book& step) const
@@ -274,11 +294,10 @@
 bool dispatcher::books::wants_short_advice(const step_book& step,
                                            time_point now) const
 {
-    const auto& policy = step.job->record.queue.advice;
-    if (step.waiting == 0 || step.job->ended() || !step.asked_of.empty() ||
-        !policy || policy->base_ms > options.long_advice_ms) {
+    if (!step.asked_of.empty()) {
         return false;
     }
+    const auto& policy = step.job->record.queue.advice;
     const auto cost = advice_cost(*policy, options.named_least);
     if (!step.tickets.empty()) {
         return step.ready &&
@@ -297,61 +316,41 @@
            nearly_ready(step, valid / 2, now);
 }
 
-void dispatcher::books::plan_short_questions(time_point now)
+bool dispatcher::books::wants_long_advice(const step_book& step,
+                                          time_point now) const
 {
-    std::vector<step_book*> order;
-    for (auto& [id, job] : jobs) {
-        for (auto& step : job->steps) {
-            if (wants_short_advice(step, now)) {
-                order.push_back(&step);
-            }
-        }
-    }
-    std::ranges::sort(order, [now](const step_book* a, const step_book* b) {
-        return internal::more_urgent(*a, *b, now);
-    });
-    for (auto* step : order) {
+    const auto ahead =
+        usual_cost(*step.job->record.queue.advice) + options.advice_slack / 4;
+    return step.ready || nearly_ready(step, ahead, now);
+}
+
+void dispatcher::books::ask_short_questions(std::span<const ranked_step> order,
+                                            time_point now)
+{
+    for (const auto& it : order) {
         const auto& node = least_loaded(members);
         if (open_questions[node].cost > options.short_work_per_node) {
             return;
         }
-        open_question(*step, node, now);
+        open_question(*it.step, node, now);
     }
 }
 
-void dispatcher::books::plan_long_questions(time_point now)
+void dispatcher::books::ask_long_questions(std::span<const ranked_step> order,
+                                           std::span<const std::string> pool,
+                                           time_point now)
 {
-    const auto pool = std::span{members}.first(long_nodes_now(now));
-    std::vector<step_book*> order;
-    for (auto& [id, job] : jobs) {
-        const auto& policy = job->record.queue.advice;
-        if (job->ended() || !policy ||
-            policy->base_ms <= options.long_advice_ms) {
-            continue;
-        }
-        const auto ahead =
-            advice_cost(*policy, workers.size()) + options.advice_slack / 4;
-        for (auto& step : job->steps) {
-            if (step.waiting > 0 &&
-                (step.ready || nearly_ready(step, ahead, now))) {
-                order.push_back(&step);
-            }
-        }
-    }
-    std::ranges::sort(order, [now](const step_book* a, const step_book* b) {
-        return internal::more_urgent(*a, *b, now);
-    });
-    std::size_t rank = 0;
-    for (auto* step : order) {
-        const bool wanted = wants_advice(*step, rank++, now);
-        if (!wanted || !step->asked_of.empty()) {
+    std::size_t place = 0;
+    for (const auto& it : order) {
+        const bool wanted = wants_advice(*it.step, place++, now);
+        if (!wanted || !it.step->asked_of.empty()) {
             continue;
         }
         const auto& node = least_loaded(pool);
         if (open_questions[node].questions >= options.questions_per_node) {
             return;
         }
-        open_question(*step, node, now);
+        open_question(*it.step, node, now);
     }
 }
 
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -3,6 +3,9 @@
 
 #include <rosemarytrail/fleet/dispatcher.hpp>
 
+#include <boost/container/flat_set.hpp>
+
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -20,15 +23,38 @@
 
 struct step_book;
 
+/** @brief Place of a step in the order in which waiting steps are served. */
+struct step_rank
+{
+    /** @brief Its account had sent more than its share. */
+    bool beyond_share{false};
+    std::int32_t priority{};
+    /** @brief It can no longer meet its latency objective. */
+    bool late{false};
+    time_point latest_start;
+    step_key key;
+
+    friend auto operator<=>(const step_rank&, const step_rank&) = default;
+};
+
 /**
- * @brief Order in which waiting steps are served.
- * @param a Step.
- * @param b Step.
+ * @brief Ranks a step that waits.
+ *
+ * Answers load beyond capacity: accounts within their share come before those
+ * beyond it, then priority, then jobs that can still meet their objective, the
+ * most pressing first.
+ * @param step Step.
  * @param now Present time.
- * @return True if `a` comes first.
+ * @return Its place; the smallest comes first.
  */
-[[nodiscard]] bool more_urgent(const step_book& a, const step_book& b,
-                               time_point now);
+[[nodiscard]] step_rank rank_of(const step_book& step, time_point now);
+
+/** @brief Step with its place in the order. */
+struct ranked_step
+{
+    step_rank rank;
+    step_book* step{};
+};
 
 /** @brief Where a task stands in the leader's books. */
 enum class task_phase : std::uint8_t
@@ -189,6 +215,7 @@
     using step_book = internal::step_book;
     using job_book = internal::job_book;
     using worker_book = internal::worker_book;
+    using ranked_step = internal::ranked_step;
 
     /** @brief What a client account has running. */
     struct account_book
@@ -201,8 +228,11 @@
     std::unordered_map<std::uint64_t, std::unique_ptr<job_book>> jobs;
     std::map<std::string, worker_book> workers;
     std::map<std::string, account_book> accounts;
-    std::set<step_book*> ready;
-    std::set<step_book*> dirty;
+    /** @brief Steps whose tasks may be placed; looked through at each plan. */
+    boost::container::flat_set<step_book*> ready;
+    boost::container::flat_set<step_book*> dirty;
+    /** @brief Jobs with occurrences that are not all due yet. */
+    std::set<std::uint64_t> scheduled;
     std::vector<job_book*> finished;
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
@@ -313,15 +343,19 @@
                                        time_point now) const;
     [[nodiscard]] const std::string&
     least_loaded(std::span<const std::string> nodes);
-    [[nodiscard]] bool lacks_short_advice(const step_book& step,
-                                          time_point now) const;
+    [[nodiscard]] duration usual_cost(const advice_policy& policy) const;
+    void close_if_gone(step_book& step, time_point now);
+    [[nodiscard]] bool wants_long_advice(const step_book& step,
+                                         time_point now) const;
     [[nodiscard]] bool wants_short_advice(const step_book& step,
                                           time_point now) const;
     [[nodiscard]] bool all_begun_before(const step_book& step) const;
-    void plan_long_questions(time_point now);
-    void plan_short_questions(time_point now);
-    [[nodiscard]] std::size_t long_nodes_now(time_point now) const;
-    [[nodiscard]] bool wants_advice(step_book& step, std::size_t rank,
+    void ask_short_questions(std::span<const ranked_step> order,
+                             time_point now);
+    void ask_long_questions(std::span<const ranked_step> order,
+                            std::span<const std::string> pool, time_point now);
+    [[nodiscard]] std::size_t long_nodes_now(duration short_backlog) const;
+    [[nodiscard]] bool wants_advice(step_book& step, std::size_t place,
                                     time_point now) const;
     [[nodiscard]] bool nearly_ready(const step_book& step, duration ahead,
                                     time_point now) const;
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -9,23 +9,6 @@
 
 using internal::step_book;
 
-/**
- * @brief Place of a step in the order in which waiting steps are served.
- *
- * Answers load beyond capacity: accounts within their share come before those
- * beyond it, then priority, then jobs that can still meet their objective, the
- * most pressing first.
- */
-[[nodiscard]] auto urgency(const step_book& step, time_point now)
-{
-    const auto& job = *step.job;
-    const auto latest_start =
-        job.objective - std::chrono::milliseconds{job.chain_ms};
-    const bool late = job.objective <= now;
-    return std::tuple{job.beyond_share, job.record.queue.priority, late,
-                      latest_start, step.key};
-}
-
 /**
  * @brief Ranks workers by speed for a step.
  *
@@ -48,10 +31,15 @@
 
 } // namespace
 
-bool internal::more_urgent(const step_book& a, const step_book& b,
-                           time_point now)
+internal::step_rank internal::rank_of(const step_book& step, time_point now)
 {
-    return urgency(a, now) < urgency(b, now);
+    const auto& job = *step.job;
+    return {.beyond_share = job.beyond_share,
+            .priority = job.record.queue.priority,
+            .late = job.objective <= now,
+            .latest_start =
+                job.objective - std::chrono::milliseconds{job.chain_ms},
+            .key = step.key};
 }
 
 bool dispatcher::books::takes_work(const worker_book& worker,
@@ -232,28 +220,30 @@
 {
     auto& it = *books_;
     it.last_plan = now;
-    for (auto& [id, job] : it.jobs) {
-        if (job->record.spec.occurrences > 0 && !job->ended()) {
-            it.update_ready(*job, unix_ms);
+    std::erase_if(it.scheduled, [&it, unix_ms](std::uint64_t id) {
+        const auto job = it.jobs.find(id);
+        if (job == it.jobs.end() || job->second->ended()) {
+            return true;
         }
-    }
+        it.update_ready(*job->second, unix_ms);
+        return false;
+    });
     it.plan_questions(now);
     if (!it.replan) {
         return;
     }
     it.replan = false;
-    std::vector<step_book*> order;
+    std::vector<internal::ranked_step> order;
     for (auto* step : it.ready) {
         const bool advised = step->job->record.queue.advice.has_value();
         if (step->waiting > 0 && !step->job->ended() &&
             (!advised || step->tickets_until > now)) {
-            order.push_back(step);
+            order.push_back(
+                {.rank = internal::rank_of(*step, now), .step = step});
         }
     }
-    std::ranges::sort(order, [now](const step_book* a, const step_book* b) {
-        return internal::more_urgent(*a, *b, now);
-    });
-    for (auto* step : order) {
+    std::ranges::sort(order, {}, &internal::ranked_step::rank);
+    for (const auto& [rank, step] : order) {
         if (step->spec->gang) {
             it.place_gang(*step, now);
         } else {
