Leave short questions beyond a node's backlog to the leader; find allowed workers once

Change: the excess is not handed on; a node with 150 ms of questions before it refuses more short ones, which the leader then gives out; tickets of steps without room are renewed only for the eight most urgent. On cells of 12 nodes or more the leader asks for no advice itself.

--- a/src/rosemarytrail/cell/internal/node_advice.cpp
+++ b/src/rosemarytrail/cell/internal/node_advice.cpp
@@ -53,11 +53,13 @@
 {
     const auto& record = *entry.record;
     const auto& policy = record.queue.advice;
-    if (!policy || policy->base_ms > options.dispatcher.long_advice_ms) {
+    // The excess of an account waits for its turn at the leader.
+    if (!policy || record.beyond_share ||
+        policy->base_ms > options.dispatcher.long_advice_ms) {
         return;
     }
     const auto node = fleet::short_advice_node(
-        members, options.dispatcher.long_advice_share, record);
+        askers(), options.dispatcher.long_advice_share, record);
     if (!node || *node == options.member) {
         return;
     }
@@ -89,7 +91,7 @@
             return it;
         }
     }
-    return questions.next(board, vm_list, members, now);
+    return questions.next(board, vm_list, askers(), now);
 }
 
 void node::internal_state::ask_advice(time_point now)
@@ -217,13 +219,34 @@
                });
 }
 
+// Answers bursts: a node asks in the order of arrival, the leader gives out
+// questions in the order of what they are for. So a node with enough before it
+// leaves further short ones to the leader.
+bool node::internal_state::is_too_busy_for(
+    std::span<const fleet::advice_question> more) const
+{
+    const duration long_advice = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>{
+            options.dispatcher.long_advice_ms});
+    const bool all_long = std::ranges::all_of(
+        more, [&](const auto& it) { return it.expected > long_advice; });
+    duration work{};
+    for (const auto& it : given_questions) {
+        work += it.expected;
+    }
+    return !all_long && work > options.dispatcher.short_work_per_node;
+}
+
 void node::internal_state::receive(peer_message message,
                                    std::function<void(message_result)> done)
 {
-    for (const auto& it : message.questions) {
-        given_questions.push_back(it);
-    }
     if (message.entries.empty()) {
+        if (is_too_busy_for(message.questions)) {
+            done(message_result::refused);
+            return;
+        }
+        given_questions.insert(given_questions.end(), message.questions.begin(),
+                               message.questions.end());
         run();
         done(message_result::taken);
         return;
--- a/src/rosemarytrail/cell/internal/node_lead.cpp
+++ b/src/rosemarytrail/cell/internal/node_lead.cpp
@@ -53,7 +53,7 @@
         if (it) {
             members = std::move(*it);
             if (lead) {
-                lead->decisions.set_members(members);
+                lead->decisions.set_members(askers());
             }
         }
     });
@@ -61,6 +61,17 @@
                  [this] { list_members(); });
 }
 
+// The leader has the most to do, so that the other nodes ask for advice.
+std::vector<std::string> node::internal_state::askers() const
+{
+    if (members.size() < options.askers_without_leader) {
+        return members;
+    }
+    auto result = members;
+    std::erase(result, board.leader().node);
+    return result;
+}
+
 void node::internal_state::on_join(const membership& it, time_point sent)
 {
     if (it.result != store_result::done || sent < last_join) {
@@ -149,7 +160,7 @@
                                         unix_milliseconds());
     lead->decisions.set_config(config);
     lead->decisions.set_workers(vm_list, now);
-    lead->decisions.set_members(members);
+    lead->decisions.set_members(askers());
     lead->epoch = epoch;
     lead->news = sent;
     choose_spacing();
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -162,6 +162,7 @@
     void join_candidates(time_point sent);
     [[nodiscard]] static std::string address_of(std::string_view member);
     void list_members();
+    [[nodiscard]] std::vector<std::string> askers() const;
     void choose_spacing();
     void on_join(const membership& it, time_point sent);
     void try_lead();
@@ -200,6 +201,8 @@
     void send_questions(std::span<const fleet::question_order> orders);
     void hand_on_questions(const fleet::job_entry& entry);
     [[nodiscard]] std::string leader_address() const;
+    [[nodiscard]] bool
+    is_too_busy_for(std::span<const fleet::advice_question> more) const;
     void receive(peer_message message,
                  std::function<void(message_result)> done);
     void on_advice(const fleet::step_key& step, advice_answer it,
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -56,6 +56,9 @@
     duration append_spacing{std::chrono::milliseconds{12}};
     /** @brief Pause before an append without effect is sent again. */
     duration append_retry{std::chrono::milliseconds{50}};
+    /** @brief With so many nodes, the leader asks for no advice; with fewer,
+     * its part of the questions that all nodes can ask would be missed. */
+    std::size_t askers_without_leader{12};
     /** @brief Span over which the drain of a queue is measured. */
     duration drain_window{std::chrono::seconds{3}};
     /** @brief Part of a caller's time kept to say that it is unknown. */
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -190,6 +190,7 @@
 void dispatcher::books::take_advice(step_book& step, const seen_advice& advice)
 {
     step.tickets.clear();
+    step.allowed_as_of = 0;
     for (const auto& row : advice.grant.rows) {
         step.tickets.emplace(row.worker, row.ticket);
         step.granted.insert(row.worker);
--- a/src/rosemarytrail/fleet/internal/advice_desk.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_desk.cpp
@@ -185,7 +185,7 @@
 }
 
 bool dispatcher::books::wants_advice(step_book& step, std::size_t place,
-                                     time_point now) const
+                                     time_point now)
 {
     const auto& policy = *step.job->record.queue.advice;
     if (step.tickets.empty()) {
@@ -202,12 +202,16 @@
     if (place < options.fresh_steps) {
         return true;
     }
-    return std::ranges::any_of(step.tickets, [&](const auto& it) {
-        const auto worker = workers.find(it.first);
-        return worker != workers.end() &&
-               is_usable(worker->second, step, now) &&
-               step.spec->reserved().fits(worker->second.available());
-    });
+    return has_room(step, now);
+}
+
+bool dispatcher::books::has_room(step_book& step, time_point now)
+{
+    return std::ranges::any_of(
+        allowed_workers(step), [&](const worker_book* it) {
+            return step.spec->reserved().fits(it->available()) &&
+                   is_usable(*it, step, now);
+        });
 }
 
 duration dispatcher::books::usual_cost(const advice_policy& policy) const
@@ -327,7 +331,14 @@
 void dispatcher::books::ask_short_questions(std::span<const ranked_step> order,
                                             time_point now)
 {
+    std::size_t place = 0;
     for (const auto& it : order) {
+        // Under load, first questions go before renewals without use.
+        const bool renewal = !it.step->tickets.empty();
+        if (place++ >= options.fresh_steps && renewal &&
+            !has_room(*it.step, now)) {
+            continue;
+        }
         const auto& node = least_loaded(members);
         if (open_questions[node].cost > options.short_work_per_node) {
             return;
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -22,6 +22,7 @@
 namespace rosemarytrail::fleet::internal {
 
 struct step_book;
+struct worker_book;
 
 /** @brief Place of a step in the order in which waiting steps are served. */
 struct step_rank
@@ -112,6 +113,10 @@
     std::size_t done{};
     /** @brief Tickets by worker; empty rows mean no advice was given. */
     std::map<std::string, std::string> tickets;
+    /** @brief Workers that the tickets are for, found once for each version of
+     * the directory. */
+    std::vector<worker_book*> allowed;
+    std::uint64_t allowed_as_of{};
     time_point tickets_until;
     /** @brief Until then an answer to the latest question may come. */
     time_point asked_until;
@@ -227,6 +232,8 @@
     std::shared_ptr<const cell_config> config;
     std::unordered_map<std::uint64_t, std::unique_ptr<job_book>> jobs;
     std::map<std::string, worker_book> workers;
+    /** @brief Grows when workers come or go. */
+    std::uint64_t workers_version{1};
     std::map<std::string, account_book> accounts;
     /** @brief Steps whose tasks may be placed; looked through at each plan. */
     boost::container::flat_set<step_book*> ready;
@@ -356,7 +363,8 @@
                             std::span<const std::string> pool, time_point now);
     [[nodiscard]] std::size_t long_nodes_now(duration short_backlog) const;
     [[nodiscard]] bool wants_advice(step_book& step, std::size_t place,
-                                    time_point now) const;
+                                    time_point now);
+    [[nodiscard]] bool has_room(step_book& step, time_point now);
     [[nodiscard]] bool nearly_ready(const step_book& step, duration ahead,
                                     time_point now) const;
 
@@ -365,6 +373,8 @@
                                   time_point now) const;
     [[nodiscard]] bool is_usable(const worker_book& worker,
                                  const step_book& step, time_point now) const;
+    [[nodiscard]] std::span<worker_book* const>
+    allowed_workers(step_book& step);
     [[nodiscard]] bool within_limit(const job_book& job, const room& need);
     void place_step(step_book& step, time_point now);
     void place_gang(step_book& step, time_point now);
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -79,6 +79,23 @@
            (limit.gpus == 0 || total.gpus <= limit.gpus);
 }
 
+// Each step that waits for room is tried at each plan, so that its workers must
+// not be looked up by name each time.
+std::span<internal::worker_book* const>
+dispatcher::books::allowed_workers(step_book& step)
+{
+    if (step.allowed_as_of != workers_version) {
+        step.allowed.clear();
+        for (const auto& [id, ticket] : step.tickets) {
+            if (const auto it = workers.find(id); it != workers.end()) {
+                step.allowed.push_back(&it->second);
+            }
+        }
+        step.allowed_as_of = workers_version;
+    }
+    return step.allowed;
+}
+
 internal::worker_book* dispatcher::books::choose_worker(step_book& step,
                                                         std::uint32_t index,
                                                         time_point now)
@@ -89,7 +106,7 @@
     worker_book* best = nullptr;
     std::tuple<bool, bool, int, std::int64_t> best_rank;
     const auto consider = [&](worker_book& it) {
-        if (!is_usable(it, step, now) || !need.fits(it.available())) {
+        if (!need.fits(it.available()) || !is_usable(it, step, now)) {
             return;
         }
         if (spec.tasks_per_vm > 0) {
@@ -119,10 +136,8 @@
         }
         return best;
     }
-    for (const auto& [id, ticket] : step.tickets) {
-        if (const auto it = workers.find(id); it != workers.end()) {
-            consider(it->second);
-        }
+    for (auto* it : allowed_workers(step)) {
+        consider(*it);
     }
     return best;
 }
--- a/src/rosemarytrail/fleet/internal/worker_answers.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_answers.cpp
@@ -39,6 +39,7 @@
     for (auto& [id, it] : state.workers) {
         it.listed = false;
     }
+    const auto known_before = state.workers.size();
     for (const auto& vm : vms) {
         auto& it = state.workers[vm.id];
         const bool known = !it.vm.address.empty();
@@ -51,18 +52,24 @@
         it.vm.incarnation = incarnation;
         it.listed = true;
     }
-    std::erase_if(state.workers, [&state, now](const auto& it) {
-        const auto& worker = it.second;
-        const bool gone = !worker.listed && worker.load.empty() &&
-                          !worker.hold_in_flight && worker.lease_until < now;
-        if (gone) {
-            state.removals.push_back(
-                {.key = encode_key(
-                     {.kind = entry_kind::worker, .worker = it.first}),
-                 .value = std::nullopt});
-        }
-        return gone;
-    });
+    const bool some_new = state.workers.size() != known_before;
+    const auto gone =
+        std::erase_if(state.workers, [&state, now](const auto& it) {
+            const auto& worker = it.second;
+            const bool leaves = !worker.listed && worker.load.empty() &&
+                                !worker.hold_in_flight &&
+                                worker.lease_until < now;
+            if (leaves) {
+                state.removals.push_back(
+                    {.key = encode_key(
+                         {.kind = entry_kind::worker, .worker = it.first}),
+                     .value = std::nullopt});
+            }
+            return leaves;
+        });
+    if (some_new || gone > 0) {
+        ++state.workers_version;
+    }
     state.replan = true;
 }
 
