--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Short soak: fresh processes with few faults, and the seeds that failed once.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+python3 soak/soak.py --seed 1 --seeds 4 --seconds 6 "$@"
+python3 soak/soak.py --seed 7 --seconds 6 "$@"
