Soak: send SIGHUP only to a program that has taken charge of it

The process was killed by SIGHUP (return code -1) between its start and the first line of its program, as its log has no line "started"; the default action of the signal ends any process there.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -79,6 +79,18 @@
         if self.alive:
             self.process.send_signal(number)
 
+    def reload(self):
+        """Sends SIGHUP once the program runs; before that it ends any process."""
+        if self.alive and self.takes_hangup():
+            self.send(signal.SIGHUP)
+
+    def takes_hangup(self):
+        """Tells whether the process has taken charge of SIGHUP."""
+        for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+            if line.startswith("SigBlk:"):
+                return bool(int(line.split()[1], 16) & 1 << (signal.SIGHUP - 1))
+        return False
+
     async def end(self, number):
         """Ends the process and waits until it is gone."""
         if self.paused:
@@ -294,7 +306,7 @@
 
     async def reload(self, node, worker, proxy, length):
         for _ in range(3):
-            node.send(signal.SIGHUP)
+            node.reload()
             self.publish()
             await asyncio.sleep(length / 3)
 
