--- a/bench/fleet_load.cpp
+++ b/bench/fleet_load.cpp
@@ -4,6 +4,7 @@
 #include <test/lib/worker_fleet.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <ctime>
 #include <iostream>
@@ -97,11 +98,12 @@
         std::lognormal_distribution<double> vary{-0.125, 0.5};
         const auto id = ++last_id_;
         std::vector<fleet::step_spec> steps;
-        const auto n = std::max(
-            1, static_cast<int>(kind.mean_steps * vary(random_) + 0.5));
+        const auto n = std::max<std::int64_t>(
+            1, std::lround(kind.mean_steps * vary(random_)));
+        steps.reserve(static_cast<std::size_t>(n));
         const auto cpu =
             static_cast<std::int64_t>(kind.mean_cpu_millis * vary(random_));
-        for (int i = 0; i < n; ++i) {
+        for (std::int64_t i = 0; i < n; ++i) {
             steps.push_back(
                 {.tasks = static_cast<std::uint32_t>(
                      std::clamp(kind.mean_tasks * vary(random_), 1.0, 100.0)),
--- a/src/rosemarytrail/fleet/internal/advice_desk.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_desk.cpp
@@ -264,8 +264,8 @@
             }
         }
     }
-    std::ranges::sort(short_steps, {}, &ranked_step::rank);
-    std::ranges::sort(long_steps, {}, &ranked_step::rank);
+    std::ranges::sort(short_steps, internal::comes_first);
+    std::ranges::sort(long_steps, internal::comes_first);
     ask_short_questions(short_steps, now);
     ask_long_questions(long_steps,
                        std::span{members}.first(long_nodes_now(short_backlog)),
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -5,7 +5,6 @@
 
 #include <boost/container/flat_set.hpp>
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -14,6 +13,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -35,7 +35,12 @@
     time_point latest_start;
     step_key key;
 
-    friend auto operator<=>(const step_rank&, const step_rank&) = default;
+    friend bool operator<(const step_rank& a, const step_rank& b) noexcept
+    {
+        return std::tie(a.beyond_share, a.priority, a.late, a.latest_start,
+                        a.key) < std::tie(b.beyond_share, b.priority, b.late,
+                                          b.latest_start, b.key);
+    }
 };
 
 /**
@@ -57,6 +62,18 @@
     step_book* step{};
 };
 
+/**
+ * @brief Orders steps by their rank.
+ * @param a Step.
+ * @param b Step.
+ * @return True if `a` is served first.
+ */
+[[nodiscard]] inline bool comes_first(const ranked_step& a,
+                                      const ranked_step& b) noexcept
+{
+    return a.rank < b.rank;
+}
+
 /** @brief Where a task stands in the leader's books. */
 enum class task_phase : std::uint8_t
 {
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -257,7 +257,7 @@
                 {.rank = internal::rank_of(*step, now), .step = step});
         }
     }
-    std::ranges::sort(order, {}, &internal::ranked_step::rank);
+    std::ranges::sort(order, internal::comes_first);
     for (const auto& [rank, step] : order) {
         if (step->spec->gang) {
             it.place_gang(*step, now);
--- a/src/rosemarytrail/fleet/job.hpp
+++ b/src/rosemarytrail/fleet/job.hpp
@@ -3,13 +3,13 @@
 
 #include <rosemarytrail/core/time.hpp>
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace rosemarytrail::fleet {
@@ -183,7 +183,13 @@
     std::uint32_t occurrence{};
     std::uint32_t step{};
 
-    friend auto operator<=>(const step_key&, const step_key&) = default;
+    friend bool operator==(const step_key&, const step_key&) = default;
+
+    friend bool operator<(const step_key& a, const step_key& b) noexcept
+    {
+        return std::tie(a.job, a.occurrence, a.step) <
+               std::tie(b.job, b.occurrence, b.step);
+    }
 };
 
 /** @brief One task of a step. */
@@ -192,7 +198,12 @@
     step_key step;
     std::uint32_t index{};
 
-    friend auto operator<=>(const task_key&, const task_key&) = default;
+    friend bool operator==(const task_key&, const task_key&) = default;
+
+    friend bool operator<(const task_key& a, const task_key& b) noexcept
+    {
+        return std::tie(a.step, a.index) < std::tie(b.step, b.index);
+    }
 };
 
 /** @brief Hash of step and task keys. */
