--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,7 +11,8 @@
         self.spec = spec
         self.steps = steps
         self.accepted = False
-        self.maybe_taken = False  # a submission went without an answer
+        self.unanswered = False  # a submission went without a clear answer
+        self.maybe_taken = False  # the same, or a submission is under way
         self.cancelled = False
         self.state = None
         self.lengths = {n: rng.uniform(0.05, 0.8) for n in range(len(steps))}
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import json
 import os
 import random
 import signal
@@ -16,12 +17,11 @@
 import time
 from pathlib import Path
 
-from http_io import Client
+from http_io import Client, serve
 from promises import Job, Promises
 from proxy import Proxy
 from store_model import Store
 from worker_model import Advice, Worker
-from http_io import serve
 
 HOST = "queue.example"
 PREFIX = "/jobs/"
@@ -131,9 +131,7 @@
         self.nodes = []
         self.folder = Path(tempfile.mkdtemp(prefix="rosemarytrail-soak-"))
         self.stopping = False
-        self.calm = True
         self.version = 0
-        self.tasks = []
 
     def say(self, text):
         print(f"{time.monotonic() - self.begun:7.2f} {text}", flush=True)
@@ -204,7 +202,7 @@
             await asyncio.sleep(0.1)
 
     async def call(self, clients, method, path, body=b""):
-        """Calls one node after another until one answers for good."""
+        """Calls one of the nodes; status None if no answer came."""
         headers = {"Host": HOST, "Authorization": f"Bearer {KEY}"}
         index = self.rng.randrange(len(clients))
         return await clients[index].call(method, path, headers, body, SUBMIT_DEADLINE_S)
@@ -225,8 +223,6 @@
         return Job(job_id, f"spec of {job_id}", steps, self.rng)
 
     async def submit(self, clients, job):
-        import json
-
         body = json.dumps({"spec": job.spec, "steps": job.steps}).encode()
         for _ in range(4):
             # Set before the call: a start may be seen before its answer.
@@ -236,10 +232,9 @@
                 job.accepted = True
                 return
             if status in (429, 503):
-                refused_before = not self.maybe_earlier.get(job.id)
-                job.maybe_taken = not refused_before
+                job.maybe_taken = job.unanswered
             else:
-                self.maybe_earlier[job.id] = True
+                job.unanswered = True
                 if status in (400, 401, 404):
                     self.promises.breach("CONFIG", f"{job.id} was answered {status}")
             await asyncio.sleep(self.rng.uniform(0.1, 0.6))
@@ -400,7 +395,6 @@
 
     async def run(self):
         self.begun = time.monotonic()
-        self.maybe_earlier = {}
         await self.prepare()
         background = [asyncio.create_task(it) for it in (self.beat(), self.watch())]
         faults = []
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -40,7 +40,9 @@
                      std::function<void(append_answer)> done) {
                   append_entries(std::move(request), std::move(done));
               }}
-    , questions{{.member = options_.member}}
+    , questions{{.member = options_.member,
+                 .long_ms = options_.dispatcher.long_advice_ms,
+                 .long_share = options_.dispatcher.long_advice_share}}
     , ledger{{.which = feed::ledger, .spacing = options_.follower_spacing},
              loop_,
              shared,
--- a/src/rosemarytrail/fleet/internal/books.hpp
+++ b/src/rosemarytrail/fleet/internal/books.hpp
@@ -358,13 +358,6 @@
     void close_question(step_book& step);
     void open_question(step_book& step, const std::string& node,
                        time_point now);
-    [[nodiscard]] std::size_t tasks_that_fit(const worker_book& worker,
-                                             const step_book& step,
-                                             time_point now) const;
-    [[nodiscard]] std::vector<std::string>
-    workers_to_name(const step_book& step, time_point now) const;
-    [[nodiscard]] bool has_more_to_ask(const step_book& step,
-                                       time_point now) const;
     [[nodiscard]] const std::string&
     least_loaded(std::span<const std::string> nodes);
     [[nodiscard]] duration usual_cost(const advice_policy& policy) const;
@@ -373,7 +366,6 @@
                                          time_point now) const;
     [[nodiscard]] bool wants_short_advice(const step_book& step,
                                           time_point now) const;
-    [[nodiscard]] bool all_begun_before(const step_book& step) const;
     void ask_short_questions(std::span<const ranked_step> order,
                              time_point now);
     void ask_long_questions(std::span<const ranked_step> order,
@@ -385,7 +377,18 @@
     [[nodiscard]] bool nearly_ready(const step_book& step, duration ahead,
                                     time_point now) const;
 
+    // internal/worker_naming.cpp
+    [[nodiscard]] std::size_t tasks_that_fit(const worker_book& worker,
+                                             const step_book& step,
+                                             time_point now) const;
+    [[nodiscard]] std::vector<std::string>
+    workers_to_name(const step_book& step, time_point now) const;
+    [[nodiscard]] bool has_more_to_ask(const step_book& step,
+                                       time_point now) const;
+
     // internal/placement.cpp
+    [[nodiscard]] bool can_take(const worker_book& worker,
+                                const step_book& step, time_point now) const;
     [[nodiscard]] bool takes_work(const worker_book& worker,
                                   time_point now) const;
     [[nodiscard]] bool is_usable(const worker_book& worker,
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -63,6 +63,13 @@
                worker.vm.labels.end();
 }
 
+bool dispatcher::books::can_take(const worker_book& worker,
+                                 const step_book& step, time_point now) const
+{
+    return step.spec->reserved().fits(worker.available()) &&
+           is_usable(worker, step, now);
+}
+
 bool dispatcher::books::within_limit(const job_book& job, const room& need)
 {
     if (!config || job.record.account.empty()) {
@@ -106,7 +113,7 @@
     worker_book* best = nullptr;
     std::tuple<bool, bool, int, std::int64_t> best_rank;
     const auto consider = [&](worker_book& it) {
-        if (!need.fits(it.available()) || !is_usable(it, step, now)) {
+        if (!can_take(it, step, now)) {
             return;
         }
         if (spec.tasks_per_vm > 0) {
