Do not use connections opened before one of their peer fell silent

A connection that gives no answer in time now makes the older ones of its peer stale; each is met once at most and closed. The test failed first (three calls in a row without an answer).

--- a/src/rosemarytrail/fleet/internal/orders.cpp
+++ b/src/rosemarytrail/fleet/internal/orders.cpp
@@ -101,7 +101,8 @@
         return;
     }
     auto& task = step->tasks[key.index];
-    // It may have been given up on and placed anew, which another batch records.
+    // It may have been given up on and placed anew, which another batch
+    // records.
     if (task.phase != task_phase::placed || task.run != it.run) {
         return;
     }
--- a/src/rosemarytrail/http/internal/curl_transfer.cpp
+++ b/src/rosemarytrail/http/internal/curl_transfer.cpp
@@ -175,10 +175,12 @@
     }
     connection_key key{peer, peer_port, local_port};
     if (local_port_of(it.opened_) == local_port) {
-        it.sockets_->add(std::move(key), it.opened_);
+        it.sockets_->add(key, it.opened_, boot_clock::now());
+        it.connection_ = std::move(key);
         return CURL_PREREQFUNC_OK;
     }
     it.stale_ = it.sockets_->is_stale(key);
+    it.connection_ = std::move(key);
     return it.stale_ ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
@@ -204,6 +206,7 @@
     easy_ = nullptr;
     sends_ = 0;
     stale_ = false;
+    connection_.reset();
     outgoing_.fresh_connection = true;
 }
 
@@ -282,6 +285,9 @@
 void curl_transfer::finish(CURLcode code, time_point now)
 {
     const auto result = classify(code);
+    if (result == transport_result::timed_out && connection_) {
+        sockets_->distrust(*connection_, now);
+    }
     std::string error;
     if (result != transport_result::complete) {
         error = error_[0] == '\0' ? curl_easy_strerror(code) : &error_[0];
--- a/src/rosemarytrail/http/internal/curl_transfer.hpp
+++ b/src/rosemarytrail/http/internal/curl_transfer.hpp
@@ -7,6 +7,7 @@
 #include <curl/curl.h>
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -93,6 +94,8 @@
     time_point start_;
     CURL* easy_{};
     socket_table* sockets_{};
+    /** @brief Connection that it was sent on. */
+    std::optional<connection_key> connection_;
     /** @brief Socket opened for this request, if any. */
     curl_socket_t opened_{CURL_SOCKET_BAD};
     curl_slist* lines_{};
--- a/src/rosemarytrail/http/internal/socket_table.cpp
+++ b/src/rosemarytrail/http/internal/socket_table.cpp
@@ -9,11 +9,26 @@
 
 namespace rosemarytrail::http::internal {
 
-void socket_table::add(connection_key key, int socket)
+namespace {
+
+/** @brief Much longer than an unused connection is kept. */
+constexpr duration silence_memory{std::chrono::minutes{1}};
+
+} // namespace
+
+void socket_table::add(connection_key key, int socket, time_point now)
 {
     remove(socket);
     names_[socket] = key;
-    sockets_[std::move(key)] = socket;
+    sockets_[std::move(key)] = {.socket = socket, .opened = now};
+}
+
+void socket_table::distrust(const connection_key& key, time_point now)
+{
+    std::erase_if(silent_, [now](const auto& it) {
+        return now - it.second > silence_memory;
+    });
+    silent_[{key.peer, key.peer_port}] = now;
 }
 
 void socket_table::remove(int socket)
@@ -23,7 +38,7 @@
         return;
     }
     const auto entry = sockets_.find(found->second);
-    if (entry != sockets_.end() && entry->second == socket) {
+    if (entry != sockets_.end() && entry->second.socket == socket) {
         sockets_.erase(entry);
     }
     names_.erase(found);
@@ -35,9 +50,13 @@
     if (found == sockets_.end()) {
         return false;
     }
+    const auto silent = silent_.find({key.peer, key.peer_port});
+    if (silent != silent_.end() && found->second.opened <= silent->second) {
+        return true;
+    }
     char buf = 0;
-    const auto n =
-        ::recv(found->second, &buf, sizeof(buf), MSG_PEEK | MSG_DONTWAIT);
+    const auto n = ::recv(found->second.socket, &buf, sizeof(buf),
+                          MSG_PEEK | MSG_DONTWAIT);
     return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
--- a/src/rosemarytrail/http/internal/socket_table.hpp
+++ b/src/rosemarytrail/http/internal/socket_table.hpp
@@ -1,9 +1,12 @@
 #ifndef ROSEMARYTRAIL_HTTP_INTERNAL_SOCKET_TABLE_HPP
 #define ROSEMARYTRAIL_HTTP_INTERNAL_SOCKET_TABLE_HPP
 
+#include <rosemarytrail/core/time.hpp>
+
 #include <compare>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace rosemarytrail::http::internal {
 
@@ -34,8 +37,19 @@
      * @brief Notes a new connection.
      * @param key Its name.
      * @param socket Its socket.
+     * @param now Present time.
+     */
+    void add(connection_key key, int socket, time_point now);
+
+    /**
+     * @brief Notes that a connection gave no answer.
+     *
+     * What silenced it (a host that went away, a middlebox that lost its
+     * state) silences the others of that peer as well.
+     * @param key Its name.
+     * @param now Present time; older connections of the peer become stale.
      */
-    void add(connection_key key, int socket);
+    void distrust(const connection_key& key, time_point now);
 
     /** @param socket Socket that is about to be closed. */
     void remove(int socket);
@@ -43,13 +57,21 @@
     /**
      * @brief Tells whether a kept connection must not be used.
      * @param key Its name.
-     * @return True if something is to be read before anything was sent: the
-     * peer closed it, or sent an answer that nobody asked for.
+     * @return True if something is to be read before anything was sent (the
+     * peer closed it, or sent an answer that nobody asked for), or if another
+     * connection of the peer fell silent since it was opened.
      */
     [[nodiscard]] bool is_stale(const connection_key& key) const;
 
 private:
-    std::map<connection_key, int> sockets_;
+    struct kept_socket
+    {
+        int socket{};
+        time_point opened;
+    };
+    std::map<connection_key, kept_socket> sockets_;
+    /** @brief When a connection last gave no answer, by peer and port. */
+    std::map<std::pair<std::string, int>, time_point> silent_;
     std::map<int, connection_key> names_;
 };
 
--- a/test/http/exchange.cpp
+++ b/test/http/exchange.cpp
@@ -4,6 +4,7 @@
 #include <rosemarytrail/http/server.hpp>
 
 #include <test/lib/http_server.hpp>
+#include <test/lib/silent_server.hpp>
 
 #include <atomic>
 #include <future>
@@ -126,6 +127,33 @@
     }
 }
 
+TEST_CASE("A silent connection rules out those opened before it", "[http]")
+{
+    test::silent_server server;
+    const auto client = make_curl_client({});
+    constexpr std::size_t kept = 4;
+    std::vector<std::promise<client_response>> results(kept);
+    for (auto& it : results) {
+        client->fetch(
+            {.url = server.base + "/"},
+            [&it](client_response answer) { it.set_value(std::move(answer)); });
+    }
+    for (auto& it : results) {
+        REQUIRE(it.get_future().get().transport == transport_result::complete);
+    }
+    server.silence_open();
+    const auto lost = client->fetch_and_wait(
+        {.url = server.base + "/", .timeout = std::chrono::milliseconds{50}});
+    CHECK(lost.transport == transport_result::timed_out);
+    const int before = server.connections;
+    for (std::size_t i = 0; i < 3 * kept; ++i) {
+        CHECK(client->fetch_and_wait({.url = server.base + "/"}).transport ==
+              transport_result::complete);
+    }
+    // Each of the others is met once at most.
+    CHECK(server.connections < before + static_cast<int>(kept));
+}
+
 TEST_CASE("A late answer never reaches the next request", "[http]")
 {
     std::mutex lock;
