Bound logs by kind and volume; tell a job's story from logs

Cause: a reader of standard output that had stopped held up the end of a process for good (the writer blocked in write), one kind of line could crowd out all others, an accepted call left no line of its answer, and the way from a job's id to its cause was grep.

Now each kind of event has a rate and all together a volume; what is beyond is counted by kind and told once a second, as are lines that the reader did not take in time. The writer writes whole lines and only when the descriptor takes them, and gives up 0.3 s after the end began. Accepted calls and calls that were handed to a peer have lines; refusals name the call, its time and Retry-After. Both losses are counters. rosemarytrail explain JOB LOG... tells the story of a job with what bore on all jobs beside it.

--- /dev/null
+++ b/bench/logging.cmake
@@ -0,0 +1,1 @@
+rosemarytrail_program(bench_event_log event_log.cpp rosemarytrail_logging)
--- a/src/rosemarytrail/cell/client_call.hpp
+++ b/src/rosemarytrail/cell/client_call.hpp
@@ -22,6 +22,26 @@
     pending
 };
 
+/**
+ * @brief Names a kind of call in log lines.
+ * @param kind Kind of call.
+ * @return Its name.
+ */
+[[nodiscard]] constexpr std::string_view to_text(call_kind kind) noexcept
+{
+    switch (kind) {
+    case call_kind::submit:
+        return "submit";
+    case call_kind::status:
+        return "status";
+    case call_kind::cancel:
+        return "cancel";
+    case call_kind::pending:
+        break;
+    }
+    return "pending";
+}
+
 /** @brief Call of a client, decoded. */
 struct client_call
 {
--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -27,7 +27,7 @@
                   done = std::move(done)](client_answer it) {
         metrics.client_call.add(boot_clock::now() - now);
         it.config = std::max(it.config, config ? config->version : 0);
-        log_refusal(kind, path, it);
+        log_answer(kind, path, it, boot_clock::now() - now);
         done(it);
     };
     // The store may turn away this node and serve the others.
@@ -76,6 +76,16 @@
     candidates.erase(candidates.begin());
     const auto patience =
         std::min(peer_patience, call.deadline - options.answer_margin - now);
+    logging::event(
+        logging::level::info, "call_handed_on",
+        {{"job", std::string_view{call.path}.substr(
+                     std::min(call.path.rfind('/') + 1, call.path.size()))},
+         {"call", to_text(call.kind)},
+         {"peer", address},
+         {"config", config ? std::to_string(config->version) : "none"},
+         {"peer_config", std::to_string(peer_config)},
+         {"store_served_ms_ago",
+          std::to_string(to_milliseconds(now - shared.served()))}});
     auto handed = call;
     // The peer gives up before this node does, so that its word is heard.
     handed.deadline = now + patience;
@@ -131,10 +141,19 @@
          .job = record.id});
 }
 
-void node::internal_state::log_refusal(call_kind kind, std::string_view path,
-                                       const client_answer& answer)
+void node::internal_state::log_answer(call_kind kind, std::string_view path,
+                                      const client_answer& answer,
+                                      duration took)
 {
+    const auto job = path.substr(std::min(path.rfind('/') + 1, path.size()));
+    const auto took_ms = std::to_string(to_milliseconds(took));
     if (answer.code == result_code::ok) {
+        // Looks at a job change nothing.
+        if (kind == call_kind::submit || kind == call_kind::cancel) {
+            logging::event(
+                logging::level::info, "call_answered",
+                {{"job", job}, {"call", to_text(kind)}, {"took_ms", took_ms}});
+        }
         return;
     }
     metrics.refusals.add(answer.code);
@@ -144,10 +163,14 @@
     };
     logging::event(
         logging::level::info, "call_refused",
-        {{"job", path.substr(std::min(path.rfind('/') + 1, path.size()))},
-         {"call", std::to_string(static_cast<int>(kind))},
+        {{"job", job},
+         {"call", to_text(kind)},
          {"code", std::to_string(static_cast<int>(answer.code))},
          {"reason", describe(answer.code).name},
+         {"took_ms", took_ms},
+         {"retry_after_ms", answer.retry_after ? std::to_string(to_milliseconds(
+                                                     *answer.retry_after))
+                                               : "none"},
          {"config", config ? std::to_string(config->version) : "none"},
          {"store_served_ms_ago", age(shared.served())},
          {"ledger_age_ms", age(ledger.fresh_as_of())}});
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -231,8 +231,8 @@
                         bool had_started, time_point now);
     [[nodiscard]] std::optional<duration>
     turned_away(const fleet::job_record& record, time_point now);
-    void log_refusal(call_kind kind, std::string_view path,
-                     const client_answer& answer);
+    void log_answer(call_kind kind, std::string_view path,
+                    const client_answer& answer, duration took);
 };
 
 } // namespace rosemarytrail::cell
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -343,6 +343,7 @@
         const auto counts =
             lead ? lead->decisions.count(now) : fleet::dispatcher_counts{};
         metrics.show(counts);
+        metrics.show_log_losses();
         if (lead) {
             log_counts(counts);
         }
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -1,5 +1,7 @@
 #include <rosemarytrail/cell/node_metrics.hpp>
 
+#include <rosemarytrail/logging/event_log.hpp>
+
 namespace rosemarytrail::cell {
 
 node_metrics::node_metrics(metrics::registry& all)
@@ -14,6 +16,12 @@
           "appends of the leader that were sent again")}
     , handed_on{all.make_counter("rosemarytrail_calls_handed_on_total",
                                  "calls that a peer was asked to serve")}
+    , log_left_out{all.make_counter(
+          "rosemarytrail_log_lines_left_out_total",
+          "log lines beyond the rate of their kind or the volume")}
+    , log_dropped{all.make_counter(
+          "rosemarytrail_log_lines_dropped_total",
+          "log lines that the reader did not take in time")}
     , jobs_in_time{all.make_counter(
           "rosemarytrail_jobs_in_time_total",
           "jobs that ended within their latency objective")}
@@ -63,6 +71,13 @@
     }
 }
 
+void node_metrics::show_log_losses()
+{
+    const auto lost = logging::lost_events();
+    log_left_out.add(lost.left_out - log_left_out.value());
+    log_dropped.add(lost.dropped - log_dropped.value());
+}
+
 void node_metrics::show(const fleet::dispatcher_counts& counts)
 {
     const auto set = [](metrics::gauge& gauge, std::size_t value) {
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -26,10 +26,15 @@
      */
     void show(const fleet::dispatcher_counts& counts);
 
+    /** @brief Shows how many log lines were not written. */
+    void show_log_losses();
+
     metrics::code_counters& refusals;
     metrics::counter& unreadable;
     metrics::counter& append_retries;
     metrics::counter& handed_on;
+    metrics::counter& log_left_out;
+    metrics::counter& log_dropped;
     metrics::counter& jobs_in_time;
     metrics::counter& jobs_late;
     metrics::gauge& leading;
--- a/src/rosemarytrail/cli/command.cpp
+++ b/src/rosemarytrail/cli/command.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/** @brief Operands of `explain`: a job and the logs of a large cell. */
+constexpr std::size_t most_logs = 1025;
+
 constexpr std::array table{
     command{"check", "FILE", 1, 1, "",
             "checks a settings file or a document; needs no entry VM",
@@ -43,8 +46,10 @@
             "rosemarytrail status JOB --read_offset 7168\n"
             "rosemarytrail status JOB --wait over --timeout 1m",
             run_status},
-    command{"explain", "JOB", 1, 1, "read_offset",
-            "tells why the tasks of a job wait", "rosemarytrail explain JOB",
+    command{"explain", "JOB [LOG...]", 1, most_logs, "read_offset",
+            "tells why the tasks of a job wait, or what logs tell of it",
+            "rosemarytrail explain JOB\n"
+            "rosemarytrail explain 5c0e7a21d94b36f8 n1.log n2.log n3.log",
             run_explain},
     command{"list", "", 0, 0, "", "lists the jobs of the key's team",
             "rosemarytrail list --json", run_list},
--- a/src/rosemarytrail/cli/job_commands.cpp
+++ b/src/rosemarytrail/cli/job_commands.cpp
@@ -1,4 +1,5 @@
 #include <rosemarytrail/cli/job_status.hpp>
+#include <rosemarytrail/cli/log_story.hpp>
 #include <rosemarytrail/cli/subcommands.hpp>
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/documents/document.hpp>
@@ -9,6 +10,8 @@
 
 #include <algorithm>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace rosemarytrail::cli {
 
@@ -204,8 +207,41 @@
                : write_failure(it, outcome);
 }
 
+namespace {
+
+exit_code explain_by_logs(const context& it)
+{
+    const auto& operands = it.asked.operands;
+    std::vector<std::string> logs;
+    for (std::size_t i = 1; i < operands.size(); ++i) {
+        auto text = documents::read_text_file(operands[i]);
+        if (!text) {
+            it.out.write_error(
+                {.code = result_code::usage,
+                 .detail = "file " + operands[i] + " cannot be read"},
+                true);
+            return exit_code::usage;
+        }
+        logs.push_back(std::move(*text));
+    }
+    const auto story = read_log_story(operands.front(), logs);
+    if (story.events.empty()) {
+        it.out.write_error({.code = result_code::job_unknown,
+                            .detail = "no log line names " + operands.front()},
+                           true);
+        return exit_code::refused;
+    }
+    it.out.write(it.out.json() ? to_json(story) : to_text(story));
+    return exit_code::ok;
+}
+
+} // namespace
+
 exit_code run_explain(const context& it)
 {
+    if (it.asked.operands.size() > 1) {
+        return explain_by_logs(it);
+    }
     const auto outcome = read_status(it);
     if (outcome.result != exit_code::ok) {
         return write_failure(it, outcome);
--- a/src/rosemarytrail/logging/event_log.cpp
+++ b/src/rosemarytrail/logging/event_log.cpp
@@ -2,17 +2,21 @@
 
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
+#include <climits>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace rosemarytrail::logging {
 
@@ -20,6 +24,39 @@
 
 /** @brief Lines are gathered this long before they are written. */
 constexpr std::chrono::milliseconds gather_time{20};
+/** @brief How often lines that were not written are told of. */
+constexpr duration report_period{std::chrono::seconds{1}};
+/** @brief How often a writer whose reader takes nothing looks for its end. */
+constexpr int look_ms = 50;
+
+/**
+ * @brief Takes as many whole lines as a pipe takes at once, so that none is cut
+ * short and none mixes with those of other processes.
+ * @param bytes Lines that wait; not empty.
+ * @return Bytes to write next.
+ */
+std::size_t piece_of(std::string_view bytes)
+{
+    if (bytes.size() <= PIPE_BUF) {
+        return bytes.size();
+    }
+    const auto end = bytes.rfind('\n', PIPE_BUF - 1);
+    return end == std::string_view::npos ? PIPE_BUF : end + 1;
+}
+
+/** @return What the budget counts an event under. */
+std::string kind_of(std::string_view name,
+                    std::initializer_list<event_field> fields)
+{
+    std::string result{name};
+    for (const auto& [key, value] : fields) {
+        if (key == "what") {
+            result += ": ";
+            result += value;
+        }
+    }
+    return result;
+}
 
 class event_writer
 {
@@ -29,6 +66,7 @@
         : options_{options}
         , program_{program}
         , node_{node}
+        , budget_{options.budget}
         , thread_{[this] {
             run();
         }}
@@ -38,6 +76,7 @@
     {
         {
             const std::lock_guard guard{lock_};
+            stop_at_ = boot_clock::now() + options_.last_words;
             stopping_ = true;
         }
         wake_.notify_one();
@@ -51,11 +90,16 @@
              std::initializer_list<event_field> fields)
     {
         const auto line = format(weight, name, fields);
+        const auto kind = kind_of(name, fields);
         bool first = false;
         {
             const std::lock_guard guard{lock_};
+            if (!budget_.admit(kind, line.size(), boot_clock::now())) {
+                ++left_out_;
+                return;
+            }
             if (waiting_.size() + line.size() > options_.buffer_bytes) {
-                dropped_.fetch_add(1, std::memory_order_relaxed);
+                ++dropped_;
                 ++unreported_;
                 return;
             }
@@ -67,9 +111,9 @@
         }
     }
 
-    [[nodiscard]] std::uint64_t dropped() const noexcept
+    [[nodiscard]] event_log_losses losses() const noexcept
     {
-        return dropped_.load(std::memory_order_relaxed);
+        return {.left_out = left_out_, .dropped = dropped_};
     }
 
 private:
@@ -96,43 +140,77 @@
 
     void run()
     {
-        for (;;) {
+        bool last = false;
+        while (!last) {
             std::string taken;
-            std::uint64_t lost = 0;
-            bool last = false;
             {
                 std::unique_lock guard{lock_};
-                wake_.wait(guard,
-                           [this] { return stopping_ || !waiting_.empty(); });
+                const auto due = [this] {
+                    return stopping_ || !waiting_.empty();
+                };
+                if (budget_.has_left_out()) {
+                    wake_.wait_for(guard, report_period, due);
+                } else {
+                    wake_.wait(guard, due);
+                }
                 if (!stopping_) {
                     guard.unlock();
                     std::this_thread::sleep_for(gather_time);
                     guard.lock();
                 }
                 taken.swap(waiting_);
-                lost = std::exchange(unreported_, 0);
                 last = stopping_;
-            }
-            if (lost > 0) {
-                taken += format(level::warning, "log_lines_dropped",
-                                {{"lines", std::to_string(lost)}});
+                taken += report(last);
             }
             write_all(taken);
-            if (last) {
-                return;
-            }
         }
     }
 
-    void write_all(std::string_view bytes) const
+    /** @return Lines that tell how many others were not written. */
+    std::string report(bool last)
+    {
+        const auto now = boot_clock::now();
+        if (!last && now - last_report_ < report_period) {
+            return {};
+        }
+        last_report_ = now;
+        std::string result;
+        for (const auto& it : budget_.take_left_out()) {
+            result += format(
+                level::warning, "log_lines_left_out",
+                {{"kind", it.kind}, {"lines", std::to_string(it.lines)}});
+        }
+        if (const auto n = std::exchange(unreported_, 0); n > 0) {
+            result += format(level::warning, "log_lines_dropped",
+                             {{"lines", std::to_string(n)}});
+        }
+        return result;
+    }
+
+    // The descriptor is shared with other processes and stays blocking: it is
+    // written to only when it takes that much at once.
+    void write_all(std::string_view bytes)
     {
         while (!bytes.empty()) {
+            pollfd ready{
+                .fd = options_.descriptor, .events = POLLOUT, .revents = 0};
+            const int polled = ::poll(&ready, 1, look_ms);
+            if (polled <= 0) {
+                if (stopping_ && boot_clock::now() >= stop_at_) {
+                    dropped_ += static_cast<std::uint64_t>(
+                        std::ranges::count(bytes, '\n'));
+                    return;
+                }
+                continue;
+            }
             const auto n =
-                ::write(options_.descriptor, bytes.data(), bytes.size());
-            if (n < 0 && errno == EINTR) {
+                ::write(options_.descriptor, bytes.data(), piece_of(bytes));
+            if (n < 0 && (errno == EINTR || errno == EAGAIN)) {
                 continue;
             }
             if (n <= 0) {
+                dropped_ +=
+                    static_cast<std::uint64_t>(std::ranges::count(bytes, '\n'));
                 return;
             }
             bytes.remove_prefix(static_cast<std::size_t>(n));
@@ -142,12 +220,17 @@
     event_log_options options_;
     std::string program_;
     std::string node_;
+    std::atomic<std::uint64_t> left_out_{0};
     std::atomic<std::uint64_t> dropped_{0};
     std::mutex lock_;
     std::condition_variable wake_;
+    line_budget budget_;
     std::string waiting_;
     std::uint64_t unreported_{};
-    bool stopping_{false};
+    time_point last_report_;
+    /** @brief Set before `stopping_`. */
+    time_point stop_at_;
+    std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
 
@@ -173,10 +256,10 @@
     }
 }
 
-std::uint64_t dropped_events() noexcept
+event_log_losses lost_events() noexcept
 {
     const auto& it = writer();
-    return it ? it->dropped() : 0;
+    return it ? it->losses() : event_log_losses{};
 }
 
 void stop_events()
--- a/src/rosemarytrail/logging/event_log.hpp
+++ b/src/rosemarytrail/logging/event_log.hpp
@@ -1,6 +1,7 @@
 #ifndef ROSEMARYTRAIL_LOGGING_EVENT_LOG_HPP
 #define ROSEMARYTRAIL_LOGGING_EVENT_LOG_HPP
 
+#include <rosemarytrail/logging/line_budget.hpp>
 #include <rosemarytrail/logging/log.hpp>
 
 #include <cstddef>
@@ -18,8 +19,22 @@
 struct event_log_options
 {
     int descriptor{1};
-    /** @brief Bytes that wait for the writer; lines beyond are dropped. */
+    /** @brief Bytes that wait for the writer; lines beyond are dropped. Some
+     * seconds of the volume that is allowed. */
     std::size_t buffer_bytes{std::size_t{1} << 20U};
+    line_budget_options budget;
+    /** @brief Time that the end waits for a reader that takes nothing; well
+     * below the grace that a process has to end. */
+    duration last_words{std::chrono::milliseconds{300}};
+};
+
+/** @brief Lines that were not written since the start. */
+struct event_log_losses
+{
+    /** @brief Beyond the rate of their kind or the volume. */
+    std::uint64_t left_out{};
+    /** @brief The reader did not take them in time. */
+    std::uint64_t dropped{};
 };
 
 /**
@@ -34,19 +49,20 @@
 /**
  * @brief Writes one event as a JSON object on one line.
  *
- * Never blocks: a line that finds the buffer full is dropped, and the number of
- * dropped lines is written once there is room.
+ * Never blocks: a line beyond the budget or that finds the buffer full is not
+ * written, and a later line tells how many there were.
  * @param weight Weight of the event.
  * @param name What happened, in snake case.
- * @param fields Values that it was decided on.
+ * @param fields Values that it was decided on; events of one name whose field
+ * `what` differs are budgeted apart.
  */
 void event(level weight, std::string_view name,
            std::initializer_list<event_field> fields);
 
-/** @return Lines dropped since the start. */
-[[nodiscard]] std::uint64_t dropped_events() noexcept;
+/** @return Lines that were not written since the start. */
+[[nodiscard]] event_log_losses lost_events() noexcept;
 
-/** @brief Writes what waits and ends the writer. */
+/** @brief Writes what waits, if it is taken in time, and ends the writer. */
 void stop_events();
 
 } // namespace rosemarytrail::logging
