Keep the lead with a leader that answers; take it up again after a restart

A chosen node now asks the leader on record before it claims, and claims if that one is gone, does not lead, is silent or is not served by the store; a node whose earlier life is the leader on record claims at once. The store's fence still decides. lead_watch holds the decision, with its tests; two tests of whole nodes.

--- a/src/rosemarytrail/cell/internal/node_lead.cpp
+++ b/src/rosemarytrail/cell/internal/node_lead.cpp
@@ -25,6 +25,7 @@
                         generation = std::max(generation, it.generation);
                     });
         join_candidates(sent);
+        watch_leader();
     }
     loop.post_at(sent + options.join_period, [this] { join(); });
 }
@@ -83,15 +84,41 @@
         return;
     }
     chosen = it.chosen;
-    // A leader that is no longer chosen goes on until its successor's claim
-    // fences it, so that there is no time without a leader.
-    try_lead();
+    // A leader that is no longer chosen goes on as long as it answers the
+    // chosen node, and until that one's claim fences it.
+    if (chosen) {
+        watch.on_chosen(boot_clock::now());
+        watch_leader();
+    }
+}
+
+void node::internal_state::watch_leader()
+{
+    if (!chosen || lead || claiming || claim || asking_leader ||
+        shutting_down || !ledger.loaded()) {
+        return;
+    }
+    const auto& leader = board.leader();
+    const auto address = lead_watch::address_of(leader);
+    if (!address || watch.may_claim(leader, chosen)) {
+        try_lead();
+        return;
+    }
+    asking_leader = true;
+    peers.ask_lead(*address, options.lead_patience,
+                   [this, epoch = leader.epoch](lead_answer how,
+                                                const lead_report& report) {
+                       asking_leader = false;
+                       watch.on_answer(epoch, how, report, boot_clock::now());
+                       try_lead();
+                   });
 }
 
 void node::internal_state::try_lead()
 {
-    if (!chosen || lead || claiming || claim || shutting_down ||
-        !ledger.loaded() || !directory.loaded() || !config) {
+    if (lead || claiming || claim || shutting_down || !ledger.loaded() ||
+        !directory.loaded() || !config ||
+        !watch.may_claim(board.leader(), chosen)) {
         return;
     }
     claiming = true;
@@ -150,7 +177,7 @@
 void node::internal_state::take_lead(std::uint64_t epoch, std::int64_t at,
                                      time_point sent)
 {
-    if (!chosen || shutting_down) {
+    if (shutting_down) {
         return;
     }
     const auto now = boot_clock::now();
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -133,6 +133,8 @@
     bool candidate{false};
     bool chosen{false};
     bool claiming{false};
+    lead_watch watch;
+    bool asking_leader{false};
     /** @brief Claim that the store took and that is not read back yet. */
     struct claim_made
     {
@@ -165,6 +167,7 @@
     [[nodiscard]] std::vector<std::string> askers() const;
     void choose_spacing();
     void on_join(const membership& it, time_point sent);
+    void watch_leader();
     void try_lead();
     void confirm_claim();
     void take_lead(std::uint64_t epoch, std::int64_t at, time_point sent);
--- /dev/null
+++ b/src/rosemarytrail/cell/lead_watch.cpp
@@ -0,0 +1,67 @@
+#include <rosemarytrail/cell/lead_watch.hpp>
+
+#include <rosemarytrail/cell/member_name.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemarytrail::cell {
+
+lead_watch::lead_watch(lead_watch_options options)
+    : options_{std::move(options)}
+{}
+
+void lead_watch::on_chosen(time_point now) noexcept
+{
+    chosen_at_ = now;
+    silent_ = 0;
+}
+
+// Its address is this node's, so that its process has ended.
+bool lead_watch::was_this_node(const fleet::leader_record& leader) const
+{
+    const auto self = address_of({.epoch = 0, .node = options_.member});
+    return self && leader.node != options_.member && address_of(leader) == self;
+}
+
+bool lead_watch::may_claim(const fleet::leader_record& leader,
+                           bool chosen) const
+{
+    if (leader.epoch == 0 || !address_of(leader)) {
+        return chosen;
+    }
+    return was_this_node(leader) || (chosen && gone_epoch_ == leader.epoch);
+}
+
+std::optional<std::string>
+lead_watch::address_of(const fleet::leader_record& leader)
+{
+    auto name = parse_member_name(leader.node);
+    if (!name || name->address.empty()) {
+        return std::nullopt;
+    }
+    return std::move(name->address);
+}
+
+void lead_watch::on_answer(std::uint64_t epoch, lead_answer how,
+                           const lead_report& report, time_point now) noexcept
+{
+    const bool leads = how == lead_answer::reported && report.leading &&
+                       report.epoch >= epoch &&
+                       report.store_age <= options_.store_silence;
+    if (leads) {
+        silent_ = 0;
+        return;
+    }
+    if (how == lead_answer::unknown) {
+        ++silent_;
+        const bool lately = now - chosen_at_ <= options_.chosen_lately;
+        if (silent_ < (lately ? 1 : options_.silent_after)) {
+            return;
+        }
+    }
+    silent_ = 0;
+    gone_epoch_ = std::max(gone_epoch_, epoch);
+}
+
+} // namespace rosemarytrail::cell
--- /dev/null
+++ b/src/rosemarytrail/cell/lead_watch.hpp
@@ -0,0 +1,109 @@
+#ifndef ROSEMARYTRAIL_CELL_LEAD_WATCH_HPP
+#define ROSEMARYTRAIL_CELL_LEAD_WATCH_HPP
+
+#include <rosemarytrail/core/time.hpp>
+#include <rosemarytrail/fleet/ledger_codec.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace rosemarytrail::cell {
+
+/** @brief What a node says of its own lead. */
+struct lead_report
+{
+    /** @brief It leads and may go on. */
+    bool leading{false};
+    std::uint64_t epoch{};
+    /** @brief Time since the store served it. */
+    duration store_age{};
+};
+
+/** @brief What became of the question whether a node leads. */
+enum class lead_answer : std::uint8_t
+{
+    reported,
+    /** @brief Nothing listens there. */
+    refused,
+    /** @brief No answer in time. */
+    unknown
+};
+
+/** @brief Spans and bounds of a lead watch. */
+struct lead_watch_options
+{
+    /** @brief Name of this incarnation, as `member_name` writes it. */
+    std::string member;
+    /** @brief Questions in a row without answer after which a leader counts as
+     * gone; with the spacing of questions, less than its membership lasts. */
+    unsigned silent_after{3};
+    /** @brief A node that was chosen so lately takes one question without
+     * answer for enough: being chosen says that the leader's membership lapsed.
+     */
+    duration chosen_lately{std::chrono::milliseconds{1000}};
+    /** @brief A leader that the store has not served for longer is replaced; it
+     * is about to step down by itself. */
+    duration store_silence{std::chrono::milliseconds{1000}};
+};
+
+/**
+ * @brief Decides whether a node that is chosen to lead claims the lead.
+ *
+ * Answers restarts and changes of the membership: the choice moves whenever a
+ * node comes or goes, and each claim costs a round of calls to all workers
+ * before the new leader starts anything. So a leader that answers keeps the
+ * lead, and one that is gone is replaced as soon as that is known. A claim that
+ * is wrong does no harm: the store fences the former leader.
+ */
+class lead_watch
+{
+public:
+    /** @param options Spans and bounds. */
+    explicit lead_watch(lead_watch_options options);
+
+    /** @param now Present time, at which this node has become the chosen one.
+     */
+    void on_chosen(time_point now) noexcept;
+
+    /**
+     * @brief Tells whether the lead may be claimed.
+     * @param leader Leader on record.
+     * @param chosen Whether this node is the chosen one.
+     * @return True if nobody leads, or the leader is known to be gone and this
+     * node is chosen, or the leader was an earlier life of this node.
+     */
+    [[nodiscard]] bool may_claim(const fleet::leader_record& leader,
+                                 bool chosen) const;
+
+    /**
+     * @brief Names the node to ask before a claim.
+     * @param leader Leader on record.
+     * @return Its address; nothing if its name cannot be read.
+     */
+    [[nodiscard]] static std::optional<std::string>
+    address_of(const fleet::leader_record& leader);
+
+    /**
+     * @brief Takes what became of a question.
+     * @param epoch Epoch of the leader that was asked.
+     * @param how What became of it.
+     * @param report What the node said, if it did.
+     * @param now Present time.
+     */
+    void on_answer(std::uint64_t epoch, lead_answer how,
+                   const lead_report& report, time_point now) noexcept;
+
+private:
+    [[nodiscard]] bool was_this_node(const fleet::leader_record& leader) const;
+
+    lead_watch_options options_;
+    time_point chosen_at_;
+    unsigned silent_{};
+    /** @brief Newest epoch whose leader is known to be gone. */
+    std::uint64_t gone_epoch_{};
+};
+
+} // namespace rosemarytrail::cell
+
+#endif
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -56,6 +56,7 @@
                 loop_,
                 shared,
                 directory_target}
+    , watch{{.member = options_.member}}
 {
     ledger_target.owner = this;
     configuration_target.owner = this;
@@ -98,6 +99,16 @@
         .count();
 }
 
+lead_report node::report_lead(time_point now) const
+{
+    const auto& it = *state_;
+    return {.leading = it.lead != nullptr && !it.shutting_down &&
+                       may_lead(it.members, it.options.cpu_millis,
+                                it.options.lead_share),
+            .epoch = it.lead ? it.lead->epoch : 0,
+            .store_age = now - it.shared.served()};
+}
+
 void node::begin_shutdown()
 {
     auto& it = *state_;
@@ -230,6 +241,7 @@
 
 void node::internal_state::configuration_listener::on_caught_up()
 {
+    owner->try_lead();
     owner->run();
 }
 
@@ -270,6 +282,7 @@
     if (it.lead) {
         it.lead->decisions.set_workers(it.vm_list, boot_clock::now());
     }
+    it.try_lead();
     it.run();
 }
 
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -30,6 +30,9 @@
     fleet::dispatcher_options dispatcher;
     /** @brief A leader silent for longer is replaced. */
     duration member_lifetime{std::chrono::milliseconds{1200}};
+    /** @brief Time for the leader to say that it leads; long beside a call to a
+     * peer, short beside the lifetime of a member. */
+    duration lead_patience{std::chrono::milliseconds{250}};
     /** @brief Time between two signs of life. */
     duration join_period{std::chrono::milliseconds{300}};
     /** @brief Time between two looks at which nodes live. */
@@ -113,6 +116,13 @@
     void receive(peer_message message,
                  std::function<void(message_result)> done);
 
+    /**
+     * @brief Tells whether this node leads; only on the loop.
+     * @param now Present time.
+     * @return What it says of its lead.
+     */
+    [[nodiscard]] lead_report report_lead(time_point now) const;
+
     /**
      * @brief Tells whether callers should be sent here; any thread.
      * @param now Present time.
--- a/src/rosemarytrail/cell/peer_link.cpp
+++ b/src/rosemarytrail/cell/peer_link.cpp
@@ -15,6 +15,7 @@
 
 constexpr const char* call_path = "/peer/call";
 constexpr const char* message_path = "/peer/message";
+constexpr const char* lead_path = "/peer/lead";
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
@@ -69,12 +70,58 @@
                     });
     }
 
+    void
+    ask_lead(std::string_view address, duration patience,
+             std::function<void(lead_answer, const lead_report&)> done) override
+    {
+        http_.fetch(
+            {.method = "POST",
+             .url = "http://" + std::string{address} + lead_path,
+             .timeout = patience},
+            [patience,
+             done = std::move(done)](const http::client_response& it) {
+                if (it.transport == http::transport_result::complete) {
+                    const auto report = decode_report(it.answer.body);
+                    done(report ? lead_answer::reported : lead_answer::unknown,
+                         report.value_or(lead_report{}));
+                    return;
+                }
+                // A host that is away leaves the connection unanswered.
+                const bool refused =
+                    it.transport == http::transport_result::not_sent &&
+                    it.elapsed < patience / 2;
+                done(refused ? lead_answer::refused : lead_answer::unknown, {});
+            });
+    }
+
 private:
     http::client& http_;
 };
 
 } // namespace
 
+std::string encode_report(const lead_report& report)
+{
+    std::string bytes;
+    json::to_msgpack(json::array({report.leading, report.epoch,
+                                  to_milliseconds(report.store_age)}),
+                     bytes);
+    return bytes;
+}
+
+std::optional<lead_report> decode_report(std::string_view bytes)
+{
+    try {
+        const auto it = json::from_msgpack(bytes.begin(), bytes.end());
+        return lead_report{.leading = it.at(0),
+                           .epoch = it.at(1),
+                           .store_age = std::chrono::milliseconds{
+                               it.at(2).get<std::int64_t>()}};
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::string encode_message(const peer_message& message)
 {
     json entries = json::array();
@@ -215,7 +262,8 @@
 std::optional<http::response> peer_api::on_head(const http::request& head)
 {
     if (head.method != "POST" ||
-        (head.path != call_path && head.path != message_path)) {
+        (head.path != call_path && head.path != message_path &&
+         head.path != lead_path)) {
         return http::response{.status = status_not_found};
     }
     return std::nullopt;
@@ -227,6 +275,10 @@
         on_message(std::move(it));
         return;
     }
+    if (it->incoming().path == lead_path) {
+        on_lead_question(std::move(it));
+        return;
+    }
     auto call = decode_call(it->incoming().body, boot_clock::now());
     if (!call) {
         it->respond({.status = status_bad_request});
@@ -240,6 +292,14 @@
     });
 }
 
+void peer_api::on_lead_question(std::shared_ptr<http::exchange> it)
+{
+    loop_.post([this, it = std::move(it)] {
+        it->respond(
+            {.body = encode_report(target_.report_lead(boot_clock::now()))});
+    });
+}
+
 void peer_api::on_message(std::shared_ptr<http::exchange> it)
 {
     auto message = decode_message(it->incoming().body);
--- a/src/rosemarytrail/cell/peer_link.hpp
+++ b/src/rosemarytrail/cell/peer_link.hpp
@@ -2,6 +2,7 @@
 #define ROSEMARYTRAIL_CELL_PEER_LINK_HPP
 
 #include <rosemarytrail/cell/client_call.hpp>
+#include <rosemarytrail/cell/lead_watch.hpp>
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/fleet/advice_question.hpp>
 #include <rosemarytrail/fleet/ledger_codec.hpp>
@@ -75,6 +76,20 @@
 [[nodiscard]] std::optional<peer_message>
 decode_message(std::string_view bytes);
 
+/**
+ * @brief Writes what a node says of its lead.
+ * @param report What it says.
+ * @return Bytes.
+ */
+[[nodiscard]] std::string encode_report(const lead_report& report);
+
+/**
+ * @brief Reads what a node says of its lead.
+ * @param bytes Bytes.
+ * @return What it says, or nothing if the bytes are damaged.
+ */
+[[nodiscard]] std::optional<lead_report> decode_report(std::string_view bytes);
+
 /** @brief What became of a message. */
 enum class message_result : std::uint8_t
 {
@@ -115,6 +130,16 @@
     virtual void send(std::string_view address, const peer_message& message,
                       duration patience,
                       std::function<void(message_result)> done) = 0;
+
+    /**
+     * @brief Asks a node whether it leads.
+     * @param address IP number and port of the node.
+     * @param patience How long to wait for the answer.
+     * @param done Called once.
+     */
+    virtual void
+    ask_lead(std::string_view address, duration patience,
+             std::function<void(lead_answer, const lead_report&)> done) = 0;
 };
 
 /**
@@ -141,6 +166,7 @@
 
 private:
     void on_message(std::shared_ptr<http::exchange> it);
+    void on_lead_question(std::shared_ptr<http::exchange> it);
 
     http::event_loop& loop_;
     node& target_;
--- /dev/null
+++ b/test/cell/lead_watch.cpp
@@ -0,0 +1,111 @@
+#include <rosemarytrail/cell/lead_watch.hpp>
+#include <rosemarytrail/cell/member_name.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace rosemarytrail::cell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr time_point now{100s};
+
+std::string member(const std::string& incarnation, const std::string& address)
+{
+    return to_text(
+        {.incarnation = incarnation, .address = address, .cpu_millis = 250});
+}
+
+const fleet::leader_record other{.epoch = 4, .node = member("a1", "a:1")};
+
+lead_watch make_watch()
+{
+    return lead_watch{{.member = member("b1", "b:1")}};
+}
+
+} // namespace
+
+TEST_CASE("A leader that answers keeps the lead", "[lead_watch]")
+{
+    auto watch = make_watch();
+    watch.on_chosen(now);
+    CHECK_FALSE(watch.may_claim(other, true));
+    watch.on_answer(4, lead_answer::reported,
+                    {.leading = true, .epoch = 4, .store_age = 200ms}, now);
+    CHECK_FALSE(watch.may_claim(other, true));
+}
+
+TEST_CASE("A leader that is gone is replaced by the chosen node",
+          "[lead_watch]")
+{
+    SECTION("nothing listens there")
+    {
+        auto watch = make_watch();
+        watch.on_answer(4, lead_answer::refused, {}, now);
+        CHECK(watch.may_claim(other, true));
+        CHECK_FALSE(watch.may_claim(other, false));
+        // What is known of one leader says nothing of the next.
+        CHECK_FALSE(watch.may_claim({.epoch = 5, .node = other.node}, true));
+    }
+    SECTION("it has stepped down, or another process answers there")
+    {
+        auto watch = make_watch();
+        watch.on_answer(4, lead_answer::reported, {.leading = false}, now);
+        CHECK(watch.may_claim(other, true));
+    }
+    SECTION("the store does not serve it")
+    {
+        auto watch = make_watch();
+        watch.on_answer(4, lead_answer::reported,
+                        {.leading = true, .epoch = 4, .store_age = 1100ms},
+                        now);
+        CHECK(watch.may_claim(other, true));
+    }
+}
+
+TEST_CASE("Silence counts at once only when the choice has just moved",
+          "[lead_watch]")
+{
+    auto lately = make_watch();
+    lately.on_chosen(now);
+    lately.on_answer(4, lead_answer::unknown, {}, now + 300ms);
+    CHECK(lately.may_claim(other, true));
+
+    auto watch = make_watch();
+    watch.on_chosen(now);
+    for (int i = 0; i < 2; ++i) {
+        watch.on_answer(4, lead_answer::unknown, {}, now + 10s);
+        CHECK_FALSE(watch.may_claim(other, true));
+    }
+    // An answer in between starts the count anew.
+    watch.on_answer(4, lead_answer::reported, {.leading = true, .epoch = 4},
+                    now + 10s);
+    for (int i = 0; i < 2; ++i) {
+        watch.on_answer(4, lead_answer::unknown, {}, now + 11s);
+        CHECK_FALSE(watch.may_claim(other, true));
+    }
+    watch.on_answer(4, lead_answer::unknown, {}, now + 11s);
+    CHECK(watch.may_claim(other, true));
+}
+
+TEST_CASE("A node takes up the lead of its own earlier life", "[lead_watch]")
+{
+    const auto watch = make_watch();
+    CHECK(watch.may_claim({.epoch = 9, .node = member("b0", "b:1")}, false));
+    CHECK_FALSE(
+        watch.may_claim({.epoch = 9, .node = member("b1", "b:1")}, false));
+    CHECK_FALSE(
+        watch.may_claim({.epoch = 9, .node = member("c1", "c:1")}, false));
+}
+
+TEST_CASE("Without a leader the chosen node claims", "[lead_watch]")
+{
+    const auto watch = make_watch();
+    CHECK(watch.may_claim({}, true));
+    CHECK_FALSE(watch.may_claim({}, false));
+}
+
+} // namespace rosemarytrail::cell
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -102,6 +102,40 @@
     CHECK(shared.empty());
 }
 
+TEST_CASE("A leader that restarted takes up its lead at once", "[node]")
+{
+    two_nodes cell;
+    // A member that is away is the chosen one until its membership lapses.
+    cell.store.names = {"away"};
+    cell.store.put(feed::ledger,
+                   fleet::encode_key({.kind = fleet::entry_kind::leader}),
+                   fleet::encode(fleet::leader_record{
+                       .epoch = 3,
+                       .node = to_text({.incarnation = "earlier",
+                                        .address = "n1:1",
+                                        .cpu_millis = 250})}));
+    cell.start();
+    REQUIRE(cell.loop.run_until([&] { return cell.holds(1) > 3; }, patience));
+    CHECK(cell.holds(0) == 0);
+}
+
+TEST_CASE("A leader that answers keeps its lead, one that is gone does not",
+          "[node]")
+{
+    two_nodes cell;
+    cell.nodes[0]->start();
+    REQUIRE(cell.loop.run_until([&] { return cell.holds(0) > 3; }, patience));
+    cell.store.chooses_all = true;
+    cell.nodes[1]->start();
+    REQUIRE(cell.loop.run_until(
+        [&] { return cell.nodes[1]->ready(boot_clock::now()); }, patience));
+    const auto later = boot_clock::now() + 1s;
+    cell.loop.run_until([&] { return boot_clock::now() > later; }, patience);
+    CHECK(cell.holds(1) == 0);
+    cell.peers.nodes.erase("n0:1");
+    REQUIRE(cell.loop.run_until([&] { return cell.holds(1) > 3; }, patience));
+}
+
 TEST_CASE("A question reaches a node that has not read the job", "[node]")
 {
     two_nodes cell;
--- a/test/cell/peer_link.cpp
+++ b/test/cell/peer_link.cpp
@@ -49,6 +49,17 @@
     CHECK_FALSE(decode_message("\xc1"));
 }
 
+TEST_CASE("What a node says of its lead survives the way back", "[peer]")
+{
+    const auto it = decode_report(
+        encode_report({.leading = true, .epoch = 7, .store_age = 300ms}));
+    REQUIRE(it);
+    CHECK(it->leading);
+    CHECK(it->epoch == 7);
+    CHECK(it->store_age == duration{300ms});
+    CHECK_FALSE(decode_report("zz"));
+}
+
 TEST_CASE("An answer survives the way back", "[peer]")
 {
     const client_answer answer{.kind = answer_kind::state,
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -237,6 +237,22 @@
     });
 }
 
+void model_peers::ask_lead(
+    std::string_view address, duration /*patience*/,
+    std::function<void(cell::lead_answer, const cell::lead_report&)> done)
+{
+    const auto it = nodes.find(std::string{address});
+    loop_.post([to = it == nodes.end() ? nullptr : it->second,
+                done = std::move(done)] {
+        if (to == nullptr) {
+            done(cell::lead_answer::refused, {});
+        } else {
+            done(cell::lead_answer::reported,
+                 to->report_lead(boot_clock::now()));
+        }
+    });
+}
+
 std::optional<fleet::cell_config>
 model_formats::configuration(const cell::feed_record& /*record*/) const
 {
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -129,6 +129,10 @@
     void send(std::string_view address, const cell::peer_message& message,
               duration patience,
               std::function<void(cell::message_result)> done) override;
+    void
+    ask_lead(std::string_view address, duration patience,
+             std::function<void(cell::lead_answer, const cell::lead_report&)>
+                 done) override;
 
     /** @brief Nodes by address. */
     std::map<std::string, cell::node*> nodes;
