--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -17,6 +17,13 @@
 /** @brief Least time for a peer to answer. */
 constexpr duration peer_patience{std::chrono::milliseconds{700}};
 
+/** @return Milliseconds since a moment, for log lines. */
+[[nodiscard]] std::string age_text(time_point since, time_point now)
+{
+    return since == time_point{} ? "never"
+                                 : std::to_string(to_milliseconds(now - since));
+}
+
 } // namespace
 
 void node::internal_state::serve(client_call call,
@@ -84,8 +91,7 @@
          {"peer", address},
          {"config", config ? std::to_string(config->version) : "none"},
          {"peer_config", std::to_string(peer_config)},
-         {"store_served_ms_ago",
-          std::to_string(to_milliseconds(now - shared.served()))}});
+         {"store_served_ms_ago", age_text(shared.served(), now)}});
     auto handed = call;
     // The peer gives up before this node does, so that its word is heard.
     handed.deadline = now + patience;
@@ -158,9 +164,6 @@
     }
     metrics.refusals.add(answer.code);
     const auto now = boot_clock::now();
-    const auto age = [now](time_point since) {
-        return std::to_string(to_milliseconds(now - since));
-    };
     logging::event(
         logging::level::info, "call_refused",
         {{"job", job},
@@ -172,8 +175,8 @@
                                                      *answer.retry_after))
                                                : "none"},
          {"config", config ? std::to_string(config->version) : "none"},
-         {"store_served_ms_ago", age(shared.served())},
-         {"ledger_age_ms", age(ledger.fresh_as_of())}});
+         {"store_served_ms_ago", age_text(shared.served(), now)},
+         {"ledger_age_ms", age_text(ledger.fresh_as_of(), now)}});
 }
 
 void node::internal_state::serve_here(client_call call,
