A leader that stepped down claims anew without asking itself

The record names the node itself, and only a node that does not lead asks; the question went over the network to its own port. Test extended.

--- a/src/rosemarytrail/cell/lead_watch.cpp
+++ b/src/rosemarytrail/cell/lead_watch.cpp
@@ -27,7 +27,11 @@
 bool lead_watch::may_claim(const fleet::leader_record& leader,
                            bool chosen) const
 {
-    if (leader.epoch == 0 || !address_of(leader)) {
+    // Only a node that does not lead asks, so that it has stepped down if the
+    // record names it.
+    const bool vacant = leader.epoch == 0 || !address_of(leader) ||
+                        leader.node == options_.member;
+    if (vacant) {
         return chosen;
     }
     return was_this_node(leader) || (chosen && gone_epoch_ == leader.epoch);
--- a/src/rosemarytrail/cell/lead_watch.hpp
+++ b/src/rosemarytrail/cell/lead_watch.hpp
@@ -67,7 +67,7 @@
     void on_chosen(time_point now) noexcept;
 
     /**
-     * @brief Tells whether the lead may be claimed.
+     * @brief Tells whether a node that does not lead may claim the lead.
      * @param leader Leader on record.
      * @param chosen Whether this node is the chosen one.
      * @return True if nobody leads, or the leader is known to be gone and this
--- a/test/cell/lead_watch.cpp
+++ b/test/cell/lead_watch.cpp
@@ -106,6 +106,10 @@
     const auto watch = make_watch();
     CHECK(watch.may_claim({}, true));
     CHECK_FALSE(watch.may_claim({}, false));
+    // It led and has stepped down.
+    const fleet::leader_record self{.epoch = 4, .node = member("b1", "b:1")};
+    CHECK(watch.may_claim(self, true));
+    CHECK_FALSE(watch.may_claim(self, false));
 }
 
 } // namespace rosemarytrail::cell
