Ask again before a claim once the choice or the leader's word is new

What a chosen node had found while the store was away for all (the leader not served for a second) stood until its claim failed and it was chosen again, and then cost a takeover from a leader that worked. Found by reading; the test failed first.

--- a/src/rosemarytrail/cell/lead_watch.cpp
+++ b/src/rosemarytrail/cell/lead_watch.cpp
@@ -15,6 +15,8 @@
 {
     chosen_at_ = now;
     silent_ = 0;
+    // What was found while the store was away may be over.
+    gone_epoch_ = 0;
 }
 
 // Its address is this node's, so that its process has ended.
@@ -55,6 +57,7 @@
                        report.store_age <= options_.store_silence;
     if (leads) {
         silent_ = 0;
+        gone_epoch_ = 0;
         return;
     }
     if (how == lead_answer::unknown) {
--- a/test/cell/lead_watch.cpp
+++ b/test/cell/lead_watch.cpp
@@ -66,6 +66,26 @@
     }
 }
 
+TEST_CASE("A leader that leads again is not replaced", "[lead_watch]")
+{
+    auto watch = make_watch();
+    // The store is away, and a claim meanwhile fails.
+    const lead_report away{.leading = true, .epoch = 4, .store_age = 2s};
+    watch.on_answer(4, lead_answer::reported, away, now);
+    REQUIRE(watch.may_claim(other, true));
+    SECTION("it says so")
+    {
+        watch.on_answer(4, lead_answer::reported, {.leading = true, .epoch = 4},
+                        now + 1s);
+        CHECK_FALSE(watch.may_claim(other, true));
+    }
+    SECTION("this node is chosen anew and has to ask again")
+    {
+        watch.on_chosen(now + 1s);
+        CHECK_FALSE(watch.may_claim(other, true));
+    }
+}
+
 TEST_CASE("Silence counts at once only when the choice has just moved",
           "[lead_watch]")
 {
