--- a/soak/promises.py
+++ b/soak/promises.py
@@ -15,6 +15,7 @@
         self.maybe_taken = False  # the same, or a submission is under way
         self.cancelled = False
         self.state = None
+        self.lasts = any(it.get("longRunning") for it in steps)
         self.lengths = {n: rng.uniform(0.05, 0.8) for n in range(len(steps))}
 
 
@@ -93,5 +94,8 @@
         if state == "failed" and not any(t.startswith(job.id) for t in self.failures):
             self.breach("LOST", f"{job.id} failed without a failed run")
 
+    def all_running(self, job):
+        return len(self.left_running(job)) == sum(step["count"] for step in job.steps)
+
     def left_running(self, job):
         return [task for task in self.running if task.startswith(job.id)]
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -32,6 +32,7 @@
 # end is short.
 CLIENT_PAUSE_S = 1.0
 SUBMIT_DEADLINE_S = 3.0
+SERVICE_SHARE = 0.1  # jobs whose tasks last until they are cancelled
 READY_WITHIN_S = 30
 # Leases, takeover and retries take seconds; work that stands still for this
 # long after the last fault has been lost.
@@ -124,6 +125,7 @@
     def __init__(self, options):
         self.options = options
         self.rng = random.Random(options.seed)
+        self.service_rng = random.Random(options.seed + 3)
         self.promises = Promises(random.Random(options.seed + 1))
         self.store = Store(random.Random(options.seed + 2))
         self.workers = {}
@@ -207,7 +209,15 @@
         index = self.rng.randrange(len(clients))
         return await clients[index].call(method, path, headers, body, SUBMIT_DEADLINE_S)
 
+    def make_service(self):
+        rng = self.service_rng
+        step = {"count": rng.randint(1, 3), "cpu": 500, "memMb": 100, "longRunning": True}
+        job_id = f"{rng.getrandbits(64):016x}"
+        return Job(job_id, f"spec of {job_id}", [step], rng)
+
     def make_job(self):
+        if self.service_rng.random() < SERVICE_SHARE:
+            return self.make_service()
         steps = []
         for n in range(self.rng.randint(1, 3)):
             step = {
@@ -365,9 +375,25 @@
             worker.late_share, worker.failing = 0.0, False
             self.worker_proxies[name].heal()
 
+    async def settle_services(self, clients, until):
+        """Waits until all tasks that last run, and cancels their jobs."""
+        services = [
+            job for job in self.promises.jobs.values()
+            if job.accepted and job.lasts and not job.cancelled
+        ]  # fmt: skip
+        left = services
+        while left and time.monotonic() < until:
+            left = [job for job in left if not self.promises.all_running(job)]
+            await asyncio.sleep(0.2)
+        for job in left:
+            self.promises.breach("LOST", f"{job.id} lacks tasks that last")
+        for job in services:
+            await self.cancel(clients, job)
+
     async def settle(self):
         """Waits until each accepted job has reached its end."""
         clients = [Client(node.ip, CLIENT_PORT) for node in self.nodes]
+        await self.settle_services(clients, time.monotonic() + SETTLE_WITHIN_S)
         until = time.monotonic() + SETTLE_WITHIN_S
         final = ("completed", "failed", "cancelled")
         left = [job for job in self.promises.jobs.values() if job.accepted]
