--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -39,8 +39,10 @@
     };
     // The store may turn away this node and serve the others.
     const bool outdated = config && config->version < peer_config;
+    // A node that has just started would count only the jobs that it took.
+    const bool uncounted = call.kind == call_kind::pending && !ledger.loaded();
     if (!call.forwarded &&
-        (outdated || shared.doubtful(now, options.store_doubt))) {
+        (outdated || uncounted || shared.doubtful(now, options.store_doubt))) {
         call.least_config = std::max(peer_config, config ? config->version : 0);
         serve_by_peer(std::move(call), pick_peers(), std::move(noted));
         return;
@@ -215,6 +217,12 @@
         return;
     }
     if (call.kind == call_kind::pending) {
+        if (!ledger.loaded()) {
+            done({.kind = answer_kind::unavailable,
+                  .code = result_code::catching_up,
+                  .retry_after = store_retry_after});
+            return;
+        }
         done({.kind = answer_kind::pending,
               .pending = board.pending(queue->policy.name)});
         return;
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
+#include <optional>
 #include <set>
 
 namespace rosemarytrail::cell {
@@ -136,6 +137,48 @@
     REQUIRE(cell.loop.run_until([&] { return cell.holds(1) > 3; }, patience));
 }
 
+TEST_CASE("A node that has not read the ledger counts no waiting jobs",
+          "[node]")
+{
+    two_nodes cell;
+    // Jobs whose advice never comes wait.
+    cell.formats.advice = fleet::advice_policy{.base_ms = 1e6, .valid_ms = 1};
+    cell.nodes[0]->start();
+    REQUIRE(cell.loop.run_until(
+        [&] { return cell.nodes[0]->ready(boot_clock::now()); }, patience));
+    constexpr std::uint64_t jobs = 3;
+    std::size_t accepted = 0;
+    for (std::uint64_t id = 1; id <= jobs; ++id) {
+        auto call = submission(id);
+        call.job->steps[0].need.cpu_millis = 1000000;
+        cell.nodes[0]->serve(std::move(call), [&](const client_answer& it) {
+            accepted += it.kind == answer_kind::accepted ? 1U : 0U;
+        });
+    }
+    REQUIRE(cell.loop.run_until([&] { return accepted == jobs; }, patience));
+    cell.store.withholds_ledger = true;
+    cell.nodes[1]->start();
+    const auto until = boot_clock::now() + 1500ms;
+    cell.loop.run_until([&] { return boot_clock::now() > until; }, patience);
+    const auto ask = [&](bool forwarded) {
+        std::optional<client_answer> result;
+        cell.nodes[1]->serve({.kind = call_kind::pending,
+                              .host = "h",
+                              .path = "/q/",
+                              .key = {},
+                              .job = std::nullopt,
+                              .deadline = boot_clock::now() + patience,
+                              .forwarded = forwarded},
+                             [&](const client_answer& it) { result = it; });
+        REQUIRE(
+            cell.loop.run_until([&] { return result.has_value(); }, patience));
+        return *result;
+    };
+    CHECK(ask(false).kind == answer_kind::pending);
+    CHECK(ask(false).pending == jobs);
+    CHECK(ask(true).code == result_code::catching_up);
+}
+
 TEST_CASE("A question reaches a node that has not read the job", "[node]")
 {
     two_nodes cell;
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -111,6 +111,9 @@
 void model_store::newest(cell::feed which, std::string_view /*after*/,
                          std::function<void(cell::newest_page)> done)
 {
+    if (withholds_ledger && which == cell::feed::ledger) {
+        return;
+    }
     const auto& records = records_[which];
     answer([done = std::move(done),
             page = cell::newest_page{.result = cell::store_result::done,
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -62,6 +62,8 @@
     std::vector<std::string> names;
     /** @brief Tells each candidate that it is chosen, not only the first. */
     bool chooses_all{false};
+    /** @brief Leaves whoever loads the ledger without an answer. */
+    bool withholds_ledger{false};
 
 private:
     void answer(std::function<void()> with);
