--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -31,7 +31,7 @@
     cell.run(2s);
     CHECK(cell.state(1) == job_state::completed);
     CHECK(cell.starts.size() == 23);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("No worker is filled beyond its capacity", "[dispatcher]")
@@ -43,7 +43,7 @@
     CHECK(cell.running(1) == 16);
     cell.run(4s);
     CHECK(cell.state(1) == job_state::completed);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("Nothing starts before its placement is on record", "[dispatcher]")
@@ -92,7 +92,7 @@
     for (const auto& [task, n] : cell.starts) {
         CHECK(n == 1);
     }
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("A new leader waits for a worker that it cannot reach",
@@ -113,7 +113,7 @@
     CHECK(cell.leader().count(cell.now).placed == 16);
     cell.run(12s);
     CHECK(cell.leader().count(cell.now).placed == 8);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("Leaders in a row do not each wait anew for a dead worker",
@@ -132,7 +132,7 @@
     cell.take_over();
     cell.run(5s);
     CHECK(cell.running_on("w1") + cell.running_on("w2") == 12);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("A successor waits only for the lease of a worker known as silent",
@@ -148,7 +148,7 @@
     cell.take_over();
     cell.run(4s);
     CHECK(cell.running_on("w1") + cell.running_on("w2") == 12);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("A worker that is fenced outlives its former leader by one lease",
@@ -164,7 +164,7 @@
     cell.workers["w0"].cut = true;
     cell.run(6500ms);
     CHECK(cell.running_on("w1") + cell.running_on("w2") == 12);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("A start without an answer is stopped and run elsewhere",
@@ -181,7 +181,7 @@
     cell.workers["w1"].start_delay = {};
     cell.run(4s);
     CHECK(cell.state(1) == job_state::completed);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("Tasks of a silent worker run elsewhere once its lease has lapsed",
@@ -199,7 +199,7 @@
     CHECK(cell.state(1) == job_state::running);
     cell.run(7s);
     CHECK(cell.state(1) == job_state::completed);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("A start that reached a restarted worker runs on", "[dispatcher]")
@@ -221,7 +221,7 @@
     cell.run(2s);
     CHECK(cell.state(1) == job_state::completed);
     CHECK(cell.starts.size() == 1);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("Runs of a worker that restarted run elsewhere", "[dispatcher]")
@@ -240,7 +240,7 @@
     CHECK(cell.running(1) == 12);
     cell.run(3s);
     CHECK(cell.state(1) == job_state::completed);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("A worker that was silent is not told which ends are on record",
@@ -269,7 +269,7 @@
     worker.cut = false;
     cell.run(1s);
     CHECK(cell.state(2) == job_state::completed);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("A record of an earlier placement does not start a later one",
@@ -286,7 +286,7 @@
     cell.ledger_delay = {};
     cell.run(8s);
     CHECK(cell.state(1) == job_state::completed);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("A run that ended well counts also after its lease was given up",
@@ -304,7 +304,7 @@
     for (const auto& [task, n] : cell.starts) {
         CHECK(n == 1);
     }
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("A late end counts while the next run has not been sent out",
@@ -326,7 +326,7 @@
     for (const auto& [task, n] : cell.starts) {
         CHECK(n == 1);
     }
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("A job whose task fails in each attempt has failed", "[dispatcher]")
@@ -394,7 +394,7 @@
     CHECK(cell.running(2) == 10);
     cell.run(2s);
     CHECK(cell.state(2) == job_state::completed);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("A gang whose worker leaves meanwhile starts as a whole elsewhere",
@@ -440,7 +440,7 @@
     cell.workers["w1"].start_delay = {};
     cell.run(700ms);
     CHECK(cell.running(1) == 12);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("An account stays under its limit", "[dispatcher]")
@@ -516,7 +516,7 @@
     cell.workers["w0"].cut = false;
     cell.run(2s);
     CHECK(cell.running(1) == 3);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("An entry that is late does not bring an ended job back",
@@ -532,7 +532,7 @@
     cell.leader().on_job_changed(1, stale, cell.now, 0);
     cell.run(1s);
     CHECK(cell.running(1) == 0);
-    CHECK(cell.violations == std::vector<std::string>{});
+    CHECK(cell.violations.empty());
 }
 
 TEST_CASE("A refused ticket ends the use of its whole answer", "[dispatcher]")
