Let a few nodes follow the ledger; the others forward calls to the leader

Cause: every node reads the ledger, the directory and the configuration. Nobody can take over and the configuration stays old. No log line tells of it.

Ruled out: processor time (the same collapse with --no-cpu) and links (the same with 2,000 Mbit/s everywhere).

Change: in a cell of more than 12 nodes, five of the largest VMs follow the ledger and the directory and are the candidates for leadership. The leader announces itself in a feed of its own; other nodes check queue and key and forward calls to it, then to a follower. The leader assigns all advice requests there. Failed reads back off with jitter and ask for smaller pages, and are logged and counted.

What binds there next is the leader's link.

--- a/src/rosemarytrail/cell/feed_reader.cpp
+++ b/src/rosemarytrail/cell/feed_reader.cpp
@@ -14,6 +14,7 @@
         , loop{loop_}
         , source{source_}
         , target{target_}
+        , pacing{options_.pacing}
     {}
 
     feed_reader_options options;
@@ -26,16 +27,41 @@
     time_point fresh_at;
     std::vector<feed_record> loading;
     std::int64_t load_end{};
+    read_pacing pacing;
 
     void load(const std::string& after);
     void on_newest(newest_page page, time_point sent);
     void read();
     void on_page(const feed_page& page, time_point sent);
     void apply(const feed_page& page, std::int64_t from);
+    void on_failure(store_result result, void (internal_state::*next)());
+    void on_success();
     void schedule(duration pause, void (internal_state::*next)());
     void reload() { load({}); }
+    void catch_up(std::function<void(bool)> done);
 };
 
+void feed_reader::internal_state::catch_up(std::function<void(bool)> done)
+{
+    source.read({.which = options.which,
+                 .from = offset,
+                 .max_bytes = pacing.page_bytes()},
+                [self = shared_from_this(), from = offset,
+                 done = std::move(done)](const feed_page& page) mutable {
+                    if (self->stopped || !self->loaded ||
+                        page.result != store_result::done) {
+                        done(false);
+                        return;
+                    }
+                    self->apply(page, from);
+                    if (page.at_end) {
+                        done(true);
+                    } else {
+                        self->catch_up(std::move(done));
+                    }
+                });
+}
+
 void feed_reader::internal_state::schedule(duration pause,
                                            void (internal_state::*next)())
 {
@@ -46,6 +72,22 @@
     });
 }
 
+void feed_reader::internal_state::on_failure(store_result result,
+                                             void (internal_state::*next)())
+{
+    const auto delay =
+        pacing.on_failure(result == store_result::unknown, boot_clock::now());
+    target.on_read_failed(result, pacing.failures());
+    schedule(delay, next);
+}
+
+void feed_reader::internal_state::on_success()
+{
+    if (const auto outage = pacing.on_success(boot_clock::now())) {
+        target.on_read_regained(*outage);
+    }
+}
+
 void feed_reader::internal_state::load(const std::string& after)
 {
     if (after.empty()) {
@@ -63,9 +105,10 @@
 void feed_reader::internal_state::on_newest(newest_page page, time_point sent)
 {
     if (page.result != store_result::done) {
-        schedule(options.retry_delay, &internal_state::reload);
+        on_failure(page.result, &internal_state::reload);
         return;
     }
+    on_success();
     // The pages are not a consistent snapshot. Records written while the pages
     // are read follow in the log, from the end offset that the first page
     // reported.
@@ -93,7 +136,10 @@
 
 void feed_reader::internal_state::read()
 {
-    source.read(options.which, offset, options.wait,
+    source.read({.which = options.which,
+                 .from = offset,
+                 .wait = options.wait,
+                 .max_bytes = pacing.page_bytes()},
                 [self = shared_from_this(),
                  sent = boot_clock::now()](const feed_page& page) {
                     if (!self->stopped) {
@@ -123,9 +169,10 @@
         return;
     }
     if (page.result != store_result::done) {
-        schedule(options.retry_delay, &internal_state::read);
+        on_failure(page.result, &internal_state::read);
         return;
     }
+    on_success();
     if (page.at_end) {
         fresh_at = std::max(fresh_at, sent);
     }
@@ -137,7 +184,7 @@
     }
     const auto due = sent + options.min_interval;
     const auto now = boot_clock::now();
-    if (due > now) {
+    if (page.at_end && due > now) {
         schedule(due - now, &internal_state::read);
     } else {
         read();
@@ -157,7 +204,27 @@
 
 void feed_reader::start()
 {
-    state_->load({});
+    if (!running_) {
+        running_ = true;
+        state_->load({});
+    }
+}
+
+void feed_reader::stop()
+{
+    if (!running_) {
+        return;
+    }
+    running_ = false;
+    // Responses to calls in flight refer to the previous state.
+    state_->stopped = true;
+    state_ = std::make_shared<internal_state>(state_->options, state_->loop,
+                                              state_->source, state_->target);
+}
+
+bool feed_reader::running() const noexcept
+{
+    return running_;
 }
 
 void feed_reader::set_min_interval(duration min_interval) noexcept
@@ -182,17 +249,7 @@
 
 void feed_reader::catch_up(std::function<void(bool)> done)
 {
-    const auto from = state_->offset;
-    state_->source.read(
-        state_->options.which, from, duration{},
-        [state = state_, from, done = std::move(done)](const feed_page& page) {
-            const bool complete = !state->stopped && state->loaded &&
-                                  page.result == store_result::done;
-            if (complete) {
-                state->apply(page, from);
-            }
-            done(complete && page.at_end);
-        });
+    state_->catch_up(std::move(done));
 }
 
 } // namespace rosemarytrail::cell
--- a/src/rosemarytrail/cell/feed_reader.hpp
+++ b/src/rosemarytrail/cell/feed_reader.hpp
@@ -2,6 +2,7 @@
 #define ROSEMARYTRAIL_CELL_FEED_READER_HPP
 
 #include <rosemarytrail/cell/ports.hpp>
+#include <rosemarytrail/cell/read_pacing.hpp>
 #include <rosemarytrail/http/client.hpp>
 
 #include <cstdint>
@@ -20,8 +21,7 @@
     duration wait{std::chrono::milliseconds{800}};
     /** @brief Minimum time between two reads, which limits the call rate. */
     duration min_interval{std::chrono::milliseconds{0}};
-    /** @brief Delay before a failed read is repeated. */
-    duration retry_delay{std::chrono::milliseconds{100}};
+    read_pacing_options pacing;
 };
 
 /** @brief Receives the records of a feed. */
@@ -42,6 +42,19 @@
 
     /** @brief Called after a page whose last record is the end of the feed. */
     virtual void on_caught_up() = 0;
+
+    /**
+     * @brief Called when a read fails.
+     * @param result Result of the read.
+     * @param failures Number of failed reads since the last successful one.
+     */
+    virtual void on_read_failed(store_result result, std::size_t failures) = 0;
+
+    /**
+     * @brief Called when reads succeed again.
+     * @param outage Time since the first failed read.
+     */
+    virtual void on_read_regained(duration outage) = 0;
 };
 
 /**
@@ -66,9 +79,16 @@
     feed_reader& operator=(const feed_reader&) = delete;
     ~feed_reader();
 
-    /** @brief Starts reading. */
+    /** @brief Starts reading; has no effect on a reader that runs. */
     void start();
 
+    /** @brief Stops reading; after the next `start`, the whole feed is loaded
+     * again. */
+    void stop();
+
+    /** @return True between `start` and `stop`. */
+    [[nodiscard]] bool running() const noexcept;
+
     /** @param min_interval New minimum time between two reads. */
     void set_min_interval(duration min_interval) noexcept;
 
@@ -91,6 +111,7 @@
 private:
     struct internal_state;
     std::shared_ptr<internal_state> state_;
+    bool running_{false};
 };
 
 } // namespace rosemarytrail::cell
--- a/src/rosemarytrail/cell/internal/node_advice.cpp
+++ b/src/rosemarytrail/cell/internal/node_advice.cpp
@@ -23,9 +23,14 @@
 
 } // namespace
 
+const fleet::leader_record& node::internal_state::current_leader() const
+{
+    return jobs.leader().epoch >= announced.epoch ? jobs.leader() : announced;
+}
+
 std::string node::internal_state::leader_address() const
 {
-    return address_of(jobs.leader().node);
+    return address_of(current_leader().node);
 }
 
 void node::internal_state::send_advice_assignments(
@@ -49,14 +54,14 @@
     }
 }
 
-// Nodes assigned to slow advice requests forward the fast requests of the jobs
-// that they accept to the other nodes.
+// In a small cell, nodes assigned to slow advice requests forward the fast
+// requests of the jobs that they accept to the other nodes.
 void node::internal_state::forward_fast_requests(const fleet::job_entry& entry)
 {
     const auto& record = *entry.record;
     const auto& policy = record.queue.advice;
     // Jobs beyond the share of their account are scheduled by the leader.
-    if (!policy || record.beyond_share ||
+    if (!policy || record.beyond_share || !all_follow() ||
         policy->base_ms > options.dispatcher.slow_advice_ms) {
         return;
     }
@@ -93,12 +98,14 @@
             return it;
         }
     }
-    return advice_requests.next(jobs, vm_list, advice_nodes(), now);
+    return all_follow()
+               ? advice_requests.next(jobs, vm_list, advice_nodes(), now)
+               : std::nullopt;
 }
 
 void node::internal_state::ask_advice(time_point now)
 {
-    if (!ledger.loaded() || now < advice_paused_until ||
+    if ((all_follow() && !ledger.loaded()) || now < advice_paused_until ||
         advice_in_flight >= max_advice_calls) {
         return;
     }
@@ -187,7 +194,9 @@
 
 void node::internal_state::apply_grant(const fleet::ledger_entry& entry)
 {
-    on_ledger_record({.key = entry.key, .value = entry.value});
+    if (ledger.running()) {
+        on_ledger_record({.key = entry.key, .value = entry.value});
+    }
 }
 
 // A slow store serializes the appends of all nodes, so entries are sent to the
--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -24,13 +24,6 @@
     return path.substr(std::min(path.rfind('/') + 1, path.size()));
 }
 
-/** @return Milliseconds since a point in time, or `never`; for log lines. */
-[[nodiscard]] std::string age_text(time_point since, time_point now)
-{
-    return since == time_point{} ? "never"
-                                 : std::to_string(to_milliseconds(now - since));
-}
-
 } // namespace
 
 void node::internal_state::serve(client_call call,
@@ -49,9 +42,15 @@
     const bool outdated = config && config->version < peer_config;
     // A node that has just started knows only the jobs that it accepted itself.
     const bool uncounted = call.kind == call_kind::pending && !ledger.loaded();
+    const bool suspect = shared.is_suspect(now, options.store_suspect_after);
+    if (!call.forwarded && !ledger.running() && !outdated && !suspect) {
+        if (const auto rejection = check_call(call)) {
+            reply(*rejection);
+            return;
+        }
+    }
     if (!call.forwarded &&
-        (outdated || uncounted ||
-         shared.is_suspect(now, options.store_suspect_after))) {
+        (!ledger.running() || outdated || uncounted || suspect)) {
         call.min_config = std::max(peer_config, config ? config->version : 0);
         forward_to_peers(std::move(call), pick_peers(), std::move(reply));
         return;
@@ -59,23 +58,29 @@
     serve_here(std::move(call), std::move(reply));
 }
 
+// A node that does not follow the ledger prefers the leader, which answers
+// without a read.
 std::vector<std::string> node::internal_state::pick_peers() const
 {
     std::vector<std::string> result;
-    for (const auto& it : members) {
+    const auto leader = leader_address();
+    const auto self_address = address_of(options.member);
+    for (const auto& it : followers) {
         auto address = address_of(it);
-        if (it != options.member && !address.empty()) {
+        if (address != self_address && address != leader && !address.empty()) {
             result.push_back(std::move(address));
         }
     }
-    // Each node starts with a different peer, which spreads the load.
+    // Each node starts with a different follower, which spreads the load.
     const auto self = std::ranges::find(members, options.member);
     const auto shift = self - members.begin();
     if (!result.empty()) {
-        std::rotate(result.begin(),
-                    result.begin() +
-                        shift % static_cast<std::ptrdiff_t>(result.size()),
-                    result.end());
+        std::ranges::rotate(
+            result, result.begin() +
+                        shift % static_cast<std::ptrdiff_t>(result.size()));
+    }
+    if (!leader.empty() && leader != self_address) {
+        result.insert(ledger.running() ? result.end() : result.begin(), leader);
     }
     result.resize(std::min(result.size(), max_forward_attempts));
     return result;
@@ -116,11 +121,13 @@
             }
             // Calls are idempotent, so another peer may be tried. After a lost
             // response, the call can no longer be reported as not executed.
-            if (it && it->kind != answer_kind::unavailable) {
+            const bool unknown =
+                !it || it->kind == answer_kind::outcome_unknown;
+            if (!unknown && it->kind != answer_kind::unavailable) {
                 done(*it);
                 return;
             }
-            call.maybe_applied = call.maybe_applied || !it;
+            call.maybe_applied = call.maybe_applied || unknown;
             forward_to_peers(std::move(call), std::move(candidates),
                              std::move(done));
         });
@@ -189,6 +196,29 @@
          {"ledger_age_ms", age_text(ledger.fresh_as_of(), now)}});
 }
 
+std::optional<client_answer>
+node::internal_state::check_call(const client_call& call) const
+{
+    const auto min_version = std::max(call.min_config, peer_config);
+    if (!config || config->version < min_version) {
+        return client_answer{.kind = answer_kind::unavailable,
+                             .code = result_code::catching_up,
+                             .retry_after = store_retry_after};
+    }
+    const auto* queue = config->find_queue(call.host, call.path);
+    if (queue == nullptr) {
+        return client_answer{.kind = answer_kind::no_such_queue,
+                             .code = result_code::path_unknown};
+    }
+    if (!config->account_of_key.contains(call.key) && !queue->is_public) {
+        return client_answer{.kind = answer_kind::not_authorised,
+                             .code = call.key.empty()
+                                         ? result_code::key_missing
+                                         : result_code::key_unknown};
+    }
+    return std::nullopt;
+}
+
 void node::internal_state::serve_here(client_call call,
                                       std::function<void(client_answer)> done)
 {
@@ -203,27 +233,13 @@
             done(it);
         };
     }
-    const auto min_version = std::max(call.min_config, peer_config);
-    if (!config || config->version < min_version) {
-        done({.kind = answer_kind::unavailable,
-              .code = result_code::catching_up,
-              .retry_after = store_retry_after});
+    if (const auto rejection = check_call(call)) {
+        done(*rejection);
         return;
     }
     const auto* queue = config->find_queue(call.host, call.path);
-    if (queue == nullptr) {
-        done({.kind = answer_kind::no_such_queue,
-              .code = result_code::path_unknown});
-        return;
-    }
     const auto account = config->account_of_key.find(call.key);
     const bool known = account != config->account_of_key.end();
-    if (!known && !queue->is_public) {
-        done({.kind = answer_kind::not_authorised,
-              .code = call.key.empty() ? result_code::key_missing
-                                       : result_code::key_unknown});
-        return;
-    }
     if (call.kind == call_kind::pending) {
         if (!ledger.loaded()) {
             done({.kind = answer_kind::unavailable,
@@ -343,8 +359,9 @@
     }
     fleet::job_record record{.id = id,
                              .account = std::move(account),
-                             .acceptor =
-                                 shutting_down ? std::string{} : options.member,
+                             .acceptor = shutting_down || !all_follow()
+                                             ? std::string{}
+                                             : options.member,
                              .accepted_unix_ms = unix_milliseconds(),
                              .queue = queue.policy,
                              .spec = std::move(*call.job)};
@@ -383,7 +400,8 @@
                 // that the advice request is sent at once.
                 const auto* before = jobs.find(id);
                 const bool is_new = before == nullptr || !before->record;
-                if (before == nullptr || !before->outcome) {
+                if (ledger.running() &&
+                    (before == nullptr || !before->outcome)) {
                     on_ledger_record({.key = recorded_entry.key,
                                       .value = recorded_entry.value});
                     const auto* known = jobs.find(id);
--- a/src/rosemarytrail/cell/internal/node_leadership.cpp
+++ b/src/rosemarytrail/cell/internal/node_leadership.cpp
@@ -13,11 +13,17 @@
         return;
     }
     const auto sent = boot_clock::now();
-    if (ledger.loaded() && configuration.loaded()) {
+    if (configuration.loaded()) {
         shared.join(node_group::members, options.member, generation,
                     options.member_lifetime, [this](const membership& it) {
                         generation = std::max(generation, it.generation);
+                        if (it.result == store_result::done && !joined) {
+                            joined = true;
+                            list_members();
+                        }
                     });
+    }
+    if (ledger.loaded() && directory.loaded()) {
         join_candidates(sent);
         check_leader();
     }
@@ -26,15 +32,20 @@
 
 void node::internal_state::join_candidates(time_point sent)
 {
-    if (members.empty()) {
-        return;
-    }
-    if (may_lead(members, options.cpu_millis, options.min_leader_share)) {
+    if (may_lead(members, options.cpu_millis,
+                 options.followers.min_cpu_share)) {
         candidate = true;
         shared.join(node_group::candidates, options.member,
                     candidate_generation, options.member_lifetime,
                     [this, sent](const membership& it) { on_join(it, sent); });
-    } else if (candidate) {
+    } else {
+        leave_candidates();
+    }
+}
+
+void node::internal_state::leave_candidates()
+{
+    if (candidate) {
         candidate = false;
         elected = false;
         shared.leave(node_group::candidates, options.member,
@@ -46,25 +57,75 @@
 {
     shared.members([this](std::optional<std::vector<std::string>> it) {
         if (it) {
-            members = std::move(*it);
-            if (leadership) {
-                leadership->decisions.set_members(advice_nodes());
-            }
+            on_members(std::move(*it));
         }
     });
-    loop.post_at(boot_clock::now() + options.members_period,
-                 [this] { list_members(); });
 }
 
-// The leader has the highest load, so in a large cell the other nodes send the
+void node::internal_state::schedule_listing()
+{
+    const auto period =
+        ledger.running() ? options.members_period : options.idle_members_period;
+    loop.post_at(boot_clock::now() + period, [this] {
+        list_members();
+        schedule_listing();
+    });
+}
+
+void node::internal_state::on_members(std::vector<std::string> listed)
+{
+    members = newest_incarnations(listed);
+    followers = ledger_followers(members, options.followers);
+    if (leadership) {
+        leadership->decisions.set_members(advice_nodes());
+    }
+    const bool selected =
+        std::ranges::find(followers, options.member) != followers.end();
+    if (selected) {
+        start_following();
+    } else if (!leadership && !claiming && !claim && !shutting_down) {
+        stop_following();
+    }
+}
+
+void node::internal_state::start_following()
+{
+    if (!ledger.running()) {
+        logging::event(logging::level::info, "following_started",
+                       {{"members", std::to_string(members.size())}});
+        ledger.start();
+        directory.start();
+    }
+}
+
+void node::internal_state::stop_following()
+{
+    if (!ledger.running()) {
+        return;
+    }
+    logging::event(logging::level::info, "following_stopped",
+                   {{"members", std::to_string(members.size())}});
+    leave_candidates();
+    ledger.stop();
+    directory.stop();
+    jobs = {};
+    vms.clear();
+    vm_list.clear();
+}
+
+bool node::internal_state::all_follow() const
+{
+    return members.size() <= options.followers.small_cell;
+}
+
+// The leader has the highest load, so the other nodes of a large cell send the
 // advice requests.
 std::vector<std::string> node::internal_state::advice_nodes() const
 {
-    if (members.size() < options.min_nodes_to_exempt_leader) {
-        return members;
-    }
     auto result = members;
-    std::erase(result, jobs.leader().node);
+    if (!all_follow()) {
+        std::erase(result, jobs.leader().node);
+    }
     return result;
 }
 
@@ -195,9 +256,34 @@
                     {"jobs", std::to_string(counts.jobs)},
                     {"placed", std::to_string(counts.placed)},
                     {"workers", std::to_string(counts.workers)}});
+    announce();
     run();
 }
 
+// Tells the nodes that do not follow the ledger who leads.
+void node::internal_state::announce()
+{
+    append_request request{
+        .which = feed::leader,
+        .entries = {
+            {.key = fleet::encode_key({.kind = fleet::entry_kind::leader}),
+             .value = fleet::encode(fleet::leader_record{
+                 .epoch = leadership->epoch, .node = options.member})}}};
+    shared.append(std::move(request), [this, number = leadership_number](
+                                          const append_answer& it) {
+        if (it.result == store_result::done || !leadership ||
+            number != leadership_number) {
+            return;
+        }
+        loop.post_at(boot_clock::now() + options.append_retry_delay,
+                     [this, number] {
+                         if (leadership && number == leadership_number) {
+                             announce();
+                         }
+                     });
+    });
+}
+
 void node::internal_state::step_down(std::string_view why)
 {
     logging::event(
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -27,6 +27,14 @@
 
 namespace rosemarytrail::cell {
 
+/**
+ * @brief Formats the age of a state for log lines.
+ * @param since When the state was current.
+ * @param now Current time.
+ * @return Milliseconds, or `never`.
+ */
+[[nodiscard]] std::string age_text(time_point since, time_point now);
+
 struct node::internal_state
 {
     internal_state(const node_options& options_, http::event_loop& loop_,
@@ -34,25 +42,38 @@
                    advice_port& advice_, const decoder& formats_,
                    metrics::registry& metrics_);
 
-    struct ledger_listener final : feed_listener
+    /** @brief Logs and counts the failed reads of a feed. */
+    struct listener : feed_listener
     {
+        void on_read_failed(store_result result, std::size_t failures) override;
+        void on_read_regained(duration outage) override;
         internal_state* owner{};
+        feed which{};
+    };
+
+    struct ledger_listener final : listener
+    {
         void on_reset() override;
         void on_record(const feed_record& record) override;
         void on_caught_up() override;
     };
 
-    struct configuration_listener final : feed_listener
+    struct configuration_listener final : listener
     {
-        internal_state* owner{};
         void on_reset() override;
         void on_record(const feed_record& record) override;
         void on_caught_up() override;
     };
 
-    struct directory_listener final : feed_listener
+    struct directory_listener final : listener
+    {
+        void on_reset() override;
+        void on_record(const feed_record& record) override;
+        void on_caught_up() override;
+    };
+
+    struct announcement_listener final : listener
     {
-        internal_state* owner{};
         void on_reset() override;
         void on_record(const feed_record& record) override;
         void on_caught_up() override;
@@ -109,7 +130,12 @@
     std::map<std::string, fleet::worker_vm> vms;
     std::vector<fleet::worker_vm> vm_list;
     fleet::advice_plan advice_requests;
+    /** @brief Newest incarnations of the live members, sorted. */
     std::vector<std::string> members;
+    /** @brief Members that follow the ledger. */
+    std::vector<std::string> followers;
+    /** @brief Leader that announced itself last. */
+    fleet::leader_record announced;
     /** @brief Advice requests that other nodes assigned to this node. */
     std::deque<fleet::advice_request> assigned_requests;
     std::size_t advice_in_flight{};
@@ -118,9 +144,11 @@
     ledger_listener ledger_target;
     configuration_listener configuration_target;
     directory_listener directory_target;
+    announcement_listener announcement_target;
     feed_reader ledger;
     feed_reader configuration;
     feed_reader directory;
+    feed_reader announcements;
 
     /** @brief Calls that wait for the next read of the ledger. */
     std::vector<std::function<void(bool)>> catch_up_waiters;
@@ -150,6 +178,7 @@
     bool run_posted{false};
     time_point last_run;
     time_point last_join;
+    bool joined{false};
     time_point last_cleanup;
     time_point last_metrics_update;
 
@@ -167,7 +196,15 @@
     void on_ledger_caught_up();
     void join();
     void join_candidates(time_point sent);
+    void leave_candidates();
     void list_members();
+    void schedule_listing();
+    void on_members(std::vector<std::string> listed);
+    void start_following();
+    void stop_following();
+    /** @return True if all nodes of the cell follow the ledger. */
+    [[nodiscard]] bool all_follow() const;
+    void announce();
     [[nodiscard]] std::vector<std::string> advice_nodes() const;
     void update_read_intervals();
     void on_join(const membership& it, time_point sent);
@@ -209,6 +246,8 @@
     void send_advice_assignments(
         std::span<const fleet::advice_assignment> assignments);
     void forward_fast_requests(const fleet::job_entry& entry);
+    /** @return The newest leader that this node knows of. */
+    [[nodiscard]] const fleet::leader_record& current_leader() const;
     [[nodiscard]] std::string leader_address() const;
     [[nodiscard]] bool
     is_too_busy_for(std::span<const fleet::advice_request> more) const;
@@ -227,6 +266,10 @@
     void append_for_client(std::uint64_t id, fleet::ledger_entry entry,
                            const client_call& call, answer_kind on_done,
                            std::function<void(client_answer)> done);
+    /** @brief Checks queue, key and configuration of a call.
+     * @return Answer that rejects it, or nothing if it may be served. */
+    [[nodiscard]] std::optional<client_answer>
+    check_call(const client_call& call) const;
     /** @brief Serves a call from the state of this node. */
     void serve_here(client_call call, std::function<void(client_answer)> done);
     /** @brief Forwards a call to the remaining peers, one after another. */
--- /dev/null
+++ b/src/rosemarytrail/cell/ledger_followers.hpp
@@ -0,0 +1,49 @@
+#ifndef ROSEMARYTRAIL_CELL_LEDGER_FOLLOWERS_HPP
+#define ROSEMARYTRAIL_CELL_LEDGER_FOLLOWERS_HPP
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace rosemarytrail::cell {
+
+/** @brief Limits of `ledger_followers`. */
+struct follower_options
+{
+    /** @brief In a cell of at most this many nodes, all of them follow. */
+    std::size_t small_cell{12};
+    /** @brief Number of followers in a larger cell. */
+    std::size_t followers{5};
+    /** @brief Minimum CPU share of a follower in a larger cell, as a fraction
+     * of the largest member's. */
+    double min_cpu_share{0.8};
+};
+
+/**
+ * @brief Removes earlier incarnations of restarted nodes.
+ * @param members Names of members; that of an earlier incarnation is listed
+ * until its membership expires.
+ * @return The newest name of each address, and names without address; sorted.
+ */
+[[nodiscard]] std::vector<std::string>
+newest_incarnations(std::span<const std::string> members);
+
+/**
+ * @brief Selects the nodes that follow the ledger and the worker directory.
+ *
+ * The bytes that the store sends grow with the number of followers and the
+ * rate of jobs, so a large cell has a few followers, among the largest VMs.
+ * They are the candidates for leadership; the other nodes forward client calls
+ * to them. The selection changes little when a node joins or leaves.
+ * @param members Names of the live members.
+ * @param options Limits.
+ * @return Names of the followers, in the same order on all nodes.
+ */
+[[nodiscard]] std::vector<std::string>
+ledger_followers(std::span<const std::string> members,
+                 const follower_options& options);
+
+} // namespace rosemarytrail::cell
+
+#endif
--- a/src/rosemarytrail/cell/member_name.hpp
+++ b/src/rosemarytrail/cell/member_name.hpp
@@ -9,7 +9,7 @@
 
 namespace rosemarytrail::cell {
 
-/** @brief Fields of a member's name: `NODE-START-PID@ADDRESS#CPU`. */
+/** @brief Fields of a member's name: `NODE-START-PID@ADDRESS#CPU/ZONE`. */
 struct member_name
 {
     /** @brief VM and incarnation: `NODE-START-PID`. */
@@ -18,6 +18,8 @@
     std::string address;
     /** @brief CPU share in thousandths of a core. */
     std::int64_t cpu_millis{};
+    /** @brief Availability zone; empty if the name has none. */
+    std::string zone;
 };
 
 /**
@@ -42,6 +44,21 @@
  */
 [[nodiscard]] std::string address_of(std::string_view member);
 
+/**
+ * @brief Returns the start time of a member's process.
+ * @param it Fields of its name.
+ * @return Unix milliseconds on its own clock; zero if the name has none.
+ */
+[[nodiscard]] std::int64_t start_unix_ms(const member_name& it);
+
+/**
+ * @brief Returns the CPU share of the largest member.
+ * @param members Names of members.
+ * @return Thousandths of a core; zero if no name is valid.
+ */
+[[nodiscard]] std::int64_t
+largest_cpu_millis(std::span<const std::string> members);
+
 /**
  * @brief Checks whether a node is a candidate for leadership.
  *
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -20,8 +20,21 @@
 /** @brief Interval at which timeouts are checked. */
 constexpr duration tick_period{std::chrono::milliseconds{20}};
 
+/** @return Pacing of a node's reads; the jitter differs from node to node. */
+[[nodiscard]] read_pacing_options pacing_of(const node_options& options)
+{
+    return {.seed = static_cast<std::uint32_t>(
+                std::hash<std::string>{}(options.member))};
+}
+
 } // namespace
 
+std::string age_text(time_point since, time_point now)
+{
+    return since == time_point{} ? "never"
+                                 : std::to_string(to_milliseconds(now - since));
+}
+
 node::internal_state::internal_state(const node_options& options_,
                                      http::event_loop& loop_, store& shared_,
                                      worker_port& workers_, peer_link& peers_,
@@ -45,24 +58,66 @@
                        .slow_threshold_ms = options_.dispatcher.slow_advice_ms,
                        .slow_share = options_.dispatcher.slow_advice_share}}
     , ledger{{.which = feed::ledger,
-              .min_interval = options_.follower_read_interval},
+              .min_interval = options_.follower_read_interval,
+              .pacing = pacing_of(options_)},
              loop_,
              shared,
              ledger_target}
-    , configuration{{.which = feed::configuration},
+    , configuration{{.which = feed::configuration,
+                     .wait = options_.configuration_wait,
+                     .pacing = pacing_of(options_)},
                     loop_,
                     shared,
                     configuration_target}
     , directory{{.which = feed::workers,
-                 .min_interval = options_.follower_directory_interval},
+                 .min_interval = options_.follower_directory_interval,
+                 .pacing = pacing_of(options_)},
                 loop_,
                 shared,
                 directory_target}
+    , announcements{{.which = feed::leader,
+                     .wait = options_.leader_wait,
+                     .pacing = pacing_of(options_)},
+                    loop_,
+                    shared,
+                    announcement_target}
     , monitor{{.member = options_.member}}
 {
     ledger_target.owner = this;
     configuration_target.owner = this;
     directory_target.owner = this;
+    announcement_target.owner = this;
+    ledger_target.which = feed::ledger;
+    configuration_target.which = feed::configuration;
+    directory_target.which = feed::workers;
+    announcement_target.which = feed::leader;
+}
+
+void node::internal_state::listener::on_read_failed(store_result result,
+                                                    std::size_t failures)
+{
+    owner->metrics.feed_read_failures.add();
+    // The first failure and then each tenth one.
+    constexpr std::size_t log_each = 10;
+    if (failures % log_each == 1) {
+        logging::event(
+            logging::level::warning, "feed_read_failing",
+            {{"feed", to_text(which)},
+             {"result", std::to_string(static_cast<int>(result))},
+             {"failures", std::to_string(failures)},
+             {"config",
+              owner->config ? std::to_string(owner->config->version) : "none"},
+             {"ledger_age_ms",
+              age_text(owner->ledger.fresh_as_of(), boot_clock::now())}});
+    }
+}
+
+void node::internal_state::listener::on_read_regained(duration outage)
+{
+    owner->metrics.feed_reads_regained.add();
+    logging::event(logging::level::info, "feed_read_regained",
+                   {{"feed", to_text(which)},
+                    {"outage_ms", std::to_string(to_milliseconds(outage))}});
 }
 
 node::node(const node_options& options, http::event_loop& loop, store& shared,
@@ -78,12 +133,11 @@
 {
     auto& it = *state_;
     it.loop.post([&it] {
-        it.ledger.start();
         it.configuration.start();
-        it.directory.start();
+        it.announcements.start();
         it.tick();
         it.join();
-        it.list_members();
+        it.schedule_listing();
     });
 }
 
@@ -106,7 +160,7 @@
     const auto& it = *state_;
     return {.leading = it.leadership != nullptr && !it.shutting_down &&
                        may_lead(it.members, it.options.cpu_millis,
-                                it.options.min_leader_share),
+                                it.options.followers.min_cpu_share),
             .epoch = it.leadership ? it.leadership->epoch : 0,
             .store_age = now - it.shared.served()};
 }
@@ -218,6 +272,25 @@
     run();
 }
 
+void node::internal_state::announcement_listener::on_reset() {}
+
+void node::internal_state::announcement_listener::on_record(
+    const feed_record& record)
+{
+    const auto it =
+        record.value ? fleet::decode_leader(*record.value) : std::nullopt;
+    if (!it || it->epoch <= owner->announced.epoch) {
+        return;
+    }
+    owner->announced = *it;
+    logging::event(
+        logging::level::info, "leader_announced",
+        {{"leader", it->node}, {"epoch", std::to_string(it->epoch)}});
+    owner->resend_grants();
+}
+
+void node::internal_state::announcement_listener::on_caught_up() {}
+
 void node::internal_state::configuration_listener::on_reset() {}
 
 void node::internal_state::configuration_listener::on_record(
@@ -347,7 +420,10 @@
 {
     const auto now = boot_clock::now();
     last_tick = now.time_since_epoch().count();
-    const bool reached = ledger.loaded() && config && is_store_reachable(now);
+    // A node that follows nothing needs a follower that serves its calls.
+    const bool has_jobs =
+        ledger.running() ? ledger.loaded() : !followers.empty();
+    const bool reached = has_jobs && config && is_store_reachable(now);
     if (reached != ready_flag.load() && !shutting_down) {
         logging::event(logging::level::info,
                        reached ? "store_regained" : "store_lost", {});
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -2,6 +2,7 @@
 #define ROSEMARYTRAIL_CELL_NODE_HPP
 
 #include <rosemarytrail/cell/client_call.hpp>
+#include <rosemarytrail/cell/ledger_followers.hpp>
 #include <rosemarytrail/cell/peer_link.hpp>
 #include <rosemarytrail/cell/ports.hpp>
 #include <rosemarytrail/core/time.hpp>
@@ -25,9 +26,9 @@
     std::string member;
     /** @brief CPU share of the VM, in thousandths of a core. */
     std::int64_t cpu_millis{};
-    /** @brief Minimum CPU share of a leader, as a fraction of the largest live
-     * member's; smaller nodes are not candidates. */
-    double min_leader_share{0.8};
+    /** @brief Nodes that follow the ledger; they are the candidates for
+     * leadership. */
+    follower_options followers;
     fleet::dispatcher_options dispatcher;
     /** @brief Lifetime of a group membership that is not renewed; a leader
      * whose membership expires is replaced. */
@@ -37,8 +38,19 @@
     duration leader_query_timeout{std::chrono::milliseconds{250}};
     /** @brief Interval at which group memberships are renewed. */
     duration join_period{std::chrono::milliseconds{300}};
-    /** @brief Interval at which the live members are listed. */
+    /** @brief Interval at which a follower of the ledger lists the live
+     * members. */
     duration members_period{std::chrono::milliseconds{1000}};
+    /** @brief Interval at which other nodes list the live members; they only
+     * select a follower from them. */
+    duration idle_members_period{std::chrono::milliseconds{3000}};
+    /** @brief How long a read of the configuration may wait at the store. A
+     * connection that has gone silent is noticed soon after, so it is well
+     * below the time in which a configuration must be in force. */
+    duration configuration_wait{std::chrono::milliseconds{800}};
+    /** @brief How long a read of the leader's announcement may wait at the
+     * store; a call to an outdated leader only costs time. */
+    duration leader_wait{std::chrono::milliseconds{4000}};
     /** @brief A node that the store has not served for longer is not ready and
      * rejects submissions. */
     duration store_timeout{std::chrono::milliseconds{2500}};
@@ -64,10 +76,6 @@
     duration min_append_interval{std::chrono::milliseconds{12}};
     /** @brief Delay before a failed append of the leader is repeated. */
     duration append_retry_delay{std::chrono::milliseconds{50}};
-    /** @brief Minimum number of members at which the leader sends no advice
-     * requests. In a smaller cell, the leader's share of the request capacity
-     * would be missed. */
-    std::size_t min_nodes_to_exempt_leader{12};
     /** @brief Length of the window over which the drain rate of a queue is
      * measured. */
     duration drain_window{std::chrono::seconds{3}};
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -16,6 +16,12 @@
           "appends of the leader that were sent again")}
     , calls_forwarded{all.make_counter("rosemarytrail_calls_handed_on_total",
                                        "calls that a peer was asked to serve")}
+    , feed_read_failures{all.make_counter(
+          "rosemarytrail_feed_read_failures_total",
+          "reads of a feed of the store that failed")}
+    , feed_reads_regained{all.make_counter(
+          "rosemarytrail_feed_reads_regained_total",
+          "reads of a feed that succeeded after failed ones")}
     , log_left_out{all.make_counter(
           "rosemarytrail_log_lines_left_out_total",
           "log lines beyond the rate of their kind or the volume")}
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -35,6 +35,8 @@
     metrics::counter& unreadable;
     metrics::counter& append_retries;
     metrics::counter& calls_forwarded;
+    metrics::counter& feed_read_failures;
+    metrics::counter& feed_reads_regained;
     metrics::counter& log_left_out;
     metrics::counter& log_dropped;
     metrics::counter& jobs_in_time;
--- a/src/rosemarytrail/cell/ports.hpp
+++ b/src/rosemarytrail/cell/ports.hpp
@@ -25,9 +25,32 @@
     /** @brief Configuration, published by the operator. */
     configuration,
     /** @brief Worker directory, written by the workers. */
-    workers
+    workers,
+    /** @brief Announcement of the current leader, for nodes that do not follow
+     * the ledger. */
+    leader
 };
 
+/**
+ * @brief Returns the name of a feed for log lines.
+ * @param which Feed.
+ * @return Name of the feed.
+ */
+[[nodiscard]] constexpr std::string_view to_text(feed which) noexcept
+{
+    switch (which) {
+    case feed::ledger:
+        return "ledger";
+    case feed::configuration:
+        return "configuration";
+    case feed::workers:
+        return "workers";
+    case feed::leader:
+        break;
+    }
+    return "leader";
+}
+
 /** @brief Record of a feed. */
 struct feed_record
 {
@@ -61,11 +84,13 @@
     std::uint64_t sequence{};
 };
 
-/** @brief Entries to append to the ledger atomically. */
+/** @brief Entries to append to a feed atomically. */
 struct append_request
 {
+    /** @brief Feed; nodes write only to `ledger` and `leader`. */
+    feed which{feed::ledger};
     std::vector<fleet::ledger_entry> entries;
-    /** @brief Required end offset of the ledger; the append fails if it
+    /** @brief Required end offset of the feed; the append fails if it
      * differs. */
     std::optional<std::int64_t> expected_end;
     std::optional<fenced_writer> writer;
@@ -82,6 +107,18 @@
     std::optional<std::uint64_t> expected_sequence;
 };
 
+/** @brief Read of a feed from an offset. */
+struct read_request
+{
+    feed which{feed::ledger};
+    /** @brief Offset of the first record. */
+    std::int64_t from{};
+    /** @brief How long the store may wait for a new record. */
+    duration wait{};
+    /** @brief Maximum size of the page in bytes. */
+    std::size_t max_bytes{std::size_t{1} << 20U};
+};
+
 /** @brief Page of a feed. */
 struct feed_page
 {
@@ -126,7 +163,7 @@
     virtual ~store() = default;
 
     /**
-     * @brief Appends entries to the ledger.
+     * @brief Appends entries to a feed.
      * @param request Entries and preconditions.
      * @param done Called once with the result.
      */
@@ -135,12 +172,10 @@
 
     /**
      * @brief Reads a feed from an offset.
-     * @param which Feed.
-     * @param from Offset of the first record.
-     * @param wait How long the store may wait for a new record.
+     * @param request Offset and limits.
      * @param done Called once with the records.
      */
-    virtual void read(feed which, std::int64_t from, duration wait,
+    virtual void read(const read_request& request,
                       std::function<void(feed_page)> done) = 0;
 
     /**
--- a/src/rosemarytrail/cell/store_monitor.cpp
+++ b/src/rosemarytrail/cell/store_monitor.cpp
@@ -35,10 +35,10 @@
     target_.append(std::move(request), observe(std::move(done)));
 }
 
-void store_monitor::read(feed which, std::int64_t from, duration wait,
+void store_monitor::read(const read_request& request,
                          std::function<void(feed_page)> done)
 {
-    target_.read(which, from, wait, observe(std::move(done)));
+    target_.read(request, observe(std::move(done)));
 }
 
 void store_monitor::newest(feed which, std::string_view after,
--- a/src/rosemarytrail/cell/store_monitor.hpp
+++ b/src/rosemarytrail/cell/store_monitor.hpp
@@ -19,7 +19,7 @@
 
     void append(append_request request,
                 std::function<void(append_answer)> done) override;
-    void read(feed which, std::int64_t from, duration wait,
+    void read(const read_request& request,
               std::function<void(feed_page)> done) override;
     void newest(feed which, std::string_view after,
                 std::function<void(newest_page)> done) override;
--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -213,7 +213,8 @@
     }
     if (step.spec->depends_on.empty()) {
         const auto since = std::max(step.ready_at, step.job->accepted);
-        return step.ready && now - since > options.fast_advice_reassign_after;
+        return step.ready && (step.job->record.acceptor.empty() ||
+                              now - since > options.fast_advice_reassign_after);
     }
     if (step.ready) {
         return true;
--- a/test/cell/member_name.cpp
+++ b/test/cell/member_name.cpp
@@ -16,6 +16,12 @@
     CHECK(it->incarnation == name.incarnation);
     CHECK(it->address == name.address);
     CHECK(it->cpu_millis == 250);
+    CHECK(it->zone.empty());
+    CHECK(start_unix_ms(*it) == 17);
+    auto with_zone = name;
+    with_zone.zone = "z-1";
+    CHECK(parse_member_name(to_text(with_zone))->zone == "z-1");
+    CHECK(parse_member_name(to_text(with_zone))->cpu_millis == 250);
     for (const auto* bad : {"", "n-1", "n@a", "n#5@a", "n@a#x", "n@a#5x"}) {
         CHECK_FALSE(parse_member_name(bad));
     }
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -5,10 +5,12 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <array>
+#include <deque>
 #include <iterator>
+#include <memory>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace rosemarytrail::cell {
 
@@ -20,24 +22,26 @@
  */
 constexpr duration timeout = 20s;
 
-/** @brief Two nodes that share one store and one worker. */
-struct two_nodes
+/** @brief Nodes that share one store and one worker. */
+struct model_cell
 {
-    two_nodes()
+    explicit model_cell(std::size_t count, const follower_options& followers)
     {
         store.put(feed::configuration, "c", "1");
         store.put(feed::workers, "w1", "1");
-        for (int n = 0; n < 2; ++n) {
+        for (std::size_t n = 0; n < count; ++n) {
+            workers.push_back(std::make_unique<test::model_workers>(loop));
             const auto name = "n" + std::to_string(n);
             const auto address = name + ":1";
             node_options options{.name = name,
                                  .member = to_text({.incarnation = name,
                                                     .address = address,
                                                     .cpu_millis = 250}),
-                                 .cpu_millis = 250};
-            nodes.push_back(std::make_unique<node>(options, loop, store,
-                                                   *workers[n], peers, advice,
-                                                   formats, metrics[n]));
+                                 .cpu_millis = 250,
+                                 .followers = followers};
+            nodes.push_back(std::make_unique<node>(
+                options, loop, store, *workers[n], peers, advice, formats,
+                metrics.emplace_back()));
             peers.nodes[address] = nodes.back().get();
         }
     }
@@ -56,16 +60,68 @@
 
     test::stepped_loop loop;
     test::model_store store{loop};
-    std::array<std::unique_ptr<test::model_workers>, 2> workers{
-        std::make_unique<test::model_workers>(loop),
-        std::make_unique<test::model_workers>(loop)};
+    std::vector<std::unique_ptr<test::model_workers>> workers;
     test::model_advice advice{loop};
     test::model_peers peers{loop};
     test::model_formats formats;
-    std::array<metrics::registry, 2> metrics;
+    std::deque<metrics::registry> metrics;
     std::vector<std::unique_ptr<node>> nodes;
 };
 
+/** @brief Two nodes, which both follow the ledger. */
+struct two_nodes : model_cell
+{
+    two_nodes()
+        : model_cell{2, {}}
+    {}
+};
+
+/** @brief Six nodes of which two follow the ledger. */
+struct six_nodes : model_cell
+{
+    six_nodes()
+        : model_cell{6, {.small_cell = 3, .followers = 2}}
+    {}
+
+    [[nodiscard]] bool all_ready() const
+    {
+        return std::ranges::all_of(
+            nodes, [](const auto& it) { return it->ready(boot_clock::now()); });
+    }
+
+    /** @return Index of the node that polls the workers, if there is one. */
+    [[nodiscard]] std::optional<std::size_t> leader() const
+    {
+        for (std::size_t n = 0; n < nodes.size(); ++n) {
+            if (nodes[n]->leadership_status(boot_clock::now()).leading) {
+                return n;
+            }
+        }
+        return std::nullopt;
+    }
+
+    /** @brief Serves a call of a client at a node. */
+    [[nodiscard]] client_answer ask(std::size_t at, client_call call)
+    {
+        std::optional<client_answer> result;
+        nodes[at]->serve(std::move(call),
+                         [&](const client_answer& it) { result = it; });
+        REQUIRE(loop.run_until([&] { return result.has_value(); }, timeout));
+        return *result;
+    }
+};
+
+/** @return Question about the state of a job. */
+[[nodiscard]] client_call state_query(std::uint64_t id)
+{
+    return {.kind = call_kind::status,
+            .host = "h",
+            .path = "/q/" + fleet::to_text(id),
+            .key = {},
+            .job = std::nullopt,
+            .deadline = boot_clock::now() + 3s};
+}
+
 [[nodiscard]] client_call submission(std::uint64_t id)
 {
     client_call call{.kind = call_kind::submit,
@@ -110,6 +166,7 @@
     two_nodes cell;
     // An unreachable member stays elected until its membership expires.
     cell.store.names = {"away"};
+    cell.store.candidates = {"away"};
     cell.store.put(feed::ledger,
                    fleet::encode_key({.kind = fleet::entry_kind::leader}),
                    fleet::encode(fleet::leader_record{
@@ -212,4 +269,65 @@
     CHECK(cell.advice.requests.size() == jobs);
 }
 
+TEST_CASE("Nodes that do not follow the ledger serve every call", "[node]")
+{
+    six_nodes cell;
+    cell.formats.advice = fleet::advice_policy{.base_ms = 20, .valid_ms = 2500};
+    cell.start();
+    REQUIRE(cell.loop.run_until(
+        [&] { return cell.all_ready() && cell.leader(); }, timeout));
+    for (std::size_t n = 0; n < cell.nodes.size(); ++n) {
+        CHECK(cell.ask(n, submission(n + 1)).kind == answer_kind::accepted);
+    }
+    REQUIRE(cell.loop.run_until(
+        [&] {
+            return cell.workers[*cell.leader()]->starts.size() ==
+                   cell.nodes.size();
+        },
+        timeout));
+    for (std::size_t n = 0; n < cell.nodes.size(); ++n) {
+        const auto other = (n + 1) % cell.nodes.size() + 1;
+        CHECK(cell.ask(n, state_query(other)).state ==
+              fleet::job_state::running);
+        CHECK(cell.ask(n, state_query(99)).kind == answer_kind::no_such_job);
+    }
+    for (std::size_t n = 0; n < cell.nodes.size(); ++n) {
+        auto cancellation = state_query(n + 1);
+        cancellation.kind = call_kind::cancel;
+        CHECK(cell.ask(n, cancellation).kind == answer_kind::cancelled);
+    }
+}
+
+TEST_CASE("Only the followers read the ledger and the directory", "[node]")
+{
+    six_nodes cell;
+    cell.start();
+    REQUIRE(cell.loop.run_until(
+        [&] { return cell.all_ready() && cell.leader(); }, timeout));
+    // Until it is listed that there are more, the first nodes follow.
+    const auto settled = boot_clock::now() + 4s;
+    cell.loop.run_until([&] { return boot_clock::now() > settled; }, timeout);
+    cell.store.reads.clear();
+    const auto until = boot_clock::now() + 2s;
+    cell.loop.run_until([&] { return boot_clock::now() > until; }, timeout);
+    // A read of the ledger waits up to 0.8 s, one of the directory is sent each
+    // 1.5 s.
+    CHECK(cell.store.reads[feed::ledger] <= 2 * 3);
+    CHECK(cell.store.reads[feed::workers] <= 2 * 2);
+    CHECK(cell.store.reads[feed::configuration] >= 6 * 2);
+}
+
+TEST_CASE("Calls are served after the loss of the leader", "[node]")
+{
+    six_nodes cell;
+    cell.start();
+    REQUIRE(cell.loop.run_until(
+        [&] { return cell.all_ready() && cell.leader(); }, timeout));
+    const auto lost = *cell.leader();
+    cell.peers.nodes.erase("n" + std::to_string(lost) + ":1");
+    const auto at = (lost + 1) % cell.nodes.size();
+    CHECK(cell.ask(at, submission(7)).kind == answer_kind::accepted);
+    CHECK(cell.ask(at, state_query(7)).kind == answer_kind::state);
+}
+
 } // namespace rosemarytrail::cell
--- a/test/cell/outbox.cpp
+++ b/test/cell/outbox.cpp
@@ -30,8 +30,8 @@
     {
         appends.emplace_back(std::move(request), std::move(done));
     }
-    void read(feed, std::int64_t, duration,
-              std::function<void(feed_page)>) override
+    void read(const read_request& /*request*/,
+              std::function<void(feed_page)> /*done*/) override
     {}
     void newest(feed, std::string_view,
                 std::function<void(newest_page)>) override
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -57,7 +57,7 @@
 void model_store::append(cell::append_request request,
                          std::function<void(cell::append_answer)> done)
 {
-    auto& ledger = records_[cell::feed::ledger];
+    auto& ledger = records_[request.which];
     cell::append_answer result{.result = cell::store_result::done,
                                .expected_sequence = std::nullopt};
     bool repeat = false;
@@ -86,17 +86,25 @@
     answer([done = std::move(done), result] { done(result); });
 }
 
-void model_store::read(cell::feed which, std::int64_t from, duration wait,
+void model_store::read(const cell::read_request& request,
                        std::function<void(cell::feed_page)> done)
+{
+    ++reads[request.which];
+    answer_read(request, std::move(done));
+}
+
+void model_store::answer_read(cell::read_request request,
+                              std::function<void(cell::feed_page)> done)
 {
     constexpr duration look_again = 10ms;
-    const auto& records = records_[which];
+    const auto& records = records_[request.which];
+    const auto from = request.from;
     const auto n = static_cast<std::int64_t>(records.size());
-    if (from >= n && wait > look_again) {
+    if (from >= n && request.wait > look_again) {
+        request.wait -= look_again;
         loop_.post_at(boot_clock::now() + look_again,
-                      [this, which, from, left = wait - look_again,
-                       done = std::move(done)]() mutable {
-                          read(which, from, left, std::move(done));
+                      [this, request, done = std::move(done)]() mutable {
+                          answer_read(request, std::move(done));
                       });
         return;
     }
@@ -122,15 +130,16 @@
                                          records.size())}] { done(page); });
 }
 
-void model_store::join(cell::node_group /*group*/, std::string_view member,
+void model_store::join(cell::node_group group, std::string_view member,
                        std::uint64_t /*generation*/, duration /*lifetime*/,
                        std::function<void(cell::membership)> done)
 {
-    if (std::ranges::find(names, member) == names.end()) {
-        names.emplace_back(member);
+    auto& joined = group == cell::node_group::members ? names : candidates;
+    if (std::ranges::find(joined, member) == joined.end()) {
+        joined.emplace_back(member);
     }
     answer([done = std::move(done),
-            elected = elects_all || names.front() == member] {
+            elected = elects_all || joined.front() == member] {
         done({.result = cell::store_result::done,
               .generation = 1,
               .elected = elected});
@@ -147,10 +156,10 @@
     });
 }
 
-void model_store::leave(cell::node_group /*group*/, std::string_view member,
+void model_store::leave(cell::node_group group, std::string_view member,
                         std::function<void(cell::store_result)> done)
 {
-    std::erase(names, member);
+    std::erase(group == cell::node_group::members ? names : candidates, member);
     answer([done = std::move(done)] { done(cell::store_result::done); });
 }
 
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -43,7 +43,7 @@
 
     void append(cell::append_request request,
                 std::function<void(cell::append_answer)> done) override;
-    void read(cell::feed which, std::int64_t from, duration wait,
+    void read(const cell::read_request& request,
               std::function<void(cell::feed_page)> done) override;
     void newest(cell::feed which, std::string_view after,
                 std::function<void(cell::newest_page)> done) override;
@@ -60,6 +60,10 @@
 
     /** @brief Nodes that have joined. */
     std::vector<std::string> names;
+    /** @brief Candidates for leadership; the first one is elected. */
+    std::vector<std::string> candidates;
+    /** @brief Number of reads of each feed. */
+    std::map<cell::feed, std::size_t> reads;
     /** @brief Elects every candidate, not only the first. */
     bool elects_all{false};
     /** @brief Leaves whoever loads the ledger without an answer. */
@@ -67,6 +71,8 @@
 
 private:
     void answer(std::function<void()> with);
+    void answer_read(cell::read_request request,
+                     std::function<void(cell::feed_page)> done);
 
     stepped_loop& loop_;
     std::map<cell::feed, std::vector<cell::feed_record>> records_;
