Relay the leader's calls to workers of large cells

Cause: one leader makes all calls to all workers. On large these are some 3,900 a second, half a core at 57 us each beside placing; on the small twin they fill a link of 2 Mbit/s, renewals wait and leases lapse.

Weighed: partitions with a leader each (limits of client accounts, wide steps and the routing of jobs have to be split) against relays under one leader. Relays keep placement and limits whole.

Change: above 100 workers, the calls of each availability zone go through one of its largest VMs (one more per 256 workers). A relay makes the calls that it is sent, with the lease end and epoch of the leader, and returns results; both directions are batched. If it is lost, its open calls, which are idempotent, are made again directly. A relay that was paused rejects calls, as they may be old. The leader's index no longer decodes the progress that its dispatcher has written.

--- a/src/rosemarytrail/cell/feed_reader.cpp
+++ b/src/rosemarytrail/cell/feed_reader.cpp
@@ -153,8 +153,8 @@
 {
     // A concurrent read may have applied some of these records already.
     const auto skip = std::max<std::int64_t>(offset - from, 0);
-    for (auto i = static_cast<std::size_t>(skip); i < page.records.size();
-         ++i) {
+    for (auto i = static_cast<std::size_t>(skip);
+         i < page.records.size() && !stopped; ++i) {
         target.on_record(page.records[i]);
     }
     offset = std::max(offset, page.next_offset);
@@ -179,6 +179,9 @@
     const auto from =
         page.next_offset - static_cast<std::int64_t>(page.records.size());
     apply(page, from);
+    if (stopped) {
+        return;
+    }
     if (page.at_end) {
         target.on_caught_up();
     }
--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -99,21 +99,25 @@
     candidates.erase(candidates.begin());
     const auto timeout =
         std::min(forward_timeout, call.deadline - options.answer_margin - now);
-    logging::event(
-        logging::level::info, "call_handed_on",
-        {{"job", job_of(call.path)},
-         {"call", to_text(call.kind)},
-         {"peer", address},
-         {"config", config ? std::to_string(config->version) : "none"},
-         {"peer_config", std::to_string(peer_config)},
-         {"store_served_ms_ago", age_text(shared.served(), now)}});
+    // Other nodes forward every call.
+    if (ledger.running()) {
+        logging::event(
+            logging::level::info, "call_handed_on",
+            {{"job", job_of(call.path)},
+             {"call", to_text(call.kind)},
+             {"peer", address},
+             {"config", config ? std::to_string(config->version) : "none"},
+             {"peer_config", std::to_string(peer_config)},
+             {"store_served_ms_ago", age_text(shared.served(), now)}});
+    }
     auto forwarded_call = call;
     // The peer times out before this node does, so that its response arrives in
     // time.
     forwarded_call.deadline = now + timeout;
     peers.forward(
         address, forwarded_call, timeout,
-        [this, call = std::move(call), candidates = std::move(candidates),
+        [this, address, call = std::move(call),
+         candidates = std::move(candidates),
          done = std::move(done)](std::optional<client_answer> it) mutable {
             metrics.calls_forwarded.add();
             if (it) {
@@ -127,6 +131,12 @@
                 done(*it);
                 return;
             }
+            logging::event(
+                logging::level::warning, "peer_call_failed",
+                {{"job", job_of(call.path)},
+                 {"call", to_text(call.kind)},
+                 {"peer", address},
+                 {"reason", it ? describe(it->code).name : "no response"}});
             call.maybe_applied = call.maybe_applied || unknown;
             forward_to_peers(std::move(call), std::move(candidates),
                              std::move(done));
--- a/src/rosemarytrail/cell/internal/node_leadership.cpp
+++ b/src/rosemarytrail/cell/internal/node_leadership.cpp
@@ -78,6 +78,7 @@
     followers = ledger_followers(members, options.followers);
     if (leadership) {
         leadership->decisions.set_members(advice_nodes());
+        assign_relays();
     }
     const bool selected =
         std::ranges::find(followers, options.member) != followers.end();
@@ -88,6 +89,12 @@
     }
 }
 
+void node::internal_state::assign_relays()
+{
+    workers.set_plan(
+        cell::assign_relays(vm_list, members, options.member, options.relays));
+}
+
 void node::internal_state::start_following()
 {
     if (!ledger.running()) {
@@ -243,6 +250,7 @@
     with_epoch.epoch = epoch;
     leadership = std::make_unique<leader_state>(with_epoch, jobs, now,
                                                 unix_milliseconds());
+    jobs.discard_progress();
     leadership->decisions.set_config(config);
     leadership->decisions.set_workers(vm_list, now);
     leadership->decisions.set_members(advice_nodes());
@@ -256,6 +264,7 @@
                     {"jobs", std::to_string(counts.jobs)},
                     {"placed", std::to_string(counts.placed)},
                     {"workers", std::to_string(counts.workers)}});
+    assign_relays();
     announce();
     run();
 }
@@ -291,6 +300,7 @@
         {{"epoch", std::to_string(leadership->epoch)}, {"why", why}});
     const auto previous = std::move(leadership);
     ++leadership_number;
+    workers.clear();
     for (const auto& peer : previous->waiting_peer_entries) {
         peer.done({.result = store_result::refused,
                    .expected_sequence = std::nullopt});
@@ -300,6 +310,12 @@
                    .expected_sequence = std::nullopt});
     }
     update_read_intervals();
+    // The index holds no progress of the time in which this node led.
+    ledger.stop();
+    jobs = {};
+    if (!shutting_down) {
+        ledger.start();
+    }
 }
 
 // The leader reads the feeds at short intervals; followers read at longer
@@ -364,14 +380,17 @@
 void node::internal_state::on_batch_recorded()
 {
     const auto now = boot_clock::now();
+    auto entries_of_batch = std::move(leadership->batch->entries);
+    // The mark is the last entry.
+    entries_of_batch.pop_back();
     leadership->decisions.on_recorded(leadership->batch->number, now);
     leadership->batch.reset();
     leadership->in_flight = false;
     const auto recorded = std::exchange(leadership->batch_peer_entries, {});
+    for (const auto& it : entries_of_batch) {
+        on_ledger_record({.key = it.key, .value = it.value});
+    }
     for (const auto& peer : recorded) {
-        for (const auto& it : peer.entries) {
-            on_ledger_record({.key = it.key, .value = it.value});
-        }
         peer.done(
             {.result = store_result::done, .expected_sequence = std::nullopt});
     }
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -7,7 +7,9 @@
 #include <rosemarytrail/cell/node_metrics.hpp>
 #include <rosemarytrail/cell/outbox.hpp>
 #include <rosemarytrail/cell/peer_link.hpp>
+#include <rosemarytrail/cell/relayed_workers.hpp>
 #include <rosemarytrail/cell/store_monitor.hpp>
+#include <rosemarytrail/cell/worker_relay.hpp>
 #include <rosemarytrail/fleet/advice_plan.hpp>
 #include <rosemarytrail/fleet/dispatcher.hpp>
 #include <rosemarytrail/fleet/job_index.hpp>
@@ -112,11 +114,14 @@
     node_options options;
     http::event_loop& loop;
     store_monitor shared;
-    worker_port& workers;
     peer_link& peers;
     advice_port& advice;
     const decoder& formats;
     node_metrics metrics;
+    /** @brief Calls of this node while it leads. */
+    relayed_workers workers;
+    /** @brief Calls of this node on behalf of the leader. */
+    worker_relay relay;
 
     /** @brief Entries of this node that are not yet confirmed as recorded. */
     outbox entries;
@@ -205,6 +210,7 @@
     /** @return True if all nodes of the cell follow the ledger. */
     [[nodiscard]] bool all_follow() const;
     void announce();
+    void assign_relays();
     [[nodiscard]] std::vector<std::string> advice_nodes() const;
     void update_read_intervals();
     void on_join(const membership& it, time_point sent);
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -44,11 +44,13 @@
     : options{options_}
     , loop{loop_}
     , shared{shared_}
-    , workers{workers_}
     , peers{peers_}
     , advice{advice_}
     , formats{formats_}
     , metrics{metrics_}
+    , workers{{},     options_.member,       workers_,
+              peers_, metrics.relayed_calls, metrics.lost_relays}
+    , relay{{}, options_.member, loop_, workers_, peers_}
     , entries{{},
               [this](append_request request,
                      std::function<void(append_answer)> done) {
@@ -356,6 +358,7 @@
     }
     if (it.leadership) {
         it.leadership->decisions.set_workers(it.vm_list, boot_clock::now());
+        it.assign_relays();
     }
     it.try_claim();
     it.run();
@@ -413,6 +416,7 @@
                             {"detail", it.detail}});
         }
     }
+    workers.run(now);
     ask_advice(now);
 }
 
@@ -420,6 +424,7 @@
 {
     const auto now = boot_clock::now();
     last_tick = now.time_since_epoch().count();
+    relay.on_tick(now);
     // A node that follows nothing needs a follower that serves its calls.
     const bool has_jobs =
         ledger.running() ? ledger.loaded() : !followers.empty();
@@ -496,6 +501,16 @@
     }
 }
 
+bool node::relay(const worker_call_batch& batch)
+{
+    return state_->relay.receive(batch, boot_clock::now());
+}
+
+bool node::receive(worker_result_batch batch)
+{
+    return state_->workers.receive(std::move(batch));
+}
+
 void node::serve(client_call call, std::function<void(client_answer)> done)
 {
     state_->serve(std::move(call), std::move(done));
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -5,6 +5,7 @@
 #include <rosemarytrail/cell/ledger_followers.hpp>
 #include <rosemarytrail/cell/peer_link.hpp>
 #include <rosemarytrail/cell/ports.hpp>
+#include <rosemarytrail/cell/relay_plan.hpp>
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/fleet/dispatcher.hpp>
 #include <rosemarytrail/http/client.hpp>
@@ -30,6 +31,8 @@
      * leadership. */
     follower_options followers;
     fleet::dispatcher_options dispatcher;
+    /** @brief Which workers the leader calls by way of other nodes. */
+    relay_plan_options relays;
     /** @brief Lifetime of a group membership that is not renewed; a leader
      * whose membership expires is replaced. */
     duration member_lifetime{std::chrono::milliseconds{1200}};
@@ -133,6 +136,20 @@
     void receive(peer_message message,
                  std::function<void(message_result)> done);
 
+    /**
+     * @brief Makes calls to workers for the leader; only on the loop.
+     * @param batch Calls.
+     * @return False if nothing is done.
+     */
+    [[nodiscard]] bool relay(const worker_call_batch& batch);
+
+    /**
+     * @brief Handles the results of relayed calls; only on the loop.
+     * @param batch Results.
+     * @return False if they are meant for another incarnation.
+     */
+    [[nodiscard]] bool receive(worker_result_batch batch);
+
     /**
      * @brief Reports whether this node leads; only on the loop.
      * @param now Current time.
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -22,6 +22,12 @@
     , feed_reads_regained{all.make_counter(
           "rosemarytrail_feed_reads_regained_total",
           "reads of a feed that succeeded after failed ones")}
+    , relayed_calls{all.make_counter(
+          "rosemarytrail_worker_calls_relayed_total",
+          "calls to workers that the leader sent to a relay")}
+    , lost_relays{all.make_counter(
+          "rosemarytrail_relays_lost_total",
+          "times that a relay did not take calls or return results")}
     , log_left_out{all.make_counter(
           "rosemarytrail_log_lines_left_out_total",
           "log lines beyond the rate of their kind or the volume")}
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -37,6 +37,8 @@
     metrics::counter& calls_forwarded;
     metrics::counter& feed_read_failures;
     metrics::counter& feed_reads_regained;
+    metrics::counter& relayed_calls;
+    metrics::counter& lost_relays;
     metrics::counter& log_left_out;
     metrics::counter& log_dropped;
     metrics::counter& jobs_in_time;
--- a/src/rosemarytrail/cell/peer_link.cpp
+++ b/src/rosemarytrail/cell/peer_link.cpp
@@ -15,6 +15,8 @@
 
 constexpr const char* call_path = "/peer/call";
 constexpr const char* message_path = "/peer/message";
+constexpr const char* worker_calls_path = "/peer/worker-calls";
+constexpr const char* worker_results_path = "/peer/worker-results";
 constexpr const char* leader_query_path = "/peer/lead";
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
@@ -50,24 +52,24 @@
               duration timeout,
               std::function<void(message_result)> done) override
     {
-        http_.fetch({.method = "POST",
-                     .url = "http://" + std::string{address} + message_path,
-                     .headers = {{"Content-Type", "application/octet-stream"}},
-                     .body = encode_message(message),
-                     .timeout = timeout},
-                    [done = std::move(done)](const http::client_response& it) {
-                        if (it.transport == http::transport_result::not_sent) {
-                            done(message_result::refused);
-                        } else if (it.transport !=
-                                       http::transport_result::complete ||
-                                   it.answer.status >= 500) {
-                            done(message_result::unknown);
-                        } else {
-                            done(it.answer.status == status_ok
-                                     ? message_result::accepted
-                                     : message_result::refused);
-                        }
-                    });
+        post(address, message_path, encode_message(message), timeout,
+             std::move(done));
+    }
+
+    void send_calls(std::string_view address, const worker_call_batch& batch,
+                    duration timeout,
+                    std::function<void(message_result)> done) override
+    {
+        post(address, worker_calls_path, encode_calls(batch), timeout,
+             std::move(done));
+    }
+
+    void send_results(std::string_view address,
+                      const worker_result_batch& batch, duration timeout,
+                      std::function<void(message_result)> done) override
+    {
+        post(address, worker_results_path, encode_results(batch), timeout,
+             std::move(done));
     }
 
     void
@@ -100,9 +102,37 @@
     }
 
 private:
+    void post(std::string_view address, const char* path, std::string body,
+              duration timeout, std::function<void(message_result)> done)
+    {
+        http_.fetch({.method = "POST",
+                     .url = "http://" + std::string{address} + path,
+                     .headers = {{"Content-Type", "application/octet-stream"}},
+                     .body = std::move(body),
+                     .timeout = timeout},
+                    [done = std::move(done)](const http::client_response& it) {
+                        if (it.transport == http::transport_result::not_sent) {
+                            done(message_result::refused);
+                        } else if (it.transport !=
+                                       http::transport_result::complete ||
+                                   it.answer.status >= 500) {
+                            done(message_result::unknown);
+                        } else {
+                            done(it.answer.status == status_ok
+                                     ? message_result::accepted
+                                     : message_result::refused);
+                        }
+                    });
+    }
+
     http::client& http_;
 };
 
+[[nodiscard]] http::response response_of(bool accepted)
+{
+    return {.status = accepted ? status_ok : status_conflict};
+}
+
 } // namespace
 
 std::string encode_leader_status(const leader_status& status)
@@ -269,6 +299,7 @@
 {
     if (head.method != "POST" ||
         (head.path != call_path && head.path != message_path &&
+         head.path != worker_calls_path && head.path != worker_results_path &&
          head.path != leader_query_path)) {
         return http::response{.status = status_not_found};
     }
@@ -285,6 +316,14 @@
         on_leader_query(std::move(it));
         return;
     }
+    if (it->incoming().path == worker_calls_path) {
+        on_worker_calls(std::move(it));
+        return;
+    }
+    if (it->incoming().path == worker_results_path) {
+        on_worker_results(std::move(it));
+        return;
+    }
     auto call = decode_call(it->incoming().body, boot_clock::now());
     if (!call) {
         it->respond({.status = status_bad_request});
@@ -306,6 +345,30 @@
     });
 }
 
+void peer_api::on_worker_calls(std::shared_ptr<http::exchange> it)
+{
+    auto batch = decode_calls(it->incoming().body);
+    if (!batch) {
+        it->respond({.status = status_bad_request});
+        return;
+    }
+    loop_.post([this, it = std::move(it), batch = std::move(*batch)] {
+        it->respond(response_of(target_.relay(batch)));
+    });
+}
+
+void peer_api::on_worker_results(std::shared_ptr<http::exchange> it)
+{
+    auto batch = decode_results(it->incoming().body);
+    if (!batch) {
+        it->respond({.status = status_bad_request});
+        return;
+    }
+    loop_.post([this, it = std::move(it), batch = std::move(*batch)]() mutable {
+        it->respond(response_of(target_.receive(std::move(batch))));
+    });
+}
+
 void peer_api::on_message(std::shared_ptr<http::exchange> it)
 {
     auto message = decode_message(it->incoming().body);
--- a/src/rosemarytrail/cell/peer_link.hpp
+++ b/src/rosemarytrail/cell/peer_link.hpp
@@ -3,6 +3,7 @@
 
 #include <rosemarytrail/cell/client_call.hpp>
 #include <rosemarytrail/cell/leader_monitor.hpp>
+#include <rosemarytrail/cell/worker_batch.hpp>
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/fleet/advice_request.hpp>
 #include <rosemarytrail/fleet/ledger_codec.hpp>
@@ -133,6 +134,29 @@
                       duration timeout,
                       std::function<void(message_result)> done) = 0;
 
+    /**
+     * @brief Sends calls to a relay.
+     * @param address IP address and port of the relay.
+     * @param batch Calls.
+     * @param timeout How long to wait for the response.
+     * @param done Called once; `accepted` if the relay makes the calls.
+     */
+    virtual void send_calls(std::string_view address,
+                            const worker_call_batch& batch, duration timeout,
+                            std::function<void(message_result)> done) = 0;
+
+    /**
+     * @brief Sends the results of relayed calls to the leader.
+     * @param address IP address and port of the leader.
+     * @param batch Results.
+     * @param timeout How long to wait for the response.
+     * @param done Called once; `accepted` if the leader has received them.
+     */
+    virtual void send_results(std::string_view address,
+                              const worker_result_batch& batch,
+                              duration timeout,
+                              std::function<void(message_result)> done) = 0;
+
     /**
      * @brief Queries whether a node leads.
      * @param address IP address and port of the node.
@@ -169,6 +193,8 @@
 
 private:
     void on_message(std::shared_ptr<http::exchange> it);
+    void on_worker_calls(std::shared_ptr<http::exchange> it);
+    void on_worker_results(std::shared_ptr<http::exchange> it);
     void on_leader_query(std::shared_ptr<http::exchange> it);
 
     http::event_loop& loop_;
--- /dev/null
+++ b/src/rosemarytrail/cell/relayed_workers.hpp
@@ -0,0 +1,154 @@
+#ifndef ROSEMARYTRAIL_CELL_RELAYED_WORKERS_HPP
+#define ROSEMARYTRAIL_CELL_RELAYED_WORKERS_HPP
+
+#include <rosemarytrail/cell/peer_link.hpp>
+#include <rosemarytrail/cell/ports.hpp>
+#include <rosemarytrail/cell/relay_plan.hpp>
+#include <rosemarytrail/cell/worker_batch.hpp>
+#include <rosemarytrail/core/time.hpp>
+#include <rosemarytrail/metrics/registry.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace rosemarytrail::cell {
+
+/** @brief Timing parameters and limits of `relayed_workers`. */
+struct relayed_workers_options
+{
+    /** @brief Minimum time between two messages to a relay. */
+    duration send_interval{std::chrono::milliseconds{10}};
+    /** @brief Timeout of a message to a relay. */
+    duration send_timeout{std::chrono::milliseconds{300}};
+    /** @brief Maximum number of calls in a message. */
+    std::size_t calls_per_message{256};
+    /** @brief A relay without result for a call that it should have finished
+     * this long ago counts as lost; longer than its own timeout for a call. */
+    duration result_timeout{std::chrono::milliseconds{900}};
+    /** @brief How long a lost relay is not used. */
+    duration distrust{std::chrono::milliseconds{2000}};
+};
+
+/**
+ * @brief Calls the workers of the leader, most of them by way of relays.
+ *
+ * A relay only makes the calls that it is sent, with the lease end and the
+ * epoch that the leader has set, so it can grant nothing itself. All calls are
+ * idempotent: if a relay is lost, its open calls are made again, directly.
+ * Whichever result arrives first counts.
+ */
+class relayed_workers final : public worker_port
+{
+public:
+    /**
+     * @brief Constructs a port that calls all workers directly.
+     * @param options Timing parameters and limits.
+     * @param member Name of this node.
+     * @param direct Calls the workers from this node; outlives the port.
+     * @param peers Sends messages to the relays; outlives the port.
+     * @param relayed_calls Counts the calls that are sent to relays.
+     * @param lost_relays Counts the losses of a relay.
+     */
+    relayed_workers(const relayed_workers_options& options, std::string member,
+                    worker_port& direct, peer_link& peers,
+                    metrics::counter& relayed_calls,
+                    metrics::counter& lost_relays);
+    relayed_workers(const relayed_workers&) = delete;
+    relayed_workers& operator=(const relayed_workers&) = delete;
+    ~relayed_workers() override;
+
+    void start(const fleet::start_request& request,
+               std::function<void(fleet::start_result)> done) override;
+    void stop(const fleet::stop_request& request,
+              std::function<void(bool)> done) override;
+    void throttle(const fleet::throttle_request& request,
+                  std::function<void(bool)> done) override;
+    void poll(const fleet::poll_request& request,
+              std::function<void(fleet::poll_result, fleet::poll_response)>
+                  done) override;
+
+    /** @param plan Relay of each worker; replaces the previous one. */
+    void set_plan(relay_assignment plan) { plan_ = std::move(plan); }
+
+    /**
+     * @brief Handles results of a relay.
+     * @param batch Results.
+     * @return False if they are meant for another incarnation.
+     */
+    [[nodiscard]] bool receive(worker_result_batch batch);
+
+    /**
+     * @brief Sends the calls that are due, and detects lost relays.
+     * @param now Current time.
+     */
+    void run(time_point now);
+
+    /** @brief Forgets all open calls and sends no further ones; used when the
+     * node stops leading. */
+    void clear();
+
+    /** @return Number of calls without a result. */
+    [[nodiscard]] std::size_t open_calls() const noexcept
+    {
+        return open_.size();
+    }
+
+private:
+    using poll_callback =
+        std::function<void(fleet::poll_result, fleet::poll_response)>;
+    /** @brief In the order of the results in `worker_call_result`. */
+    using callback = std::variant<std::function<void(fleet::start_result)>,
+                                  std::function<void(bool)>, poll_callback>;
+
+    /** @brief Call without a result. */
+    struct open_call
+    {
+        std::shared_ptr<const worker_call> call;
+        callback done;
+        /** @brief Relay; empty once the call is made directly. */
+        std::string relay;
+        time_point expires;
+    };
+
+    struct relay_state
+    {
+        std::vector<std::shared_ptr<const worker_call>> queued;
+        bool in_flight{false};
+        time_point next_send;
+        time_point distrusted_until;
+    };
+
+    [[nodiscard]] bool has_relay(const fleet::worker_address& worker,
+                                 time_point now) const;
+    void enqueue(worker_call call, const fleet::worker_address& worker,
+                 callback done, duration wait);
+    void send(const std::string& name, time_point now);
+    void lose(const std::string& name, std::string_view why, time_point now);
+    void call_directly(std::uint64_t id);
+    void complete(worker_call_result result);
+
+    relayed_workers_options options_;
+    std::string member_;
+    worker_port& direct_;
+    peer_link& peers_;
+    metrics::counter& relayed_calls_;
+    metrics::counter& lost_relays_;
+    relay_assignment plan_;
+    std::map<std::string, relay_state> relays_;
+    std::unordered_map<std::uint64_t, open_call> open_;
+    std::uint64_t last_id_{};
+    time_point next_check_;
+    /** @brief Shared with callbacks in flight; false once the port is
+     * destroyed. */
+    std::shared_ptr<bool> alive_;
+};
+
+} // namespace rosemarytrail::cell
+
+#endif
--- /dev/null
+++ b/src/rosemarytrail/cell/worker_relay.cpp
@@ -0,0 +1,127 @@
+#include <rosemarytrail/cell/worker_relay.hpp>
+
+#include <rosemarytrail/cell/member_name.hpp>
+#include <rosemarytrail/logging/event_log.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace rosemarytrail::cell {
+
+worker_relay::worker_relay(const worker_relay_options& options,
+                           std::string member, http::event_loop& loop,
+                           worker_port& workers, peer_link& peers)
+    : options_{options}
+    , member_{std::move(member)}
+    , loop_{loop}
+    , workers_{workers}
+    , peers_{peers}
+    , stall_{options.stall}
+{}
+
+bool worker_relay::receive(const worker_call_batch& batch, time_point now)
+{
+    const bool stalled = stall_.is_stalled(now);
+    if (batch.relay != member_ || stalled) {
+        logging::event(logging::level::warning, "relayed_calls_refused",
+                       {{"leader", batch.leader},
+                        {"relay", batch.relay},
+                        {"calls", std::to_string(batch.calls.size())},
+                        {"why", stalled ? "this process was paused"
+                                        : "meant for another incarnation"}});
+        return false;
+    }
+    for (const auto& it : batch.calls) {
+        call(batch.leader, *it);
+    }
+    return true;
+}
+
+void worker_relay::call(const std::string& leader, const worker_call& it)
+{
+    const auto finish = [this, leader, id = it.id](auto result) {
+        add(leader, {.id = id, .result = std::move(result)});
+    };
+    if (const auto* start = std::get_if<fleet::start_request>(&it.request)) {
+        workers_.start(*start, finish);
+    } else if (const auto* stop =
+                   std::get_if<fleet::stop_request>(&it.request)) {
+        workers_.stop(*stop, finish);
+    } else if (const auto* throttle =
+                   std::get_if<fleet::throttle_request>(&it.request)) {
+        workers_.throttle(*throttle, finish);
+    } else {
+        workers_.poll(
+            std::get<fleet::poll_request>(it.request),
+            [finish](fleet::poll_result result, fleet::poll_response response) {
+                finish(poll_answer{.result = result,
+                                   .response = std::move(response)});
+            });
+    }
+}
+
+void worker_relay::add(const std::string& leader, worker_call_result result)
+{
+    auto& to = outgoing_[leader];
+    to.results.push_back(std::move(result));
+    if (!to.send_scheduled) {
+        schedule(leader, std::max(to.next_send, boot_clock::now()));
+    }
+}
+
+void worker_relay::schedule(const std::string& leader, time_point at)
+{
+    outgoing_[leader].send_scheduled = true;
+    loop_.post_at(at, [this, leader] { send(leader, boot_clock::now()); });
+}
+
+void worker_relay::send(const std::string& leader, time_point now)
+{
+    auto& to = outgoing_[leader];
+    to.next_send = now + options_.send_interval;
+    worker_result_batch batch{.leader = leader,
+                              .results = std::exchange(to.results, {})};
+    const auto encoded = batch;
+    peers_.send_results(address_of(leader), encoded, options_.send_timeout,
+                        [this, leader, batch = std::move(batch)](
+                            message_result result) mutable {
+                            on_sent(leader, std::move(batch), result,
+                                    boot_clock::now());
+                        });
+}
+
+void worker_relay::on_sent(const std::string& leader, worker_result_batch batch,
+                           message_result result, time_point now)
+{
+    auto& to = outgoing_[leader];
+    to.send_scheduled = false;
+    if (result == message_result::accepted) {
+        to.failing_since = {};
+    } else if (to.failing_since == time_point{}) {
+        to.failing_since = now;
+    }
+    const bool given_up = result == message_result::refused ||
+                          (to.failing_since != time_point{} &&
+                           now - to.failing_since > options_.delivery_timeout);
+    if (result != message_result::accepted && !given_up) {
+        std::ranges::move(to.results, std::back_inserter(batch.results));
+        to.results = std::move(batch.results);
+        schedule(leader, now + options_.retry_delay);
+        return;
+    }
+    if (given_up) {
+        logging::event(logging::level::warning, "relayed_results_dropped",
+                       {{"leader", leader},
+                        {"results", std::to_string(batch.results.size() +
+                                                   to.results.size())}});
+        to = {};
+    }
+    if (!to.results.empty()) {
+        schedule(leader, std::max(to.next_send, now));
+    } else if (given_up) {
+        outgoing_.erase(leader);
+    }
+}
+
+} // namespace rosemarytrail::cell
--- a/src/rosemarytrail/fleet/job_index.cpp
+++ b/src/rosemarytrail/fleet/job_index.cpp
@@ -7,10 +7,10 @@
 
 bool job_entry::has_started() const noexcept
 {
-    return std::ranges::any_of(progress, [](const auto& step) {
-        return std::ranges::any_of(
-            step.second, [](const auto& task) { return task.run > 0; });
-    });
+    return started || std::ranges::any_of(progress, [](const auto& step) {
+               return std::ranges::any_of(
+                   step.second, [](const auto& task) { return task.run > 0; });
+           });
 }
 
 job_state job_entry::state() const noexcept
@@ -46,7 +46,7 @@
     }
     const auto& entry = it->second;
     if (!entry.record && !entry.outcome && !entry.cancelled &&
-        entry.progress.empty() && entry.advice.empty()) {
+        (entry.progress.empty() || !keeps_progress_) && entry.advice.empty()) {
         jobs_.erase(it);
     }
 }
@@ -87,6 +87,11 @@
         jobs_[id].cancelled = value.has_value();
         break;
     case entry_kind::progress:
+        // Progress is written once a task of the step has been placed.
+        if (!keeps_progress_) {
+            jobs_[id].started = jobs_[id].started || value.has_value();
+            break;
+        }
         if (auto it = value ? decode_progress(*value) : std::nullopt) {
             jobs_[id].progress[decoded_key->step] = std::move(*it);
         } else {
@@ -115,6 +120,15 @@
     return readable ? decoded_key : std::nullopt;
 }
 
+void job_index::discard_progress()
+{
+    keeps_progress_ = false;
+    for (auto& [id, entry] : jobs_) {
+        entry.started = entry.has_started();
+        entry.progress.clear();
+    }
+}
+
 const job_entry* job_index::find(std::uint64_t id) const noexcept
 {
     const auto it = jobs_.find(id);
--- a/src/rosemarytrail/fleet/job_index.hpp
+++ b/src/rosemarytrail/fleet/job_index.hpp
@@ -39,6 +39,9 @@
     std::map<step_key, std::vector<task_progress>> progress;
     std::map<step_key, ledger_advice> advice;
     bool cancelled{false};
+    /** @brief A task has been started; set without `progress` while the index
+     * keeps none. */
+    bool started{false};
     std::optional<job_outcome> outcome;
 
     /** @return True once a task has been started. */
@@ -71,6 +74,14 @@
     apply(std::string_view key, std::optional<std::string_view> value,
           time_point now, std::optional<std::int64_t> unix_ms = std::nullopt);
 
+    /**
+     * @brief Discards the progress of all jobs and keeps none from now on.
+     *
+     * Used at the leader, whose dispatcher holds it and writes it; decoding it
+     * a second time would cost as much as writing it.
+     */
+    void discard_progress();
+
     /**
      * @brief Finds a job.
      * @param id Job.
@@ -128,6 +139,7 @@
     void drop_if_empty(std::uint64_t id);
 
     std::unordered_map<std::uint64_t, job_entry> jobs_;
+    bool keeps_progress_{true};
     leader_record leader_;
     std::map<std::string, ledger_worker> workers_;
     /** @brief When this node read the claim of each epoch. */
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -249,6 +249,36 @@
     });
 }
 
+void model_peers::deliver(std::string_view address,
+                          std::function<void(cell::message_result)> done,
+                          std::function<bool(cell::node&)> accept)
+{
+    const auto it = nodes.find(std::string{address});
+    loop_.post([to = it == nodes.end() ? nullptr : it->second,
+                done = std::move(done), accept = std::move(accept)] {
+        done(to != nullptr && accept(*to) ? cell::message_result::accepted
+                                          : cell::message_result::refused);
+    });
+}
+
+void model_peers::send_calls(std::string_view address,
+                             const cell::worker_call_batch& batch,
+                             duration /*timeout*/,
+                             std::function<void(cell::message_result)> done)
+{
+    deliver(address, std::move(done),
+            [batch](cell::node& to) { return to.relay(batch); });
+}
+
+void model_peers::send_results(std::string_view address,
+                               const cell::worker_result_batch& batch,
+                               duration /*timeout*/,
+                               std::function<void(cell::message_result)> done)
+{
+    deliver(address, std::move(done),
+            [batch](cell::node& to) { return to.receive(batch); });
+}
+
 void model_peers::query_leader(
     std::string_view address, duration /*timeout*/,
     std::function<void(cell::leader_query_result, const cell::leader_status&)>
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -137,6 +137,12 @@
     void send(std::string_view address, const cell::peer_message& message,
               duration timeout,
               std::function<void(cell::message_result)> done) override;
+    void send_calls(std::string_view address,
+                    const cell::worker_call_batch& batch, duration timeout,
+                    std::function<void(cell::message_result)> done) override;
+    void send_results(std::string_view address,
+                      const cell::worker_result_batch& batch, duration timeout,
+                      std::function<void(cell::message_result)> done) override;
     void query_leader(std::string_view address, duration timeout,
                       std::function<void(cell::leader_query_result,
                                          const cell::leader_status&)>
@@ -146,6 +152,11 @@
     std::map<std::string, cell::node*> nodes;
 
 private:
+    /** @brief Hands a message to a node; refused if there is none. */
+    void deliver(std::string_view address,
+                 std::function<void(cell::message_result)> done,
+                 std::function<bool(cell::node&)> accept);
+
     stepped_loop& loop_;
 };
 
