Keep the calls of a lost relay true and messages to relays small

A start that a relay had made was made again directly when the relay did not answer; the direct call failed to connect, and the leader took the start for not made. The relays were lost since up to 256 calls went into one message, which takes longer than its timeout on a link of 2 Mbit/s.

Ruled out: the takeover; the second run was placed by the same leader.

Change: a start that a lost relay may have made counts as unknown unless the worker confirms it; another relay takes the calls of a lost one; the size of messages follows the link, with a shared payload counted once; the time for a result counts from sending. In the ledger, a task that is done or never started takes one byte.

Tests: "A start that a lost relay may have made is never reported as not executed" and "Another relay makes the calls of a lost one" failed before; "A backlog of calls is sent in messages of limited size", "The progress of a step round-trips in few bytes".

--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -48,9 +48,17 @@
     , advice{advice_}
     , formats{formats_}
     , metrics{metrics_}
-    , workers{{},     options_.member,       workers_,
-              peers_, metrics.relayed_calls, metrics.lost_relays}
-    , relay{{}, options_.member, loop_, workers_, peers_}
+    , workers{{.message_bytes = relay_message_bytes(options_.link_mbps)},
+              options_.member,
+              workers_,
+              peers_,
+              metrics.relayed_calls,
+              metrics.lost_relays}
+    , relay{{.message_bytes = relay_message_bytes(options_.link_mbps)},
+            options_.member,
+            loop_,
+            workers_,
+            peers_}
     , entries{{},
               [this](append_request request,
                      std::function<void(append_answer)> done) {
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -27,6 +27,8 @@
     std::string member;
     /** @brief CPU share of the VM, in thousandths of a core. */
     std::int64_t cpu_millis{};
+    /** @brief Bandwidth of the VM's network link in Mbit/s; zero if unknown. */
+    double link_mbps{};
     /** @brief Nodes that follow the ledger; they are the candidates for
      * leadership. */
     follower_options followers;
--- a/src/rosemarytrail/cell/relay_plan.cpp
+++ b/src/rosemarytrail/cell/relay_plan.cpp
@@ -33,6 +33,17 @@
 
 } // namespace
 
+std::size_t relay_message_bytes(double link_mbps)
+{
+    constexpr double min_bytes = 8192;
+    constexpr double max_bytes = 131072;
+    // Messages to several relays share the link.
+    constexpr double link_time_s = 0.04;
+    constexpr double bytes_per_mbit = 125000;
+    return static_cast<std::size_t>(std::clamp(
+        link_mbps * bytes_per_mbit * link_time_s, min_bytes, max_bytes));
+}
+
 relay_assignment assign_relays(std::span<const fleet::worker_vm> vms,
                                std::span<const std::string> members,
                                std::string_view leader,
--- a/src/rosemarytrail/cell/relay_plan.hpp
+++ b/src/rosemarytrail/cell/relay_plan.hpp
@@ -20,6 +20,16 @@
     std::size_t workers_per_relay{256};
 };
 
+/**
+ * @brief Limits the messages between leader and relays by the network link.
+ *
+ * On a slow link, a backlog sent in one message would arrive after the timeout
+ * of the messages behind it.
+ * @param link_mbps Bandwidth of this VM's link in Mbit/s; zero if unknown.
+ * @return Size of a message in bytes.
+ */
+[[nodiscard]] std::size_t relay_message_bytes(double link_mbps);
+
 /** @brief Member that relays the calls to a worker, by worker id. */
 using relay_assignment = std::unordered_map<std::string, std::string>;
 
--- a/src/rosemarytrail/cell/relayed_workers.cpp
+++ b/src/rosemarytrail/cell/relayed_workers.cpp
@@ -14,6 +14,29 @@
 /** @brief Interval at which overdue results are looked for. */
 constexpr duration check_interval{std::chrono::milliseconds{100}};
 
+/** @brief Estimates the size of a message as calls are added to it. */
+class message_size
+{
+public:
+    void add(const worker_call& call)
+    {
+        constexpr std::size_t fields = 120;
+        bytes_ += fields;
+        const auto* start = std::get_if<fleet::start_request>(&call.request);
+        if (start != nullptr && start->payload &&
+            payloads_.insert(start->payload.get()).second) {
+            bytes_ += start->payload->size();
+        }
+    }
+
+    [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
+
+private:
+    std::size_t bytes_{};
+    /** @brief Payloads in the message; each is included once. */
+    std::set<const std::string*> payloads_;
+};
+
 } // namespace
 
 relayed_workers::relayed_workers(const relayed_workers_options& options,
@@ -35,39 +58,62 @@
     *alive_ = false;
 }
 
-bool relayed_workers::has_relay(const fleet::worker_address& worker,
-                                time_point now) const
+void relayed_workers::set_plan(relay_assignment plan)
 {
-    const auto planned = plan_.find(worker.id);
-    if (planned == plan_.end()) {
-        return false;
+    plan_ = std::move(plan);
+    std::set<std::string> relays;
+    for (const auto& [worker, relay] : plan_) {
+        relays.insert(relay);
     }
-    const auto known = relays_.find(planned->second);
+    planned_relays_.assign(relays.begin(), relays.end());
+}
+
+bool relayed_workers::is_trusted(const std::string& relay, time_point now) const
+{
+    const auto known = relays_.find(relay);
     return known == relays_.end() || known->second.distrusted_until <= now;
 }
 
-void relayed_workers::enqueue(worker_call call,
-                              const fleet::worker_address& worker,
-                              callback done, duration wait)
+std::string relayed_workers::route(const std::string& worker,
+                                   time_point now) const
+{
+    const auto planned = plan_.find(worker);
+    if (planned == plan_.end()) {
+        return {};
+    }
+    if (is_trusted(planned->second, now)) {
+        return planned->second;
+    }
+    const auto other =
+        std::ranges::find_if(planned_relays_, [&](const std::string& it) {
+            return is_trusted(it, now);
+        });
+    return other == planned_relays_.end() ? std::string{} : *other;
+}
+
+template <typename Request, typename Callback>
+bool relayed_workers::enqueue(const Request& request, Callback& done,
+                              duration wait)
 {
     const auto now = boot_clock::now();
-    call.id = ++last_id_;
-    const auto shared = std::make_shared<const worker_call>(std::move(call));
-    const auto& name = plan_.at(worker.id);
-    relays_[name].queued.push_back(shared);
-    open_.emplace(shared->id,
-                  open_call{.call = shared,
-                            .done = std::move(done),
-                            .relay = name,
-                            .expires = now + wait + options_.result_timeout});
+    auto relay = route(request.worker.id, now);
+    if (relay.empty()) {
+        return false;
+    }
+    const auto call = std::make_shared<const worker_call>(
+        worker_call{.id = ++last_id_, .request = request});
+    relays_[relay].queued.push_back(call);
+    open_.emplace(call->id, open_call{.call = call,
+                                      .done = std::move(done),
+                                      .relay = std::move(relay),
+                                      .wait = wait});
+    return true;
 }
 
 void relayed_workers::start(const fleet::start_request& request,
                             std::function<void(fleet::start_result)> done)
 {
-    if (has_relay(request.worker, boot_clock::now())) {
-        enqueue({.request = request}, request.worker, std::move(done), {});
-    } else {
+    if (!enqueue(request, done, {})) {
         direct_.start(request, std::move(done));
     }
 }
@@ -75,9 +121,7 @@
 void relayed_workers::stop(const fleet::stop_request& request,
                            std::function<void(bool)> done)
 {
-    if (has_relay(request.worker, boot_clock::now())) {
-        enqueue({.request = request}, request.worker, std::move(done), {});
-    } else {
+    if (!enqueue(request, done, {})) {
         direct_.stop(request, std::move(done));
     }
 }
@@ -85,9 +129,7 @@
 void relayed_workers::throttle(const fleet::throttle_request& request,
                                std::function<void(bool)> done)
 {
-    if (has_relay(request.worker, boot_clock::now())) {
-        enqueue({.request = request}, request.worker, std::move(done), {});
-    } else {
+    if (!enqueue(request, done, {})) {
         direct_.throttle(request, std::move(done));
     }
 }
@@ -96,10 +138,7 @@
     const fleet::poll_request& request,
     std::function<void(fleet::poll_result, fleet::poll_response)> done)
 {
-    if (has_relay(request.worker, boot_clock::now())) {
-        enqueue({.request = request}, request.worker, std::move(done),
-                request.wait);
-    } else {
+    if (!enqueue(request, done, request.wait)) {
         direct_.poll(request, std::move(done));
     }
 }
@@ -112,9 +151,14 @@
         return;
     }
     const auto done = std::move(found->second.done);
+    const bool maybe_made = found->second.maybe_made;
     open_.erase(found);
     if (const auto* it = std::get_if<fleet::start_result>(&result.result)) {
-        std::get<std::function<void(fleet::start_result)>>(done)(*it);
+        const bool conclusive = !maybe_made ||
+                                *it == fleet::start_result::started ||
+                                *it == fleet::start_result::fenced;
+        std::get<std::function<void(fleet::start_result)>>(done)(
+            conclusive ? *it : fleet::start_result::unknown);
     } else if (const auto* acknowledged = std::get_if<bool>(&result.result)) {
         std::get<std::function<void(bool)>>(done)(*acknowledged);
     } else {
@@ -125,14 +169,13 @@
 
 void relayed_workers::call_directly(std::uint64_t id)
 {
-    auto& open = open_.at(id);
-    open.relay.clear();
     const auto finish = [this, alive = alive_, id](auto result) {
         if (*alive) {
             complete({.id = id, .result = std::move(result)});
         }
     };
-    const auto& request = open.call->request;
+    const auto call = open_.at(id).call;
+    const auto& request = call->request;
     if (const auto* it = std::get_if<fleet::start_request>(&request)) {
         direct_.start(*it, finish);
     } else if (const auto* stop = std::get_if<fleet::stop_request>(&request)) {
@@ -167,27 +210,51 @@
     relay.in_flight = true;
     relay.next_send = now + options_.send_interval;
     worker_call_batch batch{.relay = name, .leader = member_, .calls = {}};
-    const auto n = std::min(relay.queued.size(), options_.calls_per_message);
+    message_size size;
+    std::size_t n = 0;
+    for (; n < relay.queued.size() && size.bytes() < options_.message_bytes;
+         ++n) {
+        const auto& call = relay.queued[n];
+        size.add(*call);
+        if (const auto open = open_.find(call->id); open != open_.end()) {
+            open->second.sent = true;
+            open->second.expires =
+                now + open->second.wait + options_.result_timeout;
+        }
+    }
     const auto end = relay.queued.begin() + static_cast<std::ptrdiff_t>(n);
     batch.calls.assign(relay.queued.begin(), end);
     relay.queued.erase(relay.queued.begin(), end);
     relayed_calls_.add(n);
     peers_.send_calls(address_of(name), batch, options_.send_timeout,
-                      [this, alive = alive_, name](message_result result) {
-                          if (!*alive) {
-                              return;
-                          }
-                          relays_[name].in_flight = false;
-                          if (result != message_result::accepted) {
-                              lose(name,
-                                   result == message_result::refused
-                                       ? "it refused calls"
-                                       : "it did not respond",
-                                   boot_clock::now());
+                      [this, alive = alive_, name,
+                       calls = batch.calls](message_result result) {
+                          if (*alive) {
+                              on_sent(name, calls, result);
                           }
                       });
 }
 
+void relayed_workers::on_sent(
+    const std::string& name,
+    const std::vector<std::shared_ptr<const worker_call>>& calls,
+    message_result result)
+{
+    relays_[name].in_flight = false;
+    if (result == message_result::accepted) {
+        return;
+    }
+    const bool refused = result == message_result::refused;
+    for (const auto& it : calls) {
+        const auto open = open_.find(it->id);
+        if (refused && open != open_.end() && open->second.relay == name) {
+            open->second.sent = false;
+        }
+    }
+    lose(name, refused ? "it refused calls" : "it did not respond",
+         boot_clock::now());
+}
+
 void relayed_workers::lose(const std::string& name, std::string_view why,
                            time_point now)
 {
@@ -210,8 +277,24 @@
     // The calls keep their order.
     std::ranges::sort(ids);
     for (const auto id : ids) {
+        reroute(id, now);
+    }
+}
+
+void relayed_workers::reroute(std::uint64_t id, time_point now)
+{
+    auto& open = open_.at(id);
+    open.maybe_made = open.maybe_made || open.sent;
+    open.sent = false;
+    open.relay =
+        std::visit([&](const auto& it) { return route(it.worker.id, now); },
+                   open.call->request);
+    if (open.relay.empty()) {
         call_directly(id);
+        return;
     }
+    open.expires = time_point::max();
+    relays_[open.relay].queued.push_back(open.call);
 }
 
 void relayed_workers::run(time_point now)
--- a/src/rosemarytrail/cell/relayed_workers.hpp
+++ b/src/rosemarytrail/cell/relayed_workers.hpp
@@ -25,12 +25,13 @@
     /** @brief Minimum time between two messages to a relay. */
     duration send_interval{std::chrono::milliseconds{10}};
     /** @brief Timeout of a message to a relay. */
-    duration send_timeout{std::chrono::milliseconds{300}};
-    /** @brief Maximum number of calls in a message. */
-    std::size_t calls_per_message{256};
+    duration send_timeout{std::chrono::milliseconds{500}};
+    /** @brief Size at which a message takes no further call; see
+     * `relay_message_bytes`. */
+    std::size_t message_bytes{std::size_t{8} << 10U};
     /** @brief A relay without result for a call that it should have finished
      * this long ago counts as lost; longer than its own timeout for a call. */
-    duration result_timeout{std::chrono::milliseconds{900}};
+    duration result_timeout{std::chrono::milliseconds{1500}};
     /** @brief How long a lost relay is not used. */
     duration distrust{std::chrono::milliseconds{2000}};
 };
@@ -40,8 +41,10 @@
  *
  * A relay only makes the calls that it is sent, with the lease end and the
  * epoch that the leader has set, so it can grant nothing itself. All calls are
- * idempotent: if a relay is lost, its open calls are made again, directly.
- * Whichever result arrives first counts.
+ * idempotent: if a relay is lost, its open calls are made again by way of
+ * another one, or directly if there is none. Whichever result arrives first
+ * counts, but a start that an earlier relay may have made is not reported as
+ * not executed.
  */
 class relayed_workers final : public worker_port
 {
@@ -74,7 +77,7 @@
                   done) override;
 
     /** @param plan Relay of each worker; replaces the previous one. */
-    void set_plan(relay_assignment plan) { plan_ = std::move(plan); }
+    void set_plan(relay_assignment plan);
 
     /**
      * @brief Handles results of a relay.
@@ -111,9 +114,17 @@
     {
         std::shared_ptr<const worker_call> call;
         callback done;
-        /** @brief Relay; empty once the call is made directly. */
+        /** @brief Relay; empty if the call is made directly. */
         std::string relay;
-        time_point expires;
+        /** @brief The relay may have received the call. */
+        bool sent{false};
+        /** @brief A lost relay may have made the call, or may make it later. */
+        bool maybe_made{false};
+        /** @brief How long the worker may wait before it responds. */
+        duration wait{};
+        /** @brief Time at which the relay counts as lost without a result; set
+         * when the call is sent. */
+        time_point expires{time_point::max()};
     };
 
     struct relay_state
@@ -124,11 +135,20 @@
         time_point distrusted_until;
     };
 
-    [[nodiscard]] bool has_relay(const fleet::worker_address& worker,
-                                 time_point now) const;
-    void enqueue(worker_call call, const fleet::worker_address& worker,
-                 callback done, duration wait);
+    /** @return Relay for the next call to a worker; empty for none. */
+    [[nodiscard]] std::string route(const std::string& worker,
+                                    time_point now) const;
+    [[nodiscard]] bool is_trusted(const std::string& relay,
+                                  time_point now) const;
+    /** @return True if the call is made by way of a relay. */
+    template <typename Request, typename Callback>
+    [[nodiscard]] bool enqueue(const Request& request, Callback& done,
+                               duration wait);
+    void reroute(std::uint64_t id, time_point now);
     void send(const std::string& name, time_point now);
+    void on_sent(const std::string& name,
+                 const std::vector<std::shared_ptr<const worker_call>>& calls,
+                 message_result result);
     void lose(const std::string& name, std::string_view why, time_point now);
     void call_directly(std::uint64_t id);
     void complete(worker_call_result result);
@@ -140,6 +160,8 @@
     metrics::counter& relayed_calls_;
     metrics::counter& lost_relays_;
     relay_assignment plan_;
+    /** @brief All relays of the plan, sorted. */
+    std::vector<std::string> planned_relays_;
     std::map<std::string, relay_state> relays_;
     std::unordered_map<std::uint64_t, open_call> open_;
     std::uint64_t last_id_{};
--- a/src/rosemarytrail/cell/worker_relay.cpp
+++ b/src/rosemarytrail/cell/worker_relay.cpp
@@ -9,6 +9,21 @@
 
 namespace rosemarytrail::cell {
 
+namespace {
+
+/** @return Estimated encoded size of a result. */
+[[nodiscard]] std::size_t approximate_bytes(const worker_call_result& it)
+{
+    constexpr std::size_t fields = 32;
+    constexpr std::size_t row = 56;
+    const auto* poll = std::get_if<poll_answer>(&it.result);
+    return fields + (poll == nullptr ? 0
+                                     : row * (poll->response.running.size() +
+                                              poll->response.ended.size()));
+}
+
+} // namespace
+
 worker_relay::worker_relay(const worker_relay_options& options,
                            std::string member, http::event_loop& loop,
                            worker_port& workers, peer_link& peers)
@@ -80,10 +95,17 @@
 {
     auto& to = outgoing_[leader];
     to.next_send = now + options_.send_interval;
-    worker_result_batch batch{.leader = leader,
-                              .results = std::exchange(to.results, {})};
-    const auto encoded = batch;
-    peers_.send_results(address_of(leader), encoded, options_.send_timeout,
+    std::size_t bytes = 0;
+    std::size_t n = 0;
+    for (; n < to.results.size() && bytes < options_.message_bytes; ++n) {
+        bytes += approximate_bytes(to.results[n]);
+    }
+    const auto end = to.results.begin() + static_cast<std::ptrdiff_t>(n);
+    worker_result_batch batch{.leader = leader, .results = {}};
+    std::move(to.results.begin(), end, std::back_inserter(batch.results));
+    to.results.erase(to.results.begin(), end);
+    const auto sent = batch;
+    peers_.send_results(address_of(leader), sent, options_.send_timeout,
                         [this, leader, batch = std::move(batch)](
                             message_result result) mutable {
                             on_sent(leader, std::move(batch), result,
--- a/src/rosemarytrail/cell/worker_relay.hpp
+++ b/src/rosemarytrail/cell/worker_relay.hpp
@@ -21,11 +21,14 @@
     /** @brief Minimum time between two messages to a leader. */
     duration send_interval{std::chrono::milliseconds{10}};
     /** @brief Timeout of a message to a leader. */
-    duration send_timeout{std::chrono::milliseconds{300}};
+    duration send_timeout{std::chrono::milliseconds{800}};
+    /** @brief Size at which a message takes no further result; see
+     * `relay_message_bytes`. */
+    std::size_t message_bytes{std::size_t{8} << 10U};
     /** @brief Delay before a message without response is repeated. */
     duration retry_delay{std::chrono::milliseconds{50}};
     /** @brief Results that could not be delivered for this long are dropped;
-     * the leader has made these calls itself by then. */
+     * the leader has had these calls made again by then. */
     duration delivery_timeout{std::chrono::milliseconds{2000}};
     stall_detector_options stall;
 };
--- a/src/rosemarytrail/fleet/job.hpp
+++ b/src/rosemarytrail/fleet/job.hpp
@@ -247,6 +247,9 @@
     std::string worker;
     /** @brief Last checkpoint; empty for none. */
     std::string checkpoint;
+
+    friend bool operator==(const task_progress&,
+                           const task_progress&) = default;
 };
 
 /** @brief Workers that may run a step, with their tickets. */
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -176,12 +176,20 @@
                      it.spec.interval_ms, it.beyond_share}));
 }
 
+// A step is written again at each change of one of its tasks, so a task that
+// is done or was never started takes one byte.
 std::string encode(std::span<const task_progress> it)
 {
     json rows = json::array();
     for (const auto& task : it) {
-        rows.push_back(json::array({task.done, task.run, task.failures,
-                                    task.worker, task.checkpoint}));
+        if (task.done) {
+            rows.push_back(true);
+        } else if (task == task_progress{}) {
+            rows.push_back(false);
+        } else {
+            rows.push_back(json::array(
+                {task.run, task.failures, task.worker, task.checkpoint}));
+        }
     }
     return pack(rows);
 }
@@ -259,11 +267,14 @@
     return unpack(bytes, [](const json& it) {
         std::vector<task_progress> result;
         for (const auto& row : it) {
-            result.push_back({.done = row.at(0),
-                              .run = row.at(1),
-                              .failures = row.at(2),
-                              .worker = row.at(3).get<std::string>(),
-                              .checkpoint = row.at(4).get<std::string>()});
+            if (row.is_boolean()) {
+                result.push_back({.done = row.get<bool>()});
+                continue;
+            }
+            result.push_back({.run = row.at(0),
+                              .failures = row.at(1),
+                              .worker = row.at(2).get<std::string>(),
+                              .checkpoint = row.at(3).get<std::string>()});
         }
         return result;
     });
--- a/src/rosemarytrail/fleet/ledger_codec.hpp
+++ b/src/rosemarytrail/fleet/ledger_codec.hpp
@@ -102,7 +102,12 @@
  */
 [[nodiscard]] std::string encode(const job_record& it);
 
-/** @copydoc encode(const job_record&) */
+/**
+ * @brief Encodes the progress of a step's tasks. Of a task that is done, only
+ * that is kept.
+ * @param it Progress of each task.
+ * @return Encoded bytes.
+ */
 [[nodiscard]] std::string encode(std::span<const task_progress> it);
 
 /** @copydoc encode(const job_record&) */
--- a/test/cell/relay_plan.cpp
+++ b/test/cell/relay_plan.cpp
@@ -78,6 +78,14 @@
     }
 }
 
+TEST_CASE("Messages to relays are small on a slow link", "[relays]")
+{
+    CHECK(relay_message_bytes(0) == 8192);
+    CHECK(relay_message_bytes(2) == 10000);
+    CHECK(relay_message_bytes(10) == 50000);
+    CHECK(relay_message_bytes(1000) == 131072);
+}
+
 TEST_CASE("Workers of a zone without nodes have relays elsewhere", "[relays]")
 {
     const auto vms = workers_in({"a", "b"}, 100);
--- a/test/cell/relayed_workers.cpp
+++ b/test/cell/relayed_workers.cpp
@@ -144,6 +144,28 @@
     CHECK(it.relayed.value() == 3);
 }
 
+TEST_CASE("A backlog of calls is sent in messages of limited size", "[relayed]")
+{
+    leader_port it;
+    constexpr std::uint32_t calls = 500;
+    for (std::uint32_t n = 1; n <= calls; ++n) {
+        it.start(n);
+    }
+    auto now = boot_clock::now();
+    std::size_t sent = 0;
+    while (sent < calls) {
+        it.port.run(now += 20ms);
+        auto message = it.peers.calls.back();
+        const auto n = message.batch.calls.size();
+        CHECK(n <= 100);
+        REQUIRE(n > 0);
+        sent += n;
+        message.done(message_result::accepted);
+    }
+    // Calls that have not been sent yet are not overdue.
+    CHECK(it.lost.value() == 0);
+}
+
 TEST_CASE("Calls of a relay that does not respond are made directly",
           "[relayed]")
 {
@@ -167,15 +189,72 @@
     CHECK(it.port.open_calls() == 0);
 }
 
+TEST_CASE("A start that a lost relay may have made is never reported as not "
+          "executed",
+          "[relayed]")
+{
+    const auto refusal = GENERATE(
+        fleet::start_result::not_sent, fleet::start_result::unhealthy,
+        fleet::start_result::no_capacity, fleet::start_result::unknown);
+    const auto result =
+        GENERATE(message_result::refused, message_result::unknown);
+    leader_port it;
+    it.direct.answer = refusal;
+    it.start(1);
+    it.port.run(boot_clock::now());
+    it.peers.calls[0].done(result);
+    REQUIRE(it.loop.run_until([&] { return it.answers[1] == 1; }, timeout));
+    // A relay that refuses calls makes none of them.
+    CHECK(it.last == (result == message_result::refused
+                          ? refusal
+                          : fleet::start_result::unknown));
+}
+
+TEST_CASE("Another relay makes the calls of a lost one", "[relayed]")
+{
+    const std::string other =
+        to_text({.incarnation = "s-1-1", .address = "s:1", .cpu_millis = 500});
+    leader_port it;
+    it.port.set_plan({{"w1", relay}, {"w2", other}});
+    it.start(1);
+    it.port.run(boot_clock::now());
+    it.peers.calls[0].done(message_result::unknown);
+    it.start(2);
+    it.port.run(boot_clock::now());
+    REQUIRE(it.peers.calls.size() == 2);
+    CHECK(it.peers.calls[1].address == "s:1");
+    CHECK(it.peers.calls[1].batch.calls.size() == 2);
+    CHECK(it.direct.starts.empty());
+    // The lost relay may have made the first one, not the second.
+    for (const std::uint64_t id : {1, 2}) {
+        CHECK(it.port.receive(
+            {.leader = leader,
+             .results = {
+                 {.id = id, .result = fleet::start_result::not_sent}}}));
+        CHECK(it.last == (id == 1 ? fleet::start_result::unknown
+                                  : fleet::start_result::not_sent));
+    }
+}
+
+TEST_CASE("A start that the worker confirms counts as started", "[relayed]")
+{
+    leader_port it;
+    it.start(1);
+    it.port.run(boot_clock::now());
+    it.peers.calls[0].done(message_result::unknown);
+    REQUIRE(it.loop.run_until([&] { return it.answers[1] == 1; }, timeout));
+    CHECK(it.last == fleet::start_result::started);
+}
+
 TEST_CASE("A relay whose results are overdue is replaced", "[relayed]")
 {
     leader_port it;
     it.start(1);
     it.port.run(boot_clock::now());
     it.peers.calls[0].done(message_result::accepted);
-    it.port.run(boot_clock::now() + 500ms);
-    CHECK(it.direct.starts.empty());
     it.port.run(boot_clock::now() + 1s);
+    CHECK(it.direct.starts.empty());
+    it.port.run(boot_clock::now() + 2s);
     CHECK(it.direct.starts.size() == 1);
     REQUIRE(it.loop.run_until([&] { return it.answers[1] == 1; }, timeout));
 }
--- a/test/fleet/ledger.cpp
+++ b/test/fleet/ledger.cpp
@@ -107,4 +107,58 @@
     CHECK(ledger_jobs.pending("q") == 0);
 }
 
+TEST_CASE("The progress of a step round-trips in few bytes", "[ledger]")
+{
+    std::vector<task_progress> rows(26);
+    for (auto& it : rows) {
+        it = {.run = 1,
+              .worker = "i-c2f53553f2",
+              .checkpoint = "00000bb87a21d94b"};
+    }
+    const auto all_running = encode(rows).size();
+    for (std::size_t n = 0; n < 13; ++n) {
+        rows[n] = {.done = true};
+    }
+    rows[25] = {};
+    rows[24] = {.run = 3, .failures = 2};
+    const auto it = decode_progress(encode(rows));
+    REQUIRE(it);
+    CHECK(*it == rows);
+    CHECK(encode(rows).size() < all_running * 6 / 10);
+    CHECK_FALSE(decode_progress("\x91\x01"));
+    CHECK_FALSE(decode_progress("\x91\x91\x01"));
+}
+
+TEST_CASE("An index that keeps no progress knows which jobs have started",
+          "[ledger]")
+{
+    constexpr time_point now{std::chrono::seconds{1000}};
+    constexpr std::uint64_t before = 1;
+    constexpr std::uint64_t after = 2;
+    constexpr std::uint64_t waiting = 3;
+    job_index it;
+    const auto add_job = [&](std::uint64_t id) {
+        it.apply(encode_key({.kind = entry_kind::job, .step = {.job = id}}),
+                 encode(job_record{.id = id}), now);
+    };
+    const auto add_progress = [&](std::uint64_t id) {
+        const std::vector<task_progress> rows{{.run = 1, .worker = "w"}};
+        it.apply(
+            encode_key({.kind = entry_kind::progress, .step = {.job = id}}),
+            encode(rows), now);
+    };
+    for (const auto id : {before, after, waiting}) {
+        add_job(id);
+    }
+    add_progress(before);
+    it.discard_progress();
+    add_progress(after);
+    CHECK(it.find(before)->state() == job_state::running);
+    CHECK(it.find(before)->progress.empty());
+    CHECK(it.find(after)->state() == job_state::running);
+    CHECK(it.find(after)->progress.empty());
+    CHECK(it.find(waiting)->state() == job_state::queued);
+    CHECK(it.pending("") == 1);
+}
+
 } // namespace rosemarytrail::fleet
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -167,8 +167,7 @@
                           std::function<void(fleet::start_result)> done)
 {
     starts.push_back(request);
-    loop_.post(
-        [done = std::move(done)] { done(fleet::start_result::started); });
+    loop_.post([result = answer, done = std::move(done)] { done(result); });
 }
 
 void model_workers::stop(const fleet::stop_request& /*request*/,
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -101,6 +101,8 @@
 
     std::vector<fleet::poll_request> polls;
     std::vector<fleet::start_request> starts;
+    /** @brief Result of each start request. */
+    fleet::start_result answer{fleet::start_result::started};
 
 private:
     stepped_loop& loop_;
