Count tasks_per_vm when workers are chosen for advice requests

A step that lasts waited for 25 s with 11 of 70 tasks: each advice request named the same 30 granted workers, all of which had reached tasks_per_vm but had capacity left, so that no other worker was asked. Cells of up to 100 workers name all of them and never showed it.

Ruled out: lost polls or ends; the leader saw each end at once.

Change: the tasks of the step that a worker already has count against the limit wherever candidates are chosen.

Test: "A step that has reached tasks_per_vm on its granted workers requests others" failed before.

--- a/src/rosemarytrail/fleet/internal/candidate_selection.cpp
+++ b/src/rosemarytrail/fleet/internal/candidate_selection.cpp
@@ -1,9 +1,27 @@
 #include <rosemarytrail/fleet/internal/dispatcher_state.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace rosemarytrail::fleet {
 
+std::uint32_t internal::tasks_allowed_on(const tracked_worker& worker,
+                                         const tracked_step& step)
+{
+    const auto limit = step.spec->tasks_per_vm;
+    if (limit == 0) {
+        return std::numeric_limits<std::uint32_t>::max();
+    }
+    // The load is ordered by step.
+    std::uint32_t here = 0;
+    for (auto it = worker.load.lower_bound({.step = step.key});
+         it != worker.load.end() && it->step == step.key && here < limit;
+         ++it) {
+        ++here;
+    }
+    return limit - here;
+}
+
 std::size_t dispatcher::state::tasks_that_fit(const tracked_worker& worker,
                                               const tracked_step& step,
                                               time_point now) const
@@ -22,9 +40,7 @@
     bound(left.cpu_millis, demand.cpu_millis);
     bound(left.memory_mb, demand.memory_mb);
     bound(left.gpus, demand.gpus);
-    if (step.spec->tasks_per_vm > 0) {
-        n = std::min<std::int64_t>(n, step.spec->tasks_per_vm);
-    }
+    n = std::min<std::int64_t>(n, internal::tasks_allowed_on(worker, step));
     return n > 0 ? static_cast<std::size_t>(n) : 0;
 }
 
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -240,6 +240,15 @@
     }
 };
 
+/**
+ * @brief Returns how many more tasks of a step its `tasks_per_vm` allows.
+ * @param worker Worker.
+ * @param step Step.
+ * @return Number of tasks; the largest number if there is no limit.
+ */
+[[nodiscard]] std::uint32_t tasks_allowed_on(const tracked_worker& worker,
+                                             const tracked_step& step);
+
 } // namespace rosemarytrail::fleet::internal
 
 namespace rosemarytrail::fleet {
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -69,7 +69,8 @@
                                    time_point now) const
 {
     return step.spec->reserved().fits(worker.available()) &&
-           is_usable(worker, step, now);
+           is_usable(worker, step, now) &&
+           internal::tasks_allowed_on(worker, step) > 0;
 }
 
 bool dispatcher::state::within_limit(const tracked_job& job,
@@ -119,15 +120,6 @@
         if (!can_accept(it, step, now)) {
             return;
         }
-        if (spec.tasks_per_vm > 0) {
-            const auto here =
-                std::ranges::count_if(it.load, [&](const task_key& key) {
-                    return key.step == step.key;
-                });
-            if (static_cast<std::uint32_t>(here) >= spec.tasks_per_vm) {
-                return;
-            }
-        }
         // The tightest fit keeps whole workers free for large tasks; a
         // scavenger task prefers the worker with the most idle CPU.
         const auto left = it.available().cpu_millis - demand.cpu_millis;
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -652,6 +652,43 @@
     CHECK(cell.running(1) == 12);
 }
 
+TEST_CASE(
+    "A step that has reached tasks_per_vm on its granted workers requests "
+    "others",
+    "[advice]")
+{
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 60s};
+    };
+    cell.add_workers(150, eight_cores);
+    const std::vector<std::string> members{"n1", "n2"};
+    cell.leader().set_members(members);
+    cell.run(100ms);
+    cell.submit(make_advised_job(
+        1, {.tasks = 12, .demand = one_core, .tasks_per_vm = 1}));
+    cell.run(50ms);
+    REQUIRE(cell.advice_assignments.size() == 1);
+    const auto first = cell.advice_assignments.front().request.workers;
+    // The granted workers have plenty of capacity left, but none for this step.
+    const std::vector<std::string> granted{first.begin(), first.begin() + 4};
+    cell.grant({.job = 1}, granted, 2500ms);
+    cell.run(300ms);
+    CHECK(cell.running(1) == 4);
+    REQUIRE(cell.advice_assignments.size() == 2);
+    const auto second = cell.advice_assignments.back().request.workers;
+    std::vector<std::string> others;
+    std::ranges::copy_if(second, std::back_inserter(others),
+                         [&](const std::string& id) {
+                             return std::ranges::count(first, id) == 0;
+                         });
+    REQUIRE(others.size() >= 16);
+    others.resize(8);
+    cell.grant({.job = 1}, others, 2500ms);
+    cell.run(300ms);
+    CHECK(cell.running(1) == 12);
+}
+
 TEST_CASE("An advice request whose response is lost is sent again", "[advice]")
 {
     worker_fleet cell;
