Follow the ledger at once after a restart of all, and read nothing without it

The first list of members named followers that were gone, and the next came after 3 s. Then each question about a job made a node without the ledger read a megabyte from its first record: 0.94 GB, and every read of every feed timed out.

Ruled out: the bytes of loading (five readers) and of the lists.

Change: a node that has just started, or whose call to a peer failed, lists the members again soon; without a loaded ledger nothing is read for a call.

Tests: "A question to a node without the ledger causes no read of it" failed before; "A node that has just started lists the members often".

--- a/src/rosemarytrail/cell/feed_reader.cpp
+++ b/src/rosemarytrail/cell/feed_reader.cpp
@@ -43,6 +43,11 @@
 
 void feed_reader::internal_state::catch_up(std::function<void(bool)> done)
 {
+    // A read would start at the first record of the feed.
+    if (!loaded) {
+        done(false);
+        return;
+    }
     source.read({.which = options.which,
                  .from = offset,
                  .max_bytes = pacing.page_bytes()},
--- a/src/rosemarytrail/cell/feed_reader.hpp
+++ b/src/rosemarytrail/cell/feed_reader.hpp
@@ -104,7 +104,8 @@
 
     /**
      * @brief Sends an additional read at once, concurrent with the waiting one.
-     * @param done Called once; true if all records up to now were applied.
+     * @param done Called once; true if all records up to now were applied. If
+     * the feed is not loaded, it is called at once with false.
      */
     void catch_up(std::function<void(bool)> done);
 
--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -137,6 +137,7 @@
                  {"call", to_text(call.kind)},
                  {"peer", address},
                  {"reason", it ? describe(it->code).name : "no response"}});
+            list_soon();
             call.maybe_applied = call.maybe_applied || unknown;
             forward_to_peers(std::move(call), std::move(candidates),
                              std::move(done));
--- a/src/rosemarytrail/cell/internal/node_leadership.cpp
+++ b/src/rosemarytrail/cell/internal/node_leadership.cpp
@@ -64,14 +64,32 @@
 
 void node::internal_state::schedule_listing()
 {
-    const auto period =
-        ledger.running() ? options.members_period : options.idle_members_period;
-    loop.post_at(boot_clock::now() + period, [this] {
-        list_members();
-        schedule_listing();
+    const auto now = boot_clock::now();
+    list_at(now + listing_interval(options.listing, ledger.running(),
+                                   now - started_at));
+}
+
+void node::internal_state::list_at(time_point at)
+{
+    next_listing = at;
+    loop.post_at(at, [this, at] {
+        // Otherwise, the list was brought forward.
+        if (next_listing == at) {
+            list_members();
+            schedule_listing();
+        }
     });
 }
 
+// Called when a peer fails: the list of members may be outdated.
+void node::internal_state::list_soon()
+{
+    const auto soon = boot_clock::now() + options.listing.settling;
+    if (soon < next_listing) {
+        list_at(soon);
+    }
+}
+
 void node::internal_state::on_members(std::vector<std::string> listed)
 {
     members = newest_incarnations(listed);
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -184,6 +184,8 @@
     time_point last_run;
     time_point last_join;
     bool joined{false};
+    time_point started_at;
+    time_point next_listing;
     time_point last_cleanup;
     time_point last_metrics_update;
 
@@ -204,6 +206,8 @@
     void leave_candidates();
     void list_members();
     void schedule_listing();
+    void list_at(time_point at);
+    void list_soon();
     void on_members(std::vector<std::string> listed);
     void start_following();
     void stop_following();
--- a/src/rosemarytrail/cell/ledger_followers.cpp
+++ b/src/rosemarytrail/cell/ledger_followers.cpp
@@ -11,6 +11,15 @@
 
 namespace rosemarytrail::cell {
 
+duration listing_interval(const listing_options& options, bool follows,
+                          duration since_start)
+{
+    if (since_start < options.settling_time) {
+        return options.settling;
+    }
+    return follows ? options.follower : options.other;
+}
+
 std::vector<std::string>
 newest_incarnations(std::span<const std::string> members)
 {
--- a/src/rosemarytrail/cell/ledger_followers.hpp
+++ b/src/rosemarytrail/cell/ledger_followers.hpp
@@ -1,6 +1,8 @@
 #ifndef ROSEMARYTRAIL_CELL_LEDGER_FOLLOWERS_HPP
 #define ROSEMARYTRAIL_CELL_LEDGER_FOLLOWERS_HPP
 
+#include <rosemarytrail/core/time.hpp>
+
 #include <cstddef>
 #include <span>
 #include <string>
@@ -20,6 +22,33 @@
     double min_cpu_share{0.8};
 };
 
+/** @brief Intervals at which a node lists the live members. */
+struct listing_options
+{
+    /** @brief Interval of a follower. */
+    duration follower{std::chrono::milliseconds{1000}};
+    /** @brief Interval of another node, which only selects followers. */
+    duration other{std::chrono::milliseconds{3000}};
+    /** @brief Interval of a node that has just started. */
+    duration settling{std::chrono::milliseconds{400}};
+    /** @brief How long a node counts as just started; longer than the
+     * membership of an earlier incarnation lasts. */
+    duration settling_time{std::chrono::milliseconds{2500}};
+};
+
+/**
+ * @brief Decides when a node lists the live members next.
+ *
+ * When many nodes restart at once, the first list still names followers that
+ * are gone, and nobody follows until the next one.
+ * @param options Intervals.
+ * @param follows The node follows the ledger.
+ * @param since_start Time since the node started.
+ * @return Interval to the next list.
+ */
+[[nodiscard]] duration listing_interval(const listing_options& options,
+                                        bool follows, duration since_start);
+
 /**
  * @brief Removes earlier incarnations of restarted nodes.
  * @param members Names of members; that of an earlier incarnation is listed
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -143,6 +143,7 @@
 {
     auto& it = *state_;
     it.loop.post([&it] {
+        it.started_at = boot_clock::now();
         it.configuration.start();
         it.announcements.start();
         it.tick();
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -43,12 +43,7 @@
     duration leader_query_timeout{std::chrono::milliseconds{250}};
     /** @brief Interval at which group memberships are renewed. */
     duration join_period{std::chrono::milliseconds{300}};
-    /** @brief Interval at which a follower of the ledger lists the live
-     * members. */
-    duration members_period{std::chrono::milliseconds{1000}};
-    /** @brief Interval at which other nodes list the live members; they only
-     * select a follower from them. */
-    duration idle_members_period{std::chrono::milliseconds{3000}};
+    listing_options listing;
     /** @brief How long a read of the configuration may wait at the store. A
      * connection that has gone silent is noticed soon after, so it is well
      * below the time in which a configuration must be in force. */
--- a/test/cell/ledger_followers.cpp
+++ b/test/cell/ledger_followers.cpp
@@ -60,6 +60,20 @@
     }
 }
 
+TEST_CASE("A node that has just started lists the members often", "[followers]")
+{
+    const listing_options options;
+    // Members that were killed are listed until their membership expires.
+    CHECK(listing_interval(options, false, duration{}) <
+          std::chrono::milliseconds{500});
+    CHECK(listing_interval(options, false, std::chrono::milliseconds{1500}) ==
+          options.settling);
+    CHECK(listing_interval(options, true, std::chrono::seconds{5}) ==
+          options.follower);
+    CHECK(listing_interval(options, false, std::chrono::seconds{5}) ==
+          options.other);
+}
+
 TEST_CASE("Only the newest incarnation at an address counts", "[followers]")
 {
     const std::vector<std::string> members{"a-1000-3@10.0.0.1:1#250",
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -317,6 +317,20 @@
     CHECK(cell.store.reads[feed::configuration] >= 6 * 2);
 }
 
+TEST_CASE("A question to a node without the ledger causes no read of it",
+          "[node]")
+{
+    six_nodes cell;
+    cell.store.withholds_ledger = true;
+    cell.nodes[0]->start();
+    const auto until = boot_clock::now() + 1s;
+    cell.loop.run_until([&] { return boot_clock::now() > until; }, timeout);
+    cell.store.reads.clear();
+    CHECK(cell.ask(0, state_query(1)).kind == answer_kind::unavailable);
+    // It would read the ledger from its start.
+    CHECK(cell.store.reads[feed::ledger] == 0);
+}
+
 TEST_CASE("Calls are served after the loss of the leader", "[node]")
 {
     six_nodes cell;
