Accept nothing beyond an account's share on nearly full workers

Cause: an account at 7.5 times its share fills the workers for as long as its tasks run before its queue is long enough to be refused; accounts within their share then wait for capacity.

--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -75,9 +75,10 @@
     const auto self = std::ranges::find(members, options.member);
     const auto shift = self - members.begin();
     if (!result.empty()) {
-        std::ranges::rotate(
-            result, result.begin() +
-                        shift % static_cast<std::ptrdiff_t>(result.size()));
+        std::rotate(result.begin(),
+                    result.begin() +
+                        shift % static_cast<std::ptrdiff_t>(result.size()),
+                    result.end());
     }
     if (!leader.empty() && leader != self_address) {
         result.insert(ledger.running() ? result.end() : result.begin(), leader);
@@ -172,6 +173,8 @@
         {.beyond_share = true,
          .pending = jobs.pending(record.queue.name),
          .starts_per_s = static_cast<double>(times.size()) / window.count(),
+         .utilisation =
+             leadership ? leadership->decisions.count(now).utilisation() : 0,
          .slack = std::chrono::milliseconds{record.queue.target_latency_ms},
          .job = record.id});
 }
--- a/src/rosemarytrail/cell/ledger_followers.cpp
+++ b/src/rosemarytrail/cell/ledger_followers.cpp
@@ -31,9 +31,8 @@
             result.push_back(it);
             continue;
         }
-        std::pair entry{start_unix_ms(*name), it};
         auto& slot = newest[name->address];
-        slot = std::max(slot, std::move(entry));
+        slot = std::max(slot, std::pair{start_unix_ms(*name), it});
     }
     for (auto& [address, entry] : newest) {
         result.push_back(std::move(entry.second));
@@ -60,6 +59,7 @@
     std::ranges::sort(order);
     order.resize(std::min(order.size(), options.followers));
     std::vector<std::string> result;
+    result.reserve(order.size());
     for (auto& [hash, name] : order) {
         result.push_back(std::move(name));
     }
--- a/src/rosemarytrail/cell/peer_link.cpp
+++ b/src/rosemarytrail/cell/peer_link.cpp
@@ -2,6 +2,7 @@
 
 #include <rosemarytrail/cell/node.hpp>
 #include <rosemarytrail/fleet/ledger_codec.hpp>
+#include <rosemarytrail/fleet/msgpack.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -137,11 +138,8 @@
 
 std::string encode_leader_status(const leader_status& status)
 {
-    std::string bytes;
-    json::to_msgpack(json::array({status.leading, status.epoch,
-                                  to_milliseconds(status.store_age)}),
-                     bytes);
-    return bytes;
+    return fleet::pack(json::array(
+        {status.leading, status.epoch, to_milliseconds(status.store_age)}));
 }
 
 std::optional<leader_status> decode_leader_status(std::string_view bytes)
@@ -173,10 +171,8 @@
             json::array({fleet::to_text(it.step), it.workers,
                          to_milliseconds(it.expected)}));
     }
-    std::string bytes;
-    json::to_msgpack(
-        json::array({std::move(entries), std::move(advice_requests)}), bytes);
-    return bytes;
+    return fleet::pack(
+        json::array({std::move(entries), std::move(advice_requests)}));
 }
 
 std::optional<peer_message> decode_message(std::string_view bytes)
@@ -222,9 +218,7 @@
         json::array({static_cast<int>(call.kind), call.host, call.path,
                      call.key, std::move(job),
                      to_milliseconds(call.deadline - now), call.min_config});
-    std::string bytes;
-    json::to_msgpack(it, bytes);
-    return bytes;
+    return fleet::pack(it);
 }
 
 std::optional<client_call> decode_call(std::string_view bytes, time_point now)
@@ -260,9 +254,7 @@
          answer.pending, static_cast<int>(answer.code),
          answer.retry_after ? to_milliseconds(*answer.retry_after) : -1,
          answer.config});
-    std::string bytes;
-    json::to_msgpack(it, bytes);
-    return bytes;
+    return fleet::pack(it);
 }
 
 std::optional<client_answer> decode_answer(std::string_view bytes)
--- a/src/rosemarytrail/cell/worker_batch.cpp
+++ b/src/rosemarytrail/cell/worker_batch.cpp
@@ -1,5 +1,7 @@
 #include <rosemarytrail/cell/worker_batch.hpp>
 
+#include <rosemarytrail/fleet/msgpack.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <map>
@@ -9,6 +11,8 @@
 
 namespace {
 
+using fleet::pack;
+using fleet::unpack;
 using json = nlohmann::json;
 
 /** @brief Kind of a call or of a result in the encoding. */
@@ -28,13 +32,6 @@
 template <typename... Readers>
 overloaded(Readers...) -> overloaded<Readers...>;
 
-[[nodiscard]] std::string pack(const json& value)
-{
-    std::string bytes;
-    json::to_msgpack(value, bytes);
-    return bytes;
-}
-
 [[nodiscard]] json pack_task(const fleet::task_key& it)
 {
     return {it.step.job, it.step.occurrence, it.step.step, it.index};
@@ -238,21 +235,6 @@
     return result;
 }
 
-/** @brief Decodes bytes with a reader that throws on a value of the wrong
- * type or a missing one. */
-template <typename Read>
-[[nodiscard]] auto unpack(std::string_view bytes, Read read)
-    -> std::optional<decltype(read(json{}))>
-{
-    try {
-        return read(json::from_msgpack(bytes.begin(), bytes.end()));
-    } catch (const json::exception&) {
-        return std::nullopt;
-    } catch (const std::out_of_range&) {
-        return std::nullopt;
-    }
-}
-
 } // namespace
 
 std::string encode_calls(const worker_call_batch& batch)
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -1,5 +1,7 @@
 #include <rosemarytrail/fleet/ledger_codec.hpp>
 
+#include <rosemarytrail/fleet/msgpack.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -12,26 +14,6 @@
 
 constexpr char kind_letters[] = {'j', 'c', 's', 'a', 'f', 'l', 'b', 'w'};
 
-[[nodiscard]] std::string pack(const json& value)
-{
-    std::string bytes;
-    json::to_msgpack(value, bytes);
-    return bytes;
-}
-
-/** @brief Decodes bytes with a reader that throws on a value of the wrong
- * type. */
-template <typename Read>
-[[nodiscard]] auto unpack(std::string_view bytes, Read read)
-    -> std::optional<decltype(read(json{}))>
-{
-    try {
-        return read(json::from_msgpack(bytes.begin(), bytes.end()));
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
-}
-
 [[nodiscard]] json pack_amounts(const resource_amounts& it)
 {
     return {it.cpu_millis, it.memory_mb, it.gpus};
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -312,9 +312,11 @@
     cell.loop.run_until([&] { return boot_clock::now() > until; }, timeout);
     // A read of the ledger waits up to 0.8 s, one of the directory is sent each
     // 1.5 s.
-    CHECK(cell.store.reads[feed::ledger] <= 2 * 3);
-    CHECK(cell.store.reads[feed::workers] <= 2 * 2);
-    CHECK(cell.store.reads[feed::configuration] >= 6 * 2);
+    constexpr std::size_t followers = 2;
+    constexpr std::size_t all = 6;
+    CHECK(cell.store.reads[feed::ledger] <= followers * 3);
+    CHECK(cell.store.reads[feed::workers] <= followers * 2);
+    CHECK(cell.store.reads[feed::configuration] >= all * 2);
 }
 
 TEST_CASE("A question to a node without the ledger causes no read of it",
--- a/test/fleet/ledger.cpp
+++ b/test/fleet/ledger.cpp
@@ -132,23 +132,22 @@
 TEST_CASE("An index that keeps no progress knows which jobs have started",
           "[ledger]")
 {
-    constexpr time_point now{std::chrono::seconds{1000}};
     constexpr std::uint64_t before = 1;
     constexpr std::uint64_t after = 2;
     constexpr std::uint64_t waiting = 3;
     job_index it;
-    const auto add_job = [&](std::uint64_t id) {
-        it.apply(encode_key({.kind = entry_kind::job, .step = {.job = id}}),
-                 encode(job_record{.id = id}), now);
+    const auto add_job = [&](std::uint64_t job) {
+        it.apply(encode_key({.kind = entry_kind::job, .step = {.job = job}}),
+                 encode(job_record{.id = job}), now);
     };
-    const auto add_progress = [&](std::uint64_t id) {
+    const auto add_progress = [&](std::uint64_t job) {
         const std::vector<task_progress> rows{{.run = 1, .worker = "w"}};
         it.apply(
-            encode_key({.kind = entry_kind::progress, .step = {.job = id}}),
+            encode_key({.kind = entry_kind::progress, .step = {.job = job}}),
             encode(rows), now);
     };
-    for (const auto id : {before, after, waiting}) {
-        add_job(id);
+    for (const auto job : {before, after, waiting}) {
+        add_job(job);
     }
     add_progress(before);
     it.discard_progress();
