Revert the refusal of an account's excess on nearly full workers

Change: admission is as it was, with its tests.

Also: a node that leads asks for no advice for jobs that a predecessor has started; since the leader's index keeps no progress, its plan took them for new ones. "A leader requests no advice for jobs that a predecessor started" failed before.

--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -173,8 +173,6 @@
         {.beyond_share = true,
          .pending = jobs.pending(record.queue.name),
          .starts_per_s = static_cast<double>(times.size()) / window.count(),
-         .utilisation =
-             leadership ? leadership->decisions.count(now).utilisation() : 0,
          .slack = std::chrono::milliseconds{record.queue.target_latency_ms},
          .job = record.id});
 }
--- a/src/rosemarytrail/fleet/admission.hpp
+++ b/src/rosemarytrail/fleet/admission.hpp
@@ -18,9 +18,6 @@
     std::size_t pending{};
     /** @brief Jobs of the queue started per second over a recent window. */
     double starts_per_s{};
-    /** @brief Fraction of the workers' capacity in use, of the scarcest
-     * resource; zero if unknown. */
-    double utilisation{};
     /** @brief Longest acceptable wait before the job starts. */
     duration slack{};
     /** @brief Job id; seeds the spread of the retry delays. */
@@ -30,11 +27,9 @@
 /**
  * @brief Decides whether a submission is rejected.
  *
- * Limits an account that sends many times its share while the queue is long or
- * the workers are nearly full: its excess would wait longer than its slack,
- * delay advice requests of other accounts and occupy the capacity that their
- * jobs need, for as long as its tasks run. Submissions within the share are
- * never rejected.
+ * Limits an account that sends many times its share while the queue is long:
+ * its excess would wait longer than its slack and delay advice requests of
+ * other accounts. Submissions within the share are never rejected.
  * @param view Inputs of the decision.
  * @return Delay after which the caller should retry, or nothing if the
  * submission is admitted.
--- a/src/rosemarytrail/fleet/advice_plan.cpp
+++ b/src/rosemarytrail/fleet/advice_plan.cpp
@@ -58,7 +58,8 @@
 {
     const auto it = request_deadlines_.find(key);
     return entry.record->spec.steps[key.step].depends_on.empty() &&
-           !entry.advice.contains(key) && !entry.progress.contains(key) &&
+           !entry.started && !entry.advice.contains(key) &&
+           !entry.progress.contains(key) &&
            (it == request_deadlines_.end() || it->second <= now);
 }
 
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -420,18 +420,6 @@
     return state_->superseded;
 }
 
-double dispatcher_counts::utilisation() const noexcept
-{
-    const auto share = [](std::int64_t in_use, std::int64_t total) {
-        return total <= 0
-                   ? 0.0
-                   : static_cast<double>(in_use) / static_cast<double>(total);
-    };
-    return std::max({share(used.cpu_millis, capacity.cpu_millis),
-                     share(used.memory_mb, capacity.memory_mb),
-                     share(used.gpus, capacity.gpus)});
-}
-
 dispatcher_counts dispatcher::count(time_point now) const
 {
     dispatcher_counts result;
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -176,10 +176,6 @@
     /** @brief Total capacity of the usable workers, and the amount in use. */
     resource_amounts capacity;
     resource_amounts used;
-
-    /** @return Fraction of the capacity in use, of the scarcest resource; zero
-     * without capacity. */
-    [[nodiscard]] double utilisation() const noexcept;
 };
 
 /**
--- a/test/fleet/admission.cpp
+++ b/test/fleet/admission.cpp
@@ -4,9 +4,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
-#include <deque>
-
 namespace rosemarytrail::fleet {
 
 namespace {
@@ -60,51 +57,6 @@
 
 } // namespace
 
-TEST_CASE("An account at many times its share leaves capacity to the others",
-          "[admission]")
-{
-    // Jobs that run for 6 s on 100 units of capacity: other accounts need half
-    // of it, one account sends 7.5 times its share.
-    constexpr double capacity = 100;
-    constexpr double others = 50;
-    constexpr double weight = 2;
-    constexpr double sent_per_s = 7.5 * weight;
-    constexpr duration job_length = 6s;
-    const auto highest_use = [&](bool known) {
-        share_meter shares;
-        std::deque<time_point> ends;
-        double highest = 0;
-        const auto end = start + 20s;
-        std::uint64_t id = 0;
-        for (auto now = start; now < end;
-             now += std::chrono::duration_cast<duration>(
-                 std::chrono::duration<double>{1 / sent_per_s})) {
-            while (!ends.empty() && ends.front() <= now) {
-                ends.pop_front();
-            }
-            const auto use = others + static_cast<double>(ends.size());
-            highest = std::max(highest, use);
-            const auto after = rejection_retry_after(
-                {.beyond_share = shares.beyond("a", weight, now),
-                 .starts_per_s = sent_per_s,
-                 .utilisation = known ? use / capacity : 0,
-                 .slack = 250ms,
-                 .job = ++id});
-            if (after) {
-                CHECK(*after >= 1s);
-                CHECK(*after <= 5s);
-                continue;
-            }
-            shares.record("a", weight, now);
-            ends.push_back(now + job_length);
-        }
-        return highest;
-    };
-    CHECK(highest_use(false) > capacity);
-    // What the account is entitled to is accepted on top of the limit.
-    CHECK(highest_use(true) <= 85 + weight * 6);
-}
-
 TEST_CASE("An account within its share is never rejected", "[admission]")
 {
     const auto it = replay(10, 9, 1, 20);
@@ -144,6 +96,27 @@
     CHECK(after(2'999'999) <= 8s);
 }
 
+TEST_CASE("A leader requests no advice for jobs that a predecessor started",
+          "[advice]")
+{
+    job_index ledger_jobs;
+    const std::vector<std::string> members{"a"};
+    const std::vector<worker_vm> workers{{.id = "w", .service = "s"}};
+    advice_plan plan{{.member = "a"}};
+    job_record record{.id = 9};
+    record.queue.service = "s";
+    record.queue.advice = advice_policy{.base_ms = 13, .valid_ms = 2500};
+    record.spec.steps = {{.tasks = 1}};
+    ledger_jobs.apply(encode_key({.kind = entry_kind::job, .step = {.job = 9}}),
+                      encode(record), start);
+    const std::vector<task_progress> rows{{.run = 1, .worker = "w"}};
+    ledger_jobs.apply(
+        encode_key({.kind = entry_kind::progress, .step = {.job = 9}}),
+        encode(rows), start);
+    ledger_jobs.discard_progress();
+    CHECK_FALSE(plan.next(ledger_jobs, workers, members, start));
+}
+
 TEST_CASE("Steps of ended jobs are removed from the advice plan", "[advice]")
 {
     job_index ledger_jobs;
