Make relayed and direct calls to workers by one function

Cause: the relay and the leader each chose the port's function for a call by the same chain of conditions, and the relay copied each message of results before it sent it.

Change: make_call serves both; results are shared with the callback instead of copied. Relays are ranked by CPU share instead of its negative, and three tests of advice share one job. Behaviour and checks stay.

--- a/src/rosemarytrail/cell/relay_plan.cpp
+++ b/src/rosemarytrail/cell/relay_plan.cpp
@@ -18,14 +18,14 @@
 /** @brief Member ordered by CPU share, the largest first, then by hash. */
 struct ranked_member
 {
-    std::int64_t negative_cpu{};
+    std::int64_t cpu_millis{};
     std::size_t hash{};
     std::string name;
 
     friend bool operator<(const ranked_member& a, const ranked_member& b)
     {
-        return std::tie(a.negative_cpu, a.hash, a.name) <
-               std::tie(b.negative_cpu, b.hash, b.name);
+        return std::tie(b.cpu_millis, a.hash, a.name) <
+               std::tie(a.cpu_millis, b.hash, b.name);
     }
 };
 
@@ -60,7 +60,7 @@
         if (!name || it == leader) {
             continue;
         }
-        ranked_member ranked{.negative_cpu = -name->cpu_millis,
+        ranked_member ranked{.cpu_millis = name->cpu_millis,
                              .hash = boost::hash<std::string>{}(it),
                              .name = it};
         by_zone[name->zone].push_back(ranked);
--- a/src/rosemarytrail/cell/relayed_workers.cpp
+++ b/src/rosemarytrail/cell/relayed_workers.cpp
@@ -167,30 +167,13 @@
     }
 }
 
-void relayed_workers::call_directly(std::uint64_t id)
+void relayed_workers::call_directly(const worker_call& call)
 {
-    const auto finish = [this, alive = alive_, id](auto result) {
+    make_call(direct_, call, [this, alive = alive_](worker_call_result result) {
         if (*alive) {
-            complete({.id = id, .result = std::move(result)});
+            complete(std::move(result));
         }
-    };
-    const auto call = open_.at(id).call;
-    const auto& request = call->request;
-    if (const auto* it = std::get_if<fleet::start_request>(&request)) {
-        direct_.start(*it, finish);
-    } else if (const auto* stop = std::get_if<fleet::stop_request>(&request)) {
-        direct_.stop(*stop, finish);
-    } else if (const auto* throttle =
-                   std::get_if<fleet::throttle_request>(&request)) {
-        direct_.throttle(*throttle, finish);
-    } else {
-        direct_.poll(
-            std::get<fleet::poll_request>(request),
-            [finish](fleet::poll_result result, fleet::poll_response response) {
-                finish(poll_answer{.result = result,
-                                   .response = std::move(response)});
-            });
-    }
+    });
 }
 
 bool relayed_workers::receive(worker_result_batch batch)
@@ -290,7 +273,9 @@
         std::visit([&](const auto& it) { return route(it.worker.id, now); },
                    open.call->request);
     if (open.relay.empty()) {
-        call_directly(id);
+        // The call outlives its entry, which goes with the result.
+        const auto call = open.call;
+        call_directly(*call);
         return;
     }
     open.expires = time_point::max();
--- a/src/rosemarytrail/cell/relayed_workers.hpp
+++ b/src/rosemarytrail/cell/relayed_workers.hpp
@@ -150,7 +150,7 @@
                  const std::vector<std::shared_ptr<const worker_call>>& calls,
                  message_result result);
     void lose(const std::string& name, std::string_view why, time_point now);
-    void call_directly(std::uint64_t id);
+    void call_directly(const worker_call& call);
     void complete(worker_call_result result);
 
     relayed_workers_options options_;
--- a/src/rosemarytrail/cell/worker_batch.cpp
+++ b/src/rosemarytrail/cell/worker_batch.cpp
@@ -237,6 +237,29 @@
 
 } // namespace
 
+void make_call(worker_port& workers, const worker_call& call,
+               const std::function<void(worker_call_result)>& done)
+{
+    const auto finish = [id = call.id, done](auto result) {
+        done({.id = id, .result = std::move(result)});
+    };
+    std::visit(
+        overloaded{
+            [&](const fleet::start_request& it) { workers.start(it, finish); },
+            [&](const fleet::stop_request& it) { workers.stop(it, finish); },
+            [&](const fleet::throttle_request& it) {
+                workers.throttle(it, finish);
+            },
+            [&](const fleet::poll_request& it) {
+                workers.poll(it, [finish](fleet::poll_result result,
+                                          fleet::poll_response response) {
+                    finish(poll_answer{.result = result,
+                                       .response = std::move(response)});
+                });
+            }},
+        call.request);
+}
+
 std::string encode_calls(const worker_call_batch& batch)
 {
     payload_table payloads;
--- a/src/rosemarytrail/cell/worker_batch.hpp
+++ b/src/rosemarytrail/cell/worker_batch.hpp
@@ -1,9 +1,11 @@
 #ifndef ROSEMARYTRAIL_CELL_WORKER_BATCH_HPP
 #define ROSEMARYTRAIL_CELL_WORKER_BATCH_HPP
 
+#include <rosemarytrail/cell/ports.hpp>
 #include <rosemarytrail/fleet/worker_calls.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,6 +59,15 @@
     std::vector<worker_call_result> results;
 };
 
+/**
+ * @brief Makes a call.
+ * @param workers Calls the worker.
+ * @param call Call.
+ * @param done Called once with the result.
+ */
+void make_call(worker_port& workers, const worker_call& call,
+               const std::function<void(worker_call_result)>& done);
+
 /**
  * @brief Encodes calls; a payload that several of them share is included once.
  * @param batch Calls.
--- a/src/rosemarytrail/cell/worker_relay.cpp
+++ b/src/rosemarytrail/cell/worker_relay.cpp
@@ -48,34 +48,14 @@
         return false;
     }
     for (const auto& it : batch.calls) {
-        call(batch.leader, *it);
+        make_call(workers_, *it,
+                  [this, leader = batch.leader](worker_call_result result) {
+                      add(leader, std::move(result));
+                  });
     }
     return true;
 }
 
-void worker_relay::call(const std::string& leader, const worker_call& it)
-{
-    const auto finish = [this, leader, id = it.id](auto result) {
-        add(leader, {.id = id, .result = std::move(result)});
-    };
-    if (const auto* start = std::get_if<fleet::start_request>(&it.request)) {
-        workers_.start(*start, finish);
-    } else if (const auto* stop =
-                   std::get_if<fleet::stop_request>(&it.request)) {
-        workers_.stop(*stop, finish);
-    } else if (const auto* throttle =
-                   std::get_if<fleet::throttle_request>(&it.request)) {
-        workers_.throttle(*throttle, finish);
-    } else {
-        workers_.poll(
-            std::get<fleet::poll_request>(it.request),
-            [finish](fleet::poll_result result, fleet::poll_response response) {
-                finish(poll_answer{.result = result,
-                                   .response = std::move(response)});
-            });
-    }
-}
-
 void worker_relay::add(const std::string& leader, worker_call_result result)
 {
     auto& to = outgoing_[leader];
@@ -101,14 +81,14 @@
         bytes += approximate_bytes(to.results[n]);
     }
     const auto end = to.results.begin() + static_cast<std::ptrdiff_t>(n);
-    worker_result_batch batch{.leader = leader, .results = {}};
-    std::move(to.results.begin(), end, std::back_inserter(batch.results));
+    // Kept until the leader has received the results.
+    const auto batch = std::make_shared<worker_result_batch>();
+    batch->leader = leader;
+    std::move(to.results.begin(), end, std::back_inserter(batch->results));
     to.results.erase(to.results.begin(), end);
-    const auto sent = batch;
-    peers_.send_results(address_of(leader), sent, options_.send_timeout,
-                        [this, leader, batch = std::move(batch)](
-                            message_result result) mutable {
-                            on_sent(leader, std::move(batch), result,
+    peers_.send_results(address_of(leader), *batch, options_.send_timeout,
+                        [this, leader, batch](message_result result) {
+                            on_sent(leader, std::move(*batch), result,
                                     boot_clock::now());
                         });
 }
--- a/src/rosemarytrail/cell/worker_relay.hpp
+++ b/src/rosemarytrail/cell/worker_relay.hpp
@@ -74,7 +74,6 @@
         time_point failing_since;
     };
 
-    void call(const std::string& leader, const worker_call& it);
     void add(const std::string& leader, worker_call_result result);
     void schedule(const std::string& leader, time_point at);
     void send(const std::string& leader, time_point now);
--- a/test/fleet/admission.cpp
+++ b/test/fleet/admission.cpp
@@ -20,6 +20,16 @@
     std::size_t beyond{};
 };
 
+/** @return Job of one task whose queue needs advice. */
+[[nodiscard]] job_record advised_job(std::uint64_t id)
+{
+    job_record result{.id = id};
+    result.queue.service = "s";
+    result.queue.advice = advice_policy{.base_ms = 13, .valid_ms = 2500};
+    result.spec.steps = {{.tasks = 1}};
+    return result;
+}
+
 /**
  * @brief Replays one account at a multiple of its weight against a queue that
  * drains at a fixed rate.
@@ -103,10 +113,7 @@
     const std::vector<std::string> members{"a"};
     const std::vector<worker_vm> workers{{.id = "w", .service = "s"}};
     advice_plan plan{{.member = "a"}};
-    job_record record{.id = 9};
-    record.queue.service = "s";
-    record.queue.advice = advice_policy{.base_ms = 13, .valid_ms = 2500};
-    record.spec.steps = {{.tasks = 1}};
+    const auto record = advised_job(9);
     ledger_jobs.apply(encode_key({.kind = entry_kind::job, .step = {.job = 9}}),
                       encode(record), start);
     const std::vector<task_progress> rows{{.run = 1, .worker = "w"}};
@@ -123,10 +130,7 @@
     const std::vector<std::string> members{"a"};
     const std::vector<worker_vm> workers{{.id = "w", .service = "s"}};
     advice_plan plan{{.member = "a"}};
-    job_record record{.id = 9};
-    record.queue.service = "s";
-    record.queue.advice = advice_policy{.base_ms = 13, .valid_ms = 2500};
-    record.spec.steps = {{.tasks = 1}};
+    const auto record = advised_job(9);
     REQUIRE(ledger_jobs.apply(
         encode_key({.kind = entry_kind::job, .step = {.job = 9}}),
         encode(record), start));
@@ -154,10 +158,7 @@
     const advice_plan plan{{.member = "a"}};
     std::set<std::string> named;
     for (std::uint64_t id = 1; id <= 40; ++id) {
-        job_record record{.id = id * 0x9E3779B97F4A7C15ULL};
-        record.queue.service = "s";
-        record.queue.advice = advice_policy{.base_ms = 13, .valid_ms = 2500};
-        record.spec.steps = {{.tasks = 1}};
+        const auto record = advised_job(id * 0x9E3779B97F4A7C15ULL);
         const job_entry entry{.record = record};
         const auto request =
             plan.make_request({.job = record.id}, entry, workers);
