Log what waiting tasks wait for, and how many workers advice requests name

Change: the leader counts waiting tasks by what they wait for and names the step that has waited longest for tickets, in `books` and in two gauges. An `advice` line has the number of workers requested. No decision changes.

Test: "Waiting tasks are counted by what they wait for"; test_fleet passes.

--- a/src/rosemarytrail/cell/internal/node_advice.cpp
+++ b/src/rosemarytrail/cell/internal/node_advice.cpp
@@ -116,22 +116,25 @@
     ++advice_in_flight;
     const auto timeout = advice_request->expected * 2 + advice_slack;
     advice_requests.on_request_sent(advice_request->step, now + timeout);
-    advice.advise(
-        advice_request->step, advice_request->workers, timeout,
-        [this, step = advice_request->step, sent = now](advice_answer it) {
-            --advice_in_flight;
-            on_advice(step, std::move(it), sent);
-        });
+    advice.advise(advice_request->step, advice_request->workers, timeout,
+                  [this, step = advice_request->step,
+                   requested = advice_request->workers.size(),
+                   sent = now](advice_answer it) {
+                      --advice_in_flight;
+                      on_advice(step, requested, std::move(it), sent);
+                  });
 }
 
 void node::internal_state::on_advice(const fleet::step_key& step,
-                                     advice_answer it, time_point sent)
+                                     std::size_t requested, advice_answer it,
+                                     time_point sent)
 {
     const auto now = boot_clock::now();
     logging::event(logging::level::info, "advice",
                    {{"job", fleet::to_text(step.job)},
                     {"step", fleet::to_text(step)},
                     {"answered", it.answered ? "true" : "false"},
+                    {"requested", std::to_string(requested)},
                     {"granted", std::to_string(it.grant.rows.size())},
                     {"took_ms", std::to_string(to_milliseconds(now - sent))}});
     if (!it.answered) {
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -263,8 +263,8 @@
     is_too_busy_for(std::span<const fleet::advice_request> more) const;
     void receive(peer_message message,
                  std::function<void(message_result)> done);
-    void on_advice(const fleet::step_key& step, advice_answer it,
-                   time_point sent);
+    void on_advice(const fleet::step_key& step, std::size_t requested,
+                   advice_answer it, time_point sent);
     void shut_down();
     void serve(client_call call, std::function<void(client_answer)> done);
     void catch_up(std::function<void(bool)> done);
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -472,6 +472,14 @@
         logging::level::info, "books",
         {{"jobs", std::to_string(counts.jobs)},
          {"waiting", std::to_string(counts.waiting)},
+         {"waiting_for_limit", std::to_string(counts.waiting_for_limit)},
+         {"waiting_for_advice", std::to_string(counts.waiting_for_advice)},
+         {"longest_advice_wait_ms",
+          std::to_string(to_milliseconds(counts.longest_advice_wait))},
+         {"longest_advice_wait_step",
+          counts.longest_advice_wait > duration{}
+              ? fleet::to_text(counts.longest_advice_wait_step)
+              : "none"},
          {"placed", std::to_string(counts.placed)},
          {"workers", std::to_string(counts.workers)},
          {"usable", std::to_string(counts.usable_workers)},
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -45,6 +45,12 @@
                           "jobs that have not ended, at the leader")}
     , tasks_waiting{all.make_gauge("rosemarytrail_tasks_waiting",
                                    "tasks whose turn has come, at the leader")}
+    , tasks_waiting_for_limit{all.make_gauge(
+          "rosemarytrail_tasks_waiting_for_limit",
+          "waiting tasks whose account is at its limit, at the leader")}
+    , tasks_waiting_for_advice{all.make_gauge(
+          "rosemarytrail_tasks_waiting_for_advice",
+          "other waiting tasks without a valid ticket, at the leader")}
     , tasks_placed{all.make_gauge("rosemarytrail_tasks_placed",
                                   "tasks that take room, at the leader")}
     , workers_reached{all.make_gauge(
@@ -97,6 +103,8 @@
     };
     set(jobs, counts.jobs);
     set(tasks_waiting, counts.waiting);
+    set(tasks_waiting_for_limit, counts.waiting_for_limit);
+    set(tasks_waiting_for_advice, counts.waiting_for_advice);
     set(tasks_placed, counts.placed);
     set(workers_reached, counts.fenced_workers);
 }
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -46,6 +46,8 @@
     metrics::gauge& leading;
     metrics::gauge& jobs;
     metrics::gauge& tasks_waiting;
+    metrics::gauge& tasks_waiting_for_limit;
+    metrics::gauge& tasks_waiting_for_advice;
     metrics::gauge& tasks_placed;
     metrics::gauge& workers_reached;
     metrics::summary& client_call;
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -420,12 +420,40 @@
     return state_->superseded;
 }
 
+void dispatcher::state::count_waiting(const tracked_step& step, time_point now,
+                                      dispatcher_counts& counts) const
+{
+    if (!within_limit(*step.job, step.spec->demand)) {
+        counts.waiting_for_limit += step.waiting;
+        return;
+    }
+    if (!step.job->record.queue.advice || step.tickets_until > now) {
+        return;
+    }
+    counts.waiting_for_advice += step.waiting;
+    auto waits_since = now;
+    for (const auto& it : step.tasks) {
+        if (it.phase == task_phase::waiting) {
+            waits_since = std::min(waits_since, it.since);
+        }
+    }
+    const auto waited =
+        now - std::max({waits_since, step.ready_at, step.tickets_until});
+    if (waited > counts.longest_advice_wait) {
+        counts.longest_advice_wait = waited;
+        counts.longest_advice_wait_step = step.key;
+    }
+}
+
 dispatcher_counts dispatcher::count(time_point now) const
 {
     dispatcher_counts result;
     result.jobs = state_->jobs.size();
     for (const auto* step : state_->ready) {
         result.waiting += step->waiting;
+        if (step->waiting > 0) {
+            state_->count_waiting(*step, now, result);
+        }
     }
     for (const auto& [id, worker] : state_->workers) {
         ++result.workers;
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -168,6 +168,13 @@
 {
     std::size_t jobs{};
     std::size_t waiting{};
+    /** @brief Waiting tasks whose account is at its limit. */
+    std::size_t waiting_for_limit{};
+    /** @brief Other waiting tasks, of steps without a valid ticket. */
+    std::size_t waiting_for_advice{};
+    /** @brief Of these steps, the one that has waited longest for tickets. */
+    step_key longest_advice_wait_step;
+    duration longest_advice_wait{};
     std::size_t placed{};
     std::size_t workers{};
     std::size_t fenced_workers{};
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -353,6 +353,8 @@
     void set_done(tracked_step& step, std::uint32_t index);
     void update_ready(tracked_job& job, std::int64_t unix_ms);
     void drop_ended_jobs();
+    void count_waiting(const tracked_step& step, time_point now,
+                       dispatcher_counts& counts) const;
     void finish_job(tracked_job& job, job_state outcome);
     void remember_ended(std::uint64_t id);
     void check_finished(tracked_job& job);
@@ -440,7 +442,7 @@
     [[nodiscard]] std::span<tracked_worker* const>
     allowed_workers(tracked_step& step);
     [[nodiscard]] bool within_limit(const tracked_job& job,
-                                    const resource_amounts& demand);
+                                    const resource_amounts& demand) const;
     void place_step(tracked_step& step, time_point now);
     void place_gang(tracked_step& step, time_point now);
     [[nodiscard]] tracked_worker*
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -74,7 +74,7 @@
 }
 
 bool dispatcher::state::within_limit(const tracked_job& job,
-                                     const resource_amounts& demand)
+                                     const resource_amounts& demand) const
 {
     if (!config || job.record.account.empty()) {
         return true;
@@ -84,7 +84,9 @@
         return true;
     }
     const auto& limit = account->limit;
-    const auto total = accounts[job.record.account].used + demand;
+    const auto known = accounts.find(job.record.account);
+    const auto total =
+        known == accounts.end() ? demand : known->second.used + demand;
     return (limit.cpu_millis == 0 || total.cpu_millis <= limit.cpu_millis) &&
            (limit.memory_mb == 0 || total.memory_mb <= limit.memory_mb) &&
            (limit.gpus == 0 || total.gpus <= limit.gpus);
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using test::make_advised_job;
 using test::make_job;
 using test::task_outcome;
 using test::worker_fleet;
@@ -458,6 +459,27 @@
     CHECK(cell.state(1) == job_state::completed);
 }
 
+TEST_CASE("Waiting tasks are counted by what they wait for", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.config.accounts["limited"] = {.name = "limited",
+                                       .limit = {2000, 0, 0}};
+    cell.take_over();
+    cell.add_workers(2, eight_cores);
+    auto limited = make_job(1, {{.tasks = 5, .demand = one_core}});
+    limited.account = "limited";
+    cell.submit(limited);
+    cell.submit(make_advised_job(2, {.tasks = 4, .demand = one_core}));
+    cell.run(300ms);
+    const auto counts = cell.leader().count(cell.now);
+    CHECK(counts.waiting == 7);
+    CHECK(counts.waiting_for_limit == 3);
+    CHECK(counts.waiting_for_advice == 4);
+    CHECK(counts.longest_advice_wait_step == step_key{.job = 2});
+    CHECK(counts.longest_advice_wait >= 200ms);
+    CHECK(counts.longest_advice_wait <= 300ms);
+}
+
 TEST_CASE("tasks_per_vm limits the tasks of a step on one worker",
           "[dispatcher]")
 {
@@ -580,19 +602,6 @@
     CHECK(cell.advice_assignments.size() == 7);
 }
 
-namespace {
-
-/** @return Job of one step whose advice requests are slow. */
-job_record make_advised_job(std::uint64_t id, const step_spec& step)
-{
-    auto job = make_job(id, {step});
-    job.queue.advice =
-        advice_policy{.base_ms = 400, .per_worker_ms = 5.7, .valid_ms = 2500};
-    return job;
-}
-
-} // namespace
-
 TEST_CASE("An advice request names the workers with available capacity",
           "[advice]")
 {
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -402,4 +402,13 @@
             .spec = {.payload = "p", .steps = std::move(steps)}};
 }
 
+fleet::job_record make_advised_job(std::uint64_t id,
+                                   const fleet::step_spec& step)
+{
+    auto job = make_job(id, {step});
+    job.queue.advice = fleet::advice_policy{
+        .base_ms = 400, .per_worker_ms = 5.7, .valid_ms = 2500};
+    return job;
+}
+
 } // namespace rosemarytrail::test
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -146,6 +146,15 @@
 [[nodiscard]] fleet::job_record make_job(std::uint64_t id,
                                          std::vector<fleet::step_spec> steps);
 
+/**
+ * @brief Creates a job of one step whose advice requests are slow.
+ * @param id Job id.
+ * @param step Its step.
+ * @return Job record.
+ */
+[[nodiscard]] fleet::job_record make_advised_job(std::uint64_t id,
+                                                 const fleet::step_spec& step);
+
 } // namespace rosemarytrail::test
 
 #endif
