--- /dev/null
+++ b/test/fleet/advice_requests.cpp
@@ -0,0 +1,98 @@
+#include <test/lib/worker_fleet.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <iterator>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rosemarytrail::fleet {
+
+namespace {
+
+using namespace std::chrono_literals;
+using test::make_advised_job;
+using test::task_outcome;
+using test::worker_fleet;
+
+constexpr resource_amounts eight_cores{8000, 16000, 0};
+constexpr resource_amounts one_core{1000, 1000, 0};
+
+/** @return Ids of `n` workers, starting at `first`. */
+std::vector<std::string> worker_ids(std::size_t first, std::size_t n)
+{
+    std::vector<std::string> result;
+    for (std::size_t i = first; i < first + n; ++i) {
+        result.push_back("w" + std::to_string(i));
+    }
+    return result;
+}
+
+/** @return Nodes that were assigned a request for the job. */
+std::vector<std::string> assigned_nodes(const worker_fleet& cell,
+                                        std::uint64_t job)
+{
+    std::vector<std::string> result;
+    for (const auto& it : cell.advice_assignments) {
+        if (it.request.step.job == job) {
+            result.push_back(it.member);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("A lost task of a step at tasks_per_vm is advised behind steps that "
+          "wait for their account's limit",
+          "[.known][advice]")
+{
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 60s};
+    };
+    cell.config.accounts["limited"] = {.name = "limited",
+                                       .limit = {1000, 0, 0}};
+    cell.take_over();
+    cell.add_workers(60, eight_cores);
+    std::vector<std::string> members;
+    for (char it = 'a'; it <= 'z'; ++it) {
+        members.emplace_back(1, it);
+    }
+    cell.leader().set_members(members);
+    cell.run(100ms);
+    auto lasting = make_advised_job(1, {.tasks = 12,
+                                        .demand = one_core,
+                                        .long_running = true,
+                                        .tasks_per_vm = 1});
+    lasting.queue.priority = 2;
+    cell.submit(lasting);
+    cell.run(50ms);
+    cell.grant({.job = 1}, worker_ids(0, 11), 2500ms);
+    cell.run(200ms);
+    cell.grant({.job = 1}, worker_ids(11, 1), 2500ms);
+    cell.run(200ms);
+    REQUIRE(cell.running(1) == 12);
+    for (std::uint64_t id = 2; id <= 11; ++id) {
+        auto job = make_advised_job(id, {.tasks = 4, .demand = one_core});
+        job.account = "limited";
+        cell.submit(job);
+    }
+    cell.run(50ms);
+    for (std::uint64_t id = 2; id <= 11; ++id) {
+        cell.grant({.job = id}, worker_ids(20, 10), 2500ms);
+    }
+    cell.run(4s);
+    cell.advice_assignments.clear();
+    // The worker that lost the task has no ticket from the last response.
+    cell.restart("w3");
+    cell.list_workers();
+    cell.run(3s);
+    REQUIRE(cell.running(1) == 11);
+    CHECK_FALSE(assigned_nodes(cell, 1).empty());
+}
+
+} // namespace rosemarytrail::fleet
