Request advice for expired steps whose ticketed workers stay full

Cause: once its tickets had expired, a step beyond the first eight of the queue was advised again only if a worker with one of these tickets had capacity for it. Where all of them have reached the step's tasks_per_vm, none ever has, and the step waits for as long as eight others rank before it, such as those that wait for the limit of their account. Class of fault: a test of usefulness that looks at the last answer instead of at the cell.

Change: capacity on workers that were not refused counts too, checked once a second for each such step and only while its account is within its limit.

--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -100,6 +100,9 @@
     /** @brief Interval at which a step whose granted workers are full is
      * checked for further candidates. */
     duration widen_interval{std::chrono::milliseconds{100}};
+    /** @brief The same once the tickets have expired; each check scans all
+     * workers, and a backlog may hold many such steps. */
+    duration expired_widen_interval{std::chrono::milliseconds{1000}};
     /** @brief Number of steps at the head of the queue whose tickets are
      * renewed even without available capacity. */
     std::size_t always_renewed_steps{8};
--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -111,10 +111,22 @@
         step.next_widening = now + options.widen_interval;
         return has_more_candidates(step, now);
     }
-    if (position < options.always_renewed_steps) {
+    return position < options.always_renewed_steps || can_use_advice(step, now);
+}
+
+// Workers without a ticket count too: those with one may stay full for as long
+// as the step runs, such as those that have reached its tasks_per_vm.
+bool dispatcher::state::can_use_advice(tracked_step& step, time_point now)
+{
+    if (has_capacity(step, now)) {
         return true;
     }
-    return has_capacity(step, now);
+    if (!within_limit(*step.job, step.spec->demand) ||
+        now < step.next_widening) {
+        return false;
+    }
+    step.next_widening = now + options.expired_widen_interval;
+    return has_more_candidates(step, now);
 }
 
 bool dispatcher::state::has_capacity(tracked_step& step, time_point now)
@@ -241,7 +253,7 @@
         // capacity for.
         const bool renewal = !it.step->tickets.empty();
         if (position++ >= options.always_renewed_steps && renewal &&
-            !has_capacity(*it.step, now)) {
+            !can_use_advice(*it.step, now)) {
             continue;
         }
         const auto& node = least_loaded(members);
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -418,6 +418,7 @@
     [[nodiscard]] bool wants_advice(tracked_step& step, std::size_t position,
                                     time_point now);
     [[nodiscard]] bool has_capacity(tracked_step& step, time_point now);
+    [[nodiscard]] bool can_use_advice(tracked_step& step, time_point now);
     [[nodiscard]] bool nearly_ready(const tracked_step& step, duration horizon,
                                     time_point now) const;
 
--- a/test/fleet/advice_requests.cpp
+++ b/test/fleet/advice_requests.cpp
@@ -48,8 +48,14 @@
 
 TEST_CASE("A lost task of a step at tasks_per_vm is advised behind steps that "
           "wait for their account's limit",
-          "[.known][advice]")
+          "[advice]")
 {
+    const bool slow = GENERATE(true, false);
+    const auto make = [slow](std::uint64_t id, const step_spec& step) {
+        auto job = make_advised_job(id, step);
+        job.queue.advice->base_ms = slow ? 400 : 13;
+        return job;
+    };
     worker_fleet cell;
     cell.scripted_outcome = [](const task_key&) {
         return task_outcome{.length = 60s};
@@ -64,10 +70,10 @@
     }
     cell.leader().set_members(members);
     cell.run(100ms);
-    auto lasting = make_advised_job(1, {.tasks = 12,
-                                        .demand = one_core,
-                                        .long_running = true,
-                                        .tasks_per_vm = 1});
+    auto lasting = make(1, {.tasks = 12,
+                            .demand = one_core,
+                            .long_running = true,
+                            .tasks_per_vm = 1});
     lasting.queue.priority = 2;
     cell.submit(lasting);
     cell.run(50ms);
@@ -77,7 +83,7 @@
     cell.run(200ms);
     REQUIRE(cell.running(1) == 12);
     for (std::uint64_t id = 2; id <= 11; ++id) {
-        auto job = make_advised_job(id, {.tasks = 4, .demand = one_core});
+        auto job = make(id, {.tasks = 4, .demand = one_core});
         job.account = "limited";
         cell.submit(job);
     }
