Name workers without capacity last in advice requests

Cause: a granted worker without capacity counted as 0.3 tasks, an ungranted one with capacity as the estimated share of workers that are granted. Where fewer than 0.3 are granted, a request of 30 workers named only granted workers that had reached the step's tasks_per_vm; its answer raised the estimate above 0.3, and the next ones lowered it again. Class of fault: two estimates on different scales in one order.

Change: workers with capacity come first, the others only as far as a request needs more names. In a full cell the order is as before.

Test: "Workers at tasks_per_vm are not requested before others, however few are granted" failed before and passes; test_fleet passes.

--- a/src/rosemarytrail/fleet/internal/candidate_selection.cpp
+++ b/src/rosemarytrail/fleet/internal/candidate_selection.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace rosemarytrail::fleet {
 
@@ -55,6 +56,9 @@
     struct candidate
     {
         const std::string* id{};
+        /** @brief It has capacity for a task of the step now. */
+        bool has_capacity{false};
+        /** @brief Expected number of tasks that it takes. */
         double tasks{};
     };
     const auto known = granted_share.find(step.job->record.queue.name);
@@ -70,10 +74,12 @@
         if (step.refused.contains(id)) {
             continue;
         }
-        const auto tasks =
-            std::max(static_cast<double>(tasks_that_fit(it, step, now)),
-                     options.full_worker_tasks);
-        order.push_back({.id = &id, .tasks = granted ? tasks : tasks * share});
+        const auto fitting = tasks_that_fit(it, step, now);
+        const auto tasks = fitting > 0 ? static_cast<double>(fitting)
+                                       : options.full_worker_tasks;
+        order.push_back({.id = &id,
+                         .has_capacity = fitting > 0,
+                         .tasks = granted ? tasks : tasks * share});
     }
     // Each step starts at a different offset, so that concurrent steps don't
     // request the same workers.
@@ -83,7 +89,12 @@
                     order.begin() + static_cast<std::ptrdiff_t>(first),
                     order.end());
     }
-    std::ranges::stable_sort(order, std::ranges::greater{}, &candidate::tasks);
+    // A full worker may stay full for as long as the step runs, so it is named
+    // only after all others.
+    std::ranges::stable_sort(order, std::ranges::greater{},
+                             [](const candidate& it) {
+                                 return std::pair{it.has_capacity, it.tasks};
+                             });
     const auto wanted =
         options.requested_capacity_factor * static_cast<double>(step.waiting);
     std::vector<std::string> result;
--- a/test/fleet/advice_requests.cpp
+++ b/test/fleet/advice_requests.cpp
@@ -101,4 +101,34 @@
     CHECK_FALSE(assigned_nodes(cell, 1).empty());
 }
 
+TEST_CASE("Workers at tasks_per_vm are not requested before others, however "
+          "few are granted",
+          "[advice]")
+{
+    worker_fleet cell;
+    cell.options.granted_share = 0.1;
+    cell.take_over();
+    cell.add_workers(150, eight_cores);
+    const std::vector<std::string> members{"n1", "n2"};
+    cell.leader().set_members(members);
+    cell.run(100ms);
+    cell.submit(make_advised_job(1, {.tasks = 41,
+                                     .demand = one_core,
+                                     .long_running = true,
+                                     .tasks_per_vm = 1}));
+    cell.run(50ms);
+    REQUIRE(cell.advice_assignments.size() == 1);
+    const auto first = cell.advice_assignments.front().request.workers;
+    REQUIRE(first.size() == 100);
+    const std::vector<std::string> granted{first.begin(), first.begin() + 40};
+    cell.grant({.job = 1}, granted, 2500ms);
+    cell.run(300ms);
+    REQUIRE(cell.running(1) == 40);
+    REQUIRE(cell.advice_assignments.size() == 2);
+    const auto& second = cell.advice_assignments.back().request.workers;
+    CHECK(std::ranges::none_of(second, [&](const std::string& id) {
+        return std::ranges::count(granted, id) > 0;
+    }));
+}
+
 } // namespace rosemarytrail::fleet
