Try another worker after a refused start, and set refusing workers aside

Cause: the tightest fit chose the refusing worker each time, since only a failed run made the next one avoid its worker, and a worker was set aside only after failures of two jobs; with one job left that never happens. Class of fault: a retry without memory of what it tried.

Change: the next run avoids a worker that refused, and three consecutive refusals (unhealthy, no capacity) set a worker aside whatever the number of jobs, since it refuses before it runs anything. A start that it accepts ends the count.

--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -108,7 +108,8 @@
     /** @brief Worker and duration of the successful run. */
     std::string completed_on;
     duration run_duration{};
-    /** @brief Worker of the last failed run, avoided by the next run. */
+    /** @brief Worker of the last run that failed or was refused, avoided by the
+     * next run. */
     std::string failed_on;
 
     /** @return True if it occupies capacity on a worker. */
@@ -227,6 +228,7 @@
     std::size_t untracked_runs{};
     std::set<std::uint64_t> failed_jobs;
     std::uint32_t failures_in_a_row{};
+    std::uint32_t refusals_in_a_row{};
     time_point quarantined_until;
     /** @brief Run time of its tasks relative to other tasks of the same
      * steps. */
@@ -375,6 +377,9 @@
                        std::uint32_t index, time_point now);
     void record_failure(tracked_worker& worker, std::uint64_t job,
                         time_point now);
+    void record_refusal(tracked_worker& worker, std::uint64_t job,
+                        time_point now);
+    void quarantine(tracked_worker& worker, std::uint64_t job, time_point now);
     void compare_running(tracked_worker& worker, const poll_response& response,
                          time_point sent_at, time_point now);
     void throttle_scavengers(tracked_worker& worker,
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -149,6 +149,7 @@
     const bool start_sent = task.phase == task_phase::start_sent;
     const bool stopping = task.phase == task_phase::stopping;
     if (result == start_result::started) {
+        self.workers[request.worker.id].refusals_in_a_row = 0;
         if (start_sent) {
             task.phase = task_phase::running;
             task.since = now;
@@ -174,6 +175,7 @@
                           " result " +
                           std::to_string(static_cast<int>(result)));
     auto& worker = self.workers[request.worker.id];
+    task.failed_on = request.worker.id;
     switch (result) {
     case start_result::fenced:
         self.superseded = true;
@@ -187,6 +189,8 @@
         break;
     case start_result::no_capacity:
     case start_result::unhealthy:
+        self.record_refusal(worker, request.task.step.job, now);
+        break;
     case start_result::invalid:
         self.record_failure(worker, request.task.step.job, now);
         break;
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -528,6 +528,28 @@
     CHECK(failed == 0);
 }
 
+TEST_CASE("A task that one worker refuses runs on another", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 60s};
+    };
+    cell.add_workers(4, eight_cores);
+    cell.run(100ms);
+    // The tightest fit prefers the worker that already runs a task.
+    cell.submit(make_job(1, {{.tasks = 1, .demand = one_core}}));
+    cell.run(200ms);
+    const auto loaded = std::ranges::find_if(cell.workers, [](const auto& it) {
+        return !it.second.running.empty();
+    });
+    REQUIRE(loaded != cell.workers.end());
+    loaded->second.refuses_starts = true;
+    cell.submit(make_job(2, {{.tasks = 1, .demand = one_core}}));
+    cell.run(2s);
+    CHECK(cell.running(2) == 1);
+    CHECK(cell.refused_starts <= 3);
+}
+
 TEST_CASE("A long-running task is restarted after any end", "[dispatcher]")
 {
     worker_fleet cell;
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -234,6 +234,10 @@
         ++refused_starts;
         return start_result::ticket_refused;
     }
+    if (it.refuses_starts) {
+        ++refused_starts;
+        return start_result::unhealthy;
+    }
     if (request.lease_end_ms < clock_ms()) {
         return start_result::lease_expired;
     }
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -44,6 +44,8 @@
     duration start_delay{};
     /** @brief Every run on it fails. */
     bool fails_all{false};
+    /** @brief It responds to polls and refuses every start. */
+    bool refuses_starts{false};
     std::vector<std::pair<time_point, fleet::start_request>> delayed;
 };
 
