Prefer nodes that lost no advice request, and pass over full ones only

Where the least loaded node had its limit of open requests, nothing was assigned to others either.

Change: for 3 s after a lost request, a node ranks behind the others; full nodes are passed over.

Tests: "A node that does not answer advice requests is not chosen again at once" and "A node that refuses an advice request is not chosen again at once" failed before and pass; test_fleet and test_cell pass.

--- a/src/rosemarytrail/cell/internal/node_advice.cpp
+++ b/src/rosemarytrail/cell/internal/node_advice.cpp
@@ -48,7 +48,8 @@
             [this, it, number = leadership_number](message_result result) {
                 if (leadership && number == leadership_number &&
                     result == message_result::refused) {
-                    leadership->decisions.on_assignment_lost(it);
+                    leadership->decisions.on_assignment_lost(it,
+                                                             boot_clock::now());
                 }
             });
     }
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -109,6 +109,9 @@
     /** @brief Time that a response may exceed its expected duration before the
      * request counts as lost. */
     duration advice_slack{std::chrono::milliseconds{1000}};
+    /** @brief How long a node that lost a request gets no other one while there
+     * are nodes that did not. */
+    duration node_distrust{std::chrono::milliseconds{3000}};
     /** @brief How long ended jobs are tracked; late ledger entries of such a
      * job are ignored. */
     duration ended_retention{std::chrono::seconds{600}};
@@ -237,8 +240,10 @@
     /**
      * @brief Handles the loss of a request that a node did not accept.
      * @param assignment Assigned request.
+     * @param now Current time.
      */
-    void on_assignment_lost(const advice_assignment& assignment);
+    void on_assignment_lost(const advice_assignment& assignment,
+                            time_point now);
 
     /**
      * @brief Handles the result of a start request.
--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -21,11 +21,30 @@
     step.requested_workers.clear();
 }
 
-const std::string&
-dispatcher::state::least_loaded(std::span<const std::string> nodes)
+const std::string* dispatcher::state::least_loaded(
+    std::span<const std::string> nodes,
+    const std::function<bool(const node_backlog&)>& is_full, time_point now)
 {
-    return *std::ranges::min_element(
-        nodes, {}, [this](const auto& it) { return open_requests[it].cost; });
+    const std::string* best = nullptr;
+    std::pair<bool, duration> best_rank;
+    for (const auto& it : nodes) {
+        const auto& open = open_requests[it];
+        const std::pair rank{open.distrusted_until > now, open.cost};
+        if (!is_full(open) && (best == nullptr || rank < best_rank)) {
+            best = &it;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+// An idle node is the least loaded one, so without this a node that does not
+// send its requests would be chosen each time.
+void dispatcher::state::lose_request(tracked_step& step, time_point now)
+{
+    open_requests[step.assigned_node].distrusted_until =
+        now + options.node_distrust;
+    close_request(step);
 }
 
 void dispatcher::state::open_request(tracked_step& step,
@@ -202,9 +221,11 @@
     if (step.assigned_node.empty()) {
         return;
     }
-    if (step.job->ended() || step.request_deadline < now ||
+    if (step.job->ended() ||
         std::ranges::find(members, step.assigned_node) == members.end()) {
         close_request(step);
+    } else if (step.request_deadline < now) {
+        lose_request(step, now);
     }
 }
 
@@ -256,11 +277,16 @@
             !can_use_advice(*it.step, now)) {
             continue;
         }
-        const auto& node = least_loaded(members);
-        if (open_requests[node].cost > options.max_fast_work_per_node) {
+        const auto* node = least_loaded(
+            members,
+            [this](const node_backlog& open) {
+                return open.cost > options.max_fast_work_per_node;
+            },
+            now);
+        if (node == nullptr) {
             return;
         }
-        open_request(*it.step, node, now);
+        open_request(*it.step, *node, now);
     }
 }
 
@@ -274,19 +300,25 @@
         if (!wanted || !it.step->assigned_node.empty()) {
             continue;
         }
-        const auto& node = least_loaded(pool);
-        if (open_requests[node].requests >= options.slow_requests_per_node) {
+        const auto* node = least_loaded(
+            pool,
+            [this](const node_backlog& open) {
+                return open.requests >= options.slow_requests_per_node;
+            },
+            now);
+        if (node == nullptr) {
             return;
         }
-        open_request(*it.step, node, now);
+        open_request(*it.step, *node, now);
     }
 }
 
-void dispatcher::on_assignment_lost(const advice_assignment& assignment)
+void dispatcher::on_assignment_lost(const advice_assignment& assignment,
+                                    time_point now)
 {
     auto* step = state_->find_step(assignment.request.step);
     if (step != nullptr && step->assigned_node == assignment.member) {
-        state_->close_request(*step);
+        state_->lose_request(*step, now);
     }
 }
 
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -311,6 +312,8 @@
     {
         std::size_t requests{};
         duration cost{};
+        /** @brief It lost a request, and others are preferred until then. */
+        time_point distrusted_until;
     };
     std::map<std::string, node_backlog> open_requests;
     std::vector<advice_assignment> advice_assignments;
@@ -407,8 +410,12 @@
     void close_request(tracked_step& step);
     void open_request(tracked_step& step, const std::string& node,
                       time_point now);
-    [[nodiscard]] const std::string&
-    least_loaded(std::span<const std::string> nodes);
+    /** @return Node for the next request; null if all are full. */
+    [[nodiscard]] const std::string*
+    least_loaded(std::span<const std::string> nodes,
+                 const std::function<bool(const node_backlog&)>& is_full,
+                 time_point now);
+    void lose_request(tracked_step& step, time_point now);
     [[nodiscard]] duration typical_cost(const advice_policy& policy) const;
     void close_if_stale(tracked_step& step, time_point now);
     [[nodiscard]] bool wants_slow_advice(const tracked_step& step,
--- a/test/fleet/advice_requests.cpp
+++ b/test/fleet/advice_requests.cpp
@@ -131,4 +131,38 @@
     }));
 }
 
+TEST_CASE("A node that does not answer advice requests is not chosen again at "
+          "once",
+          "[advice]")
+{
+    worker_fleet cell;
+    cell.add_workers(8, eight_cores);
+    const std::vector<std::string> members{"n1", "n2", "n3", "n4"};
+    cell.leader().set_members(members);
+    cell.run(100ms);
+    cell.submit(make_advised_job(1, {.tasks = 2, .demand = one_core}));
+    cell.run(5s);
+    const auto nodes = assigned_nodes(cell, 1);
+    REQUIRE(nodes.size() >= 2);
+    CHECK(nodes[0] != nodes[1]);
+}
+
+TEST_CASE("A node that refuses an advice request is not chosen again at once",
+          "[advice]")
+{
+    worker_fleet cell;
+    cell.add_workers(8, eight_cores);
+    const std::vector<std::string> members{"n1", "n2", "n3", "n4"};
+    cell.leader().set_members(members);
+    cell.run(100ms);
+    cell.submit(make_advised_job(1, {.tasks = 2, .demand = one_core}));
+    cell.run(50ms);
+    REQUIRE(cell.advice_assignments.size() == 1);
+    cell.leader().on_assignment_lost(cell.advice_assignments.front(), cell.now);
+    cell.run(50ms);
+    const auto nodes = assigned_nodes(cell, 1);
+    REQUIRE(nodes.size() == 2);
+    CHECK(nodes[0] != nodes[1]);
+}
+
 } // namespace rosemarytrail::fleet
