Give up a job under one of whose tasks two workers have crashed

Cause: attempts were counted from ends that a worker lists, and a crashed worker lists none: its runs became "lost", and a lost run was started again without an end. Class of fault: a count of attempts that a lost worker forgets. In the log: "tasks lost ... lease expired", then "placed" of the same task, eleven times, 4.9 s apart.

Change: another incarnation that responds at a lost worker's address, or under its id, proves a crash. It counts against the tasks whose runs were new; two crashes under a task whose starts were confirmed, or four in all, end its job as failed. Counts and unproven losses are in the ledger. The proof also ends the runs of the lost worker before its lease does. The next run of such a task starts apart from other new runs where it can. Ruled out: counting every lost worker, since one that is cut off would fail the jobs on it.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -100,7 +100,11 @@
     }
     auto& target = workers[task.worker];
     target.used -= step.spec->reserved();
-    target.load.erase({.step = step.key, .index = index});
+    const task_key key{.step = step.key, .index = index};
+    target.load.erase(key);
+    if (target.isolated_run == key) {
+        target.isolated_run.reset();
+    }
     accounts[step.job->record.account].used -= step.spec->demand;
     --step.job->active;
     task.worker.clear();
@@ -173,8 +177,15 @@
         const auto& row = rows[i];
         task.run = row.run;
         task.failures = row.failures;
+        task.crashes = row.crashes;
         task.checkpoint = row.checkpoint;
         task.since = now;
+        for (const auto& it : row.crashes.unexplained) {
+            auto& worker = workers[it.id];
+            worker.vm.id = it.id;
+            worker.unexplained_losses.insert({.step = step.key, .index = i});
+            worker.losses_expire = now + options.crash_memory;
+        }
         if (row.done) {
             task.phase = task_phase::done;
             --step.waiting;
@@ -283,8 +294,10 @@
     jobs.emplace(job.record.id, std::move(owned));
     for (auto& step : job.steps) {
         for (const auto& task : step.tasks) {
-            if (task.failures >= job.record.queue.max_attempts &&
-                !step.spec->long_running) {
+            const bool out_of_attempts =
+                !step.spec->long_running &&
+                task.failures >= job.record.queue.max_attempts;
+            if (out_of_attempts || exceeds_crash_limit(task)) {
                 job.failed = true;
             }
         }
@@ -292,7 +305,7 @@
     if (entry.cancelled) {
         cancel_job(job, now);
     } else if (job.failed) {
-        fail_job(job, now);
+        fail_job(job, "a task had reached its limit before the takeover", now);
     } else {
         update_ready(job, unix_ms);
         check_finished(job);
@@ -354,12 +367,12 @@
     check_finished(job);
 }
 
-void dispatcher::state::fail_job(tracked_job& job, time_point now)
+void dispatcher::state::fail_job(tracked_job& job, std::string_view why,
+                                 time_point now)
 {
     job.failed = true;
     finish_job(job, job_state::failed);
-    log_decision(job.record.id, "failed",
-                 "a task failed in each of its attempts");
+    log_decision(job.record.id, "failed", std::string{why});
     stop_all(job, now);
 }
 
@@ -374,8 +387,13 @@
         if (worker.lease_until < now && unresponsive && !worker.load.empty()) {
             self.lose_tasks(worker, now, "lease expired");
         }
+        if (!worker.unexplained_losses.empty() && worker.losses_expire < now) {
+            self.explain_losses(worker, false, now);
+        }
+        const bool needed = worker.listed || !worker.load.empty() ||
+                            !worker.unexplained_losses.empty();
         if (worker.vm.address.empty() || worker.poll_in_flight ||
-            now < worker.next_poll || (!worker.listed && worker.load.empty())) {
+            worker.replaced || now < worker.next_poll || !needed) {
             continue;
         }
         const bool to_record = worker.last_seen_end > worker.last_recorded_end;
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -56,6 +56,16 @@
     /** @brief Number of consecutive failed runs, of at least two jobs, or of
      * consecutive refused starts after which a worker is quarantined. */
     std::uint32_t suspect_failures{3};
+    /** @brief A run that is reported as running this long after its start does
+     * not crash its worker. */
+    duration crash_window{std::chrono::milliseconds{500}};
+    /** @brief Number of consecutive crashes of a worker under a task, whose
+     * start the worker had confirmed, after which its job fails. */
+    std::uint32_t max_confirmed_crashes{2};
+    /** @brief The same for crashes under runs that may not have started. */
+    std::uint32_t max_possible_crashes{4};
+    /** @brief How long a lost worker is polled to find out if it crashed. */
+    duration crash_memory{std::chrono::milliseconds{30000}};
     /** @brief Maximum fraction of the workers in quarantine at a time; further
      * suspect workers keep receiving tasks. */
     double quarantine_share{0.25};
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -91,6 +91,17 @@
     done
 };
 
+/** @brief What is known of a run of a task. */
+enum class run_evidence : std::uint8_t
+{
+    /** @brief It may not have started. */
+    none,
+    /** @brief Its worker has confirmed the start. */
+    started,
+    /** @brief It ran for the crash window. */
+    stable
+};
+
 /** @brief Task as tracked by the dispatcher. */
 struct task_state
 {
@@ -112,12 +123,22 @@
     /** @brief Worker of the last run that failed or was refused, avoided by the
      * next run. */
     std::string failed_on;
+    /** @brief Evidence of the current run. */
+    run_evidence evidence{run_evidence::none};
+    crash_history crashes;
 
     /** @return True if it occupies capacity on a worker. */
     [[nodiscard]] bool occupies_worker() const noexcept
     {
         return phase != task_phase::waiting && phase != task_phase::done;
     }
+
+    /** @return True if the worker may crash because of the current run. */
+    [[nodiscard]] bool may_crash_worker() const noexcept
+    {
+        return occupies_worker() && phase != task_phase::placed &&
+               evidence != run_evidence::stable;
+    }
 };
 
 struct tracked_job;
@@ -207,6 +228,16 @@
     bool fenced{false};
     /** @brief The ledger records that this leader may renew its lease. */
     bool renewable{false};
+    /** @brief Another incarnation has responded at its address. */
+    bool replaced{false};
+    /** @brief It has restarted, and its new incarnation has not responded. */
+    bool restarted{false};
+    /** @brief Tasks whose runs it was lost with. */
+    std::set<task_key> unexplained_losses;
+    time_point losses_expire;
+    /** @brief New run of a task under which a worker crashed before; other
+     * tasks prefer other workers until it is stable. */
+    std::optional<task_key> isolated_run;
     std::optional<std::int64_t> clock_ms;
     time_point clock_at;
     /** @brief No run of this or an earlier leader continues there after this
@@ -364,7 +395,7 @@
     void remember_ended(std::uint64_t id);
     void check_finished(tracked_job& job);
     void cancel_job(tracked_job& job, time_point now);
-    void fail_job(tracked_job& job, time_point now);
+    void fail_job(tracked_job& job, std::string_view why, time_point now);
     void stop_all(tracked_job& job, time_point now);
     void stop_task(tracked_step& step, std::uint32_t index, time_point now);
     [[nodiscard]] bool can_start(const tracked_step& step, std::uint32_t index,
@@ -387,6 +418,18 @@
                          time_point sent_at, time_point now);
     void throttle_scavengers(tracked_worker& worker,
                              const poll_response& response, time_point now);
+    // internal/worker_crashes.cpp
+    void remember_losses(tracked_worker& worker, time_point now);
+    void explain_losses(tracked_worker& worker, bool crashed, time_point now);
+    void count_crash(tracked_step& step, std::uint32_t index,
+                     bool run_confirmed, time_point now);
+    void clear_crashes(tracked_step& step, std::uint32_t index);
+    void on_replaced(tracked_worker& worker, time_point now);
+    void observe_running(tracked_worker& worker, const task_key& key,
+                         time_point sent_at);
+    [[nodiscard]] bool exceeds_crash_limit(const task_state& task) const;
+    [[nodiscard]] std::size_t count_new_runs(const tracked_worker& worker);
+
     void lose_tasks(tracked_worker& worker, time_point now,
                     std::string_view cause);
     void reset_session(tracked_worker& worker);
--- a/src/rosemarytrail/fleet/internal/ledger_batches.cpp
+++ b/src/rosemarytrail/fleet/internal/ledger_batches.cpp
@@ -102,7 +102,8 @@
                             .worker = task.worker,
                             .checkpoint = step->spec->checkpoints
                                               ? task.checkpoint
-                                              : std::string{}});
+                                              : std::string{},
+                            .crashes = task.crashes});
         }
         result.entries.push_back(
             {.key =
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -1,6 +1,7 @@
 #include <rosemarytrail/fleet/internal/dispatcher_state.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <tuple>
 
 namespace rosemarytrail::fleet {
@@ -109,6 +110,9 @@
     return step.allowed;
 }
 
+// A task under which a worker crashed starts apart from other new runs and on a
+// worker with few tasks, where there is one: another crash then tells it from
+// the tasks beside it, and ends few of them.
 internal::tracked_worker* dispatcher::state::choose_worker(tracked_step& step,
                                                            std::uint32_t index,
                                                            time_point now)
@@ -116,8 +120,10 @@
     const auto& spec = *step.spec;
     const auto demand = spec.reserved();
     const auto& failed_on = step.tasks[index].failed_on;
+    const bool apart = step.tasks[index].crashes.counted() > 0;
     tracked_worker* best = nullptr;
-    std::tuple<bool, bool, int, std::int64_t> best_rank;
+    std::tuple<std::size_t, std::size_t, bool, bool, int, std::int64_t>
+        best_rank;
     const auto consider = [&](tracked_worker& it) {
         if (!can_accept(it, step, now)) {
             return;
@@ -125,10 +131,13 @@
         // The tightest fit keeps whole workers free for large tasks; a
         // scavenger task prefers the worker with the most idle CPU.
         const auto left = it.available().cpu_millis - demand.cpu_millis;
-        const std::tuple rank{!spec.data_rack.empty() &&
-                                  it.vm.rack != spec.data_rack,
-                              it.vm.id == failed_on, speed_rank(it, step),
-                              spec.scavenger ? -left : left};
+        const std::tuple rank{
+            apart ? count_new_runs(it) : std::size_t{it.isolated_run ? 1U : 0U},
+            apart ? it.load.size() : std::size_t{0},
+            !spec.data_rack.empty() && it.vm.rack != spec.data_rack,
+            it.vm.id == failed_on,
+            speed_rank(it, step),
+            spec.scavenger ? -left : left};
         if (best == nullptr || rank < best_rank) {
             best = &it;
             best_rank = rank;
@@ -153,11 +162,15 @@
     --step.waiting;
     task.phase = task_phase::placed;
     task.since = now;
+    task.evidence = internal::run_evidence::none;
     ++task.run;
     if (step.waiting == 0 && step.placed_at == time_point{}) {
         step.placed_at = now;
     }
     allocate(step, index, worker.vm.id);
+    if (task.crashes.counted() > 0) {
+        worker.isolated_run = {.step = step.key, .index = index};
+    }
     mark_dirty(step);
     placed.push_back(
         {.task = {.step = step.key, .index = index}, .run = task.run});
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -150,6 +150,8 @@
     const bool stopping = task.phase == task_phase::stopping;
     if (result == start_result::started) {
         self.workers[request.worker.id].refusals_in_a_row = 0;
+        task.evidence =
+            std::max(task.evidence, internal::run_evidence::started);
         if (start_sent) {
             task.phase = task_phase::running;
             task.since = now;
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -67,6 +67,7 @@
         std::erase_if(self.workers, [&self, now](const auto& it) {
             const auto& worker = it.second;
             const bool removable = !worker.listed && worker.load.empty() &&
+                                   worker.unexplained_losses.empty() &&
                                    !worker.poll_in_flight &&
                                    worker.lease_until < now;
             if (removable) {
@@ -143,7 +144,7 @@
     back_to_waiting(step, index, now);
     if (!step.spec->long_running &&
         failures >= step.job->record.queue.max_attempts && !step.job->ended()) {
-        fail_job(*step.job, now);
+        fail_job(*step.job, "a task failed in each of its attempts", now);
     }
 }
 
@@ -212,6 +213,7 @@
     if (!row.checkpoint.empty()) {
         task.checkpoint = row.checkpoint;
     }
+    clear_crashes(*step, index);
     if (row.how == run_end::done && !step->spec->long_running) {
         worker.failures_in_a_row = 0;
         worker.failed_jobs.clear();
@@ -259,6 +261,7 @@
                    now - task->stop_sent > options.stop_retry) {
             stop_task(*step, row.task.index, now);
         }
+        observe_running(worker, row.task, sent_at);
     }
     const std::vector<task_key> load{worker.load.begin(), worker.load.end()};
     for (const auto& key : load) {
@@ -334,6 +337,7 @@
 void dispatcher::state::lose_tasks(tracked_worker& worker, time_point now,
                                    std::string_view cause)
 {
+    remember_losses(worker, now);
     const std::vector<task_key> load{worker.load.begin(), worker.load.end()};
     for (const auto& key : load) {
         auto* step = find_step(key.step);
@@ -370,6 +374,9 @@
 {
     log_decision(0, "worker restarted",
                  worker.vm.id + " tasks " + std::to_string(worker.load.size()));
+    remember_losses(worker, now);
+    worker.restarted = true;
+    worker.replaced = false;
     for (const auto& key : worker.load) {
         find_task(key)->stop_acknowledged.reset();
     }
@@ -415,9 +422,15 @@
     }
     auto& worker = found->second;
     worker.poll_in_flight = false;
+    if (result == poll_result::wrong_incarnation) {
+        self.on_replaced(worker, now);
+        return;
+    }
     if (result != poll_result::answered) {
         self.on_unanswered(worker);
-        worker.next_poll = now + self.options.poll_retry_delay;
+        worker.next_poll = now + (worker.listed || !worker.load.empty()
+                                      ? self.options.poll_retry_delay
+                                      : self.options.poll_timeout);
         self.superseded = self.superseded || result == poll_result::fenced;
         return;
     }
@@ -460,6 +473,7 @@
         }
     }
     self.compare_running(worker, response, sent_at, now);
+    self.explain_losses(worker, std::exchange(worker.restarted, false), now);
     self.throttle_scavengers(worker, response, now);
 }
 
--- a/src/rosemarytrail/fleet/job.hpp
+++ b/src/rosemarytrail/fleet/job.hpp
@@ -234,6 +234,43 @@
     }
 };
 
+/** @brief Worker that was lost with a run of a task, and may have crashed. */
+struct lost_worker
+{
+    std::string id;
+    /** @brief The worker had confirmed the start of the run. */
+    bool run_confirmed{false};
+
+    friend bool operator==(const lost_worker&, const lost_worker&) = default;
+};
+
+/** @brief Workers that were lost under the runs of a task since it last ran for
+ * long enough, or ended there. */
+struct crash_history
+{
+    /** @brief Workers that crashed after they had confirmed the start. */
+    std::uint32_t confirmed{};
+    /** @brief Workers that crashed and may have started it. */
+    std::uint32_t possible{};
+    /** @brief Workers that have not responded since. */
+    std::vector<lost_worker> unexplained;
+
+    /** @return Number of workers known to have crashed. */
+    [[nodiscard]] std::uint32_t counted() const noexcept
+    {
+        return confirmed + possible;
+    }
+
+    /** @return True if no worker was lost. */
+    [[nodiscard]] bool empty() const noexcept
+    {
+        return counted() == 0 && unexplained.empty();
+    }
+
+    friend bool operator==(const crash_history&,
+                           const crash_history&) = default;
+};
+
 /** @brief State of a task as kept in the ledger. */
 struct task_progress
 {
@@ -247,6 +284,7 @@
     std::string worker;
     /** @brief Last checkpoint; empty for none. */
     std::string checkpoint;
+    crash_history crashes;
 
     friend bool operator==(const task_progress&,
                            const task_progress&) = default;
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -84,6 +84,35 @@
     return result;
 }
 
+[[nodiscard]] json pack_crashes(const crash_history& it)
+{
+    json unexplained = json::array();
+    for (const auto& worker : it.unexplained) {
+        unexplained.push_back(json::array({worker.id, worker.run_confirmed}));
+    }
+    return json::array({it.confirmed, it.possible, std::move(unexplained)});
+}
+
+[[nodiscard]] crash_history read_crashes(const json& it)
+{
+    crash_history result{
+        .confirmed = it.at(0), .possible = it.at(1), .unexplained = {}};
+    for (const auto& worker : it.at(2)) {
+        result.unexplained.push_back({.id = worker.at(0).get<std::string>(),
+                                      .run_confirmed = worker.at(1)});
+    }
+    return result;
+}
+
+[[nodiscard]] json pack_task(const task_progress& it)
+{
+    json row = json::array({it.run, it.failures, it.worker, it.checkpoint});
+    if (!it.crashes.empty()) {
+        row.push_back(pack_crashes(it.crashes));
+    }
+    return row;
+}
+
 } // namespace
 
 std::string encode_key(const entry_key& it)
@@ -169,8 +198,7 @@
         } else if (task == task_progress{}) {
             rows.push_back(false);
         } else {
-            rows.push_back(json::array(
-                {task.run, task.failures, task.worker, task.checkpoint}));
+            rows.push_back(pack_task(task));
         }
     }
     return pack(rows);
@@ -256,7 +284,9 @@
             result.push_back({.run = row.at(0),
                               .failures = row.at(1),
                               .worker = row.at(2).get<std::string>(),
-                              .checkpoint = row.at(3).get<std::string>()});
+                              .checkpoint = row.at(3).get<std::string>(),
+                              .crashes = row.size() > 4 ? read_crashes(row[4])
+                                                        : crash_history{}});
         }
         return result;
     });
--- a/test/fleet/ledger.cpp
+++ b/test/fleet/ledger.cpp
@@ -121,6 +121,12 @@
     }
     rows[25] = {};
     rows[24] = {.run = 3, .failures = 2};
+    rows[23] = {.run = 2,
+                .crashes = {.confirmed = 1,
+                            .possible = 2,
+                            .unexplained = {
+                                {.id = "i-c2f53553f2", .run_confirmed = true},
+                                {.id = "i-c2f53553f3"}}}};
     const auto it = decode_progress(encode(rows));
     REQUIRE(it);
     CHECK(*it == rows);
--- /dev/null
+++ b/test/fleet/worker_crashes.cpp
@@ -0,0 +1,180 @@
+#include <test/lib/worker_fleet.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdint>
+
+namespace rosemarytrail::fleet {
+
+namespace {
+
+using namespace std::chrono_literals;
+using test::make_job;
+using test::task_outcome;
+using test::worker_fleet;
+
+constexpr resource_amounts eight_cores{8000, 16000, 0};
+constexpr resource_amounts one_core{1000, 1000, 0};
+
+/** @brief The first task of this job crashes each worker that starts it. */
+constexpr std::uint64_t crashing_job = 1;
+
+/** @return Cell of eight workers with such a job and `n` others. */
+void submit_jobs(worker_fleet& cell, std::size_t n)
+{
+    cell.crashes_worker = [](const task_key& it) {
+        return it.step.job == crashing_job && it.index == 0;
+    };
+    cell.add_workers(8, eight_cores);
+    cell.run(100ms);
+    cell.submit(make_job(crashing_job, {{.tasks = 4, .demand = one_core}}));
+    for (std::uint64_t id = 2; id < 2 + n; ++id) {
+        cell.submit(make_job(id, {{.tasks = 6, .demand = one_core}}));
+    }
+}
+
+} // namespace
+
+TEST_CASE("A task that crashes its workers is given up after two of them",
+          "[crashes]")
+{
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 800ms};
+    };
+    submit_jobs(cell, 6);
+    cell.run(20s);
+    CHECK(cell.state(crashing_job) == job_state::failed);
+    CHECK(cell.crashes.at({.step = {.job = crashing_job}}) == 2);
+    for (std::uint64_t id = 2; id < 8; ++id) {
+        CHECK(cell.state(id) == job_state::completed);
+    }
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("Crashes under a task count across takeovers", "[crashes]")
+{
+    worker_fleet cell;
+    // The leader is lost between each crash and its proof.
+    cell.replacement_delay = GENERATE(3s, 6s);
+    submit_jobs(cell, 0);
+    for (int i = 0; i < 20; ++i) {
+        cell.run(1500ms);
+        cell.take_over();
+    }
+    cell.run(10s);
+    CHECK(cell.state(crashing_job) == job_state::failed);
+    CHECK(cell.crashes.at({.step = {.job = crashing_job}}) <= 4);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("A task that crashes its workers before they respond is given up",
+          "[crashes]")
+{
+    worker_fleet cell;
+    cell.responds_before_crash = false;
+    submit_jobs(cell, 0);
+    cell.run(40s);
+    CHECK(cell.state(crashing_job) == job_state::failed);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("A task is given up though its workers return only after its lease",
+          "[crashes]")
+{
+    worker_fleet cell;
+    cell.replacement_delay = 8s;
+    submit_jobs(cell, 0);
+    cell.run(40s);
+    CHECK(cell.state(crashing_job) == job_state::failed);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("A lasting task that crashes its workers is given up", "[crashes]")
+{
+    worker_fleet cell;
+    cell.crashes_worker = [](const task_key& it) {
+        return it.index == 0;
+    };
+    cell.add_workers(8, eight_cores);
+    cell.run(100ms);
+    cell.submit(
+        make_job(crashing_job,
+                 {{.tasks = 3, .demand = one_core, .long_running = true}}));
+    cell.run(20s);
+    CHECK(cell.state(crashing_job) == job_state::failed);
+    CHECK(cell.running(crashing_job) == 0);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("Tasks on workers that are cut off are not counted as crashing them",
+          "[crashes]")
+{
+    worker_fleet cell;
+    cell.add_workers(6, eight_cores);
+    cell.run(100ms);
+    cell.submit(
+        make_job(1, {{.tasks = 6, .demand = one_core, .long_running = true}}));
+    for (int i = 0; i < 5; ++i) {
+        cell.run(150ms);
+        for (auto& [id, it] : cell.workers) {
+            it.unreachable = !it.running.empty();
+        }
+        cell.run(7s);
+        for (auto& [id, it] : cell.workers) {
+            it.unreachable = false;
+        }
+    }
+    cell.run(3s);
+    CHECK(cell.state(1) == job_state::running);
+    CHECK(cell.running(1) == 6);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("A lasting task outlives any number of crashes that it survived",
+          "[crashes]")
+{
+    worker_fleet cell;
+    cell.add_workers(6, eight_cores);
+    cell.run(100ms);
+    cell.submit(
+        make_job(1, {{.tasks = 4, .demand = one_core, .long_running = true}}));
+    for (int i = 0; i < 5; ++i) {
+        cell.run(3s);
+        std::vector<std::string> loaded;
+        for (const auto& [id, it] : cell.workers) {
+            if (!it.running.empty()) {
+                loaded.push_back(id);
+            }
+        }
+        for (const auto& id : loaded) {
+            cell.crash(id);
+        }
+        cell.run(5s);
+    }
+    CHECK(cell.state(1) == job_state::running);
+    CHECK(cell.running(1) == 4);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("The tasks of a replaced worker run elsewhere at once", "[crashes]")
+{
+    worker_fleet cell;
+    cell.replacement_delay = 1s;
+    cell.add_workers(3, eight_cores);
+    cell.run(100ms);
+    cell.submit(
+        make_job(1, {{.tasks = 8, .demand = one_core, .long_running = true}}));
+    cell.run(2s);
+    const auto loaded = std::ranges::find_if(cell.workers, [](const auto& it) {
+        return !it.second.running.empty();
+    });
+    REQUIRE(loaded != cell.workers.end());
+    cell.crash(loaded->first);
+    cell.run(1800ms);
+    CHECK(cell.running(1) == 8);
+    CHECK(cell.violations.empty());
+}
+
+} // namespace rosemarytrail::fleet
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -48,7 +48,9 @@
 {
     std::vector<fleet::worker_vm> vms;
     for (const auto& [id, it] : workers) {
-        vms.push_back(it.vm);
+        if (!it.replaced_at || now < *it.replaced_at) {
+            vms.push_back(it.vm);
+        }
     }
     dispatcher_->set_workers(vms, now);
 }
@@ -65,6 +67,34 @@
     ++it.vm.incarnation;
 }
 
+void worker_fleet::crash(const std::string& worker)
+{
+    restart(worker);
+    auto& it = workers.at(worker);
+    it.unreachable = true;
+    it.replaced_at = now + replacement_delay;
+}
+
+void worker_fleet::replace_crashed()
+{
+    std::vector<model_worker> replacements;
+    for (auto& [id, it] : workers) {
+        if (it.replaced_at && it.unreachable && *it.replaced_at <= now) {
+            it.unreachable = false;
+            model_worker replacement;
+            replacement.vm = it.vm;
+            replacements.push_back(std::move(replacement));
+        }
+    }
+    for (auto& it : replacements) {
+        it.vm.id = "w" + std::to_string(workers.size());
+        workers[it.vm.id] = std::move(it);
+    }
+    if (!replacements.empty()) {
+        list_workers();
+    }
+}
+
 void worker_fleet::apply(const std::vector<fleet::ledger_entry>& entries)
 {
     for (const auto& it : entries) {
@@ -221,11 +251,23 @@
                                 .demand = step.reserved(),
                                 .checkpoint = step.checkpoints ? "c" : ""};
     check(it);
+    if (crashes_worker && crashes_worker(request.task)) {
+        // Three workers may crash, and two more starts may follow.
+        constexpr std::size_t max_crashes = 5;
+        if (++crashes[request.task] > max_crashes) {
+            violations.push_back("crashed too many workers: " +
+                                 to_text(request.task));
+        }
+        crash(it.vm.id);
+    }
 }
 
 start_result worker_fleet::handle_start(model_worker& it,
                                         const fleet::start_request& request)
 {
+    if (it.replaced_at) {
+        return start_result::wrong_incarnation;
+    }
     if (request.epoch < it.token) {
         return start_result::fenced;
     }
@@ -248,7 +290,8 @@
         return start_result::outdated_run;
     }
     start(it, request);
-    return start_result::started;
+    return it.unreachable && !responds_before_crash ? start_result::unknown
+                                                    : start_result::started;
 }
 
 void worker_fleet::handle_stop(model_worker& it,
@@ -273,6 +316,12 @@
                                     sent, now + tick);
         return;
     }
+    if (it.replaced_at) {
+        dispatcher_->on_poll_result(request,
+                                    fleet::poll_result::wrong_incarnation, {},
+                                    sent, now + tick);
+        return;
+    }
     if (request.epoch < it.token) {
         dispatcher_->on_poll_result(request, fleet::poll_result::fenced, {},
                                     sent, now + tick);
@@ -322,6 +371,7 @@
     const auto until = now + length;
     while (now < until) {
         now += tick;
+        replace_crashed();
         for (auto& [id, it] : workers) {
             advance(it);
         }
@@ -333,10 +383,11 @@
                                   requests.advice_assignments.end());
         for (const auto& it : requests.stops) {
             auto& worker = workers.at(it.worker.id);
-            if (!worker.unreachable) {
+            const bool reached = !worker.unreachable && !worker.replaced_at;
+            if (reached) {
                 handle_stop(worker, it);
             }
-            dispatcher_->on_stop_result(it, !worker.unreachable, now);
+            dispatcher_->on_stop_result(it, reached, now);
         }
         for (const auto& it : requests.starts) {
             auto& worker = workers.at(it.worker.id);
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -46,6 +46,9 @@
     bool fails_all{false};
     /** @brief It responds to polls and refuses every start. */
     bool refuses_starts{false};
+    /** @brief It crashed; another incarnation with a new id is at its address
+     * from then on. */
+    std::optional<time_point> replaced_at;
     std::vector<std::pair<time_point, fleet::start_request>> delayed;
 };
 
@@ -73,6 +76,14 @@
     duration tick{std::chrono::milliseconds{10}};
     fleet::dispatcher_options options{.epoch = 1};
     std::function<task_outcome(const fleet::task_key&)> scripted_outcome;
+    /** @brief Tasks that crash each worker that starts them, at once. */
+    std::function<bool(const fleet::task_key&)> crashes_worker;
+    /** @brief The crashing worker still responds to the start. */
+    bool responds_before_crash{true};
+    /** @brief Time from a crash until another incarnation responds. */
+    duration replacement_delay{std::chrono::seconds{3}};
+    /** @brief Workers that crashed, by the task that crashed them. */
+    std::map<fleet::task_key, std::size_t> crashes;
     /** @brief No batch is appended while it is set. */
     bool ledger_down{false};
     /** @brief Time from an append to its acknowledgement. */
@@ -96,6 +107,9 @@
     /** @brief Restarts the worker; the directory lists the new incarnation only
      * after `list_workers`. */
     void restart(const std::string& worker);
+    /** @brief Ends all runs of the worker and makes it unreachable, until
+     * another incarnation takes its address. */
+    void crash(const std::string& worker);
     /** @brief Records the job in the ledger. */
     void submit(fleet::job_record record);
     void cancel(std::uint64_t id);
@@ -118,6 +132,7 @@
     void apply(const std::vector<fleet::ledger_entry>& entries);
     void append();
     void advance(model_worker& it);
+    void replace_crashed();
     void start(model_worker& it, const fleet::start_request& request);
     [[nodiscard]] fleet::start_result
     handle_start(model_worker& it, const fleet::start_request& request);
