Renew no tickets of steps that wait for their account's limit

Cause: beyond the first eight steps, tickets are renewed if a ticketed worker has capacity. In a calm cell that holds for each step that waits for the limit of its account, so 40 such steps on 6 nodes for slow requests kept all of them busy for good, and a step that ranked behind got no request.

Change: the limit is checked first. Such a step asks again once it is within its limit, which delays it by one request.

Test: "Steps that wait for their account's limit do not use up the nodes for advice": not back after 30 s before, passes with a bound of 6 s. test_fleet passes.

--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -137,11 +137,13 @@
 // as the step runs, such as those that have reached its tasks_per_vm.
 bool dispatcher::state::can_use_advice(tracked_step& step, time_point now)
 {
+    if (!within_limit(*step.job, step.spec->demand)) {
+        return false;
+    }
     if (has_capacity(step, now)) {
         return true;
     }
-    if (!within_limit(*step.job, step.spec->demand) ||
-        now < step.next_widening) {
+    if (now < step.next_widening) {
         return false;
     }
     step.next_widening = now + options.expired_widen_interval;
--- a/test/fleet/advice_requests.cpp
+++ b/test/fleet/advice_requests.cpp
@@ -1,3 +1,4 @@
+#include <test/lib/advice_service.hpp>
 #include <test/lib/worker_fleet.hpp>
 
 #include <catch2/catch.hpp>
@@ -14,6 +15,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using test::advice_service;
 using test::make_advised_job;
 using test::task_outcome;
 using test::worker_fleet;
@@ -44,6 +46,73 @@
     return result;
 }
 
+/** @return Names of `n` nodes in the order of the list of members. */
+std::vector<std::string> node_names(std::size_t n)
+{
+    std::vector<std::string> result;
+    for (std::size_t i = 0; i < n; ++i) {
+        result.push_back((i < 10 ? "n0" : "n") + std::to_string(i));
+    }
+    return result;
+}
+
+/** @return Step that lasts, with at most one task on a worker. */
+step_spec make_lasting_step(std::uint32_t tasks)
+{
+    return {.tasks = tasks,
+            .demand = one_core,
+            .long_running = true,
+            .tasks_per_vm = 1};
+}
+
+/** @brief Cell of ten nodes and 60 workers with an account limited to one
+ * task. */
+struct limited_cell : worker_fleet
+{
+    limited_cell()
+    {
+        scripted_outcome = [](const task_key&) {
+            return task_outcome{.length = 600s};
+        };
+        config.accounts["limited"] = {.name = "limited", .limit = {1000, 0, 0}};
+        take_over();
+        add_workers(60, eight_cores);
+        leader().set_members(node_names(10));
+        run(100ms);
+    }
+
+    /** @brief Submits jobs of which only one task can run. */
+    void submit_limited(std::uint64_t first, std::uint64_t n,
+                        std::int32_t priority)
+    {
+        for (std::uint64_t id = first; id < first + n; ++id) {
+            auto job = make_advised_job(id, {.tasks = 4, .demand = one_core});
+            job.account = "limited";
+            job.queue.priority = priority;
+            submit(job);
+        }
+    }
+
+    /** @return Worker that runs a task of the job. */
+    [[nodiscard]] std::string worker_of(std::uint64_t job) const
+    {
+        std::string result;
+        for (const auto& [id, it] : workers) {
+            for (const auto& [task, run] : it.running) {
+                result = task.step.job == job ? id : result;
+            }
+        }
+        return result;
+    }
+
+    /** @brief Restarts a worker of the job, so that one task is lost. */
+    void lose_task(std::uint64_t job)
+    {
+        restart(worker_of(job));
+        list_workers();
+    }
+};
+
 } // namespace
 
 TEST_CASE("A lost task of a step at tasks_per_vm is advised behind steps that "
@@ -165,4 +234,21 @@
     CHECK(nodes[0] != nodes[1]);
 }
 
+TEST_CASE("Steps that wait for their account's limit do not use up the nodes "
+          "for advice",
+          "[advice]")
+{
+    limited_cell cell;
+    advice_service advice{cell};
+    auto lasting = make_advised_job(1, make_lasting_step(12));
+    lasting.queue.priority = 2;
+    cell.submit(lasting);
+    advice.run(5s);
+    REQUIRE(cell.running(1) == 12);
+    cell.submit_limited(2, 40, 1);
+    advice.run(10s);
+    cell.lose_task(1);
+    CHECK(advice.run_until_placed(1, 12, 30s) <= 6s);
+}
+
 } // namespace rosemarytrail::fleet
