Keep away from nodes that lose advice requests until others have been tried

Cause: a node that lost a request was trusted again after 3 s, before the third such loss in a row is noticed, 1.6 s each: three silent nodes of ten got all requests by turns. Where the pool of nodes for slow requests was a single node, it got them all.

Change: distrust lasts 10 s and doubles with each loss up to 60 s; an answer ends it. If only distrusted nodes are left in the pool, all nodes are considered, and of distrusted ones the one whose time ends first.

Test: "Several nodes that do not answer advice requests are passed over": both sections not placed after 30 s before, both pass with a bound of 6 s. test_fleet passes.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -208,6 +208,11 @@
         step.granted.insert(row.worker);
     }
     update_granted_share(step, advice.grant);
+    if (!step.assigned_node.empty()) {
+        auto& open = open_requests[step.assigned_node];
+        open.distrusted_until = {};
+        open.distrust = {};
+    }
     close_request(step);
     if (step.advised_at == time_point{}) {
         step.advised_at = last_plan;
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -120,8 +120,10 @@
      * request counts as lost. */
     duration advice_slack{std::chrono::milliseconds{1000}};
     /** @brief How long a node that lost a request gets no other one while there
-     * are nodes that did not. */
-    duration node_distrust{std::chrono::milliseconds{3000}};
+     * are nodes that did not; doubled with each further loss. Exceeds the time
+     * in which the losses of several nodes are noticed one after another. */
+    duration node_distrust{std::chrono::milliseconds{10000}};
+    duration max_node_distrust{std::chrono::milliseconds{60000}};
     /** @brief How long ended jobs are tracked; late ledger entries of such a
      * job are ignored. */
     duration ended_retention{std::chrono::seconds{600}};
--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -26,10 +26,10 @@
     const std::function<bool(const node_backlog&)>& is_full, time_point now)
 {
     const std::string* best = nullptr;
-    std::pair<bool, duration> best_rank;
+    std::pair<time_point, duration> best_rank;
     for (const auto& it : nodes) {
         const auto& open = open_requests[it];
-        const std::pair rank{open.distrusted_until > now, open.cost};
+        const std::pair rank{std::max(open.distrusted_until, now), open.cost};
         if (!is_full(open) && (best == nullptr || rank < best_rank)) {
             best = &it;
             best_rank = rank;
@@ -42,8 +42,10 @@
 // send its requests would be chosen each time.
 void dispatcher::state::lose_request(tracked_step& step, time_point now)
 {
-    open_requests[step.assigned_node].distrusted_until =
-        now + options.node_distrust;
+    auto& open = open_requests[step.assigned_node];
+    open.distrust = std::clamp(open.distrust * 2, options.node_distrust,
+                               options.max_node_distrust);
+    open.distrusted_until = now + open.distrust;
     close_request(step);
 }
 
@@ -302,12 +304,13 @@
         if (!wanted || !it.step->assigned_node.empty()) {
             continue;
         }
-        const auto* node = least_loaded(
-            pool,
-            [this](const node_backlog& open) {
-                return open.requests >= options.slow_requests_per_node;
-            },
-            now);
+        const auto is_full = [this](const node_backlog& open) {
+            return open.requests >= options.slow_requests_per_node;
+        };
+        const auto* node = least_loaded(pool, is_full, now);
+        if (node != nullptr && open_requests[*node].distrusted_until > now) {
+            node = least_loaded(members, is_full, now);
+        }
         if (node == nullptr) {
             return;
         }
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -345,6 +345,8 @@
         duration cost{};
         /** @brief It lost a request, and others are preferred until then. */
         time_point distrusted_until;
+        /** @brief Length of that time, which grows with each lost request. */
+        duration distrust{};
     };
     std::map<std::string, node_backlog> open_requests;
     std::vector<advice_assignment> advice_assignments;
--- a/test/fleet/advice_requests.cpp
+++ b/test/fleet/advice_requests.cpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <iterator>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -216,6 +217,25 @@
     CHECK(nodes[0] != nodes[1]);
 }
 
+TEST_CASE("Several nodes that do not answer advice requests are passed over",
+          "[advice]")
+{
+    limited_cell cell;
+    const auto nodes = node_names(10);
+    advice_service advice{cell};
+    SECTION("of a pool of six")
+    {
+        advice.silent = {nodes[0], nodes[1], nodes[2]};
+    }
+    SECTION("the whole pool of slow requests")
+    {
+        cell.leader().set_members(std::span{nodes}.first(2));
+        advice.silent = {nodes[0]};
+    }
+    cell.submit(make_advised_job(1, make_lasting_step(4)));
+    CHECK(advice.run_until_placed(1, 4, 30s) <= 6s);
+}
+
 TEST_CASE("A node that refuses an advice request is not chosen again at once",
           "[advice]")
 {
