Check a step for further candidates only if a node is free to ask

Cause: the check whether a step with expired tickets could use advice is made once a second, and was also spent when no node was free. Within that second, steps that rank lower took each node that became free.

Change: the node is chosen before the step is checked, and a scan makes at most eight such checks, in the order of service.

--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -113,6 +113,8 @@
     /** @brief The same once the tickets have expired; each check scans all
      * workers, and a backlog may hold many such steps. */
     duration expired_widen_interval{std::chrono::milliseconds{1000}};
+    /** @brief Maximum number of these checks in one scan. */
+    std::size_t candidate_checks_per_scan{8};
     /** @brief Number of steps at the head of the queue whose tickets are
      * renewed even without available capacity. */
     std::size_t always_renewed_steps{8};
--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -145,9 +145,10 @@
     if (has_capacity(step, now)) {
         return true;
     }
-    if (now < step.next_widening) {
+    if (now < step.next_widening || candidate_checks_left == 0) {
         return false;
     }
+    --candidate_checks_left;
     step.next_widening = now + options.expired_widen_interval;
     return has_more_candidates(step, now);
 }
@@ -187,6 +188,7 @@
         return;
     }
     last_advice_scan = now;
+    candidate_checks_left = options.candidate_checks_per_scan;
     duration fast_backlog{};
     std::vector<ranked_step> fast_steps;
     std::vector<ranked_step> slow_steps;
@@ -272,8 +274,15 @@
 void dispatcher::state::request_fast_advice(std::span<const ranked_step> order,
                                             time_point now)
 {
+    const auto is_full = [this](const node_backlog& open) {
+        return open.cost > options.max_fast_work_per_node;
+    };
     std::size_t position = 0;
     for (const auto& it : order) {
+        const auto* node = least_loaded(members, is_full, now);
+        if (node == nullptr) {
+            return;
+        }
         // Under load, initial requests precede renewals that no worker has
         // capacity for.
         const bool renewal = !it.step->tickets.empty();
@@ -281,15 +290,6 @@
             !can_use_advice(*it.step, now)) {
             continue;
         }
-        const auto* node = least_loaded(
-            members,
-            [this](const node_backlog& open) {
-                return open.cost > options.max_fast_work_per_node;
-            },
-            now);
-        if (node == nullptr) {
-            return;
-        }
         open_request(*it.step, *node, now);
     }
 }
@@ -298,15 +298,13 @@
                                             std::span<const std::string> pool,
                                             time_point now)
 {
+    const auto is_full = [this](const node_backlog& open) {
+        return open.requests >= options.slow_requests_per_node;
+    };
     std::size_t position = 0;
     for (const auto& it : order) {
-        const bool wanted = wants_advice(*it.step, position++, now);
-        if (!wanted || !it.step->assigned_node.empty()) {
-            continue;
-        }
-        const auto is_full = [this](const node_backlog& open) {
-            return open.requests >= options.slow_requests_per_node;
-        };
+        // A step is checked only if its request could be sent: the checks are
+        // limited in number, and steps that rank lower would take the node.
         const auto* node = least_loaded(pool, is_full, now);
         if (node != nullptr && open_requests[*node].distrusted_until > now) {
             node = least_loaded(members, is_full, now);
@@ -314,7 +312,11 @@
         if (node == nullptr) {
             return;
         }
-        open_request(*it.step, *node, now);
+        const auto here = position++;
+        if (it.step->assigned_node.empty() &&
+            wants_advice(*it.step, here, now)) {
+            open_request(*it.step, *node, now);
+        }
     }
 }
 
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -363,6 +363,9 @@
     std::deque<std::pair<time_point, std::uint64_t>> ended_order;
     time_point last_plan;
     time_point last_advice_scan;
+    /** @brief Remaining checks for further candidates of expired steps in this
+     * scan. */
+    std::size_t candidate_checks_left{};
     /** @brief Jobs whose outcome is recorded; removed once their last task has
      * stopped. */
     std::set<std::uint64_t> awaiting_removal;
--- a/test/fleet/advice_requests.cpp
+++ b/test/fleet/advice_requests.cpp
@@ -271,4 +271,32 @@
     CHECK(advice.run_until_placed(1, 12, 30s) <= 6s);
 }
 
+TEST_CASE("A lost task is advised before steps that rank after it", "[advice]")
+{
+    const auto phase = GENERATE(range(0, 10)) * 340ms;
+    limited_cell cell;
+    advice_service advice{cell};
+    // Of the first 60 workers, only those that run the step may. The jobs from
+    // 10 on are granted no worker and request again and again.
+    advice.allows = [](const step_key& step, const std::string& id) {
+        const auto n = std::stoi(id.substr(1));
+        return step.job < 10 && (step.job != 1 || n < 12 || n >= 60);
+    };
+    cell.submit(make_advised_job(1, make_lasting_step(12)));
+    advice.run(5s);
+    REQUIRE(cell.running(1) == 12);
+    cell.add_workers(60, eight_cores);
+    cell.submit_limited(2, 8, 0);
+    for (std::uint64_t id = 10; id < 50; ++id) {
+        auto job = make_advised_job(id, {.tasks = 4, .demand = one_core});
+        job.queue.priority = 2;
+        cell.submit(job);
+    }
+    advice.run(10s + phase);
+    const auto lost_on = cell.worker_of(1);
+    cell.workers.at(lost_on).vm.draining = true;
+    cell.lose_task(1);
+    CHECK(advice.run_until_placed(1, 12, 30s) <= 6s);
+}
+
 } // namespace rosemarytrail::fleet
