Remember all workers that refused a task, and set none aside for one job

Cause: a task remembered only the last worker that refused it. With four refusing workers of eight, the share of workers that may be set aside was used up and the other two got 100 starts a second. And setting workers aside after three refusals of one job did harm: a service of four workers that refused for 0.3 s was left alone for 5 s more.

Tests: "A task that many workers refuse runs on another" (200 refused starts before, at most 4 now) and "Workers that refuse starts for a moment are used again at once" failed before and pass; test_fleet passes.

--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -53,8 +53,8 @@
     duration ticket_margin{std::chrono::milliseconds{60}};
     /** @brief How long a quarantined worker receives no new tasks. */
     duration quarantine{std::chrono::milliseconds{5000}};
-    /** @brief Number of consecutive failed runs, of at least two jobs, or of
-     * consecutive refused starts after which a worker is quarantined. */
+    /** @brief Number of consecutive failed runs, of at least two jobs, after
+     * which a worker is quarantined. */
     std::uint32_t suspect_failures{3};
     /** @brief A run that is reported as running this long after its start does
      * not crash its worker. */
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -120,9 +120,11 @@
     /** @brief Worker and duration of the successful run. */
     std::string completed_on;
     duration run_duration{};
-    /** @brief Worker of the last run that failed or was refused, avoided by the
-     * next run. */
+    /** @brief Worker of the last failed run, avoided by the next run. */
     std::string failed_on;
+    /** @brief Workers that refused a run since the last one that started,
+     * avoided by the next run. */
+    std::set<std::string> refused_by;
     /** @brief Evidence of the current run. */
     run_evidence evidence{run_evidence::none};
     crash_history crashes;
@@ -260,7 +262,6 @@
     std::size_t untracked_runs{};
     std::set<std::uint64_t> failed_jobs;
     std::uint32_t failures_in_a_row{};
-    std::uint32_t refusals_in_a_row{};
     time_point quarantined_until;
     /** @brief Run time of its tasks relative to other tasks of the same
      * steps. */
@@ -416,9 +417,6 @@
                        std::uint32_t index, time_point now);
     void record_failure(tracked_worker& worker, std::uint64_t job,
                         time_point now);
-    void record_refusal(tracked_worker& worker, std::uint64_t job,
-                        time_point now);
-    void quarantine(tracked_worker& worker, std::uint64_t job, time_point now);
     void compare_running(tracked_worker& worker, const poll_response& response,
                          time_point sent_at, time_point now);
     void throttle_scavengers(tracked_worker& worker,
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -119,10 +119,10 @@
 {
     const auto& spec = *step.spec;
     const auto demand = spec.reserved();
-    const auto& failed_on = step.tasks[index].failed_on;
-    const bool apart = step.tasks[index].crashes.counted() > 0;
+    const auto& task = step.tasks[index];
+    const bool apart = task.crashes.counted() > 0;
     tracked_worker* best = nullptr;
-    std::tuple<std::size_t, std::size_t, bool, bool, int, std::int64_t>
+    std::tuple<bool, std::size_t, std::size_t, bool, bool, int, std::int64_t>
         best_rank;
     const auto consider = [&](tracked_worker& it) {
         if (!can_accept(it, step, now)) {
@@ -132,10 +132,11 @@
         // scavenger task prefers the worker with the most idle CPU.
         const auto left = it.available().cpu_millis - demand.cpu_millis;
         const std::tuple rank{
+            task.refused_by.contains(it.vm.id),
             apart ? count_new_runs(it) : std::size_t{it.isolated_run ? 1U : 0U},
             apart ? it.load.size() : std::size_t{0},
             !spec.data_rack.empty() && it.vm.rack != spec.data_rack,
-            it.vm.id == failed_on,
+            it.vm.id == task.failed_on,
             speed_rank(it, step),
             spec.scavenger ? -left : left};
         if (best == nullptr || rank < best_rank) {
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -149,7 +149,7 @@
     const bool start_sent = task.phase == task_phase::start_sent;
     const bool stopping = task.phase == task_phase::stopping;
     if (result == start_result::started) {
-        self.workers[request.worker.id].refusals_in_a_row = 0;
+        task.refused_by.clear();
         task.evidence =
             std::max(task.evidence, internal::run_evidence::started);
         if (start_sent) {
@@ -177,7 +177,7 @@
                           " result " +
                           std::to_string(static_cast<int>(result)));
     auto& worker = self.workers[request.worker.id];
-    task.failed_on = request.worker.id;
+    task.refused_by.insert(request.worker.id);
     switch (result) {
     case start_result::fenced:
         self.superseded = true;
@@ -191,8 +191,6 @@
         break;
     case start_result::no_capacity:
     case start_result::unhealthy:
-        self.record_refusal(worker, request.task.step.job, now);
-        break;
     case start_result::invalid:
         self.record_failure(worker, request.task.step.job, now);
         break;
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -94,23 +94,6 @@
         worker.failed_jobs.size() < 2) {
         return;
     }
-    quarantine(worker, job, now);
-}
-
-// A worker refuses a start before it runs anything, so refusals of a single job
-// indicate a faulty worker too.
-void dispatcher::state::record_refusal(tracked_worker& worker,
-                                       std::uint64_t job, time_point now)
-{
-    ++worker.refusals_in_a_row;
-    if (worker.refusals_in_a_row >= options.suspect_failures) {
-        quarantine(worker, job, now);
-    }
-}
-
-void dispatcher::state::quarantine(tracked_worker& worker, std::uint64_t job,
-                                   time_point now)
-{
     const auto quarantined =
         std::ranges::count_if(workers, [now](const auto& it) {
             return it.second.quarantined_until > now;
@@ -121,7 +104,6 @@
     }
     worker.quarantined_until = now + options.quarantine;
     worker.failures_in_a_row = 0;
-    worker.refusals_in_a_row = 0;
     worker.failed_jobs.clear();
     log_decision(job, "worker set aside", worker.vm.id);
 }
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace rosemarytrail::fleet {
 
@@ -550,6 +552,54 @@
     CHECK(cell.refused_starts <= 3);
 }
 
+TEST_CASE("A task that many workers refuse runs on another", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 60s};
+    };
+    cell.add_workers(8, eight_cores);
+    cell.run(100ms);
+    cell.submit(
+        make_job(1, {{.tasks = 4, .demand = one_core, .tasks_per_vm = 1}}));
+    cell.run(200ms);
+    REQUIRE(cell.running(1) == 4);
+    for (auto& [id, it] : cell.workers) {
+        it.refuses_starts = !it.running.empty();
+    }
+    cell.submit(make_job(2, {{.tasks = 1, .demand = one_core}}));
+    cell.run(2s);
+    CHECK(cell.running(2) == 1);
+    CHECK(cell.refused_starts <= 4);
+}
+
+TEST_CASE("Workers that refuse starts for a moment are used again at once",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 60s};
+    };
+    cell.add_workers(40, eight_cores);
+    const std::vector<std::string> small{"w0", "w1", "w2", "w3"};
+    for (const auto& id : small) {
+        cell.workers[id].vm.service = "small";
+        cell.workers[id].refuses_starts = true;
+    }
+    cell.list_workers();
+    cell.run(100ms);
+    auto job = make_job(1, {{.tasks = 4, .demand = one_core}});
+    job.queue.service = "small";
+    cell.submit(job);
+    cell.run(300ms);
+    REQUIRE(cell.running(1) == 0);
+    for (const auto& id : small) {
+        cell.workers[id].refuses_starts = false;
+    }
+    cell.run(300ms);
+    CHECK(cell.running(1) == 4);
+}
+
 TEST_CASE("A long-running task is restarted after any end", "[dispatcher]")
 {
     worker_fleet cell;
