Count no worker as refused for good, and apply each advice once

Cause: any advice, cancellation or repeated submission of a job applied the stored advice of all its steps again. That closed open requests of other steps and took their workers for refused. A worker that was missing in an answer for another reason, such as being away, stayed refused too, for as long as the step had granted ones. Class of fault: a note that nothing ever corrects.

Answers to earlier requests may still be taken for those of the open one; the retry covers that.

Tests: "A worker that was missing in an answer is requested again" (not back after 30 s before) and "Advice for one step leaves the request of another open" failed before and pass; test_fleet passes.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -201,11 +201,13 @@
 void dispatcher::state::apply_advice(tracked_step& step,
                                      const ledger_advice& advice)
 {
+    step.advice_read_at = advice.read_at;
     step.tickets.clear();
     step.allowed_as_of = 0;
     for (const auto& row : advice.grant.rows) {
         step.tickets.emplace(row.worker, row.ticket);
         step.granted.insert(row.worker);
+        step.refused.erase(row.worker);
     }
     update_granted_share(step, advice.grant);
     if (!step.assigned_node.empty()) {
@@ -343,7 +345,9 @@
     }
     for (const auto& [key, advice] : entry.advice) {
         auto* step = it.find_step(key);
-        if (step != nullptr && !step->complete()) {
+        // The entry holds the advice of all steps, old and new.
+        if (step != nullptr && !step->complete() &&
+            advice.read_at != step->advice_read_at) {
             it.apply_advice(*step, advice);
         }
     }
--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -132,7 +132,11 @@
         step.next_widening = now + options.widen_interval;
         return has_more_candidates(step, now);
     }
-    return position < options.always_renewed_steps || can_use_advice(step, now);
+    if (position < options.always_renewed_steps) {
+        retry_refused(step, now);
+        return true;
+    }
+    return can_use_advice(step, now);
 }
 
 // Workers without a ticket count too: those with one may stay full for as long
@@ -150,6 +154,22 @@
     }
     --candidate_checks_left;
     step.next_widening = now + options.expired_widen_interval;
+    return has_more_candidates(step, now) || retry_refused(step, now);
+}
+
+// A worker may be missing in an answer because it was away, or because the
+// answer belongs to an earlier request, so no worker counts as refused for
+// good.
+bool dispatcher::state::retry_refused(tracked_step& step, time_point now)
+{
+    if (step.refused.empty() || now < step.next_refused_retry) {
+        return false;
+    }
+    step.next_refused_retry = now + options.refused_retry_interval;
+    if (has_capacity(step, now) || has_more_candidates(step, now)) {
+        return false;
+    }
+    step.refused.clear();
     return has_more_candidates(step, now);
 }
 
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -161,6 +161,8 @@
     std::vector<tracked_worker*> allowed;
     std::uint64_t allowed_as_of{};
     time_point tickets_until;
+    /** @brief When the last applied advice was read. */
+    time_point advice_read_at;
     /** @brief Time until which a response to the last request may arrive. */
     time_point request_deadline;
     /** @brief Node that the open request is assigned to; empty if none is
@@ -173,6 +175,8 @@
      * change its response about a worker. */
     std::set<std::string> refused;
     std::set<std::string> granted;
+    /** @brief Next time that the refused workers are requested again. */
+    time_point next_refused_retry;
     /** @brief Next check for further candidates. */
     time_point next_widening;
     /** @brief The occurrence is due and all preceding steps are done, so that
@@ -477,6 +481,8 @@
                                     time_point now);
     [[nodiscard]] bool has_capacity(tracked_step& step, time_point now);
     [[nodiscard]] bool can_use_advice(tracked_step& step, time_point now);
+    /** @return True if the step has candidates because of the retry. */
+    bool retry_refused(tracked_step& step, time_point now);
     [[nodiscard]] bool nearly_ready(const tracked_step& step, duration horizon,
                                     time_point now) const;
 
--- a/test/fleet/advice_requests.cpp
+++ b/test/fleet/advice_requests.cpp
@@ -271,6 +271,62 @@
     CHECK(advice.run_until_placed(1, 12, 30s) <= 6s);
 }
 
+TEST_CASE("A worker that was missing in an answer is requested again",
+          "[advice]")
+{
+    worker_fleet cell;
+    cell.add_workers(20, eight_cores);
+    cell.leader().set_members(node_names(4));
+    cell.run(100ms);
+    advice_service advice{cell};
+    bool away = true;
+    advice.allows = [&away](const step_key&, const std::string& id) {
+        const auto n = std::stoi(id.substr(1));
+        return n < 4 || (n == 4 && !away);
+    };
+    cell.submit(make_advised_job(1, make_lasting_step(4)));
+    advice.run(3s);
+    REQUIRE(cell.running(1) == 4);
+    away = false;
+    cell.workers.at("w0").vm.draining = true;
+    cell.restart("w0");
+    cell.list_workers();
+    CHECK(advice.run_until_placed(1, 4, 30s) <= 6s);
+}
+
+TEST_CASE("Advice for one step leaves the request of another open", "[advice]")
+{
+    worker_fleet cell;
+    cell.add_workers(5, eight_cores);
+    cell.leader().set_members(node_names(4));
+    cell.run(100ms);
+    auto job = make_advised_job(1, make_lasting_step(6));
+    job.spec.steps.push_back(make_lasting_step(2));
+    cell.submit(job);
+    cell.run(50ms);
+    cell.grant({.job = 1, .step = 0}, worker_ids(0, 5), 2500ms);
+    cell.run(200ms);
+    REQUIRE(cell.running(1) == 5);
+    cell.add_workers(3, eight_cores);
+    cell.run(300ms);
+    const auto workers_requested = [&cell] {
+        std::vector<std::vector<std::string>> result;
+        for (const auto& it : cell.advice_assignments) {
+            if (it.request.step.step == 0) {
+                result.push_back(it.request.workers);
+            }
+        }
+        return result;
+    };
+    REQUIRE(workers_requested().size() == 2);
+    // The second request is lost and has to be sent again.
+    cell.grant({.job = 1, .step = 1}, worker_ids(0, 2), 2500ms);
+    cell.run(3s);
+    const auto requested = workers_requested();
+    REQUIRE(requested.size() >= 3);
+    CHECK(std::ranges::count(requested.back(), "w5") == 1);
+}
+
 TEST_CASE("A lost task is advised before steps that rank after it", "[advice]")
 {
     const auto phase = GENERATE(range(0, 10)) * 340ms;
