Ask less often for steps that are granted no worker

Cause: a step without tickets always asks, and its refusals were cleared after one second.

Change: refused workers are asked about again after 4 s, and after twice the time with each retry that grants no new worker, up to a minute. Workers that join are asked about at once, as before.

Test: "Steps that are granted no worker do not use up the nodes for advice": not back after 30 s before, passes with a bound of 6 s. An interval of 4 s without doubling was tried and failed it. test_fleet passes.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -206,7 +206,9 @@
     step.allowed_as_of = 0;
     for (const auto& row : advice.grant.rows) {
         step.tickets.emplace(row.worker, row.ticket);
-        step.granted.insert(row.worker);
+        if (step.granted.insert(row.worker).second) {
+            step.refused_retry = {};
+        }
         step.refused.erase(row.worker);
     }
     update_granted_share(step, advice.grant);
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -115,9 +115,11 @@
     duration expired_widen_interval{std::chrono::milliseconds{1000}};
     /** @brief Maximum number of these checks in one scan. */
     std::size_t candidate_checks_per_scan{8};
-    /** @brief Interval at which a step without other candidates requests its
-     * refused workers again. */
+    /** @brief Interval after which a step without other candidates requests its
+     * refused workers again; doubled each time that no new worker is granted.
+     */
     duration refused_retry_interval{std::chrono::milliseconds{4000}};
+    duration max_refused_retry_interval{std::chrono::milliseconds{60000}};
     /** @brief Number of steps at the head of the queue whose tickets are
      * renewed even without available capacity. */
     std::size_t always_renewed_steps{8};
--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -54,12 +54,12 @@
 {
     auto requested_workers = select_candidates(step, now);
     if (requested_workers.empty()) {
-        if (now < step.next_widening) {
+        // All candidates were refused or are no longer listed: the refusals are
+        // cleared and the step is tried again.
+        if (now < step.next_refused_retry) {
             return;
         }
-        // All candidates were refused or are no longer listed: the refusals are
-        // cleared and the step is tried again, at most once per `advice_slack`.
-        step.next_widening = now + options.advice_slack;
+        schedule_refused_retry(step, now);
         step.refused.clear();
         requested_workers = select_candidates(step, now);
         if (requested_workers.empty()) {
@@ -157,6 +157,17 @@
     return has_more_candidates(step, now) || retry_refused(step, now);
 }
 
+// A step that is granted nothing new asks less and less often, so that such
+// steps leave the nodes to others.
+void dispatcher::state::schedule_refused_retry(tracked_step& step,
+                                               time_point now)
+{
+    step.refused_retry =
+        std::clamp(step.refused_retry * 2, options.refused_retry_interval,
+                   options.max_refused_retry_interval);
+    step.next_refused_retry = now + step.refused_retry;
+}
+
 // A worker may be missing in an answer because it was away, or because the
 // answer belongs to an earlier request, so no worker counts as refused for
 // good.
@@ -165,7 +176,7 @@
     if (step.refused.empty() || now < step.next_refused_retry) {
         return false;
     }
-    step.next_refused_retry = now + options.refused_retry_interval;
+    schedule_refused_retry(step, now);
     if (has_capacity(step, now) || has_more_candidates(step, now)) {
         return false;
     }
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -177,6 +177,8 @@
     std::set<std::string> granted;
     /** @brief Next time that the refused workers are requested again. */
     time_point next_refused_retry;
+    /** @brief Interval up to that time; zero once a new worker was granted. */
+    duration refused_retry{};
     /** @brief Next check for further candidates. */
     time_point next_widening;
     /** @brief The occurrence is due and all preceding steps are done, so that
@@ -481,6 +483,7 @@
                                     time_point now);
     [[nodiscard]] bool has_capacity(tracked_step& step, time_point now);
     [[nodiscard]] bool can_use_advice(tracked_step& step, time_point now);
+    void schedule_refused_retry(tracked_step& step, time_point now);
     /** @return True if the step has candidates because of the retry. */
     bool retry_refused(tracked_step& step, time_point now);
     [[nodiscard]] bool nearly_ready(const tracked_step& step, duration horizon,
--- a/test/fleet/advice_requests.cpp
+++ b/test/fleet/advice_requests.cpp
@@ -294,6 +294,27 @@
     CHECK(advice.run_until_placed(1, 4, 30s) <= 6s);
 }
 
+TEST_CASE("Steps that are granted no worker do not use up the nodes for advice",
+          "[advice]")
+{
+    limited_cell cell;
+    advice_service advice{cell};
+    advice.allows = [](const step_key& step, const std::string&) {
+        return step.job == 1;
+    };
+    auto lasting = make_advised_job(1, make_lasting_step(12));
+    lasting.queue.priority = 2;
+    cell.submit(lasting);
+    advice.run(5s);
+    REQUIRE(cell.running(1) == 12);
+    for (std::uint64_t id = 2; id < 42; ++id) {
+        cell.submit(make_advised_job(id, {.tasks = 4, .demand = one_core}));
+    }
+    advice.run(10s);
+    cell.lose_task(1);
+    CHECK(advice.run_until_placed(1, 12, 30s) <= 6s);
+}
+
 TEST_CASE("Advice for one step leaves the request of another open", "[advice]")
 {
     worker_fleet cell;
