End the failure count of a worker once a lasting task runs there again

A sound worker was set aside for failures of lasting tasks a minute apart.

Cause: only an end as done resets the count of failures in a row, and a task that lasts never ends so.

Change: a lasting task that is reported as running past the crash window resets it.

Test: "Failures of lasting tasks far apart set no worker aside" failed before and passes; test_fleet passes.

--- a/src/rosemarytrail/fleet/internal/worker_crashes.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_crashes.cpp
@@ -120,6 +120,10 @@
         return;
     }
     task.evidence = run_evidence::stable;
+    if (step.spec->long_running) {
+        worker.failures_in_a_row = 0;
+        worker.failed_jobs.clear();
+    }
     clear_crashes(step, key.index);
     if (worker.isolated_run == key) {
         worker.isolated_run.reset();
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <string>
 #include <vector>
@@ -600,6 +601,36 @@
     CHECK(cell.running(1) == 4);
 }
 
+TEST_CASE("Failures of lasting tasks far apart set no worker aside",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.add_workers(8, eight_cores);
+    cell.run(100ms);
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        cell.submit(make_job(id, {{.tasks = 8,
+                                   .demand = one_core,
+                                   .long_running = true,
+                                   .tasks_per_vm = 1}}));
+    }
+    cell.run(500ms);
+    REQUIRE(cell.running(2) == 8);
+    auto& worker = cell.workers.at("w0");
+    for (int i = 0; i < 4; ++i) {
+        worker.fails_all = true;
+        auto& runs = worker.running;
+        (i % 2 == 0 ? runs.begin() : std::prev(runs.end()))->second.ends =
+            cell.now;
+        cell.run(20ms);
+        worker.fails_all = false;
+        cell.run(30s);
+    }
+    const auto decisions = cell.leader().take_decisions();
+    CHECK(std::ranges::none_of(decisions, [](const auto& it) {
+        return it.what == "worker set aside";
+    }));
+}
+
 TEST_CASE("A long-running task is restarted after any end", "[dispatcher]")
 {
     worker_fleet cell;
