Keep away from silent relays until others have been tried

Two relays that accept calls and return nothing got a poll by turns, so that its worker was never found lost.

Cause: a lost relay was trusted again after 2 s, a lost poll is noticed after 2.5 s, and the first trusted relay of the list is taken.

Change: distrust lasts 10 s.

Test: "A poll reaches the third relay after two that return nothing" failed before and passes; test_cell passes.

--- a/src/rosemarytrail/cell/relayed_workers.hpp
+++ b/src/rosemarytrail/cell/relayed_workers.hpp
@@ -32,8 +32,9 @@
     /** @brief A relay without result for a call that it should have finished
      * this long ago counts as lost; longer than its own timeout for a call. */
     duration result_timeout{std::chrono::milliseconds{1500}};
-    /** @brief How long a lost relay is not used. */
-    duration distrust{std::chrono::milliseconds{2000}};
+    /** @brief How long a lost relay is not used. Exceeds the time in which the
+     * losses of several relays are noticed one after another. */
+    duration distrust{std::chrono::milliseconds{10000}};
 };
 
 /**
--- a/test/cell/relayed_workers.cpp
+++ b/test/cell/relayed_workers.cpp
@@ -236,6 +236,35 @@
     }
 }
 
+TEST_CASE("A poll reaches the third relay after two that return nothing",
+          "[relayed]")
+{
+    leader_port it;
+    const auto name = [](const std::string& id) {
+        return to_text({.incarnation = id + "-1-1",
+                        .address = id + ":1",
+                        .cpu_millis = 500});
+    };
+    it.port.set_plan({{"w1", name("a")}, {"w2", name("b")}, {"w3", name("c")}});
+    it.port.poll({.worker = {.id = "w1", .address = "w1:1"}, .wait = 1s},
+                 [](fleet::poll_result, const fleet::poll_response&) {});
+    auto now = boot_clock::now();
+    const auto begin = now;
+    std::string order;
+    std::size_t seen = 0;
+    // All relays accept the calls; a and b return nothing.
+    while (now - begin < 30s) {
+        it.port.run(now += 50ms);
+        for (; seen < it.peers.calls.size(); ++seen) {
+            order += it.peers.calls[seen].address + " ";
+            const auto done = it.peers.calls[seen].done;
+            done(message_result::accepted);
+        }
+    }
+    INFO("the poll went to " << order << "direct " << it.direct.polls.size());
+    CHECK(order.find("c:1") != std::string::npos);
+}
+
 TEST_CASE("A start that the worker confirms counts as started", "[relayed]")
 {
     leader_port it;
