Reject no submission that a lost peer may have recorded

Cause: a node that does not follow the ledger forwards a submission to the leader, then to a follower. If the first peer gives no response, or says that the outcome is unknown, it may have recorded the job. The node remembered that, but applied it only to the answer `unavailable` that it made itself. The next peer's rejection, such as 429 for the account's share, went to the client as it came, and so did the node's own rejections other than `unavailable`. The next peer decides by its own index, which need not hold the job yet. Class of fault: a doubt that is kept beside the result must be applied at each place that reports one.

Trigger: clients repeat a rejected submission with a shrinking deadline. With about 0.6 s left, the peer's entry has a few milliseconds until its own deadline, so it is in flight when the peer has to answer.

Ruled out by reading: entries that the outbox reports as refused were never sent or were refused by the store each time; a leader that steps down refuses only entries that were in no batch, and reports the others as unknown; a message is refused by a peer only if it was not sent or not taken. Sending the doubt to the next peer was weighed: the peer could only drop its admission check, which would let the whole excess of an account pass while the leader is frozen.

Change: once a peer may have made a change, the callback of the call is wrapped, so that any later rejection, by whatever node, is reported as an unknown outcome (504). All ways to an answer go through it; the flag in the call is gone. A malformed call is malformed at every node, and is still reported so.

Tests: "A submission that a lost peer may have recorded is never rejected" failed before (too_many, code 213) and passes; "A change that lost peers may have made is never reported as not made" passes before and after, and fails without the wrapping and, for cancellations, with wrapping of submissions only.

--- a/src/rosemarytrail/cell/client_call.hpp
+++ b/src/rosemarytrail/cell/client_call.hpp
@@ -58,9 +58,6 @@
     /** @brief The call was forwarded by another node and is not forwarded
      * again. */
     bool forwarded{false};
-    /** @brief The call was forwarded to a node that did not respond and may
-     * have executed it. */
-    bool maybe_applied{false};
     /** @brief Minimum configuration version for serving the call. */
     std::int64_t min_config{};
 };
@@ -84,6 +81,32 @@
     outcome_unknown
 };
 
+/**
+ * @brief Checks whether a response states that a call was not executed because
+ * of the state of the node that rejected it; another node may have executed it.
+ * @param kind Kind of response.
+ * @return True if it does. A malformed call is malformed at every node.
+ */
+[[nodiscard]] constexpr bool is_rejection(answer_kind kind) noexcept
+{
+    switch (kind) {
+    case answer_kind::no_such_queue:
+    case answer_kind::not_authorised:
+    case answer_kind::unavailable:
+    case answer_kind::too_many:
+        return true;
+    case answer_kind::accepted:
+    case answer_kind::cancelled:
+    case answer_kind::state:
+    case answer_kind::pending:
+    case answer_kind::no_such_job:
+    case answer_kind::malformed:
+    case answer_kind::outcome_unknown:
+        break;
+    }
+    return false;
+}
+
 /** @brief Response to a client. */
 struct client_answer
 {
--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -24,6 +24,24 @@
     return path.substr(std::min(path.rfind('/') + 1, path.size()));
 }
 
+/**
+ * @brief Wraps the callback of a change that a node may have made.
+ * @param done Receives the response.
+ * @return Callback that reports a later rejection, by whatever node, as an
+ * unknown outcome.
+ */
+[[nodiscard]] std::function<void(client_answer)>
+without_rejections(std::function<void(client_answer)> done)
+{
+    return [done = std::move(done)](client_answer it) {
+        if (is_rejection(it.kind)) {
+            it.kind = answer_kind::outcome_unknown;
+            it.code = result_code::submission_outcome_unknown;
+        }
+        done(it);
+    };
+}
+
 } // namespace
 
 void node::internal_state::serve(client_call call,
@@ -125,7 +143,8 @@
                 peer_config = std::max(peer_config, it->config);
             }
             // Calls are idempotent, so another peer may be tried. After a lost
-            // response, the call can no longer be reported as not executed.
+            // response, the call can no longer be reported as not executed,
+            // also if the next peer, which need not know of it yet, rejects it.
             const bool unknown =
                 !it || it->kind == answer_kind::outcome_unknown;
             if (!unknown && it->kind != answer_kind::unavailable) {
@@ -139,7 +158,11 @@
                  {"peer", address},
                  {"reason", it ? describe(it->code).name : "no response"}});
             list_soon();
-            call.maybe_applied = call.maybe_applied || unknown;
+            const bool changes = call.kind == call_kind::submit ||
+                                 call.kind == call_kind::cancel;
+            if (unknown && changes) {
+                done = without_rejections(std::move(done));
+            }
             forward_to_peers(std::move(call), std::move(candidates),
                              std::move(done));
         });
@@ -234,17 +257,6 @@
 void node::internal_state::serve_here(client_call call,
                                       std::function<void(client_answer)> done)
 {
-    const bool changes =
-        call.kind == call_kind::submit || call.kind == call_kind::cancel;
-    if (call.maybe_applied && changes) {
-        done = [done = std::move(done)](client_answer it) {
-            if (it.kind == answer_kind::unavailable) {
-                it.kind = answer_kind::outcome_unknown;
-                it.code = result_code::submission_outcome_unknown;
-            }
-            done(it);
-        };
-    }
     if (const auto rejection = check_call(call)) {
         done(*rejection);
         return;
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -109,6 +109,48 @@
         REQUIRE(loop.run_until([&] { return result.has_value(); }, timeout));
         return *result;
     }
+
+    /** @return Number of waiting jobs that a node knows of; nothing if it does
+     * not follow the ledger. */
+    [[nodiscard]] std::optional<std::size_t> pending_at(std::size_t at)
+    {
+        const auto it = ask(at, {.kind = call_kind::pending,
+                                 .host = "h",
+                                 .path = "/q/",
+                                 .key = {},
+                                 .job = std::nullopt,
+                                 .deadline = boot_clock::now() + timeout,
+                                 .forwarded = true});
+        return it.kind == answer_kind::pending ? std::optional{it.pending}
+                                               : std::nullopt;
+    }
+
+    /** @return Nodes that know of a number of waiting jobs. */
+    [[nodiscard]] std::size_t nodes_with_pending(std::size_t jobs)
+    {
+        std::size_t result = 0;
+        for (std::size_t n = 0; n < nodes.size(); ++n) {
+            result += pending_at(n) == jobs ? 1U : 0U;
+        }
+        return result;
+    }
+
+    /** @brief Starts all nodes and waits until two of them follow.
+     * @return Index of a node that does not follow the ledger. */
+    [[nodiscard]] std::size_t start_and_find_other()
+    {
+        start();
+        REQUIRE(loop.run_until(
+            [&] {
+                return all_ready() && leader() && nodes_with_pending(0) == 2;
+            },
+            timeout));
+        std::size_t result = 0;
+        while (pending_at(result)) {
+            ++result;
+        }
+        return result;
+    }
 };
 
 /** @return Question about the state of a job. */
@@ -135,6 +177,13 @@
     return call;
 }
 
+/** @return Ledger key of a job. */
+[[nodiscard]] std::string key_of(std::uint64_t id)
+{
+    return fleet::encode_key(
+        {.kind = fleet::entry_kind::job, .step = {.job = id}});
+}
+
 } // namespace
 
 TEST_CASE("Of two nodes that claim the same epoch concurrently, one leads",
@@ -346,4 +395,75 @@
     CHECK(cell.ask(at, state_query(7)).kind == answer_kind::state);
 }
 
+TEST_CASE("A submission that a lost peer may have recorded is never rejected",
+          "[node]")
+{
+    six_nodes cell;
+    // Jobs without advice stay pending.
+    cell.formats.advice = fleet::advice_policy{.base_ms = 1e6, .valid_ms = 1};
+    cell.formats.account_weight = 0.01;
+    const auto at = cell.start_and_find_other();
+    constexpr std::uint64_t id = 1000;
+    cell.store.delayed_key = key_of(id);
+    cell.peers.responses_to_lose = 1;
+    std::optional<client_answer> result;
+    auto call = submission(id);
+    call.key = "k";
+    cell.nodes[at]->serve(std::move(call),
+                          [&](const client_answer& it) { result = it; });
+    REQUIRE(cell.peers.responses_to_lose == 0);
+    // Meanwhile the account submits many jobs at other nodes.
+    constexpr std::uint64_t jobs = 20;
+    for (std::uint64_t other = 1; other <= jobs; ++other) {
+        fleet::job_record record{.id = other, .account = "a"};
+        record.queue.name = "q";
+        record.spec.steps = {
+            {.tasks = 1, .demand = {.cpu_millis = 1000000, .memory_mb = 1}}};
+        cell.store.put(feed::ledger, key_of(other), fleet::encode(record));
+    }
+    REQUIRE(cell.loop.run_until(
+        [&] { return cell.nodes_with_pending(jobs) == 2; }, timeout));
+    auto further = submission(id + 1);
+    further.key = "k";
+    REQUIRE(cell.ask(at, further).kind == answer_kind::too_many);
+    CHECK_FALSE(result);
+    cell.peers.time_out();
+    REQUIRE(cell.loop.run_until([&] { return result.has_value(); }, timeout));
+    CHECK(result->kind == answer_kind::outcome_unknown);
+    CHECK(result->code == result_code::submission_outcome_unknown);
+    cell.store.release();
+    REQUIRE(cell.loop.run_until(
+        [&] { return cell.nodes_with_pending(jobs + 1) == 2; }, timeout));
+    CHECK(cell.ask(at, state_query(id)).kind == answer_kind::state);
+}
+
+TEST_CASE(
+    "A change that lost peers may have made is never reported as not made",
+    "[node]")
+{
+    six_nodes cell;
+    cell.formats.advice = fleet::advice_policy{.base_ms = 1e6, .valid_ms = 1};
+    const auto at = cell.start_and_find_other();
+    auto call = submission(1);
+    SECTION("submission") {}
+    SECTION("cancellation")
+    {
+        REQUIRE(cell.ask(at, call).kind == answer_kind::accepted);
+        call.kind = call_kind::cancel;
+    }
+    cell.store.refuses_appends = true;
+    cell.peers.responses_to_lose = 2;
+    std::optional<client_answer> result;
+    cell.nodes[at]->serve(std::move(call),
+                          [&](const client_answer& it) { result = it; });
+    REQUIRE(cell.loop.run_until(
+        [&] {
+            cell.peers.time_out();
+            return result.has_value();
+        },
+        timeout));
+    CHECK(cell.peers.responses_to_lose == 0);
+    CHECK(result->kind == answer_kind::outcome_unknown);
+}
+
 } // namespace rosemarytrail::cell
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -54,9 +54,32 @@
         {.key = std::move(key), .value = std::move(value)});
 }
 
+void model_store::release()
+{
+    delayed_key.reset();
+    for (const auto& it : std::exchange(delayed_, {})) {
+        it();
+    }
+}
+
 void model_store::append(cell::append_request request,
                          std::function<void(cell::append_answer)> done)
 {
+    if (refuses_appends) {
+        answer([done = std::move(done)] {
+            done({.result = cell::store_result::refused,
+                  .expected_sequence = std::nullopt});
+        });
+        return;
+    }
+    const auto delayed = [&](const auto& it) {
+        return it.key == delayed_key;
+    };
+    if (std::ranges::any_of(request.entries, delayed)) {
+        delayed_.push_back([this, request = std::move(request),
+                            done = std::move(done)] { append(request, done); });
+        return;
+    }
     auto& ledger = records_[request.which];
     cell::append_answer result{.result = cell::store_result::done,
                                .expected_sequence = std::nullopt};
@@ -228,11 +251,24 @@
     }
     auto handed = call;
     handed.forwarded = true;
+    if (responses_to_lose > 0) {
+        --responses_to_lose;
+        unanswered_.push_back(std::move(done));
+        it->second->serve(std::move(handed), [](const cell::client_answer&) {});
+        return;
+    }
     it->second->serve(std::move(handed),
                       [done = std::move(done)](
                           const cell::client_answer& answer) { done(answer); });
 }
 
+void model_peers::time_out()
+{
+    for (auto& it : std::exchange(unanswered_, {})) {
+        loop_.post([done = std::move(it)] { done(std::nullopt); });
+    }
+}
+
 void model_peers::send(std::string_view address,
                        const cell::peer_message& message, duration /*timeout*/,
                        std::function<void(cell::message_result)> done)
@@ -304,6 +340,11 @@
          .path_prefix = "/q/",
          .is_public = true,
          .policy = {.name = "q", .service = "s", .advice = advice}});
+    if (account_weight > 0) {
+        result.accounts.emplace(
+            "a", fleet::client_account{.name = "a", .weight = account_weight});
+        result.account_of_key.emplace("k", "a");
+    }
     return result;
 }
 
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,9 @@
     /** @brief Adds a record as its writer outside of the nodes does. */
     void put(cell::feed which, std::string key, std::string value);
 
+    /** @brief Executes the appends of the delayed key, and delays no more. */
+    void release();
+
     /** @brief Nodes that have joined. */
     std::vector<std::string> names;
     /** @brief Candidates for leadership; the first one is elected. */
@@ -68,6 +72,11 @@
     bool elects_all{false};
     /** @brief Leaves whoever loads the ledger without an answer. */
     bool withholds_ledger{false};
+    /** @brief Rejects all appends. */
+    bool refuses_appends{false};
+    /** @brief Appends with an entry of this key are not executed until
+     * `release`. */
+    std::optional<std::string> delayed_key;
 
 private:
     void answer(std::function<void()> with);
@@ -76,6 +85,7 @@
 
     stepped_loop& loop_;
     std::map<cell::feed, std::vector<cell::feed_record>> records_;
+    std::vector<std::function<void()>> delayed_;
     std::uint64_t epoch_{};
     std::uint64_t sequence_{};
 };
@@ -150,8 +160,14 @@
                                          const cell::leader_status&)>
                           done) override;
 
+    /** @brief Reports to the callers that the calls without a response have
+     * timed out. */
+    void time_out();
+
     /** @brief Nodes by address. */
     std::map<std::string, cell::node*> nodes;
+    /** @brief Number of next calls that are served but get no response. */
+    std::size_t responses_to_lose{};
 
 private:
     /** @brief Hands a message to a node; refused if there is none. */
@@ -159,6 +175,7 @@
                  std::function<void(cell::message_result)> done,
                  std::function<bool(cell::node&)> accept);
 
+    std::vector<callback> unanswered_;
     stepped_loop& loop_;
 };
 
@@ -173,6 +190,9 @@
 
     /** @brief Cost of advice on the queue `q`; none if it needs no advice. */
     std::optional<fleet::advice_policy> advice;
+    /** @brief Share of the account `a` with the key `k`, in jobs per second; no
+     * such account if zero. */
+    double account_weight{};
 };
 
 } // namespace rosemarytrail::test
