Count each failed run of a task once, also when it is reported late

A run that failed on a worker that was cut off was given up with its lease; its end, listed later, was recorded as noted but not counted, so the task started once more than max_attempts allows. The other way round, a gang two of whose members failed in one run was charged two attempts each, and a gang of four was shown as failed after one run.

Cause: a number of failures instead of the runs that failed. An end that is listed again can then not be told from another one, and late ends were left out for that.

Change: the ledger has the numbers of the failed runs. A listed failure counts if its run is not among them, whether or not the leader still tracks that run.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -176,7 +176,7 @@
         auto& task = step.tasks[i];
         const auto& row = rows[i];
         task.run = row.run;
-        task.failures = row.failures;
+        task.failed_runs = row.failed_runs;
         task.crashes = row.crashes;
         task.checkpoint = row.checkpoint;
         task.since = now;
@@ -305,7 +305,7 @@
         for (const auto& task : step.tasks) {
             const bool out_of_attempts =
                 !step.spec->long_running &&
-                task.failures >= job.record.queue.max_attempts;
+                task.failed_runs.size() >= job.record.queue.max_attempts;
             if (out_of_attempts || exceeds_crash_limit(task)) {
                 job.failed = true;
             }
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -107,7 +107,9 @@
 {
     task_phase phase{task_phase::waiting};
     std::uint32_t run{};
-    std::uint32_t failures{};
+    /** @brief Numbers of the runs that ended as failed; a worker may list an
+     * end more than once. Unused if the task lasts. */
+    std::vector<std::uint32_t> failed_runs;
     /** @brief Worker whose capacity it occupies; empty while it waits. */
     std::string worker;
     std::string checkpoint;
@@ -421,6 +423,8 @@
     void complete_task(tracked_step& step, std::uint32_t index, time_point now);
     void on_run_failed(tracked_worker& worker, tracked_step& step,
                        std::uint32_t index, time_point now);
+    void count_failed_run(tracked_step& step, std::uint32_t index,
+                          std::uint32_t run, time_point now);
     void record_failure(tracked_worker& worker, std::uint64_t job,
                         time_point now);
     void compare_running(tracked_worker& worker, const poll_response& response,
--- a/src/rosemarytrail/fleet/internal/ledger_batches.cpp
+++ b/src/rosemarytrail/fleet/internal/ledger_batches.cpp
@@ -98,7 +98,7 @@
         for (const auto& task : step->tasks) {
             rows.push_back({.done = task.phase == task_phase::done,
                             .run = task.run,
-                            .failures = task.failures,
+                            .failed_runs = task.failed_runs,
                             .worker = task.worker,
                             .checkpoint = step->spec->checkpoints
                                               ? task.checkpoint
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <span>
 #include <utility>
 
 namespace rosemarytrail::fleet {
@@ -115,17 +116,30 @@
     auto& task = step.tasks[index];
     task.failed_on = worker.vm.id;
     record_failure(worker, step.key.job, now);
-    if (step.spec->gang) {
-        for (auto& it : step.tasks) {
-            ++it.failures;
+    const auto run = task.run;
+    back_to_waiting(step, index, now);
+    count_failed_run(step, index, run, now);
+}
+
+// A failed run of one member is an attempt of the whole gang.
+void dispatcher::state::count_failed_run(tracked_step& step,
+                                         std::uint32_t index, std::uint32_t run,
+                                         time_point now)
+{
+    if (step.spec->long_running) {
+        return;
+    }
+    const auto first = step.spec->gang ? 0 : index;
+    const auto n = step.spec->gang ? step.tasks.size() : 1;
+    std::size_t attempts = 0;
+    for (auto& it : std::span{step.tasks}.subspan(first, n)) {
+        if (std::ranges::find(it.failed_runs, run) == it.failed_runs.end()) {
+            it.failed_runs.push_back(run);
         }
-    } else {
-        ++task.failures;
+        attempts = std::max(attempts, it.failed_runs.size());
     }
-    const auto failures = task.failures;
-    back_to_waiting(step, index, now);
-    if (!step.spec->long_running &&
-        failures >= step.job->record.queue.max_attempts && !step.job->ended()) {
+    mark_dirty(step);
+    if (attempts >= step.job->record.queue.max_attempts && !step.job->ended()) {
         fail_job(*step.job, "a task failed in each of its attempts", now);
     }
 }
@@ -189,6 +203,9 @@
     if (task.worker != worker.vm.id || task.run != row.run) {
         if (row.how == run_end::done && task.phase != task_phase::done) {
             on_late_end(worker, *step, row, now);
+        } else if (row.how == run_end::failed &&
+                   task.phase != task_phase::done && row.run <= task.run) {
+            count_failed_run(*step, index, row.run, now);
         }
         return;
     }
--- a/src/rosemarytrail/fleet/job.hpp
+++ b/src/rosemarytrail/fleet/job.hpp
@@ -278,8 +278,8 @@
     bool done{false};
     /** @brief Number of the last start; zero if it never started. */
     std::uint32_t run{};
-    /** @brief Runs that ended as failed. */
-    std::uint32_t failures{};
+    /** @brief Numbers of the runs that ended as failed. */
+    std::vector<std::uint32_t> failed_runs;
     /** @brief Worker of the last start; empty while the task waits. */
     std::string worker;
     /** @brief Last checkpoint; empty for none. */
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -106,7 +106,7 @@
 
 [[nodiscard]] json pack_task(const task_progress& it)
 {
-    json row = json::array({it.run, it.failures, it.worker, it.checkpoint});
+    json row = json::array({it.run, it.failed_runs, it.worker, it.checkpoint});
     if (!it.crashes.empty()) {
         row.push_back(pack_crashes(it.crashes));
     }
@@ -281,12 +281,13 @@
                 result.push_back({.done = row.get<bool>()});
                 continue;
             }
-            result.push_back({.run = row.at(0),
-                              .failures = row.at(1),
-                              .worker = row.at(2).get<std::string>(),
-                              .checkpoint = row.at(3).get<std::string>(),
-                              .crashes = row.size() > 4 ? read_crashes(row[4])
-                                                        : crash_history{}});
+            result.push_back(
+                {.run = row.at(0),
+                 .failed_runs = row.at(1).get<std::vector<std::uint32_t>>(),
+                 .worker = row.at(2).get<std::string>(),
+                 .checkpoint = row.at(3).get<std::string>(),
+                 .crashes =
+                     row.size() > 4 ? read_crashes(row[4]) : crash_history{}});
         }
         return result;
     });
--- a/test/fleet/ledger.cpp
+++ b/test/fleet/ledger.cpp
@@ -120,7 +120,7 @@
         rows[n] = {.done = true};
     }
     rows[25] = {};
-    rows[24] = {.run = 3, .failures = 2};
+    rows[24] = {.run = 3, .failed_runs = {1, 2}};
     rows[23] = {.run = 2,
                 .crashes = {.confirmed = 1,
                             .possible = 2,
