Start nothing on a worker whose capacity has shrunk below what it holds

A task placed before the shrink was started after it, if its record took longer than the directory.

Cause: capacity was checked when a task is placed, and not again when its start is sent, which a slow store delays by seconds.

Change: a start is sent only if what the worker holds fits its present capacity; otherwise the task waits again.

Tests: "A worker whose capacity shrinks receives no start beyond it" failed before (12 of 12 tasks started in a capacity of 6) and passes; "A worker whose capacity shrinks below what runs keeps it and starts nothing more" passes before and after. test_fleet passes.

--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -62,6 +62,10 @@
         worker == workers.end() || !is_usable(worker->second, step, now)) {
         return false;
     }
+    // The capacity may have shrunk since the task was placed.
+    if (!worker->second.used.fits(worker->second.vm.capacity)) {
+        return false;
+    }
     return !step.job->record.queue.advice ||
            (step.tickets_until > now && step.tickets.contains(task.worker));
 }
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -50,6 +50,57 @@
     CHECK(cell.violations.empty());
 }
 
+TEST_CASE("A worker whose capacity shrinks receives no start beyond it",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 2s};
+    };
+    cell.add_workers(2, eight_cores);
+    cell.run(100ms);
+    cell.ledger_delay = 1s;
+    cell.submit(make_job(1, {{.tasks = 12, .demand = one_core}}));
+    cell.run(300ms);
+    // Placed, and not recorded yet.
+    for (auto& [id, it] : cell.workers) {
+        it.vm.capacity = {3000, 16000, 0};
+    }
+    cell.list_workers();
+    cell.run(1500ms);
+    CHECK(cell.running(1) <= 6);
+    CHECK(cell.violations.empty());
+    cell.run(20s);
+    CHECK(cell.state(1) == job_state::completed);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("A worker whose capacity shrinks below what runs keeps it and starts "
+          "nothing more",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 3s};
+    };
+    cell.add_workers(1, eight_cores);
+    cell.run(100ms);
+    cell.submit(make_job(1, {{.tasks = 12, .demand = one_core}}));
+    cell.run(500ms);
+    REQUIRE(cell.running(1) == 8);
+    cell.workers.at("w0").vm.capacity = {2000, 16000, 0};
+    cell.list_workers();
+    cell.run(1s);
+    CHECK(cell.running(1) == 8);
+    cell.run(2500ms);
+    CHECK(cell.running(1) == 2);
+    cell.workers.at("w0").vm.capacity = eight_cores;
+    cell.list_workers();
+    cell.run(6s);
+    CHECK(cell.state(1) == job_state::completed);
+    CHECK(cell.violations.empty());
+}
+
 TEST_CASE("No task starts before its placement is recorded", "[dispatcher]")
 {
     worker_fleet cell;
