Find the worker of a job in one place in the tests of the dispatcher

Four tests searched the simulated workers for the one that runs a job, and three submitted the same lasting job.

--- a/test/fleet/advice_requests.cpp
+++ b/test/fleet/advice_requests.cpp
@@ -82,6 +82,14 @@
         run(100ms);
     }
 
+    /** @brief Submits job 1, with twelve tasks that last. */
+    void submit_lasting(std::int32_t priority)
+    {
+        auto job = make_advised_job(1, make_lasting_step(12));
+        job.queue.priority = priority;
+        submit(job);
+    }
+
     /** @brief Submits jobs of which only one task can run. */
     void submit_limited(std::uint64_t first, std::uint64_t n,
                         std::int32_t priority)
@@ -94,18 +102,6 @@
         }
     }
 
-    /** @return Worker that runs a task of the job. */
-    [[nodiscard]] std::string worker_of(std::uint64_t job) const
-    {
-        std::string result;
-        for (const auto& [id, it] : workers) {
-            for (const auto& [task, run] : it.running) {
-                result = task.step.job == job ? id : result;
-            }
-        }
-        return result;
-    }
-
     /** @brief Restarts a worker of the job, so that one task is lost. */
     void lose_task(std::uint64_t job)
     {
@@ -260,9 +256,7 @@
 {
     limited_cell cell;
     advice_service advice{cell};
-    auto lasting = make_advised_job(1, make_lasting_step(12));
-    lasting.queue.priority = 2;
-    cell.submit(lasting);
+    cell.submit_lasting(2);
     advice.run(5s);
     REQUIRE(cell.running(1) == 12);
     cell.submit_limited(2, 40, 1);
@@ -302,9 +296,7 @@
     advice.allows = [](const step_key& step, const std::string&) {
         return step.job == 1;
     };
-    auto lasting = make_advised_job(1, make_lasting_step(12));
-    lasting.queue.priority = 2;
-    cell.submit(lasting);
+    cell.submit_lasting(2);
     advice.run(5s);
     REQUIRE(cell.running(1) == 12);
     for (std::uint64_t id = 2; id < 42; ++id) {
@@ -359,7 +351,7 @@
         const auto n = std::stoi(id.substr(1));
         return step.job < 10 && (step.job != 1 || n < 12 || n >= 60);
     };
-    cell.submit(make_advised_job(1, make_lasting_step(12)));
+    cell.submit_lasting(1);
     advice.run(5s);
     REQUIRE(cell.running(1) == 12);
     cell.add_workers(60, eight_cores);
--- a/test/fleet/attempts.cpp
+++ b/test/fleet/attempts.cpp
@@ -29,14 +29,11 @@
     cell.run(100ms);
     cell.submit(make_job(1, {{.tasks = 1, .demand = one_core}}));
     cell.run(1s);
-    const auto first = std::ranges::find_if(cell.workers, [](const auto& it) {
-        return !it.second.running.empty();
-    });
-    REQUIRE(first != cell.workers.end());
+    auto& first = cell.workers.at(cell.worker_of(1));
     // It fails the task while it is cut off, and lists that end later.
-    first->second.unreachable = true;
+    first.unreachable = true;
     cell.run(6s);
-    first->second.unreachable = false;
+    first.unreachable = false;
     const bool taken_over = GENERATE(false, true);
     if (taken_over) {
         cell.take_over();
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -593,11 +593,7 @@
     // The tightest fit prefers the worker that already runs a task.
     cell.submit(make_job(1, {{.tasks = 1, .demand = one_core}}));
     cell.run(200ms);
-    const auto loaded = std::ranges::find_if(cell.workers, [](const auto& it) {
-        return !it.second.running.empty();
-    });
-    REQUIRE(loaded != cell.workers.end());
-    loaded->second.refuses_starts = true;
+    cell.workers.at(cell.worker_of(1)).refuses_starts = true;
     cell.submit(make_job(2, {{.tasks = 1, .demand = one_core}}));
     cell.run(2s);
     CHECK(cell.running(2) == 1);
--- a/test/fleet/worker_crashes.cpp
+++ b/test/fleet/worker_crashes.cpp
@@ -167,11 +167,7 @@
     cell.submit(
         make_job(1, {{.tasks = 8, .demand = one_core, .long_running = true}}));
     cell.run(2s);
-    const auto loaded = std::ranges::find_if(cell.workers, [](const auto& it) {
-        return !it.second.running.empty();
-    });
-    REQUIRE(loaded != cell.workers.end());
-    cell.crash(loaded->first);
+    cell.crash(cell.worker_of(1));
     cell.run(1800ms);
     CHECK(cell.running(1) == 8);
     CHECK(cell.violations.empty());
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -433,6 +433,19 @@
     return n;
 }
 
+std::string worker_fleet::worker_of(std::uint64_t id) const
+{
+    std::string result;
+    for (const auto& [name, it] : workers) {
+        if (std::ranges::any_of(it.running, [id](const auto& run) {
+                return run.first.step.job == id;
+            })) {
+            result = name;
+        }
+    }
+    return result;
+}
+
 std::size_t worker_fleet::running_on(const std::string& worker) const
 {
     return workers.at(worker).running.size();
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -126,6 +126,8 @@
     }
     [[nodiscard]] std::size_t running(std::uint64_t id) const;
     [[nodiscard]] std::size_t running_on(const std::string& worker) const;
+    /** @return Last worker that runs a task of the job; empty if none does. */
+    [[nodiscard]] std::string worker_of(std::uint64_t id) const;
     [[nodiscard]] fleet::dispatcher& leader() { return *dispatcher_; }
 
 private:
