Read the attempts that earlier versions wrote

A row of the ledger with the number of failures, as earlier versions write it, could not be decoded, so a live job would have started from scratch under the first leader of the new version.

Change: a number is read as that many failed runs of unknown number.

Test: "The progress of a step round-trips in few bytes" has such a row; it failed before and passes.

--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -104,6 +104,16 @@
     return result;
 }
 
+/** @brief Reads the failed runs of a task; earlier versions wrote only their
+ * number. */
+[[nodiscard]] std::vector<std::uint32_t> read_failed_runs(const json& it)
+{
+    if (it.is_number()) {
+        return std::vector<std::uint32_t>(it.get<std::size_t>(), 0);
+    }
+    return it.get<std::vector<std::uint32_t>>();
+}
+
 [[nodiscard]] json pack_task(const task_progress& it)
 {
     json row = json::array({it.run, it.failed_runs, it.worker, it.checkpoint});
@@ -281,13 +291,12 @@
                 result.push_back({.done = row.get<bool>()});
                 continue;
             }
-            result.push_back(
-                {.run = row.at(0),
-                 .failed_runs = row.at(1).get<std::vector<std::uint32_t>>(),
-                 .worker = row.at(2).get<std::string>(),
-                 .checkpoint = row.at(3).get<std::string>(),
-                 .crashes =
-                     row.size() > 4 ? read_crashes(row[4]) : crash_history{}});
+            result.push_back({.run = row.at(0),
+                              .failed_runs = read_failed_runs(row.at(1)),
+                              .worker = row.at(2).get<std::string>(),
+                              .checkpoint = row.at(3).get<std::string>(),
+                              .crashes = row.size() > 4 ? read_crashes(row[4])
+                                                        : crash_history{}});
         }
         return result;
     });
--- a/test/fleet/ledger.cpp
+++ b/test/fleet/ledger.cpp
@@ -131,6 +131,11 @@
     REQUIRE(it);
     CHECK(*it == rows);
     CHECK(encode(rows).size() < all_running * 6 / 10);
+    // As written by earlier versions: run, number of failures, worker and
+    // checkpoint.
+    const auto old = decode_progress("\x91\x94\x03\x02\xa1w\xa0");
+    REQUIRE(old);
+    CHECK(old->front().failed_runs.size() == 2);
     CHECK_FALSE(decode_progress("\x91\x01"));
     CHECK_FALSE(decode_progress("\x91\x91\x01"));
 }
