Keep the incarnation of a worker in the ledger

Change: the ledger record of a worker has the start time of its incarnation, which the successor compares with the first response.

--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -22,6 +22,7 @@
         }
         const auto& [record, read_at] = known->second;
         it.vm.address = record.address;
+        it.vm.incarnation = record.incarnation;
         it.lease_until =
             record.renewing
                 ? ledger_jobs.claimed_at(record.epoch + 1).value_or(now) +
@@ -405,9 +406,11 @@
 {
     return {.key = encode_key(
                 {.kind = entry_kind::worker, .step = {}, .worker = worker}),
-            .value = encode(worker_record{.epoch = options.epoch,
-                                          .address = workers[worker].vm.address,
-                                          .renewing = renewing})};
+            .value = encode(
+                worker_record{.epoch = options.epoch,
+                              .address = workers[worker].vm.address,
+                              .renewing = renewing,
+                              .incarnation = workers[worker].vm.incarnation})};
 }
 
 void dispatcher::on_poll_result(const poll_request& request, poll_result result,
@@ -421,7 +424,8 @@
     }
     auto& worker = found->second;
     worker.poll_in_flight = false;
-    if (result == poll_result::wrong_incarnation) {
+    if (result == poll_result::wrong_incarnation &&
+        request.worker.address == worker.vm.address) {
         self.on_replaced(worker, now);
         return;
     }
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -236,7 +236,8 @@
 
 std::string encode(const worker_record& it)
 {
-    return pack(json::array({it.epoch, it.address, it.renewing}));
+    return pack(
+        json::array({it.epoch, it.address, it.renewing, it.incarnation}));
 }
 
 std::optional<worker_record> decode_worker(std::string_view bytes)
@@ -244,7 +245,9 @@
     return unpack(bytes, [](const json& it) {
         return worker_record{.epoch = it.at(0),
                              .address = it.at(1).get<std::string>(),
-                             .renewing = it.at(2)};
+                             .renewing = it.at(2),
+                             .incarnation =
+                                 it.size() > 3 ? it[3].get<std::int64_t>() : 0};
     });
 }
 
--- a/src/rosemarytrail/fleet/ledger_codec.hpp
+++ b/src/rosemarytrail/fleet/ledger_codec.hpp
@@ -56,6 +56,9 @@
     /** @brief That leader may still renew the lease; false once the worker
      * stopped responding. */
     bool renewing{true};
+    /** @brief Start time of the incarnation, in Unix milliseconds; zero if
+     * unknown. */
+    std::int64_t incarnation{};
 };
 
 /** @brief Leader node and its fencing epoch. */
--- a/test/fleet/worker_crashes.cpp
+++ b/test/fleet/worker_crashes.cpp
@@ -136,6 +136,30 @@
     CHECK(cell.violations.empty());
 }
 
+TEST_CASE("Restarts under the same id count across takeovers", "[crashes]")
+{
+    const auto downtime = GENERATE(2000ms, 5500ms);
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 60s};
+    };
+    cell.add_workers(12, eight_cores);
+    cell.run(100ms);
+    cell.submit(make_job(1, {{.tasks = 1, .demand = one_core}}));
+    std::size_t crashes = 0;
+    for (; crashes < 9 && !next_worker_of(cell).empty(); ++crashes) {
+        cell.run(50ms);
+        auto& worker = cell.workers.at(next_worker_of(cell));
+        cell.restart(worker.vm.id);
+        worker.unreachable = true;
+        cell.run(downtime);
+        worker.unreachable = false;
+        cell.take_over();
+        cell.run(1s);
+    }
+    CHECK(crashes <= 5);
+}
+
 TEST_CASE("A crash that is proven after its task is done fails no job",
           "[crashes]")
 {
