Ascribe no crash to a run whose lease had expired before

What callers saw: nothing yet; found by the review of the crash count. A task was cut off on two workers, lapsed there and ran on a third; both were replaced later, and its job was shown as failed although no worker had crashed under it.

Cause: the proof of a crash does not tell its time.

A planned restart of a draining worker counts not at all, as its replacement did before.

Test: "Workers that crash after a run had lapsed there fail no job" failed before and passes.

--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -432,7 +432,7 @@
     void throttle_scavengers(tracked_worker& worker,
                              const poll_response& response, time_point now);
     // internal/worker_crashes.cpp
-    void remember_losses(tracked_worker& worker, time_point now);
+    void remember_losses(tracked_worker& worker, bool expired, time_point now);
     void explain_losses(tracked_worker& worker, bool crashed, time_point now);
     void count_crash(tracked_step& step, std::uint32_t index,
                      bool run_confirmed, time_point now);
--- a/src/rosemarytrail/fleet/internal/worker_crashes.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_crashes.cpp
@@ -15,8 +15,10 @@
 // unexplained. All of it is in the ledger, so that a successor goes on
 // counting.
 
-// Called before the runs of a lost or restarted worker are given up.
-void dispatcher::state::remember_losses(tracked_worker& worker, time_point now)
+// Called before the runs of a lost or restarted worker are given up. Runs whose
+// lease has expired may have ended before a crash that is proven later.
+void dispatcher::state::remember_losses(tracked_worker& worker, bool expired,
+                                        time_point now)
 {
     for (const auto& key : worker.load) {
         auto& step = *find_step(key.step);
@@ -28,7 +30,8 @@
         if (worker.unexplained_losses.insert(key).second) {
             task.crashes.unexplained.push_back(
                 {.id = worker.vm.id,
-                 .run_confirmed = task.evidence == run_evidence::started});
+                 .run_confirmed =
+                     !expired && task.evidence == run_evidence::started});
         }
         worker.losses_expire = now + options.crash_memory;
         mark_dirty(step);
@@ -109,6 +112,7 @@
 void dispatcher::state::observe_running(tracked_worker& worker,
                                         const task_key& key, time_point sent_at)
 {
+    remember_losses(worker, false, now);
     auto& step = *find_step(key.step);
     auto& task = step.tasks[key.index];
     if (task.evidence == run_evidence::stable) {
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -337,7 +337,7 @@
 void dispatcher::state::lose_tasks(tracked_worker& worker, time_point now,
                                    std::string_view cause)
 {
-    remember_losses(worker, now);
+    remember_losses(worker, true, now);
     const std::vector<task_key> load{worker.load.begin(), worker.load.end()};
     for (const auto& key : load) {
         auto* step = find_step(key.step);
@@ -374,8 +374,8 @@
 {
     log_decision(0, "worker restarted",
                  worker.vm.id + " tasks " + std::to_string(worker.load.size()));
-    remember_losses(worker, now);
-    worker.restarted = true;
+    remember_losses(worker, false, now);
+    worker.restarted = !worker.vm.draining;
     worker.replaced = false;
     for (const auto& key : worker.load) {
         find_task(key)->stop_acknowledged.reset();
--- a/test/fleet/worker_crashes.cpp
+++ b/test/fleet/worker_crashes.cpp
@@ -186,6 +186,36 @@
     CHECK(cell.running(1) == 1);
 }
 
+TEST_CASE("Workers that crash after a run had lapsed there fail no job",
+          "[crashes]")
+{
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 60s};
+    };
+    cell.add_workers(12, eight_cores);
+    cell.run(100ms);
+    cell.submit(make_job(1, {{.tasks = 1, .demand = one_core}}));
+    std::vector<std::string> cut;
+    for (int i = 0; i < 2; ++i) {
+        REQUIRE_FALSE(next_worker_of(cell).empty());
+        cell.run(20ms);
+        cut.push_back(next_worker_of(cell));
+        cell.workers.at(cut.back()).unreachable = true;
+        while (worker_of(cell, {.step = {.job = 1}}) == cut.back()) {
+            cell.run(10ms);
+        }
+    }
+    REQUIRE_FALSE(next_worker_of(cell).empty());
+    cell.replacement_delay = 50ms;
+    for (const auto& id : cut) {
+        cell.crash(id);
+    }
+    cell.run(3s);
+    CHECK(cell.state(1) == job_state::running);
+    CHECK(cell.running(1) == 1);
+}
+
 TEST_CASE("Tasks on workers that are cut off are not counted as crashing them",
           "[crashes]")
 {
