Hold a task back while three of its losses are unexplained

What callers saw: nothing yet; found by the review of the crash count. If crashed workers take longer than some 20 s to come back, a task was started 6 to 12 times before two crashes were proven (BUDGET).

--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -441,7 +441,8 @@
     void observe_running(tracked_worker& worker, const task_key& key,
                          time_point sent_at);
     [[nodiscard]] bool exceeds_crash_limit(const task_state& task) const;
-    [[nodiscard]] std::size_t count_new_runs(const tracked_worker& worker);
+    [[nodiscard]] bool awaits_crash_proof(const task_state& task) const;
+    [[nodiscard]] std::size_t count_new_runs(tracked_worker& worker);
 
     void lose_tasks(tracked_worker& worker, time_point now,
                     std::string_view cause);
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -181,7 +181,8 @@
 {
     std::size_t n = 0;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-        if (step.tasks[i].phase != task_phase::waiting) {
+        if (step.tasks[i].phase != task_phase::waiting ||
+            awaits_crash_proof(step.tasks[i])) {
             continue;
         }
         if (!within_limit(*step.job, step.spec->demand)) {
@@ -205,7 +206,10 @@
 void dispatcher::state::place_gang(tracked_step& step, time_point now)
 {
     // Members start together and with the same run number.
-    if (step.waiting != step.tasks.size()) {
+    if (step.waiting != step.tasks.size() ||
+        std::ranges::any_of(step.tasks, [this](const auto& it) {
+            return awaits_crash_proof(it);
+        })) {
         return;
     }
     std::uint32_t run = 0;
--- a/src/rosemarytrail/fleet/internal/worker_crashes.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_crashes.cpp
@@ -90,6 +90,15 @@
            it.counted() >= options.max_possible_crashes;
 }
 
+// Several unexplained losses may all be crashes, so the next start waits until
+// some of them are explained or too old.
+bool dispatcher::state::awaits_crash_proof(const task_state& task) const
+{
+    const auto& it = task.crashes;
+    return !it.unexplained.empty() && it.counted() + it.unexplained.size() >=
+                                          options.max_possible_crashes - 1;
+}
+
 void dispatcher::state::clear_crashes(tracked_step& step, std::uint32_t index)
 {
     auto& task = step.tasks[index];
--- a/test/fleet/worker_crashes.cpp
+++ b/test/fleet/worker_crashes.cpp
@@ -136,6 +136,23 @@
     CHECK(cell.violations.empty());
 }
 
+TEST_CASE("A task is given up in time however late its workers return",
+          "[crashes]")
+{
+    worker_fleet cell;
+    cell.responds_before_crash = GENERATE(false, true);
+    cell.replacement_delay = GENERATE(1s, 8s, 15s, 20s, 25s);
+    cell.crashes_worker = [](const task_key&) {
+        return true;
+    };
+    cell.add_workers(12, eight_cores);
+    cell.run(100ms);
+    cell.submit(make_job(1, {{.tasks = 1, .demand = one_core}}));
+    cell.run(90s);
+    CHECK(cell.state(1) == job_state::failed);
+    CHECK(cell.violations.empty());
+}
+
 TEST_CASE("Restarts under the same id count across takeovers", "[crashes]")
 {
     const auto downtime = GENERATE(2000ms, 5500ms);
