Count the new runs of a worker once in a planning pass

Cause: to place a task apart, all tasks of each candidate worker were looked up.

Change: each worker's new runs are counted once in a pass and kept up to date. The time was not measured again.

--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -251,6 +251,9 @@
     std::optional<std::int64_t> clock_ms;
     time_point clock_at;
     /** @brief No run of this or an earlier leader continues there after this
+    /** @brief Number of new runs, counted in the planning pass `counted_in`. */
+    std::size_t new_runs{};
+    std::uint64_t counted_in{};
      * time. */
     time_point lease_until;
     /** @brief Bound on leases whose end was set on the clock of an earlier
@@ -374,6 +377,7 @@
     time_point last_advice_scan;
     /** @brief Remaining checks for further candidates of expired steps in this
      * scan. */
+    std::uint64_t planning_pass{};
     std::size_t candidate_checks_left{};
     /** @brief Jobs whose outcome is recorded; removed once their last task has
      * stopped. */
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -169,6 +169,7 @@
         step.placed_at = now;
     }
     allocate(step, index, worker.vm.id);
+    ++worker.new_runs;
     if (task.crashes.counted() > 0) {
         worker.isolated_run = {.step = step.key, .index = index};
     }
@@ -258,6 +259,7 @@
 {
     auto& it = *state_;
     it.last_plan = now;
+    ++it.planning_pass;
     std::erase_if(it.scheduled, [&it, unix_ms](std::uint64_t id) {
         const auto job = it.jobs.find(id);
         if (job == it.jobs.end() || job->second->ended()) {
--- a/src/rosemarytrail/fleet/internal/worker_crashes.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_crashes.cpp
@@ -144,14 +144,19 @@
     }
 }
 
-std::size_t dispatcher::state::count_new_runs(const tracked_worker& worker)
+// Counted once in a planning pass, as many tasks may be placed apart in it.
+std::size_t dispatcher::state::count_new_runs(tracked_worker& worker)
 {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(worker.load, [this](const task_key& key) {
-            const auto* task = find_task(key);
-            return task->phase == task_phase::placed ||
-                   task->may_crash_worker();
-        }));
+    if (worker.counted_in != planning_pass) {
+        worker.counted_in = planning_pass;
+        worker.new_runs = static_cast<std::size_t>(
+            std::ranges::count_if(worker.load, [this](const task_key& key) {
+                const auto* task = find_task(key);
+                return task->phase == task_phase::placed ||
+                       task->may_crash_worker();
+            }));
+    }
+    return worker.new_runs;
 }
 
 } // namespace rosemarytrail::fleet
