Ascribe crashes to a task for three seconds after its start

What callers saw: nothing yet; found by the review of the crash count.

Change: a run is settled after 0.5 s and stable after 3 s. Crashes under settled runs, and under those of a previous leader, may be ascribed to the task, of which four are needed; only a stable run, or one that is done or failed, clears the count.

Test: "A task that crashes its workers some time after its start is given up" failed before for three of four times and passes.

--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -56,13 +56,16 @@
     /** @brief Number of consecutive failed runs, of at least two jobs, after
      * which a worker is quarantined. */
     std::uint32_t suspect_failures{3};
+    /** @brief A crash within this time of a start that the worker confirmed is
+     * ascribed to the run; a later one may be. */
+    duration crash_window{std::chrono::milliseconds{500}};
     /** @brief A run that is reported as running this long after its start does
      * not crash its worker. */
-    duration crash_window{std::chrono::milliseconds{500}};
-    /** @brief Number of consecutive crashes of a worker under a task, whose
-     * start the worker had confirmed, after which its job fails. */
+    duration stable_after{std::chrono::milliseconds{3000}};
+    /** @brief Number of consecutive crashes of a worker that are ascribed to a
+     * task, after which its job fails. */
     std::uint32_t max_confirmed_crashes{2};
-    /** @brief The same for crashes under runs that may not have started. */
+    /** @brief The same for crashes that may be ascribed to it, in all. */
     std::uint32_t max_possible_crashes{4};
     /** @brief How long a lost worker is polled to find out if it crashed. */
     duration crash_memory{std::chrono::milliseconds{30000}};
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -98,7 +98,10 @@
     none,
     /** @brief Its worker has confirmed the start. */
     started,
-    /** @brief It ran for the crash window. */
+    /** @brief It was reported as running after the crash window, or a previous
+     * leader started it. */
+    settled,
+    /** @brief It ran for so long that it does not crash its worker. */
     stable
 };
 
@@ -248,12 +251,12 @@
     /** @brief New run of a task under which a worker crashed before; other
      * tasks prefer other workers until it is stable. */
     std::optional<task_key> isolated_run;
-    std::optional<std::int64_t> clock_ms;
-    time_point clock_at;
-    /** @brief No run of this or an earlier leader continues there after this
     /** @brief Number of new runs, counted in the planning pass `counted_in`. */
     std::size_t new_runs{};
     std::uint64_t counted_in{};
+    std::optional<std::int64_t> clock_ms;
+    time_point clock_at;
+    /** @brief No run of this or an earlier leader continues there after this
      * time. */
     time_point lease_until;
     /** @brief Bound on leases whose end was set on the clock of an earlier
@@ -374,10 +377,10 @@
     /** @brief Ended jobs in the order of their end. */
     std::deque<std::pair<time_point, std::uint64_t>> ended_order;
     time_point last_plan;
+    std::uint64_t planning_pass{};
     time_point last_advice_scan;
     /** @brief Remaining checks for further candidates of expired steps in this
      * scan. */
-    std::uint64_t planning_pass{};
     std::size_t candidate_checks_left{};
     /** @brief Jobs whose outcome is recorded; removed once their last task has
      * stopped. */
--- a/src/rosemarytrail/fleet/internal/worker_crashes.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_crashes.cpp
@@ -112,6 +112,7 @@
 void dispatcher::state::on_replaced(tracked_worker& worker, time_point now)
 {
     const bool crashed = !worker.vm.draining;
+    remember_losses(worker, false, now);
     lose_tasks(worker, now, "worker replaced");
     explain_losses(worker, crashed, now);
     worker.replaced = true;
@@ -121,26 +122,30 @@
 void dispatcher::state::observe_running(tracked_worker& worker,
                                         const task_key& key, time_point sent_at)
 {
-    remember_losses(worker, false, now);
     auto& step = *find_step(key.step);
     auto& task = step.tasks[key.index];
     if (task.evidence == run_evidence::stable) {
         return;
     }
-    task.evidence = run_evidence::started;
-    if (task.phase != task_phase::running ||
-        sent_at - task.since < options.crash_window) {
+    task.evidence = std::max(task.evidence, run_evidence::started);
+    if (task.phase != task_phase::running) {
         return;
     }
-    task.evidence = run_evidence::stable;
-    if (step.spec->long_running) {
-        worker.failures_in_a_row = 0;
-        worker.failed_jobs.clear();
+    const auto age = sent_at - task.since;
+    if (age >= options.crash_window) {
+        task.evidence = std::max(task.evidence, run_evidence::settled);
+        if (worker.isolated_run == key) {
+            worker.isolated_run.reset();
+            replan = true;
+        }
     }
-    clear_crashes(step, key.index);
-    if (worker.isolated_run == key) {
-        worker.isolated_run.reset();
-        replan = true;
+    if (age >= options.stable_after) {
+        task.evidence = run_evidence::stable;
+        clear_crashes(step, key.index);
+        if (step.spec->long_running) {
+            worker.failures_in_a_row = 0;
+            worker.failed_jobs.clear();
+        }
     }
 }
 
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -213,7 +213,9 @@
     if (!row.checkpoint.empty()) {
         task.checkpoint = row.checkpoint;
     }
-    clear_crashes(*step, index);
+    if (row.how == run_end::done || row.how == run_end::failed) {
+        clear_crashes(*step, index);
+    }
     if (row.how == run_end::done && !step->spec->long_running) {
         worker.failures_in_a_row = 0;
         worker.failed_jobs.clear();
@@ -255,6 +257,9 @@
         update_speed_by_progress(worker, *step, row, now);
         if (task->phase == task_phase::start_sent ||
             task->phase == task_phase::unknown) {
+            if (task->phase == task_phase::unknown) {
+                task->evidence = internal::run_evidence::settled;
+            }
             task->phase = task_phase::running;
             task->since = sent_at;
         } else if (task->phase == task_phase::stopping &&
--- a/test/fleet/worker_crashes.cpp
+++ b/test/fleet/worker_crashes.cpp
@@ -136,6 +136,27 @@
     CHECK(cell.violations.empty());
 }
 
+TEST_CASE(
+    "A task that crashes its workers some time after its start is given up",
+    "[crashes]")
+{
+    const auto delay = GENERATE(100ms, 600ms, 1200ms, 2500ms);
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 60s};
+    };
+    cell.add_workers(12, eight_cores);
+    cell.run(100ms);
+    cell.submit(make_job(1, {{.tasks = 1, .demand = one_core}}));
+    std::size_t crashes = 0;
+    while (crashes < 9 && !next_worker_of(cell).empty()) {
+        cell.run(delay);
+        cell.crash(next_worker_of(cell));
+        ++crashes;
+    }
+    CHECK(crashes <= 5);
+}
+
 TEST_CASE("A task is given up in time however late its workers return",
           "[crashes]")
 {
