--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -160,7 +160,7 @@
 // A step that is granted nothing new asks less and less often, so that such
 // steps leave the nodes to others.
 void dispatcher::state::schedule_refused_retry(tracked_step& step,
-                                               time_point now)
+                                               time_point now) const
 {
     step.refused_retry =
         std::clamp(step.refused_retry * 2, options.refused_retry_interval,
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -495,7 +495,7 @@
                                     time_point now);
     [[nodiscard]] bool has_capacity(tracked_step& step, time_point now);
     [[nodiscard]] bool can_use_advice(tracked_step& step, time_point now);
-    void schedule_refused_retry(tracked_step& step, time_point now);
+    void schedule_refused_retry(tracked_step& step, time_point now) const;
     /** @return True if the step has candidates because of the retry. */
     bool retry_refused(tracked_step& step, time_point now);
     [[nodiscard]] bool nearly_ready(const tracked_step& step, duration horizon,
--- a/src/rosemarytrail/fleet/internal/worker_crashes.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_crashes.cpp
@@ -7,7 +7,6 @@
 namespace rosemarytrail::fleet {
 
 using internal::run_evidence;
-using internal::task_phase;
 
 // A task may crash each worker that starts it, so the crashes under a task are
 // counted like its failed runs. A lost worker may as well be cut off: only
