Correct two comments on workers that were lost

An isolated run is so until it is settled, not stable; and the losses that a worker remembers are kept until its crash is proven or ruled out. No code changes; test_fleet passes.

--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -245,11 +245,12 @@
     bool replaced{false};
     /** @brief It has restarted, and its new incarnation has not responded. */
     bool restarted{false};
-    /** @brief Tasks whose runs it was lost with. */
+    /** @brief Tasks whose runs were lost with it, until it is known whether it
+     * crashed. */
     std::set<task_key> unexplained_losses;
     time_point losses_expire;
     /** @brief New run of a task under which a worker crashed before; other
-     * tasks prefer other workers until it is stable. */
+     * tasks prefer other workers until it is settled. */
     std::optional<task_key> isolated_run;
     /** @brief Number of new runs, counted in the planning pass `counted_in`. */
     std::size_t new_runs{};
