Choose the node for advice requests only after one was assigned

The choice changes only when a request is assigned.

Change: the node is chosen before the loop and after each assigned request.

--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -308,9 +308,11 @@
     const auto is_full = [this](const node_backlog& open) {
         return open.cost > options.max_fast_work_per_node;
     };
+    // A backlog may hold thousands of steps, so the node is chosen again only
+    // after a request was assigned.
+    const auto* node = least_loaded(members, is_full, now);
     std::size_t position = 0;
     for (const auto& it : order) {
-        const auto* node = least_loaded(members, is_full, now);
         if (node == nullptr) {
             return;
         }
@@ -322,6 +324,7 @@
             continue;
         }
         open_request(*it.step, *node, now);
+        node = least_loaded(members, is_full, now);
     }
 }
 
@@ -332,14 +335,17 @@
     const auto is_full = [this](const node_backlog& open) {
         return open.requests >= options.slow_requests_per_node;
     };
+    const auto choose_node = [&] {
+        const auto* node = least_loaded(pool, is_full, now);
+        return node != nullptr && open_requests[*node].distrusted_until > now
+                   ? least_loaded(members, is_full, now)
+                   : node;
+    };
+    const auto* node = choose_node();
     std::size_t position = 0;
     for (const auto& it : order) {
         // A step is checked only if its request could be sent: the checks are
         // limited in number, and steps that rank lower would take the node.
-        const auto* node = least_loaded(pool, is_full, now);
-        if (node != nullptr && open_requests[*node].distrusted_until > now) {
-            node = least_loaded(members, is_full, now);
-        }
         if (node == nullptr) {
             return;
         }
@@ -347,6 +353,7 @@
         if (it.step->assigned_node.empty() &&
             wants_advice(*it.step, here, now)) {
             open_request(*it.step, *node, now);
+            node = choose_node();
         }
     }
 }
