Start nothing in evacuated zones, and keep the leader through store outages

Change: the decoder yields evacuation requests, each node keeps the set of zones, and the dispatcher starts nothing in them, also no task whose placement is already recorded, and requests no advice for workers there.

Ruled out: clearing the set while the feed reloads opens no gap, as the reader hands over the reload in one call.

--- a/src/rosemarytrail/cell/internal/node_leadership.cpp
+++ b/src/rosemarytrail/cell/internal/node_leadership.cpp
@@ -189,7 +189,8 @@
         [this, epoch = jobs.leader().epoch](leader_query_result how,
                                             const leader_status& status) {
             leader_query_in_flight = false;
-            monitor.on_query_result(epoch, how, status, boot_clock::now());
+            monitor.on_query_result(epoch, how, status, boot_clock::now(),
+                                    shared.serving_since());
             try_claim();
         });
 }
@@ -270,6 +271,7 @@
                                                 unix_milliseconds());
     jobs.discard_progress();
     leadership->decisions.set_config(config);
+    leadership->decisions.set_evacuated_zones(evacuated_zones);
     leadership->decisions.set_workers(vm_list, now);
     leadership->decisions.set_members(advice_nodes());
     leadership->epoch = epoch;
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -22,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -127,6 +128,8 @@
     outbox entries;
     fleet::job_index jobs;
     std::shared_ptr<const fleet::cell_config> config;
+    /** @brief Zones in which operators allow no new tasks. */
+    std::set<std::string> evacuated_zones;
     fleet::share_meter shares;
     /** @brief Recent start times of jobs by queue, for the drain rate. */
     std::map<std::string, std::deque<time_point>> recent_starts;
@@ -198,6 +201,9 @@
     void on_ledger_record(const feed_record& record);
     /** @brief True while the newest records of the ledger are loaded. */
     bool loading_ledger{false};
+    void on_configuration(fleet::cell_config found);
+    void on_evacuation(const fleet::zone_evacuation& it);
+    [[nodiscard]] bool is_known_zone(std::string_view zone) const;
     [[nodiscard]] const fleet::job_entry*
     find_job_by_key(std::string_view key) const;
     void on_ledger_caught_up();
--- a/src/rosemarytrail/cell/leader_monitor.cpp
+++ b/src/rosemarytrail/cell/leader_monitor.cpp
@@ -39,11 +39,13 @@
 void leader_monitor::on_query_result(std::uint64_t epoch,
                                      leader_query_result result,
                                      const leader_status& status,
-                                     time_point now) noexcept
+                                     time_point now,
+                                     time_point serving_since) noexcept
 {
+    const bool served = status.store_age <= options_.max_store_age ||
+                        now - serving_since <= options_.max_store_age;
     const bool leads = result == leader_query_result::reported &&
-                       status.leading && status.epoch >= epoch &&
-                       status.store_age <= options_.max_store_age;
+                       status.leading && status.epoch >= epoch && served;
     if (leads) {
         missed_ = 0;
         lost_epoch_ = 0;
--- a/src/rosemarytrail/cell/leader_monitor.hpp
+++ b/src/rosemarytrail/cell/leader_monitor.hpp
@@ -42,8 +42,8 @@
      * without response as loss of the leader: the election indicates that the
      * leader's membership has expired. */
     duration recent_election{std::chrono::milliseconds{1000}};
-    /** @brief A leader that the store has not served for longer is replaced; it
-     * is about to step down on its own initiative. */
+    /** @brief A leader that the store has not served for longer, while it
+     * served this node, is replaced. */
     duration max_store_age{std::chrono::milliseconds{1000}};
 };
 
@@ -86,9 +86,13 @@
      * @param result Result of the query.
      * @param status Reported status, if there is one.
      * @param now Current time.
+     * @param serving_since Since when the store has served this node without an
+     * outage. After an outage for all nodes, the leader may be the last one
+     * that is served again.
      */
     void on_query_result(std::uint64_t epoch, leader_query_result result,
-                         const leader_status& status, time_point now) noexcept;
+                         const leader_status& status, time_point now,
+                         time_point serving_since = {}) noexcept;
 
 private:
     leader_monitor_options options_;
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -302,31 +302,81 @@
 
 void node::internal_state::announcement_listener::on_caught_up() {}
 
-void node::internal_state::configuration_listener::on_reset() {}
+// The newest record of each key follows; a request that was withdrawn while
+// history was lost has none.
+void node::internal_state::configuration_listener::on_reset()
+{
+    owner->evacuated_zones.clear();
+}
 
 void node::internal_state::configuration_listener::on_record(
     const feed_record& record)
 {
-    auto found = owner->formats.configuration(record);
-    if (!found) {
-        return;
+    if (const auto evacuation = owner->formats.evacuation(record)) {
+        owner->on_evacuation(*evacuation);
+    } else if (auto found = owner->formats.configuration(record)) {
+        owner->on_configuration(std::move(*found));
     }
-    auto& current = owner->config;
-    if (current && found->version <= current->version) {
+}
+
+void node::internal_state::on_configuration(fleet::cell_config found)
+{
+    if (config && found.version <= config->version) {
         return;
     }
     logging::event(logging::level::info, "configuration_in_force",
-                   {{"version", std::to_string(found->version)},
-                    {"queues", std::to_string(found->queues.size())},
-                    {"accounts", std::to_string(found->accounts.size())}});
-    current = std::make_shared<const fleet::cell_config>(std::move(*found));
-    if (owner->leadership) {
-        owner->leadership->decisions.set_config(current);
+                   {{"version", std::to_string(found.version)},
+                    {"queues", std::to_string(found.queues.size())},
+                    {"accounts", std::to_string(found.accounts.size())}});
+    config = std::make_shared<const fleet::cell_config>(std::move(found));
+    if (leadership) {
+        leadership->decisions.set_config(config);
     }
 }
 
+bool node::internal_state::is_known_zone(std::string_view zone) const
+{
+    return std::ranges::any_of(
+               vm_list, [zone](const auto& it) { return it.zone == zone; }) ||
+           std::ranges::any_of(members, [zone](const auto& it) {
+               const auto name = parse_member_name(it);
+               return name && name->zone == zone;
+           });
+}
+
+void node::internal_state::on_evacuation(const fleet::zone_evacuation& it)
+{
+    if (it.state == fleet::evacuation_state::malformed) {
+        metrics.evacuations_unreadable.add();
+        logging::event(logging::level::warning, "evacuation_unreadable",
+                       {{"zone", it.zone}});
+        return;
+    }
+    const bool requested = it.state == fleet::evacuation_state::requested;
+    const bool changed = requested ? evacuated_zones.insert(it.zone).second
+                                   : evacuated_zones.erase(it.zone) > 0;
+    if (!changed) {
+        return;
+    }
+    // A node that has just started does not know the zones yet.
+    const bool unknown = !members.empty() && !is_known_zone(it.zone);
+    if (unknown) {
+        metrics.evacuations_unknown_zone.add();
+    }
+    logging::event(
+        unknown ? logging::level::warning : logging::level::info,
+        requested ? "evacuation_requested" : "evacuation_withdrawn",
+        {{"zone", it.zone},
+         {"zone_known", unknown ? "false" : "true"},
+         {"evacuated_zones", std::to_string(evacuated_zones.size())}});
+}
+
 void node::internal_state::configuration_listener::on_caught_up()
 {
+    if (owner->leadership) {
+        owner->leadership->decisions.set_evacuated_zones(
+            owner->evacuated_zones);
+    }
     owner->try_claim();
     owner->run();
 }
@@ -454,6 +504,12 @@
         if (leadership) {
             log_counts(counts);
         }
+        if (counts.tasks_in_evacuated_zones > 0) {
+            logging::event(logging::level::info, "evacuation_progress",
+                           {{"zones", std::to_string(counts.evacuated_zones)},
+                            {"tasks_left",
+                             std::to_string(counts.tasks_in_evacuated_zones)}});
+        }
     }
     if (now - last_cleanup > cleanup_period) {
         last_cleanup = now;
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -11,6 +11,12 @@
     , unreadable{all.make_counter(
           "rosemarytrail_ledger_records_unreadable_total",
           "entries of the ledger that cannot be read")}
+    , evacuations_unreadable{all.make_counter(
+          "rosemarytrail_evacuations_unreadable_total",
+          "evacuation requests that cannot be read")}
+    , evacuations_unknown_zone{all.make_counter(
+          "rosemarytrail_evacuations_unknown_zone_total",
+          "changes of evacuation requests for a zone that is not known")}
     , append_retries{all.make_counter(
           "rosemarytrail_append_retries_total",
           "appends of the leader that were sent again")}
@@ -53,6 +59,12 @@
           "other waiting tasks without a valid ticket, at the leader")}
     , tasks_placed{all.make_gauge("rosemarytrail_tasks_placed",
                                   "tasks that take room, at the leader")}
+    , evacuated_zones{all.make_gauge(
+          "rosemarytrail_evacuated_zones",
+          "zones in which no task is started, at the leader")}
+    , evacuation_tasks_left{all.make_gauge(
+          "rosemarytrail_evacuation_tasks_left",
+          "tasks that still run in these zones, at the leader")}
     , workers_reached{all.make_gauge(
           "rosemarytrail_workers_reached",
           "workers that answer under this leader's epoch")}
@@ -106,6 +118,8 @@
     set(tasks_waiting_for_limit, counts.waiting_for_limit);
     set(tasks_waiting_for_advice, counts.waiting_for_advice);
     set(tasks_placed, counts.placed);
+    set(evacuated_zones, counts.evacuated_zones);
+    set(evacuation_tasks_left, counts.tasks_in_evacuated_zones);
     set(workers_reached, counts.fenced_workers);
 }
 
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -33,6 +33,8 @@
 
     metrics::code_counters& refusals;
     metrics::counter& unreadable;
+    metrics::counter& evacuations_unreadable;
+    metrics::counter& evacuations_unknown_zone;
     metrics::counter& append_retries;
     metrics::counter& calls_forwarded;
     metrics::counter& feed_read_failures;
@@ -49,6 +51,8 @@
     metrics::gauge& tasks_waiting_for_limit;
     metrics::gauge& tasks_waiting_for_advice;
     metrics::gauge& tasks_placed;
+    metrics::gauge& evacuated_zones;
+    metrics::gauge& evacuation_tasks_left;
     metrics::gauge& workers_reached;
     metrics::summary& client_call;
     metrics::summary& append;
--- a/src/rosemarytrail/cell/ports.hpp
+++ b/src/rosemarytrail/cell/ports.hpp
@@ -6,6 +6,7 @@
 #include <rosemarytrail/fleet/ledger_codec.hpp>
 #include <rosemarytrail/fleet/worker_calls.hpp>
 #include <rosemarytrail/fleet/worker_vm.hpp>
+#include <rosemarytrail/fleet/zone_evacuation.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -296,6 +297,15 @@
     [[nodiscard]] virtual std::optional<fleet::cell_config>
     configuration(const feed_record& record) const = 0;
 
+    /**
+     * @brief Decodes a request to evacuate a zone, which is a record of the
+     * configuration feed.
+     * @param record Record.
+     * @return Request, or nothing if the record is of another kind.
+     */
+    [[nodiscard]] virtual std::optional<fleet::zone_evacuation>
+    evacuation(const feed_record& record) const = 0;
+
     /**
      * @brief Decodes a record of the worker directory.
      * @param record Record.
--- a/src/rosemarytrail/cell/store_monitor.hpp
+++ b/src/rosemarytrail/cell/store_monitor.hpp
@@ -34,6 +34,12 @@
     /** @return Time at which the last served call was sent. */
     [[nodiscard]] time_point served() const noexcept { return times_->served; }
 
+    /** @return Time at which the first call after the last outage was sent. */
+    [[nodiscard]] time_point serving_since() const noexcept
+    {
+        return times_->serving_since;
+    }
+
     /**
      * @brief Checks whether the store may be unreachable.
      * @param now Current time.
@@ -53,8 +59,13 @@
     {
         time_point served;
         time_point failed;
+        time_point serving_since;
     };
 
+    /** @brief A longer time without a served call counts as an outage; calls
+     * are made several times a second. */
+    static constexpr duration outage{std::chrono::milliseconds{1000}};
+
     /** @brief Wraps a callback so that its result is recorded. */
     template <typename Answer>
     [[nodiscard]] std::function<void(Answer)>
@@ -75,6 +86,9 @@
         if constexpr (std::is_same_v<Answer, append_answer>) {
             log_slow(it, boot_clock::now() - sent);
         }
+        if (!failed && sent - to.served > outage) {
+            to.serving_since = sent;
+        }
         auto& time = failed ? to.failed : to.served;
         time = std::max(time, sent);
     }
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -479,6 +479,7 @@
 {
     dispatcher_counts result;
     result.jobs = state_->jobs.size();
+    result.evacuated_zones = state_->evacuated_zones.size();
     for (const auto* step : state_->ready) {
         result.waiting += step->waiting;
         if (step->waiting > 0) {
@@ -489,6 +490,8 @@
         ++result.workers;
         result.fenced_workers += worker.fenced ? 1U : 0U;
         result.placed += worker.load.size();
+        result.tasks_in_evacuated_zones +=
+            worker.evacuated ? worker.load.size() : 0;
         if (state_->accepts_work(worker, now)) {
             ++result.usable_workers;
             result.capacity += worker.vm.capacity;
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -31,7 +32,9 @@
      * the interval between lease renewals. */
     duration poll_timeout{std::chrono::milliseconds{1000}};
     /** @brief A leader without fresh evidence of its leadership stops renewing
-     * leases after this time. */
+     * leases after this time. A longer time bridges longer outages of the
+     * store; a successor waits for it before it takes over the tasks of workers
+     * that it cannot reach. */
     duration renewal_timeout{std::chrono::milliseconds{3000}};
     /** @brief Maximum rate error of a worker's clock, as a fraction; leases are
      * extended by it. */
@@ -211,6 +214,10 @@
     /** @brief Total capacity of the usable workers, and the amount in use. */
     resource_amounts capacity;
     resource_amounts used;
+    /** @brief Zones in which no task is started, and the tasks that still run
+     * there. */
+    std::size_t evacuated_zones{};
+    std::size_t tasks_in_evacuated_zones{};
 };
 
 /**
@@ -249,6 +256,13 @@
      */
     void set_workers(std::span<const worker_vm> vms, time_point now);
 
+    /**
+     * @brief Sets the zones in which no task is started until further notice,
+     * also no task whose placement is already recorded.
+     * @param zones All zones that operators have evacuated.
+     */
+    void set_evacuated_zones(const std::set<std::string>& zones);
+
     /**
      * @brief Handles a change of a job that another node recorded.
      * @param id Job.
--- a/src/rosemarytrail/fleet/internal/candidate_selection.cpp
+++ b/src/rosemarytrail/fleet/internal/candidate_selection.cpp
@@ -66,7 +66,7 @@
         known == granted_share.end() ? options.granted_share : known->second;
     std::vector<candidate> order;
     for (const auto& [id, it] : workers) {
-        if (!it.listed || it.vm.draining ||
+        if (!it.listed || it.closing() ||
             it.vm.service != step.job->record.queue.service) {
             continue;
         }
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -235,6 +235,8 @@
     worker_vm vm;
     /** @brief The directory currently lists it. */
     bool listed{true};
+    /** @brief An operator has evacuated its zone. */
+    bool evacuated{false};
     resource_amounts used;
     std::set<task_key> load;
     /** @brief It has responded under this leader's epoch. */
@@ -288,6 +290,13 @@
     {
         return vm.capacity - used;
     }
+
+    /** @return True if new tasks are kept away because it is about to leave or
+     * its zone is evacuated. */
+    [[nodiscard]] bool closing() const noexcept
+    {
+        return vm.draining || evacuated;
+    }
 };
 
 /**
@@ -322,6 +331,7 @@
     std::shared_ptr<const cell_config> config;
     std::unordered_map<std::uint64_t, std::unique_ptr<tracked_job>> jobs;
     std::map<std::string, tracked_worker> workers;
+    std::set<std::string> evacuated_zones;
     /** @brief Incremented when workers are added or removed. */
     std::uint64_t workers_version{1};
     std::map<std::string, account_usage> accounts;
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -46,7 +46,7 @@
 bool dispatcher::state::accepts_work(const tracked_worker& worker,
                                      time_point now) const
 {
-    return worker.listed && !worker.vm.draining && worker.renewable &&
+    return worker.listed && !worker.closing() && worker.renewable &&
            worker.unanswered == 0 && worker.untracked_runs == 0 &&
            worker.quarantined_until <= now && worker.clock_ms.has_value();
 }
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -63,6 +63,7 @@
         it.vm = vm;
         it.vm.incarnation = incarnation;
         it.listed = true;
+        it.evacuated = self.evacuated_zones.contains(vm.zone);
     }
     const bool any_added = self.workers.size() != known_before;
     const auto removed =
@@ -86,6 +87,16 @@
     self.replan = true;
 }
 
+void dispatcher::set_evacuated_zones(const std::set<std::string>& zones)
+{
+    auto& self = *state_;
+    self.evacuated_zones = zones;
+    for (auto& [id, it] : self.workers) {
+        it.evacuated = zones.contains(it.vm.zone);
+    }
+    self.replan = true;
+}
+
 void dispatcher::state::record_failure(tracked_worker& worker,
                                        std::uint64_t job, time_point now)
 {
--- a/test/cell/leader_monitor.cpp
+++ b/test/cell/leader_monitor.cpp
@@ -39,6 +39,20 @@
     CHECK_FALSE(monitor.may_claim(other, true));
 }
 
+TEST_CASE("A leader that the store serves last after an outage is kept",
+          "[lead_watch]")
+{
+    auto monitor = make_monitor();
+    const leader_status status{.leading = true, .epoch = 4, .store_age = 4s};
+    monitor.on_query_result(4, leader_query_result::reported, status, now,
+                            now - 500ms);
+    CHECK_FALSE(monitor.may_claim(other, true));
+    // The store has served this node for long enough to serve the leader too.
+    monitor.on_query_result(4, leader_query_result::reported, status, now,
+                            now - 1500ms);
+    CHECK(monitor.may_claim(other, true));
+}
+
 TEST_CASE("A lost leader is replaced by the elected node", "[lead_watch]")
 {
     SECTION("nothing listens at its address")
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -318,6 +318,41 @@
     CHECK(cell.advice.requests.size() == jobs);
 }
 
+TEST_CASE("A node starts nothing in a zone that operators have evacuated",
+          "[node]")
+{
+    two_nodes cell;
+    cell.start();
+    REQUIRE(cell.loop.run_until(
+        [&] { return cell.polls(0) + cell.polls(1) > 0; }, timeout));
+    const auto starts = [&] {
+        return cell.workers[0]->starts.size() + cell.workers[1]->starts.size();
+    };
+    std::string value;
+    bool expected = false;
+    SECTION("requested")
+    {
+        value = "on";
+    }
+    SECTION("malformed: changes nothing")
+    {
+        value = "?";
+        expected = true;
+    }
+    cell.store.put(feed::configuration, "e/z", value);
+    cell.loop.run_until([] { return false; }, 300ms);
+    bool accepted = false;
+    cell.nodes[0]->serve(submission(1), [&](const client_answer& it) {
+        accepted = it.kind == answer_kind::accepted;
+    });
+    cell.loop.run_until([&] { return starts() > 0; }, 500ms);
+    CHECK(accepted);
+    CHECK((starts() > 0) == expected);
+    // Withdrawn, or replaced by a record that is well-formed.
+    cell.store.put(feed::configuration, "e/z", "off");
+    CHECK(cell.loop.run_until([&] { return starts() > 0; }, timeout));
+}
+
 TEST_CASE("Nodes that do not follow the ledger serve every call", "[node]")
 {
     six_nodes cell;
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -332,8 +332,11 @@
 }
 
 std::optional<fleet::cell_config>
-model_formats::configuration(const cell::feed_record& /*record*/) const
+model_formats::configuration(const cell::feed_record& record) const
 {
+    if (record.key.starts_with("e/")) {
+        return std::nullopt;
+    }
     fleet::cell_config result{.version = 1};
     result.queues.push_back(
         {.host = "h",
@@ -348,6 +351,20 @@
     return result;
 }
 
+std::optional<fleet::zone_evacuation>
+model_formats::evacuation(const cell::feed_record& record) const
+{
+    if (!record.key.starts_with("e/")) {
+        return std::nullopt;
+    }
+    const auto value = record.value.value_or("off");
+    return fleet::zone_evacuation{
+        .zone = record.key.substr(2),
+        .state = value == "on"    ? fleet::evacuation_state::requested
+                 : value == "off" ? fleet::evacuation_state::withdrawn
+                                  : fleet::evacuation_state::malformed};
+}
+
 std::optional<fleet::worker_vm>
 model_formats::worker(const cell::feed_record& record) const
 {
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -185,6 +185,10 @@
 public:
     [[nodiscard]] std::optional<fleet::cell_config>
     configuration(const cell::feed_record& record) const override;
+    /** @brief A key `e/ZONE` requests the evacuation of the zone; the value
+     * `off` withdraws it, and any value but `on` is malformed. */
+    [[nodiscard]] std::optional<fleet::zone_evacuation>
+    evacuation(const cell::feed_record& record) const override;
     [[nodiscard]] std::optional<fleet::worker_vm>
     worker(const cell::feed_record& record) const override;
 
--- a/test/platform/decode.cpp
+++ b/test/platform/decode.cpp
@@ -63,6 +63,27 @@
     CHECK_FALSE(formats.configuration({.key = "wave/1", .value = "{}"}));
 }
 
+TEST_CASE("An evacuation request is decoded, a malformed one is reported",
+          "[platform]")
+{
+    using fleet::evacuation_state;
+    const platform_decoder formats;
+    const auto state_of = [&](std::optional<std::string> value) {
+        const auto it = formats.evacuation(
+            {.key = "evacuate/z1", .value = std::move(value)});
+        REQUIRE(it);
+        CHECK(it->zone == "z1");
+        return it->state;
+    };
+    CHECK(state_of("{}") == evacuation_state::requested);
+    CHECK(state_of(std::nullopt) == evacuation_state::withdrawn);
+    CHECK(state_of("{") == evacuation_state::malformed);
+    CHECK(state_of("7") == evacuation_state::malformed);
+    CHECK(formats.evacuation({.key = "evacuate/", .value = "{}"})->state ==
+          evacuation_state::malformed);
+    CHECK_FALSE(formats.evacuation({.key = "config", .value = "{}"}));
+}
+
 TEST_CASE("Directory records of other writers are ignored", "[platform]")
 {
     const platform_decoder formats;
