Keep the followers of a cell when its nodes restart

Cause: followers were selected by a hash of the whole member name, which holds the incarnation.

Change: the hash is that of the address, and a node finds itself in the list by its address, also while the list names its previous incarnation. The previous leader is then among the followers again and claims at once.

Ruled out: following speculatively on each large VM; it loads the ledger on nodes that drop it again.

The test "A submission that a lost peer may have recorded is never rejected" counted on its job staying pending, but a worker has capacity for it and the advice service grants it; whether it started first depended on the time that the test took.

--- a/src/rosemarytrail/cell/internal/node_leadership.cpp
+++ b/src/rosemarytrail/cell/internal/node_leadership.cpp
@@ -98,8 +98,12 @@
         leadership->decisions.set_members(advice_nodes());
         assign_relays();
     }
+    // The list may still name a previous incarnation of this node.
+    const auto self_address = address_of(options.member);
     const bool selected =
-        std::ranges::find(followers, options.member) != followers.end();
+        std::ranges::any_of(followers, [&self_address](const auto& it) {
+            return address_of(it) == self_address;
+        });
     if (selected) {
         start_following();
     } else if (!leadership && !claiming && !claim && !shutting_down) {
--- a/src/rosemarytrail/cell/ledger_followers.cpp
+++ b/src/rosemarytrail/cell/ledger_followers.cpp
@@ -53,7 +53,7 @@
     for (const auto& it : members) {
         const auto name = parse_member_name(it);
         if (name && static_cast<double>(name->cpu_millis) >= min_cpu) {
-            order.emplace_back(boost::hash<std::string>{}(it), it);
+            order.emplace_back(boost::hash<std::string>{}(name->address), it);
         }
     }
     std::ranges::sort(order);
--- a/src/rosemarytrail/cell/ledger_followers.hpp
+++ b/src/rosemarytrail/cell/ledger_followers.hpp
@@ -64,7 +64,9 @@
  * The bytes that the store sends grow with the number of followers and the
  * rate of jobs, so a large cell has a few followers, among the largest VMs.
  * They are the candidates for leadership; the other nodes forward client calls
- * to them. The selection changes little when a node joins or leaves.
+ * to them. The selection changes little when a node joins or leaves, and not at
+ * all when nodes restart: after a restart of all nodes, the first list still
+ * names previous incarnations, and the followers must be known at once.
  * @param members Names of the live members.
  * @param options Limits.
  * @return Names of the followers, in the same order on all nodes.
--- a/test/cell/ledger_followers.cpp
+++ b/test/cell/ledger_followers.cpp
@@ -60,6 +60,26 @@
     }
 }
 
+TEST_CASE("The followers stay the same when all nodes restart", "[followers]")
+{
+    const auto members = cell_of(15, 132);
+    std::vector<std::string> restarted;
+    for (const auto& it : members) {
+        auto name = *parse_member_name(it);
+        name.incarnation += "1";
+        restarted.push_back(to_text(name));
+    }
+    const auto addresses = [](const std::vector<std::string>& names) {
+        std::vector<std::string> result;
+        for (const auto& it : names) {
+            result.push_back(address_of(it));
+        }
+        return result;
+    };
+    CHECK(addresses(ledger_followers(restarted, {})) ==
+          addresses(ledger_followers(members, {})));
+}
+
 TEST_CASE("A node that has just started lists the members often", "[followers]")
 {
     const listing_options options;
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -444,6 +444,8 @@
     std::optional<client_answer> result;
     auto call = submission(id);
     call.key = "k";
+    // No worker has capacity for it, so the job stays pending.
+    call.job->steps[0].demand.cpu_millis = 1000000;
     cell.nodes[at]->serve(std::move(call),
                           [&](const client_answer& it) { result = it; });
     REQUIRE(cell.peers.responses_to_lose == 0);
