Keep slow advice requests on trusted nodes and off a quarter of them

Cause: when the chosen node of the pool was distrusted, slow requests were assigned to any member, and the pool was a share of all members, whether trusted or not. Nodes with equal backlogs were also taken in the order of the list, so that 4 of 40 idle nodes sent all fast requests.

Ruled out: withholding nodes by the fast backlog alone. It is small between bursts, when the slow requests that delay the next burst are assigned.

Change: slow_advice_pool selects the first trusted nodes and leaves at least a quarter of the trusted ones, at least one of two or more, to fast requests. Slow requests wait if the pool is busy. The search for the least loaded node starts at a different node after each request.

--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -80,6 +80,9 @@
     double slow_advice_ms{100};
     /** @brief Fraction of the nodes that may send slow advice requests. */
     double slow_advice_share{0.6};
+    /** @brief Minimum fraction of the trusted nodes that send fast advice
+     * requests only. */
+    double min_fast_advice_share{0.25};
     /** @brief Maximum intended wait of fast requests; for each such amount of
      * backlog, one node is withheld from slow requests. */
     duration max_fast_advice_wait{std::chrono::milliseconds{250}};
--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -1,4 +1,4 @@
-#include <rosemarytrail/fleet/advice_plan.hpp>
+#include <rosemarytrail/fleet/advice_pool.hpp>
 #include <rosemarytrail/fleet/internal/dispatcher_state.hpp>
 
 #include <algorithm>
@@ -21,13 +21,16 @@
     step.requested_workers.clear();
 }
 
+// The search starts at a different node after each request, so that nodes with
+// equal backlogs take turns.
 const std::string* dispatcher::state::least_loaded(
     std::span<const std::string> nodes,
     const std::function<bool(const node_backlog&)>& is_full, time_point now)
 {
     const std::string* best = nullptr;
     std::pair<time_point, duration> best_rank;
-    for (const auto& it : nodes) {
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        const auto& it = nodes[(opened_requests + i) % nodes.size()];
         const auto& open = open_requests[it];
         const std::pair rank{std::max(open.distrusted_until, now), open.cost};
         if (!is_full(open) && (best == nullptr || rank < best_rank)) {
@@ -73,6 +76,7 @@
     auto& open = open_requests[node];
     ++open.requests;
     open.cost += cost;
+    ++opened_requests;
     step.assigned_node = node;
     step.request_cost = cost;
     step.request_deadline = now + open.cost + options.advice_slack;
@@ -197,17 +201,21 @@
                        std::min(workers.size(), max_workers_per_request));
 }
 
-// Reserves nodes for fast requests as their backlog grows: fast requests serve
-// far more jobs per unit of time than slow ones.
-std::size_t dispatcher::state::available_slow_nodes(duration fast_backlog) const
+// Reserves nodes for fast requests, more of them as their backlog grows: fast
+// requests serve far more jobs per unit of time than slow ones.
+std::vector<std::string> dispatcher::state::slow_nodes(duration fast_backlog,
+                                                       time_point now) const
 {
-    const auto default_count =
-        slow_advice_nodes(members, options.slow_advice_share).size();
-    const auto needed =
-        static_cast<std::size_t>(fast_backlog / options.max_fast_advice_wait);
-    const auto left = members.size() > needed ? members.size() - needed : 0;
-    return std::clamp<std::size_t>(left, 1,
-                                   std::max<std::size_t>(default_count, 1));
+    const auto is_trusted = [&](const std::string& member) {
+        const auto open = open_requests.find(member);
+        return open == open_requests.end() ||
+               open->second.distrusted_until <= now;
+    };
+    return slow_advice_pool(members, is_trusted,
+                            {.slow_share = options.slow_advice_share,
+                             .fast_share = options.min_fast_advice_share,
+                             .needed_for_fast = static_cast<std::size_t>(
+                                 fast_backlog / options.max_fast_advice_wait)});
 }
 
 // A single pass finds all steps that may need advice, since a backlog may hold
@@ -248,9 +256,7 @@
     std::ranges::sort(fast_steps, internal::served_before);
     std::ranges::sort(slow_steps, internal::served_before);
     request_fast_advice(fast_steps, now);
-    request_slow_advice(
-        slow_steps,
-        std::span{members}.first(available_slow_nodes(fast_backlog)), now);
+    request_slow_advice(slow_steps, slow_nodes(fast_backlog, now), now);
 }
 
 void dispatcher::state::close_if_stale(tracked_step& step, time_point now)
@@ -335,13 +341,7 @@
     const auto is_full = [this](const node_backlog& open) {
         return open.requests >= options.slow_requests_per_node;
     };
-    const auto choose_node = [&] {
-        const auto* node = least_loaded(pool, is_full, now);
-        return node != nullptr && open_requests[*node].distrusted_until > now
-                   ? least_loaded(members, is_full, now)
-                   : node;
-    };
-    const auto* node = choose_node();
+    const auto* node = least_loaded(pool, is_full, now);
     std::size_t position = 0;
     for (const auto& it : order) {
         // A step is checked only if its request could be sent: the checks are
@@ -353,7 +353,7 @@
         if (it.step->assigned_node.empty() &&
             wants_advice(*it.step, here, now)) {
             open_request(*it.step, *node, now);
-            node = choose_node();
+            node = least_loaded(pool, is_full, now);
         }
     }
 }
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -375,6 +375,8 @@
         duration distrust{};
     };
     std::map<std::string, node_backlog> open_requests;
+    /** @brief Number of advice requests assigned so far. */
+    std::size_t opened_requests{};
     std::vector<advice_assignment> advice_assignments;
     /** @brief Estimated fraction of requested workers that is granted, by
      * queue. */
@@ -501,7 +503,8 @@
                              time_point now);
     void request_slow_advice(std::span<const ranked_step> order,
                              std::span<const std::string> pool, time_point now);
-    [[nodiscard]] std::size_t available_slow_nodes(duration fast_backlog) const;
+    [[nodiscard]] std::vector<std::string> slow_nodes(duration fast_backlog,
+                                                      time_point now) const;
     [[nodiscard]] bool wants_advice(tracked_step& step, std::size_t position,
                                     time_point now);
     [[nodiscard]] bool has_capacity(tracked_step& step, time_point now);
--- a/test/lib/advice_service.hpp
+++ b/test/lib/advice_service.hpp
@@ -34,6 +34,9 @@
     /** @brief Number of requests, by job. */
     std::map<std::uint64_t, std::size_t> requests;
 
+    /** @brief Continues after `advice_assignments` of the cell was cleared. */
+    void forget_seen() { seen_ = 0; }
+
     /** @brief Runs the cell, the nodes and the service. */
     void run(duration length);
 
