Let nodes that the store does not list send advice requests

Cause: a node that joins again while other nodes own all partitions is assigned none, and only owners of partitions are listed as members. After the store had refused 14 of 40 nodes for 9 s, 13 of 47 nodes were not listed for 25 s and got no advice requests.

Ruled out: leaving and joining again, which moves the partitions of others and may change the elected node.

Change: membership has the field `listed`. A node that is not listed reports itself to the leader once a second in a peer message; the leader counts it as an advice node for 2.5 s, and not as a candidate, follower or relay. At most 256 nodes are kept; malformed names are ignored and counted. In a small cell, such a node has no copy of the ledger and dropped nothing but waited forever before it sent an assigned request; assigned requests no longer need the ledger.

Tests: the case in test/cell/node.cpp failed at its first wait (no request within 20 s) with the new field ignored, and at its second wait with the previous condition on the ledger.

--- a/src/rosemarytrail/cell/internal/node_advice.cpp
+++ b/src/rosemarytrail/cell/internal/node_advice.cpp
@@ -99,15 +99,14 @@
             return it;
         }
     }
-    return all_follow()
+    return all_follow() && ledger.loaded()
                ? advice_requests.next(jobs, vm_list, advice_nodes(), now)
                : std::nullopt;
 }
 
 void node::internal_state::ask_advice(time_point now)
 {
-    if ((all_follow() && !ledger.loaded()) || now < advice_paused_until ||
-        advice_in_flight >= max_advice_calls) {
+    if (now < advice_paused_until || advice_in_flight >= max_advice_calls) {
         return;
     }
     auto advice_request = next_advice_request(now);
@@ -258,6 +257,12 @@
 void node::internal_state::receive(peer_message message,
                                    std::function<void(message_result)> done)
 {
+    if (!message.advice_node.empty()) {
+        done(receive_report(message.advice_node, boot_clock::now())
+                 ? message_result::accepted
+                 : message_result::refused);
+        return;
+    }
     if (message.entries.empty()) {
         if (is_too_busy_for(message.advice_requests)) {
             done(message_result::refused);
--- a/src/rosemarytrail/cell/internal/node_leadership.cpp
+++ b/src/rosemarytrail/cell/internal/node_leadership.cpp
@@ -17,6 +17,9 @@
         shared.join(node_group::members, options.member, generation,
                     options.member_lifetime, [this](const membership& it) {
                         generation = std::max(generation, it.generation);
+                        if (it.result == store_result::done) {
+                            is_listed = it.listed;
+                        }
                         if (it.result == store_result::done && !joined) {
                             joined = true;
                             list_members();
@@ -147,7 +150,8 @@
 // advice requests.
 std::vector<std::string> node::internal_state::advice_nodes() const
 {
-    auto result = members;
+    auto result =
+        leadership ? leadership->unlisted_nodes.add_to(members) : members;
     if (!all_follow()) {
         std::erase(result, jobs.leader().node);
     }
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -8,6 +8,7 @@
 #include <rosemarytrail/cell/outbox.hpp>
 #include <rosemarytrail/cell/peer_link.hpp>
 #include <rosemarytrail/cell/relayed_workers.hpp>
+#include <rosemarytrail/cell/reported_nodes.hpp>
 #include <rosemarytrail/cell/store_monitor.hpp>
 #include <rosemarytrail/cell/worker_relay.hpp>
 #include <rosemarytrail/fleet/advice_plan.hpp>
@@ -110,6 +111,8 @@
         /** @brief When the last successful call that would have revealed a
          * newer claim was sent. */
         time_point confirmed_at;
+        /** @brief Nodes for advice requests that the store does not list. */
+        reported_nodes unlisted_nodes{{}};
     };
 
     node_options options;
@@ -187,6 +190,9 @@
     time_point last_run;
     time_point last_join;
     bool joined{false};
+    /** @brief The store listed this node after its last successful join. */
+    bool is_listed{true};
+    time_point last_report;
     time_point started_at;
     time_point next_listing;
     time_point last_cleanup;
@@ -256,6 +262,11 @@
     std::deque<own_grant> own_grants;
     void send_grant_to_leader(const own_grant& grant);
     void resend_grants();
+    // internal/node_reports.cpp
+    void report_to_leader(time_point now);
+    /** @return False if the report has no effect. */
+    bool receive_report(std::string_view member, time_point now);
+    void drop_expired_reports(time_point now) const;
     void apply_grant(const fleet::ledger_entry& entry);
     void append_entries(append_request request,
                         std::function<void(append_answer)> done);
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -494,9 +494,14 @@
         ready_flag = reached;
     }
     entries.run(now);
+    report_to_leader(now);
+    drop_expired_reports(now);
     if (now - last_metrics_update > metrics_period) {
         last_metrics_update = now;
         metrics.leading.set(leadership ? 1 : 0);
+        metrics.reported_nodes.set(
+            leadership ? static_cast<double>(leadership->unlisted_nodes.size())
+                       : 0);
         const auto counts = leadership ? leadership->decisions.count(now)
                                        : fleet::dispatcher_counts{};
         metrics.update(counts);
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -86,6 +86,9 @@
     duration slow_append{std::chrono::milliseconds{100}};
     /** @brief Timeout of a message to a peer. */
     duration peer_timeout{std::chrono::milliseconds{150}};
+    /** @brief Interval at which a node that the store does not list reports
+     * itself to the leader. */
+    duration report_period{std::chrono::milliseconds{1000}};
 };
 
 /**
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -17,6 +17,9 @@
     , evacuations_unknown_zone{all.make_counter(
           "rosemarytrail_evacuations_unknown_zone_total",
           "changes of evacuation requests for a zone that is not known")}
+    , ignored_reports{all.make_counter(
+          "rosemarytrail_advice_node_reports_ignored_total",
+          "reports of nodes whose name is malformed or that are too many")}
     , append_retries{all.make_counter(
           "rosemarytrail_append_retries_total",
           "appends of the leader that were sent again")}
@@ -65,6 +68,10 @@
     , evacuation_tasks_left{all.make_gauge(
           "rosemarytrail_evacuation_tasks_left",
           "tasks that still run in these zones, at the leader")}
+    , reported_nodes{all.make_gauge("rosemarytrail_advice_nodes_reported",
+                                    "nodes that send advice requests and that "
+                                    "the store does not list, at "
+                                    "the leader")}
     , workers_reached{all.make_gauge(
           "rosemarytrail_workers_reached",
           "workers that answer under this leader's epoch")}
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -35,6 +35,7 @@
     metrics::counter& unreadable;
     metrics::counter& evacuations_unreadable;
     metrics::counter& evacuations_unknown_zone;
+    metrics::counter& ignored_reports;
     metrics::counter& append_retries;
     metrics::counter& calls_forwarded;
     metrics::counter& feed_read_failures;
@@ -53,6 +54,7 @@
     metrics::gauge& tasks_placed;
     metrics::gauge& evacuated_zones;
     metrics::gauge& evacuation_tasks_left;
+    metrics::gauge& reported_nodes;
     metrics::gauge& workers_reached;
     metrics::summary& client_call;
     metrics::summary& append;
--- a/src/rosemarytrail/cell/peer_link.cpp
+++ b/src/rosemarytrail/cell/peer_link.cpp
@@ -171,8 +171,11 @@
             json::array({fleet::to_text(it.step), it.workers,
                          to_milliseconds(it.expected)}));
     }
-    return fleet::pack(
-        json::array({std::move(entries), std::move(advice_requests)}));
+    json it = json::array({std::move(entries), std::move(advice_requests)});
+    if (!message.advice_node.empty()) {
+        it.push_back(message.advice_node);
+    }
+    return fleet::pack(it);
 }
 
 std::optional<peer_message> decode_message(std::string_view bytes)
@@ -200,6 +203,10 @@
                  .expected =
                      std::chrono::milliseconds{row.at(2).get<std::int64_t>()}});
         }
+        // Earlier builds send no third field.
+        if (it.size() > 2) {
+            result.advice_node = it.at(2).get<std::string>();
+        }
         return result;
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/rosemarytrail/cell/peer_link.hpp
+++ b/src/rosemarytrail/cell/peer_link.hpp
@@ -61,6 +61,10 @@
     std::vector<fleet::ledger_entry> entries;
     /** @brief Requests that the receiver sends to the advice service. */
     std::vector<fleet::advice_request> advice_requests;
+    /** @brief Name of the sender, to which the leader may assign advice
+     * requests although the store does not list it; empty in other messages.
+     */
+    std::string advice_node;
 };
 
 /**
--- a/src/rosemarytrail/cell/ports.hpp
+++ b/src/rosemarytrail/cell/ports.hpp
@@ -155,6 +155,9 @@
     store_result result{store_result::unknown};
     std::uint64_t generation{};
     bool elected{false};
+    /** @brief The store lists the node as a member, so that other nodes find
+     * it. */
+    bool listed{true};
 };
 
 /** @brief Store that all nodes share; all calls are asynchronous. */
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace rosemarytrail::cell {
@@ -318,6 +319,40 @@
     CHECK(cell.advice.requests.size() == jobs);
 }
 
+TEST_CASE("A node that the store does not list is assigned advice requests",
+          "[node]")
+{
+    two_nodes cell;
+    cell.formats.advice =
+        fleet::advice_policy{.base_ms = 400, .valid_ms = 2500};
+    cell.store.unlisted.insert(
+        to_text({.incarnation = "n1", .address = "n1:1", .cpu_millis = 250}));
+    cell.start();
+    REQUIRE(cell.loop.run_until(
+        [&] {
+            return cell.nodes[0]->ready(boot_clock::now()) && cell.polls(0) > 3;
+        },
+        timeout));
+    std::uint64_t id = 0;
+    REQUIRE(cell.loop.run_until(
+        [&] {
+            ++id;
+            cell.nodes[0]->serve(submission(id), [](const client_answer&) {});
+            return cell.peers.advice_requests["n1:1"] > 0;
+        },
+        timeout));
+    // It sends them without a copy of the ledger.
+    CHECK(cell.loop.run_until(
+        [&] {
+            return cell.metrics[1].expose().find(
+                       "rosemarytrail_advice_seconds_count 0\n") ==
+                   std::string::npos;
+        },
+        timeout));
+    CHECK(cell.polls(1) == 0);
+    CHECK_FALSE(cell.nodes[1]->leadership_status(boot_clock::now()).leading);
+}
+
 TEST_CASE("A node starts nothing in a zone that operators have evacuated",
           "[node]")
 {
--- a/test/cell/peer_link.cpp
+++ b/test/cell/peer_link.cpp
@@ -1,7 +1,10 @@
 #include <rosemarytrail/cell/peer_link.hpp>
+#include <rosemarytrail/fleet/msgpack.hpp>
 
 #include <catch2/catch.hpp>
 
+#include <nlohmann/json.hpp>
+
 namespace rosemarytrail::cell {
 
 namespace {
@@ -49,6 +52,27 @@
     CHECK_FALSE(decode_message("\xc1"));
 }
 
+TEST_CASE("Messages of earlier builds and those for them are decoded", "[peer]")
+{
+    using json = nlohmann::json;
+    const auto encoded = encode_message({.advice_node = "n-1-1@h:1#250"});
+    const auto it = decode_message(encoded);
+    REQUIRE(it);
+    CHECK(it->advice_node == "n-1-1@h:1#250");
+    // An earlier build reads the first two fields only.
+    const auto fields = json::from_msgpack(encoded);
+    REQUIRE(fields.size() == 3);
+    CHECK(fields.at(0) == json::array());
+    CHECK(fields.at(1) == json::array());
+    const auto old = decode_message(
+        fleet::pack(json::array({json::array(), json::array()})));
+    REQUIRE(old);
+    CHECK(old->advice_node.empty());
+    CHECK(json::from_msgpack(encode_message({})).size() == 2);
+    CHECK_FALSE(decode_message(
+        fleet::pack(json::array({json::array(), json::array(), 7}))));
+}
+
 TEST_CASE("A leadership status round-trips", "[peer]")
 {
     const auto it = decode_leader_status(encode_leader_status(
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -162,10 +162,12 @@
         joined.emplace_back(member);
     }
     answer([done = std::move(done),
-            elected = elects_all || joined.front() == member] {
+            elected = elects_all || joined.front() == member,
+            listed = !unlisted.contains(std::string{member})] {
         done({.result = cell::store_result::done,
               .generation = 1,
-              .elected = elected});
+              .elected = elected,
+              .listed = listed});
     });
 }
 
@@ -174,6 +176,9 @@
 {
     answer([this, done = std::move(done)] {
         auto sorted = names;
+        std::erase_if(sorted, [this](const std::string& it) {
+            return unlisted.contains(it);
+        });
         std::ranges::sort(sorted);
         done(sorted);
     });
@@ -273,6 +278,7 @@
                        const cell::peer_message& message, duration /*timeout*/,
                        std::function<void(cell::message_result)> done)
 {
+    advice_requests[std::string{address}] += message.advice_requests.size();
     const auto it = nodes.find(std::string{address});
     if (it == nodes.end()) {
         loop_.post(
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,8 @@
     std::vector<std::string> names;
     /** @brief Candidates for leadership; the first one is elected. */
     std::vector<std::string> candidates;
+    /** @brief Nodes that join without being listed as members. */
+    std::set<std::string> unlisted;
     /** @brief Number of reads of each feed. */
     std::map<cell::feed, std::size_t> reads;
     /** @brief Elects every candidate, not only the first. */
@@ -166,6 +169,8 @@
 
     /** @brief Nodes by address. */
     std::map<std::string, cell::node*> nodes;
+    /** @brief Number of advice requests sent, by address. */
+    std::map<std::string, std::size_t> advice_requests;
     /** @brief Number of next calls that are served but get no response. */
     std::size_t responses_to_lose{};
 
