Move tasks off workers that drain before they leave

Cause: remaining_ms of a draining worker was read and not used. Its tasks were found lost when its lease ended, 4.7 s after it had left, and resumed from the last checkpoint that was reported.

Change: the new module fleet/relocation decides which tasks on draining workers are stopped. Tasks that checkpoint are stopped bounds.stopMs and 400 ms before their worker leaves, unless they are expected to end in time; gangs only as a whole; long-running tasks are replaced at once, within max_unavailable, and one per worker and 2 s if the time of departure is not known. Nothing is stopped without capacity elsewhere. bounds.stopMs, checkpointS and restoreMs are read.

Ruled out: stopping at the notice (the worker would be idle until it leaves); reserving the capacity elsewhere for the time of the stop.

Before: with the pass disabled, a task of 4 s on a worker that leaves 2 s after its notice was still on it after 1.9 s and had not ended after 4.6 s; tests of long-running tasks and gangs fail too. After: it ends within 4.6 s, in two runs. The tests of tasks that stay pass in both cases; each fails without the check that it guards (expected end, capacity, mobility). test_fleet: 96 cases passed; test_cell 63, test_platform 6, test_metrics 4.

--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -405,6 +405,10 @@
                         {"draining", vm->draining ? "true" : "false"},
                         {"incarnation", std::to_string(vm->incarnation)}});
     }
+    const bool repeated = slot.read_at && slot.draining == vm->draining &&
+                          slot.remaining_ms == vm->remaining_ms &&
+                          slot.incarnation == vm->incarnation;
+    vm->read_at = repeated ? slot.read_at : std::optional{boot_clock::now()};
     slot = std::move(*vm);
 }
 
@@ -468,6 +472,7 @@
         append_batch();
         send_worker_requests(now);
         metrics.add(leadership->decisions.take_timings());
+        metrics.add(leadership->decisions.take_relocation_counts());
         for (const auto& it : leadership->decisions.take_decisions()) {
             logging::event(logging::level::info, "decision",
                            {{"job", fleet::to_text(it.job)},
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -17,6 +17,12 @@
     , evacuations_unknown_zone{all.make_counter(
           "rosemarytrail_evacuations_unknown_zone_total",
           "changes of evacuation requests for a zone that is not known")}
+    , departure_moves{all.make_counter(
+          "rosemarytrail_departure_moves_total",
+          "tasks stopped to continue elsewhere as their worker leaves")}
+    , evacuation_moves{all.make_counter(
+          "rosemarytrail_evacuation_moves_total",
+          "tasks stopped to continue outside an evacuated zone")}
     , append_retries{all.make_counter(
           "rosemarytrail_append_retries_total",
           "appends of the leader that were sent again")}
@@ -101,6 +107,12 @@
     }
 }
 
+void node_metrics::add(const fleet::relocation_counts& moved)
+{
+    departure_moves.add(moved.departures);
+    evacuation_moves.add(moved.evacuations);
+}
+
 void node_metrics::update_log_losses()
 {
     const auto lost = logging::lost_events();
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -20,6 +20,9 @@
      */
     void add(std::span<const fleet::job_timing> timings);
 
+    /** @param moved Tasks that were moved to other workers. */
+    void add(const fleet::relocation_counts& moved);
+
     /**
      * @brief Updates the gauges of the leader's state; all counts are zero
      * while the node does not lead.
@@ -35,6 +38,8 @@
     metrics::counter& unreadable;
     metrics::counter& evacuations_unreadable;
     metrics::counter& evacuations_unknown_zone;
+    metrics::counter& departure_moves;
+    metrics::counter& evacuation_moves;
     metrics::counter& append_retries;
     metrics::counter& calls_forwarded;
     metrics::counter& feed_read_failures;
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -116,12 +116,17 @@
 {
     auto& task = step.tasks[index];
     release(step, index);
+    if (task.phase == task_phase::running ||
+        task.phase == task_phase::unknown) {
+        task.lost_at = now;
+    }
     if (task.phase != task_phase::waiting) {
         task.phase = task_phase::waiting;
         ++step.waiting;
     }
     task.since = now;
     task.percent = 0;
+    task.percent_at = {};
     task.cpu_limit_percent = 100;
     task.stop_acknowledged.reset();
     mark_dirty(step);
@@ -181,6 +186,11 @@
         task.crashes = row.crashes;
         task.checkpoint = row.checkpoint;
         task.since = now;
+        task.resumed = true;
+        // The previous leader may have lost an earlier run just now.
+        if (row.run > 1) {
+            task.lost_at = now;
+        }
         for (const auto& it : row.crashes.unexplained) {
             auto& worker = workers[it.id];
             worker.vm.id = it.id;
@@ -445,6 +455,11 @@
     return std::exchange(state_->decisions, {});
 }
 
+relocation_counts dispatcher::take_relocation_counts()
+{
+    return std::exchange(state_->relocated, {});
+}
+
 bool dispatcher::superseded() const noexcept
 {
     return state_->superseded;
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include <rosemarytrail/fleet/advice_request.hpp>
 #include <rosemarytrail/fleet/cell_config.hpp>
 #include <rosemarytrail/fleet/job_index.hpp>
+#include <rosemarytrail/fleet/relocation.hpp>
 #include <rosemarytrail/fleet/worker_calls.hpp>
 #include <rosemarytrail/fleet/worker_vm.hpp>
 
@@ -140,6 +141,8 @@
     /** @brief How long ended jobs are tracked; late ledger entries of such a
      * job are ignored. */
     duration ended_retention{std::chrono::seconds{600}};
+    /** @brief Moving tasks off workers that leave. */
+    relocation_options relocation;
 };
 
 /** @brief Ledger entries to append in one call. */
@@ -194,6 +197,15 @@
     std::vector<step_timing> steps;
 };
 
+/** @brief Tasks that were stopped to continue on another worker. */
+struct relocation_counts
+{
+    /** @brief From workers that shut down. */
+    std::size_t departures{};
+    /** @brief From workers in evacuated zones. */
+    std::size_t evacuations{};
+};
+
 /** @brief Counts of the state that a dispatcher tracks. */
 struct dispatcher_counts
 {
@@ -346,6 +358,9 @@
      * leader's. */
     [[nodiscard]] bool superseded() const noexcept;
 
+    /** @return Tasks moved since the last call. */
+    [[nodiscard]] relocation_counts take_relocation_counts();
+
     /** @return Timings of the jobs that ended since the last call. */
     [[nodiscard]] std::vector<job_timing> take_timings();
 
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -121,6 +121,13 @@
     time_point stop_sent;
     std::optional<time_point> stop_acknowledged;
     std::int32_t percent{};
+    /** @brief When `percent` was reported. */
+    time_point percent_at;
+    /** @brief The run began with the work saved in a checkpoint, or its start
+     * is not known. */
+    bool resumed{false};
+    /** @brief When a run that was at work ended other than by a stop. */
+    std::optional<time_point> lost_at;
     std::uint32_t cpu_limit_percent{100};
     /** @brief Worker and duration of the successful run. */
     std::string completed_on;
@@ -237,6 +244,11 @@
     bool listed{true};
     /** @brief An operator has evacuated its zone. */
     bool evacuated{false};
+    /** @brief Earliest time at which it shuts down, if it drains and that is
+     * known. */
+    std::optional<time_point> leaves_at;
+    /** @brief Next move of a task, if it drains and that time is not known. */
+    time_point next_slow_move;
     resource_amounts used;
     std::set<task_key> load;
     /** @brief It has responded under this leader's epoch. */
@@ -388,6 +400,9 @@
     /** @brief Ended jobs in the order of their end. */
     std::deque<std::pair<time_point, std::uint64_t>> ended_order;
     time_point last_plan;
+    time_point next_relocation;
+    evacuation_budget evacuation_moves;
+    relocation_counts relocated;
     std::uint64_t planning_pass{};
     time_point last_advice_scan;
     /** @brief Remaining checks for further candidates of expired steps in this
@@ -521,6 +536,19 @@
     [[nodiscard]] bool has_more_candidates(const tracked_step& step,
                                            time_point now) const;
 
+    // internal/task_relocation.cpp
+    class spare_capacity;
+    void relocate(time_point now);
+    [[nodiscard]] std::vector<closing_step> closing_steps(time_point now);
+    [[nodiscard]] closing_task view_of(const tracked_worker& worker,
+                                       const tracked_step& step,
+                                       std::uint32_t index,
+                                       time_point now) const;
+    [[nodiscard]] bool is_at_work(const task_state& task) const;
+    [[nodiscard]] std::size_t count_unavailable(const tracked_step& step,
+                                                time_point now) const;
+    void move_task(const task_relocation& move, time_point now);
+
     // internal/placement.cpp
     [[nodiscard]] bool can_accept(const tracked_worker& worker,
                                   const tracked_step& step,
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -269,6 +269,8 @@
         return false;
     });
     it.plan_advice(now);
+    // Before placement, which leaves no capacity while tasks wait.
+    it.relocate(now);
     if (!it.replan) {
         return;
     }
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -59,6 +59,13 @@
             vm.incarnation > it.vm.incarnation) {
             self.on_restarted(it, now);
         }
+        // The directory repeats the record as long as it does not change.
+        if (!vm.draining || vm.remaining_ms <= 0) {
+            it.leaves_at.reset();
+        } else if (!it.leaves_at || vm.remaining_ms != it.vm.remaining_ms) {
+            it.leaves_at = vm.read_at.value_or(now) +
+                           std::chrono::milliseconds{vm.remaining_ms};
+        }
         const auto incarnation = std::max(vm.incarnation, it.vm.incarnation);
         it.vm = vm;
         it.vm.incarnation = incarnation;
@@ -265,6 +272,7 @@
             task->checkpoint = row.checkpoint;
         }
         task->percent = row.percent;
+        task->percent_at = sent_at;
         update_speed_by_progress(worker, *step, row, now);
         if (task->phase == task_phase::start_sent ||
             task->phase == task_phase::unknown) {
--- a/src/rosemarytrail/fleet/worker_vm.hpp
+++ b/src/rosemarytrail/fleet/worker_vm.hpp
@@ -1,9 +1,11 @@
 #ifndef ROSEMARYTRAIL_FLEET_WORKER_VM_HPP
 #define ROSEMARYTRAIL_FLEET_WORKER_VM_HPP
 
+#include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/fleet/job.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,8 @@
     /** @brief Minimum time until a draining worker shuts down, in
      * milliseconds. */
     std::int64_t remaining_ms{};
+    /** @brief When this record was first read, if known. */
+    std::optional<time_point> read_at;
     /** @brief Start time of this incarnation, in Unix milliseconds. */
     std::int64_t incarnation{};
 };
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -48,7 +48,8 @@
 {
     std::vector<fleet::worker_vm> vms;
     for (const auto& [id, it] : workers) {
-        if (!it.replaced_at || now < *it.replaced_at) {
+        if ((!it.replaced_at || now < *it.replaced_at) &&
+            (!it.leaves_at || now < *it.leaves_at)) {
             vms.push_back(it.vm);
         }
     }
@@ -75,6 +76,30 @@
     it.replaced_at = now + replacement_delay;
 }
 
+void worker_fleet::drain(const std::string& worker, duration remaining)
+{
+    auto& it = workers.at(worker);
+    it.vm.draining = true;
+    it.vm.remaining_ms = to_milliseconds(remaining);
+    it.leaves_at = now + remaining;
+    list_workers();
+}
+
+void worker_fleet::remove_departed()
+{
+    bool any = false;
+    for (auto& [id, it] : workers) {
+        if (it.leaves_at && *it.leaves_at <= now && !it.unreachable) {
+            it.unreachable = true;
+            it.running.clear();
+            any = true;
+        }
+    }
+    if (any) {
+        list_workers();
+    }
+}
+
 void worker_fleet::replace_crashed()
 {
     std::vector<model_worker> replacements;
@@ -162,6 +187,11 @@
                        run_end how)
 {
     const auto found = it.running.find(task);
+    if (how == run_end::stopped && !found->second.checkpoint.empty()) {
+        const auto saved =
+            found->second.resumed + (now - found->second.started);
+        found->second.checkpoint = "c" + std::to_string(to_milliseconds(saved));
+    }
     it.highest[task] = std::max(it.highest[task], found->second.run);
     it.ended.push_back({.number = it.next_end++,
                         .task = task,
@@ -189,6 +219,8 @@
     for (const auto& [task, run] : it.running) {
         if (it.lease < now) {
             ends.emplace_back(task, run_end::lease_expired);
+        } else if (run.ends <= now && run.stopping) {
+            ends.emplace_back(task, run_end::stopped);
         } else if (run.ends <= now) {
             ends.emplace_back(task, it.fails_all ? run_end::failed
                                                  : scripted_outcome(task).end);
@@ -245,11 +277,16 @@
     const auto length = step.long_running
                             ? duration{std::chrono::hours{1}}
                             : scripted_outcome(request.task).length;
+    const duration resumed = request.checkpoint.size() > 1
+                                 ? std::chrono::milliseconds{std::stoll(
+                                       request.checkpoint.substr(1))}
+                                 : std::chrono::milliseconds{};
     it.running[request.task] = {.run = request.run,
                                 .started = now,
-                                .ends = now + length,
+                                .ends = now + length - resumed,
                                 .demand = step.reserved(),
-                                .checkpoint = step.checkpoints ? "c" : ""};
+                                .checkpoint = step.checkpoints ? "c" : "",
+                                .resumed = resumed};
     check(it);
     if (crashes_worker && crashes_worker(request.task)) {
         // Three workers may crash, and two more starts may follow.
@@ -302,9 +339,16 @@
     }
     it.token = request.epoch;
     it.highest[request.task] = std::max(it.highest[request.task], request.run);
-    if (it.running.contains(request.task)) {
+    const auto found = it.running.find(request.task);
+    if (found == it.running.end() || found->second.stopping) {
+        return;
+    }
+    if (stop_time == duration{}) {
         end(it, request.task, run_end::stopped);
+        return;
     }
+    found->second.stopping = true;
+    found->second.ends = std::min(found->second.ends, now + stop_time);
 }
 
 void worker_fleet::handle_poll(model_worker& it,
@@ -344,10 +388,18 @@
                                   .running = {},
                                   .ended = it.ended};
     for (const auto& [task, run] : it.running) {
-        response.running.push_back({.task = task,
-                                    .run = run.run,
-                                    .checkpoint = run.checkpoint,
-                                    .percent = 10});
+        constexpr double complete = 100;
+        const std::chrono::duration<double> done =
+            run.resumed + (now - run.started);
+        const std::chrono::duration<double> length =
+            run.resumed + (run.ends - run.started);
+        response.running.push_back(
+            {.task = task,
+             .run = run.run,
+             .checkpoint = run.checkpoint,
+             .percent = report_progress ? static_cast<std::int32_t>(
+                                              complete * (done / length))
+                                        : 10});
     }
     dispatcher_->on_poll_result(request, fleet::poll_result::answered, response,
                                 sent, now + tick);
@@ -372,6 +424,7 @@
     while (now < until) {
         now += tick;
         replace_crashed();
+        remove_departed();
         for (auto& [id, it] : workers) {
             advance(it);
         }
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -22,6 +22,9 @@
     time_point ends;
     fleet::resource_amounts demand;
     std::string checkpoint;
+    /** @brief Work saved in the checkpoint that it resumed from. */
+    duration resumed{};
+    bool stopping{false};
 };
 
 /** @brief Simulated worker in virtual time with lease, fencing token and
@@ -49,6 +52,8 @@
     /** @brief It crashed; another incarnation with a new id is at its address
      * from then on. */
     std::optional<time_point> replaced_at;
+    /** @brief It ends all runs and is gone from then on. */
+    std::optional<time_point> leaves_at;
     std::vector<std::pair<time_point, fleet::start_request>> delayed;
 };
 
@@ -95,6 +100,10 @@
     /** @brief Executed starts, by task. */
     std::map<fleet::task_key, std::size_t> starts;
     std::vector<fleet::throttle_request> throttles;
+    /** @brief Time from a stop request to the end of the run. */
+    duration stop_time{};
+    /** @brief Workers report the progress of the runs instead of 10 %. */
+    bool report_progress{false};
     /** @brief Workers refuse all tickets while it is set. */
     bool refuse_tickets{false};
     std::size_t refused_starts{};
@@ -110,6 +119,9 @@
     /** @brief Ends all runs of the worker and makes it unreachable, until
      * another incarnation takes its address. */
     void crash(const std::string& worker);
+    /** @brief Lists the worker as draining; it leaves after the stated time.
+     */
+    void drain(const std::string& worker, duration remaining);
     /** @brief Records the job in the ledger. */
     void submit(fleet::job_record record);
     void cancel(std::uint64_t id);
@@ -135,6 +147,7 @@
     void append();
     void advance(model_worker& it);
     void replace_crashed();
+    void remove_departed();
     void start(model_worker& it, const fleet::start_request& request);
     [[nodiscard]] fleet::start_result
     handle_start(model_worker& it, const fleet::start_request& request);
--- a/test/platform/decode.cpp
+++ b/test/platform/decode.cpp
@@ -11,7 +11,8 @@
     "nodeName=frontend-orkanger-1\nzone=orkanger\nip=10.1.0.17\n"
     "listen.frontend=10.1.0.17:8183\nlisten.ready=10.1.0.17:8184\n"
     "platform.address=10.200.1.7:8182\nadvice=10.200.1.9:8182\n"
-    "bounds.graceS=6\nportRange=7420,7435\nsome.new.field=1\n";
+    "bounds.graceS=6\nbounds.stopMs=200\nbounds.checkpointS=0.5\n"
+    "bounds.restoreMs=300\nportRange=7420,7435\nsome.new.field=1\n";
 
 } // namespace
 
@@ -24,6 +25,9 @@
     CHECK(it->clients.port == 8183);
     CHECK(it->store_address == "10.200.1.7:8182");
     CHECK(it->grace_s == 6);
+    CHECK(it->max_stop_ms == 200);
+    CHECK(it->checkpoint_s == 0.5);
+    CHECK(it->restore_ms == 300);
     CHECK(it->first_peer_port == 7420);
 }
 
