Move tasks out of evacuated zones at a limited rate

Change: the pass over draining workers also covers workers of evacuated zones. Long-running and checkpointing tasks move, at most 5 % of the zone's tasks per second, and only while more than a tenth of the capacity elsewhere is available. Gauges and the line evacuation_progress say what the tasks left wait for.

Ruled out: a rate by the number of tasks left, which never empties a zone; keeping what accrues while nothing can be moved, which allows more than 5 % in the next second.

--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -510,10 +510,18 @@
             log_counts(counts);
         }
         if (counts.tasks_in_evacuated_zones > 0) {
-            logging::event(logging::level::info, "evacuation_progress",
-                           {{"zones", std::to_string(counts.evacuated_zones)},
-                            {"tasks_left",
-                             std::to_string(counts.tasks_in_evacuated_zones)}});
+            const auto& left = counts.evacuation_left;
+            logging::event(
+                logging::level::info, "evacuation_progress",
+                {{"zones", std::to_string(counts.evacuated_zones)},
+                 {"tasks_left",
+                  std::to_string(counts.tasks_in_evacuated_zones)},
+                 {"waiting_for_capacity", std::to_string(left.no_capacity)},
+                 {"waiting_for_max_unavailable",
+                  std::to_string(left.max_unavailable)},
+                 {"waiting_for_rate", std::to_string(left.rate)},
+                 {"in_transition", std::to_string(left.in_transition)},
+                 {"staying", std::to_string(left.staying)}});
         }
     }
     if (now - last_cleanup > cleanup_period) {
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -71,6 +71,15 @@
     , evacuation_tasks_left{all.make_gauge(
           "rosemarytrail_evacuation_tasks_left",
           "tasks that still run in these zones, at the leader")}
+    , evacuation_wait_capacity{all.make_gauge(
+          "rosemarytrail_evacuation_waiting_for_capacity",
+          "of these tasks, those that wait for capacity elsewhere")}
+    , evacuation_wait_unavailable{all.make_gauge(
+          "rosemarytrail_evacuation_waiting_for_max_unavailable",
+          "of these tasks, those that wait for others of their step")}
+    , evacuation_wait_rate{all.make_gauge(
+          "rosemarytrail_evacuation_waiting_for_rate",
+          "of these tasks, those that wait for the rate of moves")}
     , workers_reached{all.make_gauge(
           "rosemarytrail_workers_reached",
           "workers that answer under this leader's epoch")}
@@ -132,6 +141,9 @@
     set(tasks_placed, counts.placed);
     set(evacuated_zones, counts.evacuated_zones);
     set(evacuation_tasks_left, counts.tasks_in_evacuated_zones);
+    set(evacuation_wait_capacity, counts.evacuation_left.no_capacity);
+    set(evacuation_wait_unavailable, counts.evacuation_left.max_unavailable);
+    set(evacuation_wait_rate, counts.evacuation_left.rate);
     set(workers_reached, counts.fenced_workers);
 }
 
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -58,6 +58,9 @@
     metrics::gauge& tasks_placed;
     metrics::gauge& evacuated_zones;
     metrics::gauge& evacuation_tasks_left;
+    metrics::gauge& evacuation_wait_capacity;
+    metrics::gauge& evacuation_wait_unavailable;
+    metrics::gauge& evacuation_wait_rate;
     metrics::gauge& workers_reached;
     metrics::summary& client_call;
     metrics::summary& append;
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -495,6 +495,7 @@
     dispatcher_counts result;
     result.jobs = state_->jobs.size();
     result.evacuated_zones = state_->evacuated_zones.size();
+    result.evacuation_left = state_->evacuation_left;
     for (const auto* step : state_->ready) {
         result.waiting += step->waiting;
         if (step->waiting > 0) {
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -230,6 +230,8 @@
      * there. */
     std::size_t evacuated_zones{};
     std::size_t tasks_in_evacuated_zones{};
+    /** @brief What these tasks wait for. */
+    evacuation_backlog evacuation_left;
 };
 
 /**
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -403,6 +403,7 @@
     time_point next_relocation;
     evacuation_budget evacuation_moves;
     relocation_counts relocated;
+    evacuation_backlog evacuation_left;
     std::uint64_t planning_pass{};
     time_point last_advice_scan;
     /** @brief Remaining checks for further candidates of expired steps in this
--- a/src/rosemarytrail/fleet/internal/task_relocation.cpp
+++ b/src/rosemarytrail/fleet/internal/task_relocation.cpp
@@ -57,7 +57,8 @@
     if (worker.leaves_at) {
         result.leaves_at = *worker.leaves_at;
     } else {
-        result.cause = closing_cause::unknown_departure;
+        result.cause = worker.evacuated ? closing_cause::evacuation
+                                        : closing_cause::unknown_departure;
     }
     if (!step.spec->long_running) {
         result.expected_end =
@@ -76,7 +77,7 @@
 {
     std::map<step_key, closing_step> found;
     for (const auto& [id, worker] : workers) {
-        if (!worker.vm.draining) {
+        if (!worker.closing()) {
             continue;
         }
         for (const auto& key : worker.load) {
@@ -115,7 +116,20 @@
     spare_capacity(state& of, time_point now)
         : state_{of}
         , now_{now}
-    {}
+    {
+        std::int64_t total = 0;
+        std::int64_t available = 0;
+        for (const auto& [id, worker] : of.workers) {
+            if (of.accepts_work(worker, now)) {
+                total += worker.vm.capacity.cpu_millis;
+                available += worker.available().cpu_millis;
+            }
+        }
+        if (total > 0) {
+            available_share_ =
+                static_cast<double>(available) / static_cast<double>(total);
+        }
+    }
 
     [[nodiscard]] bool reserve(const step_key& key, std::size_t tasks) override
     {
@@ -155,17 +169,7 @@
 
     [[nodiscard]] double available_share() const override
     {
-        std::int64_t total = 0;
-        std::int64_t available = 0;
-        for (const auto& [id, worker] : state_.workers) {
-            if (state_.accepts_work(worker, now_)) {
-                total += worker.vm.capacity.cpu_millis;
-                available += worker.available().cpu_millis;
-            }
-        }
-        return total == 0 ? 0.0
-                          : static_cast<double>(available) /
-                                static_cast<double>(total);
+        return available_share_;
     }
 
 private:
@@ -177,6 +181,7 @@
 
     state& state_;
     time_point now_;
+    double available_share_{};
     std::map<const tracked_worker*, reservation> reserved_;
     std::set<std::pair<step_key, std::size_t>> exhausted_;
 };
@@ -193,6 +198,8 @@
             return;
         }
         worker.next_slow_move = now + options.relocation.slow_move_interval;
+    } else if (worker.evacuated && !worker.leaves_at) {
+        why = "zone " + worker.vm.zone + " is evacuated";
     } else if (worker.leaves_at) {
         why = "leaves in " +
               std::to_string(to_milliseconds(*worker.leaves_at - now)) +
@@ -201,7 +208,8 @@
     } else {
         why = "member of a gang that moves";
     }
-    ++relocated.departures;
+    ++(move.cause == closing_cause::evacuation ? relocated.evacuations
+                                               : relocated.departures);
     log_decision(move.task.step.job, "task moved",
                  to_text(move.task) + " run " + std::to_string(task.run) +
                      " from " + task.worker + ": " + why);
@@ -214,13 +222,23 @@
         return;
     }
     next_relocation = now + options.relocation.pass_interval;
+    evacuation_left = {};
     const auto steps = closing_steps(now);
+    std::size_t in_zones = 0;
+    for (const auto& step : steps) {
+        in_zones += static_cast<std::size_t>(std::ranges::count(
+            step.tasks, closing_cause::evacuation, &closing_task::cause));
+    }
+    evacuation_moves.accrue(in_zones, options.relocation, now);
     if (steps.empty()) {
         return;
     }
     spare_capacity capacity{*this, now};
     for (const auto& it : plan_relocation(steps, capacity, evacuation_moves,
                                           options.relocation, now)) {
+        if (it.cause == closing_cause::evacuation) {
+            evacuation_left.count(it.verdict);
+        }
         if (it.verdict == relocation_verdict::moves) {
             move_task(it, now);
         }
--- a/src/rosemarytrail/fleet/relocation.cpp
+++ b/src/rosemarytrail/fleet/relocation.cpp
@@ -1,7 +1,6 @@
 #include <rosemarytrail/fleet/relocation.hpp>
 
 #include <algorithm>
-#include <array>
 
 namespace rosemarytrail::fleet {
 
@@ -147,12 +146,25 @@
                      : task_mobility::checkpointing;
 }
 
-std::string_view to_text(relocation_verdict verdict)
+void evacuation_backlog::count(relocation_verdict verdict) noexcept
 {
-    constexpr std::array<std::string_view, 7> names{
-        "moves",       "stays",           "not due", "in transition",
-        "no capacity", "max_unavailable", "rate"};
-    return names.at(static_cast<std::size_t>(verdict));
+    switch (verdict) {
+    case relocation_verdict::stays:
+        ++staying;
+        break;
+    case relocation_verdict::no_capacity:
+        ++no_capacity;
+        break;
+    case relocation_verdict::max_unavailable:
+        ++max_unavailable;
+        break;
+    case relocation_verdict::rate:
+        ++rate;
+        break;
+    default:
+        ++in_transition;
+        break;
+    }
 }
 
 void evacuation_budget::accrue(std::size_t tasks,
--- a/src/rosemarytrail/fleet/relocation.hpp
+++ b/src/rosemarytrail/fleet/relocation.hpp
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <optional>
 #include <span>
-#include <string_view>
 #include <vector>
 
 namespace rosemarytrail::fleet {
@@ -91,12 +90,20 @@
     rate
 };
 
-/**
- * @brief Returns the name of a verdict for the log.
- * @param verdict Verdict.
- * @return Its name.
- */
-[[nodiscard]] std::string_view to_text(relocation_verdict verdict);
+/** @brief Tasks in evacuated zones, by what they wait for. */
+struct evacuation_backlog
+{
+    /** @brief They can't be moved, or end soon. */
+    std::size_t staying{};
+    /** @brief Their stop or start has not been confirmed. */
+    std::size_t in_transition{};
+    std::size_t no_capacity{};
+    std::size_t max_unavailable{};
+    std::size_t rate{};
+
+    /** @param verdict Decision about one task. */
+    void count(relocation_verdict verdict) noexcept;
+};
 
 /** @brief Task on a closing worker. */
 struct closing_task
--- a/test/fleet/evacuation.cpp
+++ b/test/fleet/evacuation.cpp
@@ -91,6 +91,99 @@
     CHECK(cell.running(1) == 32);
 }
 
+namespace {
+
+/** @brief Evacuated zone `a` of ten workers that run 80 tasks, and a zone `b`
+ * of the same size. */
+struct evacuated_cell : worker_fleet
+{
+    explicit evacuated_cell(const step_spec& step)
+    {
+        stop_time = 300ms;
+        report_progress = true;
+        scripted_outcome = [](const task_key&) {
+            return task_outcome{.length = 60s};
+        };
+        add_workers(10, eight_cores);
+        for (auto& [id, it] : workers) {
+            it.vm.zone = "a";
+        }
+        list_workers();
+        run(100ms);
+        for (std::uint64_t id = 1; id <= 8; ++id) {
+            submit(make_job(id, {step}));
+        }
+        run(500ms);
+        add_workers(10, eight_cores);
+        run(100ms);
+        leader().set_evacuated_zones({"a"});
+    }
+
+    [[nodiscard]] std::size_t left() const
+    {
+        std::size_t n = 0;
+        for (const auto& [id, it] : workers) {
+            n += it.vm.zone == "a" ? it.running.size() : 0;
+        }
+        return n;
+    }
+};
+
+} // namespace
+
+TEST_CASE("Tasks that can be moved leave an evacuated zone at a limited rate",
+          "[evacuation]")
+{
+    const bool long_running = GENERATE(true, false);
+    evacuated_cell cell{{.tasks = 10,
+                         .demand = one_core,
+                         .estimate_ms = 40000,
+                         .checkpoints = !long_running,
+                         .long_running = long_running,
+                         .max_unavailable = 3}};
+    REQUIRE(cell.left() == 80);
+    // Four tasks a second; with two zones, all of the other's capacity is
+    // available at first and a tenth of it in the end.
+    for (std::size_t second = 1; second <= 10; ++second) {
+        cell.run(1s);
+        CHECK(cell.left() + 4 * second + 1 >= 80);
+    }
+    CHECK(cell.left() <= 80 - 36);
+    CHECK(cell.leader().count(cell.now).evacuation_left.rate > 0);
+    cell.run(15s);
+    CHECK(cell.left() <= 8);
+    CHECK(cell.leader().count(cell.now).evacuation_left.no_capacity ==
+          cell.left());
+    CHECK(cell.leader().take_relocation_counts().evacuations ==
+          80 - cell.left());
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE(
+    "Only one task of a step is away during an evacuation if the step does"
+    " not say",
+    "[evacuation]")
+{
+    evacuated_cell cell{
+        {.tasks = 10, .demand = one_core, .long_running = true}};
+    for (int i = 0; i < 200; ++i) {
+        cell.run(50ms);
+        for (std::uint64_t id = 1; id <= 8; ++id) {
+            CHECK(cell.running(id) >= 9);
+        }
+    }
+    CHECK(cell.left() < 80);
+}
+
+TEST_CASE("Tasks without checkpoints stay in an evacuated zone", "[evacuation]")
+{
+    evacuated_cell cell{
+        {.tasks = 10, .demand = one_core, .estimate_ms = 40000}};
+    cell.run(2s);
+    CHECK(cell.left() == 80);
+    CHECK(cell.leader().count(cell.now).evacuation_left.staying == 80);
+}
+
 TEST_CASE("Advice is requested for no worker of an evacuated zone",
           "[evacuation]")
 {
