--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -405,6 +405,10 @@
                         {"draining", vm->draining ? "true" : "false"},
                         {"incarnation", std::to_string(vm->incarnation)}});
     }
+    const bool repeated = slot.read_at && slot.draining == vm->draining &&
+                          slot.remaining_ms == vm->remaining_ms &&
+                          slot.incarnation == vm->incarnation;
+    vm->read_at = repeated ? slot.read_at : std::optional{boot_clock::now()};
     slot = std::move(*vm);
 }
 
@@ -468,6 +472,7 @@
         append_batch();
         send_worker_requests(now);
         metrics.add(leadership->decisions.take_timings());
+        metrics.add(leadership->decisions.take_relocation_counts());
         for (const auto& it : leadership->decisions.take_decisions()) {
             logging::event(logging::level::info, "decision",
                            {{"job", fleet::to_text(it.job)},
@@ -510,10 +515,18 @@
             log_counts(counts);
         }
         if (counts.tasks_in_evacuated_zones > 0) {
-            logging::event(logging::level::info, "evacuation_progress",
-                           {{"zones", std::to_string(counts.evacuated_zones)},
-                            {"tasks_left",
-                             std::to_string(counts.tasks_in_evacuated_zones)}});
+            const auto& left = counts.evacuation_left;
+            logging::event(
+                logging::level::info, "evacuation_progress",
+                {{"zones", std::to_string(counts.evacuated_zones)},
+                 {"tasks_left",
+                  std::to_string(counts.tasks_in_evacuated_zones)},
+                 {"waiting_for_capacity", std::to_string(left.no_capacity)},
+                 {"waiting_for_max_unavailable",
+                  std::to_string(left.max_unavailable)},
+                 {"waiting_for_rate", std::to_string(left.rate)},
+                 {"in_transition", std::to_string(left.in_transition)},
+                 {"staying", std::to_string(left.staying)}});
         }
     }
     if (now - last_cleanup > cleanup_period) {
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -20,6 +20,12 @@
     , ignored_reports{all.make_counter(
           "rosemarytrail_advice_node_reports_ignored_total",
           "reports of nodes whose name is malformed or that are too many")}
+    , departure_moves{all.make_counter(
+          "rosemarytrail_departure_moves_total",
+          "tasks stopped to continue elsewhere as their worker leaves")}
+    , evacuation_moves{all.make_counter(
+          "rosemarytrail_evacuation_moves_total",
+          "tasks stopped to continue outside an evacuated zone")}
     , append_retries{all.make_counter(
           "rosemarytrail_append_retries_total",
           "appends of the leader that were sent again")}
@@ -72,6 +78,15 @@
                                     "nodes that send advice requests and that "
                                     "the store does not list, at "
                                     "the leader")}
+    , evacuation_wait_capacity{all.make_gauge(
+          "rosemarytrail_evacuation_waiting_for_capacity",
+          "of these tasks, those that wait for capacity elsewhere")}
+    , evacuation_wait_unavailable{all.make_gauge(
+          "rosemarytrail_evacuation_waiting_for_max_unavailable",
+          "of these tasks, those that wait for others of their step")}
+    , evacuation_wait_rate{all.make_gauge(
+          "rosemarytrail_evacuation_waiting_for_rate",
+          "of these tasks, those that wait for the rate of moves")}
     , workers_reached{all.make_gauge(
           "rosemarytrail_workers_reached",
           "workers that answer under this leader's epoch")}
@@ -108,6 +123,12 @@
     }
 }
 
+void node_metrics::add(const fleet::relocation_counts& moved)
+{
+    departure_moves.add(moved.departures);
+    evacuation_moves.add(moved.evacuations);
+}
+
 void node_metrics::update_log_losses()
 {
     const auto lost = logging::lost_events();
@@ -127,6 +148,9 @@
     set(tasks_placed, counts.placed);
     set(evacuated_zones, counts.evacuated_zones);
     set(evacuation_tasks_left, counts.tasks_in_evacuated_zones);
+    set(evacuation_wait_capacity, counts.evacuation_left.no_capacity);
+    set(evacuation_wait_unavailable, counts.evacuation_left.max_unavailable);
+    set(evacuation_wait_rate, counts.evacuation_left.rate);
     set(workers_reached, counts.fenced_workers);
 }
 
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -20,6 +20,9 @@
      */
     void add(std::span<const fleet::job_timing> timings);
 
+    /** @param moved Tasks that were moved to other workers. */
+    void add(const fleet::relocation_counts& moved);
+
     /**
      * @brief Updates the gauges of the leader's state; all counts are zero
      * while the node does not lead.
@@ -36,6 +39,8 @@
     metrics::counter& evacuations_unreadable;
     metrics::counter& evacuations_unknown_zone;
     metrics::counter& ignored_reports;
+    metrics::counter& departure_moves;
+    metrics::counter& evacuation_moves;
     metrics::counter& append_retries;
     metrics::counter& calls_forwarded;
     metrics::counter& feed_read_failures;
@@ -55,6 +60,9 @@
     metrics::gauge& evacuated_zones;
     metrics::gauge& evacuation_tasks_left;
     metrics::gauge& reported_nodes;
+    metrics::gauge& evacuation_wait_capacity;
+    metrics::gauge& evacuation_wait_unavailable;
+    metrics::gauge& evacuation_wait_rate;
     metrics::gauge& workers_reached;
     metrics::summary& client_call;
     metrics::summary& append;
