Keep a forwarded call at its peer while the peer serves it

Cause: a node that does not follow the ledger forwarded a submission with 700 ms as the peer's deadline, of which the peer reserved 300 ms. A store that needs 400 ms a call does not serve it in that time, so the node submitted the job again through the next peer, and callers that wait 3,000 ms were rejected after 401 to 417 ms.

Ruled out: a longer timeout alone. It serves a slow store, but leaves the caller no time if the peer is frozen or lost.

Change: the peer gets the caller's deadline, and answer_margin is deducted once, by the peer. Each forwarded change has a number. While no response has arrived, the origin queries the peer by /peer/call-status (in progress, unknown, or the response) and tries another peer only if the first one refused the connection, left two queries unanswered (at most 1.1 s), does not know the call, or did not execute it. A peer that reported a call as unknown does not serve it later. A 404 keeps the limit of 700 ms, as do calls that change nothing.

--- a/src/rosemarytrail/cell/client_call.hpp
+++ b/src/rosemarytrail/cell/client_call.hpp
@@ -5,6 +5,7 @@
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/fleet/job.hpp>
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -42,6 +43,22 @@
     return "pending";
 }
 
+/** @brief Identifies a call that one node forwards to another. */
+struct call_number
+{
+    /** @brief Name of the incarnation that forwards the call; empty if the call
+     * has no number. */
+    std::string origin;
+    /** @brief Number that is unique within the incarnation. */
+    std::uint64_t value{};
+
+    // clang-tidy mistakes the rewritten comparison for a null pointer.
+    // NOLINTBEGIN(modernize-use-nullptr)
+    [[nodiscard]] friend auto operator<=>(const call_number&,
+                                          const call_number&) = default;
+    // NOLINTEND(modernize-use-nullptr)
+};
+
 /** @brief Decoded call of a client. */
 struct client_call
 {
@@ -60,6 +77,9 @@
     bool forwarded{false};
     /** @brief Minimum configuration version for serving the call. */
     std::int64_t min_config{};
+    /** @brief Number by which the origin of a forwarded call queries its
+     * status. */
+    call_number number{};
 };
 
 /** @brief Kind of response to a client. */
--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -15,8 +15,11 @@
 /** @brief Maximum number of peers that a call is forwarded to, one after
  * another. */
 constexpr std::size_t max_forward_attempts = 2;
-/** @brief Maximum time for a peer to respond to a forwarded call. */
-constexpr duration forward_timeout{std::chrono::milliseconds{700}};
+/** @brief Response to a forwarded call that is not served, since its origin was
+ * told so or too many are in progress. */
+constexpr client_answer peer_call_refused{.kind = answer_kind::unavailable,
+                                          .code = result_code::queue_full,
+                                          .retry_after = store_retry_after};
 
 /** @return Job id in the path of a call; empty if there is none. */
 [[nodiscard]] std::string_view job_of(std::string_view path)
@@ -24,30 +27,24 @@
     return path.substr(std::min(path.rfind('/') + 1, path.size()));
 }
 
-/**
- * @brief Wraps the callback of a change that a node may have made.
- * @param done Receives the response.
- * @return Callback that reports a later rejection, by whatever node, as an
- * unknown outcome.
- */
-[[nodiscard]] std::function<void(client_answer)>
-without_rejections(std::function<void(client_answer)> done)
-{
-    return [done = std::move(done)](client_answer it) {
-        if (is_rejection(it.kind)) {
-            it.kind = answer_kind::outcome_unknown;
-            it.code = result_code::submission_outcome_unknown;
-        }
-        done(it);
-    };
-}
-
 } // namespace
 
 void node::internal_state::serve(client_call call,
                                  std::function<void(client_answer)> done)
 {
     const auto now = boot_clock::now();
+    if (call.forwarded && !call.number.origin.empty()) {
+        if (!peer_calls.begin(call.number, now)) {
+            log_answer(call.kind, call.path, peer_call_refused, now, now);
+            done(peer_call_refused);
+            return;
+        }
+        done = [this, number = call.number,
+                done = std::move(done)](const client_answer& it) {
+            peer_calls.finish(number, it, boot_clock::now());
+            done(it);
+        };
+    }
     auto reply = [this, kind = call.kind, path = call.path, now,
                   done = std::move(done)](client_answer it) {
         const auto answered = boot_clock::now();
@@ -70,7 +67,7 @@
     if (!call.forwarded &&
         (!ledger.running() || outdated || uncounted || suspect)) {
         call.min_config = std::max(peer_config, config ? config->version : 0);
-        forward_to_peers(std::move(call), pick_peers(), std::move(reply));
+        forwarder.forward(std::move(call), pick_peers(), std::move(reply));
         return;
     }
     serve_here(std::move(call), std::move(reply));
@@ -105,67 +102,57 @@
     return result;
 }
 
-void node::internal_state::forward_to_peers(
-    client_call call, std::vector<std::string> candidates,
-    std::function<void(client_answer)> done)
+void node::internal_state::call_listener::on_forward(const client_call& call,
+                                                     std::string_view address)
 {
-    const auto now = boot_clock::now();
-    if (candidates.empty() || now + options.answer_margin > call.deadline) {
-        serve_here(std::move(call), std::move(done));
+    owner->metrics.calls_forwarded.add();
+    // Nodes that do not follow the ledger forward every call.
+    if (!owner->ledger.running()) {
         return;
     }
-    const auto address = std::move(candidates.front());
-    candidates.erase(candidates.begin());
-    const auto timeout =
-        std::min(forward_timeout, call.deadline - options.answer_margin - now);
-    // Other nodes forward every call.
-    if (ledger.running()) {
-        logging::event(
-            logging::level::info, "call_handed_on",
-            {{"job", job_of(call.path)},
-             {"call", to_text(call.kind)},
-             {"peer", address},
-             {"config", config ? std::to_string(config->version) : "none"},
-             {"peer_config", std::to_string(peer_config)},
-             {"store_served_ms_ago", age_text(shared.served(), now)}});
-    }
-    auto forwarded_call = call;
-    // The peer times out before this node does, so that its response arrives in
-    // time.
-    forwarded_call.deadline = now + timeout;
-    peers.forward(
-        address, forwarded_call, timeout,
-        [this, address, call = std::move(call),
-         candidates = std::move(candidates),
-         done = std::move(done)](std::optional<client_answer> it) mutable {
-            metrics.calls_forwarded.add();
-            if (it) {
-                peer_config = std::max(peer_config, it->config);
-            }
-            // Calls are idempotent, so another peer may be tried. After a lost
-            // response, the call can no longer be reported as not executed,
-            // also if the next peer, which need not know of it yet, rejects it.
-            const bool unknown =
-                !it || it->kind == answer_kind::outcome_unknown;
-            if (!unknown && it->kind != answer_kind::unavailable) {
-                done(*it);
-                return;
-            }
-            logging::event(
-                logging::level::warning, "peer_call_failed",
-                {{"job", job_of(call.path)},
-                 {"call", to_text(call.kind)},
-                 {"peer", address},
-                 {"reason", it ? describe(it->code).name : "no response"}});
-            list_soon();
-            const bool changes = call.kind == call_kind::submit ||
-                                 call.kind == call_kind::cancel;
-            if (unknown && changes) {
-                done = without_rejections(std::move(done));
-            }
-            forward_to_peers(std::move(call), std::move(candidates),
-                             std::move(done));
-        });
+    logging::event(
+        logging::level::info, "call_handed_on",
+        {{"job", job_of(call.path)},
+         {"call", to_text(call.kind)},
+         {"peer", address},
+         {"config",
+          owner->config ? std::to_string(owner->config->version) : "none"},
+         {"peer_config", std::to_string(owner->peer_config)},
+         {"store_served_ms_ago",
+          age_text(owner->shared.served(), boot_clock::now())}});
+}
+
+void node::internal_state::call_listener::on_status_query()
+{
+    owner->metrics.call_status_queries.add();
+}
+
+void node::internal_state::call_listener::on_peer_answer(
+    const client_answer& answer)
+{
+    owner->peer_config = std::max(owner->peer_config, answer.config);
+}
+
+void node::internal_state::call_listener::on_peer_failed(
+    const client_call& call, std::string_view address, std::string_view reason,
+    duration waited)
+{
+    owner->metrics.peer_calls_failed.add();
+    logging::event(logging::level::warning, "peer_call_failed",
+                   {{"job", job_of(call.path)},
+                    {"call", to_text(call.kind)},
+                    {"peer", address},
+                    {"reason", reason},
+                    {"waited_ms", std::to_string(to_milliseconds(waited))},
+                    {"left_ms", std::to_string(to_milliseconds(
+                                    call.deadline - boot_clock::now()))}});
+    owner->list_soon();
+}
+
+void node::internal_state::call_listener::serve_here(
+    client_call call, std::function<void(client_answer)> done)
+{
+    owner->serve_here(std::move(call), std::move(done));
 }
 
 double node::internal_state::weight_of(const std::string& account) const
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -1,6 +1,8 @@
 #ifndef ROSEMARYTRAIL_CELL_INTERNAL_NODE_STATE_HPP
 #define ROSEMARYTRAIL_CELL_INTERNAL_NODE_STATE_HPP
 
+#include <rosemarytrail/cell/call_forwarder.hpp>
+#include <rosemarytrail/cell/call_table.hpp>
 #include <rosemarytrail/cell/feed_reader.hpp>
 #include <rosemarytrail/cell/member_name.hpp>
 #include <rosemarytrail/cell/node.hpp>
@@ -82,6 +84,20 @@
         void on_caught_up() override;
     };
 
+    /** @brief Logs and counts forwarded calls. */
+    struct call_listener final : forward_listener
+    {
+        void on_forward(const client_call& call,
+                        std::string_view address) override;
+        void on_status_query() override;
+        void on_peer_answer(const client_answer& answer) override;
+        void on_peer_failed(const client_call& call, std::string_view address,
+                            std::string_view reason, duration waited) override;
+        void serve_here(client_call call,
+                        std::function<void(client_answer)> done) override;
+        internal_state* owner{};
+    };
+
     /** @brief State that a node keeps only while it leads. */
     struct leader_state
     {
@@ -126,6 +142,10 @@
 
     /** @brief Entries of this node that are not yet confirmed as recorded. */
     outbox entries;
+    /** @brief Calls that other nodes forwarded to this one. */
+    call_table peer_calls{{}};
+    call_listener call_target;
+    call_forwarder forwarder;
     fleet::job_index jobs;
     std::shared_ptr<const fleet::cell_config> config;
     /** @brief Zones in which operators allow no new tasks. */
@@ -288,9 +308,6 @@
     check_call(const client_call& call) const;
     /** @brief Serves a call from the state of this node. */
     void serve_here(client_call call, std::function<void(client_answer)> done);
-    /** @brief Forwards a call to the remaining peers, one after another. */
-    void forward_to_peers(client_call call, std::vector<std::string> candidates,
-                          std::function<void(client_answer)> done);
     [[nodiscard]] std::vector<std::string> pick_peers() const;
     [[nodiscard]] double weight_of(const std::string& account) const;
     /** @brief Drops start times older than the drain window. */
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -64,6 +64,8 @@
                      std::function<void(append_answer)> done) {
                   append_entries(std::move(request), std::move(done));
               }}
+    , forwarder{options_.forwarding, options_.member, loop_, peers_,
+                call_target}
     , advice_requests{{.member = options_.member,
                        .slow_threshold_ms = options_.dispatcher.slow_advice_ms,
                        .slow_share = options_.dispatcher.slow_advice_share}}
@@ -93,6 +95,7 @@
                     announcement_target}
     , monitor{{.member = options_.member}}
 {
+    call_target.owner = this;
     ledger_target.owner = this;
     configuration_target.owner = this;
     directory_target.owner = this;
@@ -584,6 +587,11 @@
     return state_->workers.receive(std::move(batch));
 }
 
+call_report node::call_status(const call_number& number, time_point now)
+{
+    return state_->peer_calls.query(number, now);
+}
+
 void node::serve(client_call call, std::function<void(client_answer)> done)
 {
     state_->serve(std::move(call), std::move(done));
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -2,6 +2,7 @@
 #define ROSEMARYTRAIL_CELL_NODE_HPP
 
 #include <rosemarytrail/cell/client_call.hpp>
+#include <rosemarytrail/cell/forward_plan.hpp>
 #include <rosemarytrail/cell/ledger_followers.hpp>
 #include <rosemarytrail/cell/peer_link.hpp>
 #include <rosemarytrail/cell/ports.hpp>
@@ -82,6 +83,8 @@
     /** @brief Part of a caller's deadline reserved for the response that the
      * outcome is unknown. */
     duration answer_margin{std::chrono::milliseconds{300}};
+    /** @brief How client calls are forwarded to peers. */
+    forward_options forwarding;
     /** @brief If appends take longer, entries are sent through the leader. */
     duration slow_append{std::chrono::milliseconds{100}};
     /** @brief Timeout of a message to a peer. */
@@ -125,6 +128,16 @@
      */
     void serve(client_call call, std::function<void(client_answer)> done);
 
+    /**
+     * @brief Reports the status of a call that another node forwarded to this
+     * one; only on the loop.
+     * @param number Number of the call.
+     * @param now Current time.
+     * @return Status.
+     */
+    [[nodiscard]] call_report call_status(const call_number& number,
+                                          time_point now);
+
     /**
      * @brief Handles a message of another node; only on the loop.
      * @param message Message.
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -22,6 +22,12 @@
           "appends of the leader that were sent again")}
     , calls_forwarded{all.make_counter("rosemarytrail_calls_handed_on_total",
                                        "calls that a peer was asked to serve")}
+    , call_status_queries{all.make_counter(
+          "rosemarytrail_call_status_queries_total",
+          "queries to a peer for the status of a call forwarded to it")}
+    , peer_calls_failed{all.make_counter(
+          "rosemarytrail_peer_calls_failed_total",
+          "forwarded calls that the peer did not serve")}
     , feed_read_failures{all.make_counter(
           "rosemarytrail_feed_read_failures_total",
           "reads of a feed of the store that failed")}
--- a/src/rosemarytrail/cell/peer_link.cpp
+++ b/src/rosemarytrail/cell/peer_link.cpp
@@ -15,6 +15,7 @@
 using json = nlohmann::json;
 
 constexpr const char* call_path = "/peer/call";
+constexpr const char* call_status_path = "/peer/call-status";
 constexpr const char* message_path = "/peer/message";
 constexpr const char* worker_calls_path = "/peer/worker-calls";
 constexpr const char* worker_results_path = "/peer/worker-results";
@@ -43,12 +44,29 @@
                     [done = std::move(done)](const http::client_response& it) {
                         const bool complete =
                             it.transport == http::transport_result::complete &&
-                            it.answer.status == 200;
-                        done(complete ? decode_answer(it.answer.body)
-                                      : std::nullopt);
+                            it.answer.status == status_ok;
+                        done({.refused = it.transport ==
+                                         http::transport_result::not_sent,
+                              .answer = complete ? decode_answer(it.answer.body)
+                                                 : std::nullopt});
                     });
     }
 
+    void query_call(std::string_view address, const call_number& number,
+                    duration timeout,
+                    std::function<void(const call_report&)> done) override
+    {
+        http_.fetch(
+            {.method = "POST",
+             .url = "http://" + std::string{address} + call_status_path,
+             .headers = {{"Content-Type", "application/octet-stream"}},
+             .body = encode_call_number(number),
+             .timeout = timeout},
+            [timeout, done = std::move(done)](const http::client_response& it) {
+                done(report_of(it, timeout));
+            });
+    }
+
     void send(std::string_view address, const peer_message& message,
               duration timeout,
               std::function<void(message_result)> done) override
@@ -103,6 +121,25 @@
     }
 
 private:
+    [[nodiscard]] static call_report report_of(const http::client_response& it,
+                                               duration timeout)
+    {
+        call_report result;
+        if (it.transport == http::transport_result::complete) {
+            if (it.answer.status == status_ok) {
+                result = decode_call_report(it.answer.body).value_or(result);
+            } else if (it.answer.status == status_not_found) {
+                result.progress = call_progress::unsupported;
+            }
+        } else if (it.transport == http::transport_result::not_sent &&
+                   it.elapsed < timeout / 2) {
+            // As for a leader query, only a quick failure means that nothing
+            // listens there.
+            result.progress = call_progress::refused;
+        }
+        return result;
+    }
+
     void post(std::string_view address, const char* path, std::string body,
               duration timeout, std::function<void(message_result)> done)
     {
@@ -214,10 +251,10 @@
         record.spec = *call.job;
         job = fleet::encode(record);
     }
-    const json it =
-        json::array({static_cast<int>(call.kind), call.host, call.path,
-                     call.key, std::move(job),
-                     to_milliseconds(call.deadline - now), call.min_config});
+    const json it = json::array(
+        {static_cast<int>(call.kind), call.host, call.path, call.key,
+         std::move(job), to_milliseconds(call.deadline - now), call.min_config,
+         call.number.origin, call.number.value});
     return fleet::pack(it);
 }
 
@@ -235,6 +272,10 @@
                 now + std::chrono::milliseconds{it.at(5).get<std::int64_t>()},
             .forwarded = true,
             .min_config = it.at(6)};
+        // Older builds send no number.
+        if (constexpr std::size_t numbered = 9; it.size() >= numbered) {
+            result.number = {.origin = it.at(7), .value = it.at(8)};
+        }
         if (it.at(4).is_string()) {
             if (auto record =
                     fleet::decode_job(it.at(4).get_ref<const std::string&>())) {
@@ -277,6 +318,46 @@
     }
 }
 
+std::string encode_call_number(const call_number& number)
+{
+    return fleet::pack(json::array({number.origin, number.value}));
+}
+
+std::optional<call_number> decode_call_number(std::string_view bytes)
+{
+    try {
+        const auto it = json::from_msgpack(bytes.begin(), bytes.end());
+        return call_number{.origin = it.at(0), .value = it.at(1)};
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string encode_call_report(const call_report& report)
+{
+    return fleet::pack(json::array(
+        {static_cast<int>(report.progress),
+         report.answer ? encode_answer(*report.answer) : std::string{}}));
+}
+
+std::optional<call_report> decode_call_report(std::string_view bytes)
+{
+    try {
+        const auto it = json::from_msgpack(bytes.begin(), bytes.end());
+        call_report result{.progress =
+                               static_cast<call_progress>(it.at(0).get<int>()),
+                           .answer = std::nullopt};
+        if (result.progress == call_progress::answered) {
+            result.answer =
+                decode_answer(it.at(1).get_ref<const std::string&>());
+            return result.answer ? std::optional{result} : std::nullopt;
+        }
+        return result;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::unique_ptr<peer_link> make_peer_link(http::client& http)
 {
     return std::make_unique<http_peer_link>(http);
@@ -292,7 +373,7 @@
     if (head.method != "POST" ||
         (head.path != call_path && head.path != message_path &&
          head.path != worker_calls_path && head.path != worker_results_path &&
-         head.path != leader_query_path)) {
+         head.path != leader_query_path && head.path != call_status_path)) {
         return http::response{.status = status_not_found};
     }
     return std::nullopt;
@@ -308,6 +389,10 @@
         on_leader_query(std::move(it));
         return;
     }
+    if (it->incoming().path == call_status_path) {
+        on_call_query(std::move(it));
+        return;
+    }
     if (it->incoming().path == worker_calls_path) {
         on_worker_calls(std::move(it));
         return;
@@ -337,6 +422,19 @@
     });
 }
 
+void peer_api::on_call_query(std::shared_ptr<http::exchange> it)
+{
+    auto number = decode_call_number(it->incoming().body);
+    if (!number) {
+        it->respond({.status = status_bad_request});
+        return;
+    }
+    loop_.post([this, it = std::move(it), number = std::move(*number)] {
+        it->respond({.body = encode_call_report(
+                         target_.call_status(number, boot_clock::now()))});
+    });
+}
+
 void peer_api::on_worker_calls(std::shared_ptr<http::exchange> it)
 {
     auto batch = decode_calls(it->incoming().body);
--- a/src/rosemarytrail/cell/peer_link.hpp
+++ b/src/rosemarytrail/cell/peer_link.hpp
@@ -1,6 +1,7 @@
 #ifndef ROSEMARYTRAIL_CELL_PEER_LINK_HPP
 #define ROSEMARYTRAIL_CELL_PEER_LINK_HPP
 
+#include <rosemarytrail/cell/call_status.hpp>
 #include <rosemarytrail/cell/client_call.hpp>
 #include <rosemarytrail/cell/leader_monitor.hpp>
 #include <rosemarytrail/cell/worker_batch.hpp>
@@ -53,6 +54,36 @@
 [[nodiscard]] std::optional<client_answer>
 decode_answer(std::string_view bytes);
 
+/**
+ * @brief Encodes the number of a forwarded call.
+ * @param number Number.
+ * @return Encoded number.
+ */
+[[nodiscard]] std::string encode_call_number(const call_number& number);
+
+/**
+ * @brief Decodes the number of a forwarded call.
+ * @param bytes Encoded number.
+ * @return Number, or nothing if the bytes are malformed.
+ */
+[[nodiscard]] std::optional<call_number>
+decode_call_number(std::string_view bytes);
+
+/**
+ * @brief Encodes the status of a forwarded call.
+ * @param report Status.
+ * @return Encoded status.
+ */
+[[nodiscard]] std::string encode_call_report(const call_report& report);
+
+/**
+ * @brief Decodes the status of a forwarded call.
+ * @param bytes Encoded status.
+ * @return Status, or nothing if the bytes are malformed.
+ */
+[[nodiscard]] std::optional<call_report>
+decode_call_report(std::string_view bytes);
+
 /** @brief Message from one node to another. */
 struct peer_message
 {
@@ -108,8 +139,8 @@
 class peer_link
 {
 public:
-    /** @brief Receives the response; nothing if none arrived. */
-    using callback = std::function<void(std::optional<client_answer>)>;
+    /** @brief Receives the result of a forwarded call. */
+    using callback = std::function<void(forward_result)>;
 
     virtual ~peer_link() = default;
 
@@ -118,11 +149,22 @@
      * @param address IP address and port of the node.
      * @param call Call.
      * @param timeout How long to wait for the response.
-     * @param done Called once with the response.
+     * @param done Called once with the result.
      */
     virtual void forward(std::string_view address, const client_call& call,
                          duration timeout, callback done) = 0;
 
+    /**
+     * @brief Queries another node for the status of a call forwarded to it.
+     * @param address IP address and port of the node.
+     * @param number Number of the call.
+     * @param timeout How long to wait for the response.
+     * @param done Called once with the status.
+     */
+    virtual void query_call(std::string_view address, const call_number& number,
+                            duration timeout,
+                            std::function<void(const call_report&)> done) = 0;
+
     /**
      * @brief Sends a message to another node.
      * @param address IP address and port of the node.
@@ -196,6 +238,7 @@
     void on_worker_calls(std::shared_ptr<http::exchange> it);
     void on_worker_results(std::shared_ptr<http::exchange> it);
     void on_leader_query(std::shared_ptr<http::exchange> it);
+    void on_call_query(std::shared_ptr<http::exchange> it);
 
     http::event_loop& loop_;
     node& target_;
--- a/test/cell/relayed_workers.cpp
+++ b/test/cell/relayed_workers.cpp
@@ -24,6 +24,10 @@
     void forward(std::string_view /*address*/, const client_call& /*call*/,
                  duration /*timeout*/, callback /*done*/) override
     {}
+    void query_call(std::string_view /*address*/, const call_number& /*number*/,
+                    duration /*timeout*/,
+                    std::function<void(const call_report&)> /*done*/) override
+    {}
     void send(std::string_view /*address*/, const peer_message& /*message*/,
               duration /*timeout*/,
               std::function<void(message_result)> /*done*/) override
