--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -43,6 +43,8 @@
     metrics::counter& evacuation_moves;
     metrics::counter& append_retries;
     metrics::counter& calls_forwarded;
+    metrics::counter& call_status_queries;
+    metrics::counter& peer_calls_failed;
     metrics::counter& feed_read_failures;
     metrics::counter& feed_reads_regained;
     metrics::counter& relayed_calls;
