Order waiting work by what its delay costs callers

Cause: waiting steps were ordered by their latest start, also those of jobs that can no longer meet their objective, so under overload most jobs ended a little late. Objectives and remaining time came from declared durations, which are too short by 20 % to 50 %.

Change: run_times keeps the ratio of observed to declared run times for each image and queue, corrected for the worker's speed. triage classifies a job by the corrected remaining time: it can meet its objective, it can end within 3 times of it, or neither. Overdue jobs wait for all others of accounts within their share. A class that does not fit into the capacity, or into an account's limit, is served by value per remaining work. Jobs that have begun come first in their class, and a tenth of the work placed under overload belongs to the step that has waited longest. Estimates are computed again only for jobs that have changed, and all jobs are classified every 100 ms.

Ruled out: classes alone with the most urgent job first, which left each job to start at the last moment, and an age share counted in tasks, as a batch task takes eight times the work of a short one. The model workers reported 10 % progress for all runs, so that the leader took all of them for slow; they now report the true progress.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -77,6 +77,7 @@
 void dispatcher::state::mark_dirty(tracked_step& step)
 {
     dirty.insert(&step);
+    step.job->triage.stale = true;
     replan = true;
 }
 
@@ -163,6 +164,7 @@
             });
         if (step.ready) {
             step.ready_at = last_plan;
+            job.triage.stale = true;
             ready.insert(&step);
             replan = true;
         }
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include <rosemarytrail/fleet/advice_request.hpp>
 #include <rosemarytrail/fleet/cell_config.hpp>
 #include <rosemarytrail/fleet/job_index.hpp>
+#include <rosemarytrail/fleet/triage.hpp>
 #include <rosemarytrail/fleet/worker_calls.hpp>
 #include <rosemarytrail/fleet/worker_vm.hpp>
 
@@ -137,6 +138,19 @@
      * in which the losses of several nodes are noticed one after another. */
     duration node_distrust{std::chrono::milliseconds{10000}};
     duration max_node_distrust{std::chrono::milliseconds{60000}};
+    /** @brief Order of service within a class whose work exceeds the
+     * capacity. */
+    overload_order order{overload_order::value};
+    /** @brief Fraction of a job's slack that it may be expected to wait before
+     * its class counts as exceeding the capacity. */
+    double max_slack_use{0.2};
+    /** @brief Within a class, jobs that have begun come first. */
+    bool finish_begun_first{true};
+    /** @brief Interval at which all waiting jobs are classified again. */
+    duration triage_interval{std::chrono::milliseconds{100}};
+    /** @brief Fraction of the work placed under overload that belongs to the
+     * step that has waited longest. */
+    double aging_share{0.1};
     /** @brief How long ended jobs are tracked; late ledger entries of such a
      * job are ignored. */
     duration ended_retention{std::chrono::seconds{600}};
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -2,6 +2,7 @@
 #define ROSEMARYTRAIL_FLEET_INTERNAL_DISPATCHER_STATE_HPP
 
 #include <rosemarytrail/fleet/dispatcher.hpp>
+#include <rosemarytrail/fleet/internal/work_order.hpp>
 
 #include <boost/container/flat_set.hpp>
 
@@ -28,28 +29,27 @@
 /** @brief Position of a waiting step in the order of service. */
 struct step_rank
 {
-    /** @brief The account had exceeded its share at submission. */
-    bool beyond_share{false};
-    std::int32_t priority{};
-    /** @brief The job can no longer meet its latency objective. */
-    bool late{false};
-    time_point latest_start;
+    service_group group;
+    order_criterion criterion{order_criterion::urgency};
+    /** @brief Position by the criterion. */
+    double order{};
     step_key key;
 
     friend bool operator<(const step_rank& a, const step_rank& b) noexcept
     {
-        return std::tie(a.beyond_share, a.priority, a.late, a.latest_start,
-                        a.key) < std::tie(b.beyond_share, b.priority, b.late,
-                                          b.latest_start, b.key);
+        return std::tie(a.group, a.criterion, a.order, a.key) <
+               std::tie(b.group, b.criterion, b.order, b.key);
     }
 };
 
 /**
  * @brief Ranks a waiting step.
  *
- * Under overload, accounts within their share precede those beyond it; then
- * priority decides, then jobs that can still meet their objective, the most
- * urgent first.
+ * Under overload, accounts within their share precede those beyond it, and jobs
+ * that can end at a useful time the others; then priority decides, then whether
+ * they can still meet their objective. Within such a class, the most urgent
+ * jobs are first, or those that `overload_order` names if the class exceeds the
+ * capacity. The rank is that of the last planning pass.
  * @param step Step.
  * @param now Current time.
  * @return Its rank; the smallest is served first.
@@ -118,6 +118,8 @@
     std::string checkpoint;
     /** @brief When the phase began. */
     time_point since;
+    /** @brief This leader sent the start request. */
+    bool start_seen{false};
     time_point stop_sent;
     std::optional<time_point> stop_acknowledged;
     std::int32_t percent{};
@@ -195,6 +197,8 @@
     time_point advised_at;
     time_point placed_at;
     time_point done_at;
+    /** @brief Longest run of its tasks on a worker of usual speed. */
+    duration longest_run{};
 
     [[nodiscard]] bool complete() const noexcept
     {
@@ -222,6 +226,7 @@
     std::int64_t chain_ms{};
     /** @brief Number of tasks that occupy a worker. */
     std::size_t active{};
+    job_triage triage;
 
     [[nodiscard]] bool ended() const noexcept
     {
@@ -396,6 +401,7 @@
     /** @brief Jobs whose outcome is recorded; removed once their last task has
      * stopped. */
     std::set<std::uint64_t> awaiting_removal;
+    internal::work_order service_order;
     bool replan{true};
     bool superseded{false};
 
@@ -480,6 +486,24 @@
                                   const tracked_step& step,
                                   const running_row& row, time_point now);
 
+    // internal/work_order.cpp
+    void observe_run(const tracked_worker& worker, tracked_step& step,
+                     std::uint32_t index, time_point now);
+    [[nodiscard]] duration expected_run(const tracked_step& step,
+                                        std::size_t tasks) const;
+    void estimate(tracked_job& job, time_point now) const;
+    void refresh_estimate(tracked_job& job, time_point now);
+    void classify_job(tracked_job& job, time_point now);
+    void set_criterion(tracked_job& job, bool overloaded) const;
+    void update_order(time_point now);
+    void find_overload(time_point now);
+    [[nodiscard]] double account_cores(const std::string& name) const;
+    [[nodiscard]] bool is_at_limit(const tracked_job& job) const;
+    void serve_longest_waiting(std::span<const ranked_step> waiting,
+                               time_point now);
+    void add_aging_credit(double placed_work, bool tasks_left);
+    [[nodiscard]] double work_of(const tracked_step& step) const;
+
     // internal/advice_scheduling.cpp
     void plan_advice(time_point now);
     void close_request(tracked_step& step);
@@ -534,7 +558,7 @@
     allowed_workers(tracked_step& step);
     [[nodiscard]] bool within_limit(const tracked_job& job,
                                     const resource_amounts& demand) const;
-    void place_step(tracked_step& step, time_point now);
+    void place_step(tracked_step& step, time_point now, std::size_t max_tasks);
     void place_gang(tracked_step& step, time_point now);
     [[nodiscard]] tracked_worker*
     choose_worker(tracked_step& step, std::uint32_t index, time_point now);
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -32,17 +32,6 @@
 
 } // namespace
 
-internal::step_rank internal::rank_of(const tracked_step& step, time_point now)
-{
-    const auto& job = *step.job;
-    return {.beyond_share = job.beyond_share,
-            .priority = job.record.queue.priority,
-            .late = job.objective <= now,
-            .latest_start =
-                job.objective - std::chrono::milliseconds{job.chain_ms},
-            .key = step.key};
-}
-
 bool dispatcher::state::accepts_work(const tracked_worker& worker,
                                      time_point now) const
 {
@@ -178,10 +167,11 @@
         {.task = {.step = step.key, .index = index}, .run = task.run});
 }
 
-void dispatcher::state::place_step(tracked_step& step, time_point now)
+void dispatcher::state::place_step(tracked_step& step, time_point now,
+                                   std::size_t max_tasks)
 {
     std::size_t n = 0;
-    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+    for (std::uint32_t i = 0; i < step.tasks.size() && n < max_tasks; ++i) {
         if (step.tasks[i].phase != task_phase::waiting ||
             awaits_crash_proof(step.tasks[i])) {
             continue;
@@ -268,6 +258,7 @@
         it.update_ready(*job->second, unix_ms);
         return false;
     });
+    it.update_order(now);
     it.plan_advice(now);
     if (!it.replan) {
         return;
@@ -283,13 +274,21 @@
         }
     }
     std::ranges::sort(order, internal::served_before);
+    it.serve_longest_waiting(order, now);
+    double placed_work = 0;
+    bool tasks_left = false;
     for (const auto& [rank, step] : order) {
+        const auto before = step->waiting;
         if (step->spec->gang) {
             it.place_gang(*step, now);
         } else {
-            it.place_step(*step, now);
+            it.place_step(*step, now, step->tasks.size());
         }
+        placed_work +=
+            it.work_of(*step) * static_cast<double>(before - step->waiting);
+        tasks_left = tasks_left || step->waiting > 0;
     }
+    it.add_aging_credit(placed_work, tasks_left);
 }
 
 } // namespace rosemarytrail::fleet
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -127,6 +127,7 @@
     }
     task.phase = task_phase::start_sent;
     task.since = now;
+    task.start_seen = true;
     starts.push_back(
         {.worker = {.id = worker.vm.id, .address = worker.vm.address},
          .task = key,
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -232,6 +232,7 @@
         worker.failed_jobs.clear();
         task.completed_on = worker.vm.id;
         task.run_duration = now - task.since;
+        observe_run(worker, *step, index, now);
         complete_task(*step, index, now);
     } else if (row.how == run_end::failed) {
         on_run_failed(worker, *step, index, now);
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -10,6 +10,14 @@
 using fleet::run_end;
 using fleet::start_result;
 
+[[nodiscard]] std::int32_t percent_of(const model_run& run, time_point now)
+{
+    constexpr int whole = 100;
+    return static_cast<std::int32_t>(
+        whole * (now - run.started) /
+        std::max(run.ends - run.started, duration{1}));
+}
+
 } // namespace
 
 worker_fleet::worker_fleet()
@@ -242,9 +250,11 @@
         }
     }
     ++starts[request.task];
-    const auto length = step.long_running
-                            ? duration{std::chrono::hours{1}}
-                            : scripted_outcome(request.task).length;
+    const auto length =
+        step.long_running
+            ? duration{std::chrono::hours{1}}
+            : std::chrono::duration_cast<duration>(
+                  scripted_outcome(request.task).length * it.slowness);
     it.running[request.task] = {.run = request.run,
                                 .started = now,
                                 .ends = now + length,
@@ -347,7 +357,7 @@
         response.running.push_back({.task = task,
                                     .run = run.run,
                                     .checkpoint = run.checkpoint,
-                                    .percent = 10});
+                                    .percent = percent_of(run, now)});
     }
     dispatcher_->on_poll_result(request, fleet::poll_result::answered, response,
                                 sent, now + tick);
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -36,6 +36,8 @@
     std::uint64_t next_end{1};
     /** @brief Highest stopped or ended run, by task. */
     std::map<fleet::task_key, std::uint32_t> highest;
+    /** @brief Factor on the run times of its tasks. */
+    double slowness{1.0};
     /** @brief Calls time out and have no effect. */
     bool unreachable{false};
     /** @brief Responses to polls are delayed while it is set. */
