--- a/test/fleet/departures.cpp
+++ b/test/fleet/departures.cpp
@@ -24,7 +24,6 @@
     departing_fleet()
     {
         stop_time = 600ms;
-        report_progress = true;
         set_length(4s);
         add_workers(3, four_cores);
         run(100ms);
@@ -189,16 +188,18 @@
           "[departures]")
 {
     departing_fleet cell;
-    cell.submit(make_job(1, {{.tasks = 4,
+    cell.submit(make_job(1, {{.tasks = 3,
                               .demand = one_core,
                               .long_running = true,
-                              .max_unavailable = 4}}));
+                              .max_unavailable = 3}}));
+    cell.run(200ms);
     cell.submit(make_job(2, {{.tasks = 1,
                               .demand = one_core,
                               .estimate_ms = 4000,
                               .checkpoints = true}}));
     cell.run(500ms);
     const auto from = cell.worker_of(1);
+    REQUIRE(cell.running_on(from) == 4);
     cell.workers[from].vm.draining = true;
     cell.list_workers();
     cell.run(1500ms);
--- a/test/fleet/evacuation.cpp
+++ b/test/fleet/evacuation.cpp
@@ -100,7 +100,6 @@
     explicit evacuated_cell(const step_spec& step)
     {
         stop_time = 300ms;
-        report_progress = true;
         scripted_outcome = [](const task_key&) {
             return task_outcome{.length = 60s};
         };
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -179,7 +179,6 @@
     std::map<std::string, cell::node*> nodes;
     /** @brief Number of advice requests sent, by address. */
     std::map<std::string, std::size_t> advice_requests;
-    /** @brief Number of next calls that are served but get no response. */
     /** @brief Number of next calls that are served but get no response. Their
      * peers do not respond to status queries either. */
     std::size_t responses_to_lose{};
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -10,6 +10,15 @@
 using fleet::run_end;
 using fleet::start_result;
 
+[[nodiscard]] std::int32_t percent_of(const model_run& run, time_point now)
+{
+    constexpr int whole = 100;
+    const auto done = run.resumed + (now - run.started);
+    const auto length = run.resumed + (run.ends - run.started);
+    return static_cast<std::int32_t>(whole * done /
+                                     std::max(length, duration{1}));
+}
+
 } // namespace
 
 worker_fleet::worker_fleet()
@@ -274,9 +283,11 @@
         }
     }
     ++starts[request.task];
-    const auto length = step.long_running
-                            ? duration{std::chrono::hours{1}}
-                            : scripted_outcome(request.task).length;
+    const auto length =
+        step.long_running
+            ? duration{std::chrono::hours{1}}
+            : std::chrono::duration_cast<duration>(
+                  scripted_outcome(request.task).length * it.slowness);
     const duration resumed = request.checkpoint.size() > 1
                                  ? std::chrono::milliseconds{std::stoll(
                                        request.checkpoint.substr(1))}
@@ -388,18 +399,10 @@
                                   .running = {},
                                   .ended = it.ended};
     for (const auto& [task, run] : it.running) {
-        constexpr double complete = 100;
-        const std::chrono::duration<double> done =
-            run.resumed + (now - run.started);
-        const std::chrono::duration<double> length =
-            run.resumed + (run.ends - run.started);
-        response.running.push_back(
-            {.task = task,
-             .run = run.run,
-             .checkpoint = run.checkpoint,
-             .percent = report_progress ? static_cast<std::int32_t>(
-                                              complete * (done / length))
-                                        : 10});
+        response.running.push_back({.task = task,
+                                    .run = run.run,
+                                    .checkpoint = run.checkpoint,
+                                    .percent = percent_of(run, now)});
     }
     dispatcher_->on_poll_result(request, fleet::poll_result::answered, response,
                                 sent, now + tick);
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -39,6 +39,8 @@
     std::uint64_t next_end{1};
     /** @brief Highest stopped or ended run, by task. */
     std::map<fleet::task_key, std::uint32_t> highest;
+    /** @brief Factor on the run times of its tasks. */
+    double slowness{1.0};
     /** @brief Calls time out and have no effect. */
     bool unreachable{false};
     /** @brief Responses to polls are delayed while it is set. */
@@ -102,8 +104,6 @@
     std::vector<fleet::throttle_request> throttles;
     /** @brief Time from a stop request to the end of the run. */
     duration stop_time{};
-    /** @brief Workers report the progress of the runs instead of 10 %. */
-    bool report_progress{false};
     /** @brief Workers refuse all tickets while it is set. */
     bool refuse_tickets{false};
     std::size_t refused_starts{};
