Quarantine faulty workers for longer each time, and probe them

Cause: a worker that failed three runs in a row was quarantined for 5 s and then filled again; a run that had started before the fault cleared the count. Hung runs and starts without an answer were not counted.

Change: worker_health counts failed, refused, unanswered and stalled runs over all jobs. Three of at least two jobs in 10 s quarantine the worker for 2 s, doubled each time up to 30 s, followed by one task as a probe. An image that fails on most of its workers counts against none. Workers whose record states coldLeftMs rank with the slow ones until then. suspect_failures, quarantine and quarantine_share of dispatcher_options are replaced by worker_health_options.

--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -407,6 +407,7 @@
     }
     const bool repeated = slot.read_at && slot.draining == vm->draining &&
                           slot.remaining_ms == vm->remaining_ms &&
+                          slot.cold_left_ms == vm->cold_left_ms &&
                           slot.incarnation == vm->incarnation;
     vm->read_at = repeated ? slot.read_at : std::optional{boot_clock::now()};
     slot = std::move(*vm);
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -83,6 +83,12 @@
     , workers_reached{all.make_gauge(
           "rosemarytrail_workers_reached",
           "workers that answer under this leader's epoch")}
+    , workers_quarantined{all.make_gauge(
+          "rosemarytrail_workers_quarantined",
+          "workers that get no tasks after bad runs, at the leader")}
+    , workers_probed{all.make_gauge(
+          "rosemarytrail_workers_probed",
+          "workers that get one task at a time after a quarantine")}
     , client_call{all.make_summary(
           "rosemarytrail_client_call_seconds",
           "calls of clients, from decoded to answered")}
@@ -145,6 +151,8 @@
     set(evacuation_wait_unavailable, counts.evacuation_left.max_unavailable);
     set(evacuation_wait_rate, counts.evacuation_left.rate);
     set(workers_reached, counts.fenced_workers);
+    set(workers_quarantined, counts.quarantined_workers);
+    set(workers_probed, counts.probed_workers);
 }
 
 } // namespace rosemarytrail::cell
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -62,6 +62,8 @@
     metrics::gauge& evacuation_wait_unavailable;
     metrics::gauge& evacuation_wait_rate;
     metrics::gauge& workers_reached;
+    metrics::gauge& workers_quarantined;
+    metrics::gauge& workers_probed;
     metrics::summary& client_call;
     metrics::summary& append;
     metrics::summary& advice;
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -127,6 +127,8 @@
     task.since = now;
     task.percent = 0;
     task.percent_at = {};
+    task.progress_at = {};
+    task.stalled = false;
     task.cpu_limit_percent = 100;
     task.stop_acknowledged.reset();
     mark_dirty(step);
@@ -508,6 +510,11 @@
         result.placed += worker.load.size();
         result.tasks_in_evacuated_zones +=
             worker.evacuated ? worker.load.size() : 0;
+        if (worker.health.quarantined(now)) {
+            ++result.quarantined_workers;
+        } else if (worker.health.on_probation()) {
+            ++result.probed_workers;
+        }
         if (state_->accepts_work(worker, now)) {
             ++result.usable_workers;
             result.capacity += worker.vm.capacity;
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include <rosemarytrail/fleet/job_index.hpp>
 #include <rosemarytrail/fleet/relocation.hpp>
 #include <rosemarytrail/fleet/worker_calls.hpp>
+#include <rosemarytrail/fleet/worker_health.hpp>
 #include <rosemarytrail/fleet/worker_vm.hpp>
 
 #include <cstdint>
@@ -55,11 +56,6 @@
     duration poll_interval{std::chrono::milliseconds{10}};
     /** @brief Tickets that expire sooner are not used for a start. */
     duration ticket_margin{std::chrono::milliseconds{60}};
-    /** @brief How long a quarantined worker receives no new tasks. */
-    duration quarantine{std::chrono::milliseconds{5000}};
-    /** @brief Number of consecutive failed runs, of at least two jobs, after
-     * which a worker is quarantined. */
-    std::uint32_t suspect_failures{3};
     /** @brief A crash within this time of a start that the worker confirmed is
      * ascribed to the run; a later one may be. */
     duration crash_window{std::chrono::milliseconds{500}};
@@ -73,9 +69,8 @@
     std::uint32_t max_possible_crashes{4};
     /** @brief How long a lost worker is polled to find out if it crashed. */
     duration crash_memory{std::chrono::milliseconds{30000}};
-    /** @brief Maximum fraction of the workers in quarantine at a time; further
-     * suspect workers keep receiving tasks. */
-    double quarantine_share{0.25};
+    /** @brief Quarantine of workers that fail or hang what they start. */
+    worker_health_options health;
     /** @brief Advice with a higher base cost is slow and requested only on
      * assignment by the leader. */
     double slow_advice_ms{100};
@@ -223,6 +218,10 @@
     std::size_t fenced_workers{};
     /** @brief Workers that currently accept new tasks. */
     std::size_t usable_workers{};
+    /** @brief Workers in quarantine, and those that have not yet ended a task
+     * well since. */
+    std::size_t quarantined_workers{};
+    std::size_t probed_workers{};
     /** @brief Total capacity of the usable workers, and the amount in use. */
     resource_amounts capacity;
     resource_amounts used;
--- a/src/rosemarytrail/fleet/internal/candidate_selection.cpp
+++ b/src/rosemarytrail/fleet/internal/candidate_selection.cpp
@@ -30,6 +30,9 @@
     if (!is_usable(worker, step, now)) {
         return 0;
     }
+    if (worker.health.on_probation()) {
+        return can_accept(worker, step, now) ? 1 : 0;
+    }
     const auto demand = step.spec->reserved();
     const auto left = worker.available();
     auto n = static_cast<std::int64_t>(step.waiting);
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -123,6 +123,10 @@
     std::int32_t percent{};
     /** @brief When `percent` was reported. */
     time_point percent_at;
+    /** @brief When `percent` last rose. */
+    time_point progress_at;
+    /** @brief The run counts as one without progress. */
+    bool stalled{false};
     /** @brief The run began with the work saved in a checkpoint, or its start
      * is not known. */
     bool resumed{false};
@@ -289,9 +293,11 @@
     std::uint32_t unanswered{};
     /** @brief Reported runs that the dispatcher does not track. */
     std::size_t untracked_runs{};
-    std::set<std::uint64_t> failed_jobs;
-    std::uint32_t failures_in_a_row{};
-    time_point quarantined_until;
+    worker_health health;
+    /** @brief Its only task after a quarantine, until that ends or is lost. */
+    std::optional<task_key> probe;
+    /** @brief Time until which it is slow after its start. */
+    time_point cold_until;
     /** @brief Run time of its tasks relative to other tasks of the same
      * steps. */
     double slowness{1.0};
@@ -404,6 +410,7 @@
     evacuation_budget evacuation_moves;
     relocation_counts relocated;
     evacuation_backlog evacuation_left;
+    image_health images;
     std::uint64_t planning_pass{};
     time_point last_advice_scan;
     /** @brief Remaining checks for further candidates of expired steps in this
@@ -459,8 +466,17 @@
                        std::uint32_t index, time_point now);
     void count_failed_run(tracked_step& step, std::uint32_t index,
                           std::uint32_t run, time_point now);
-    void record_failure(tracked_worker& worker, std::uint64_t job,
-                        time_point now);
+
+    // internal/worker_quarantine.cpp
+    void record_bad_run(tracked_worker& worker, const task_key& task,
+                        bad_run cause, time_point now);
+    void record_good_run(tracked_worker& worker, const task_key& task,
+                         time_point now);
+    [[nodiscard]] bool accepts_probe(const tracked_worker& worker,
+                                     const tracked_step& step,
+                                     time_point now) const;
+    void check_progress(tracked_worker& worker, tracked_step& step,
+                        const running_row& row, time_point sent_at);
     void compare_running(tracked_worker& worker, const poll_response& response,
                          time_point sent_at, time_point now);
     void throttle_scavengers(tracked_worker& worker,
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -14,16 +14,17 @@
  * @brief Ranks workers by speed for a step; the lowest rank is preferred.
  *
  * Steps of priority 0 prefer fast workers. Other steps prefer slower workers,
- * unless these exceed the slowness threshold.
+ * unless these exceed the slowness threshold. Workers that have just started
+ * count as slow for as long as the directory says.
  */
 [[nodiscard]] int speed_rank(const internal::tracked_worker& worker,
-                             const tracked_step& step)
+                             const tracked_step& step, time_point now)
 {
     constexpr double slow_threshold = 1.6;
     constexpr double per_rank = 0.1;
     constexpr int slow_rank_offset = 1000;
     const int rank = static_cast<int>((worker.slowness - 1.0) / per_rank);
-    if (worker.slowness > slow_threshold) {
+    if (worker.slowness > slow_threshold || worker.cold_until > now) {
         return slow_rank_offset + rank;
     }
     const bool urgent = step.job->record.queue.priority == 0;
@@ -48,7 +49,7 @@
 {
     return worker.listed && !worker.closing() && worker.renewable &&
            worker.unanswered == 0 && worker.untracked_runs == 0 &&
-           worker.quarantined_until <= now && worker.clock_ms.has_value();
+           !worker.health.quarantined(now) && worker.clock_ms.has_value();
 }
 
 bool dispatcher::state::is_usable(const tracked_worker& worker,
@@ -71,6 +72,8 @@
 {
     return step.spec->reserved().fits(worker.available()) &&
            is_usable(worker, step, now) &&
+           (!worker.health.on_probation() ||
+            accepts_probe(worker, step, now)) &&
            internal::tasks_allowed_on(worker, step) > 0;
 }
 
@@ -137,7 +140,7 @@
             apart ? it.load.size() : std::size_t{0},
             !spec.data_rack.empty() && it.vm.rack != spec.data_rack,
             it.vm.id == task.failed_on,
-            speed_rank(it, step),
+            speed_rank(it, step, now),
             spec.scavenger ? -left : left};
         if (best == nullptr || rank < best_rank) {
             best = &it;
@@ -170,6 +173,9 @@
     }
     allocate(step, index, worker.vm.id);
     ++worker.new_runs;
+    if (worker.health.on_probation()) {
+        worker.probe = task_key{.step = step.key, .index = index};
+    }
     if (task.crashes.counted() > 0) {
         worker.isolated_run = {.step = step.key, .index = index};
     }
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -170,6 +170,12 @@
             self.log_decision(request.task.step.job, "start unanswered",
                               to_text(request.task) + " on " +
                                   request.worker.id);
+            // A worker that does not respond at all is found by its polls.
+            if (auto& worker = self.workers[request.worker.id];
+                worker.unanswered == 0) {
+                self.record_bad_run(worker, request.task, bad_run::unanswered,
+                                    now);
+            }
             self.stop_task(*step, request.task.index, now);
             if (step->spec->gang) {
                 self.abort_gang(*step, now);
@@ -197,7 +203,7 @@
     case start_result::no_capacity:
     case start_result::unhealthy:
     case start_result::invalid:
-        self.record_failure(worker, request.task.step.job, now);
+        self.record_bad_run(worker, request.task, bad_run::refused, now);
         break;
     default:
         break;
--- a/src/rosemarytrail/fleet/internal/worker_crashes.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_crashes.cpp
@@ -142,8 +142,7 @@
         task.evidence = run_evidence::stable;
         clear_crashes(step, key.index);
         if (step.spec->long_running) {
-            worker.failures_in_a_row = 0;
-            worker.failed_jobs.clear();
+            record_good_run(worker, key, sent_at);
         }
     }
 }
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -66,6 +66,11 @@
             it.leaves_at = vm.read_at.value_or(now) +
                            std::chrono::milliseconds{vm.remaining_ms};
         }
+        if (vm.cold_left_ms != it.vm.cold_left_ms ||
+            vm.incarnation > it.vm.incarnation) {
+            it.cold_until = vm.read_at.value_or(now) +
+                            std::chrono::milliseconds{vm.cold_left_ms};
+        }
         const auto incarnation = std::max(vm.incarnation, it.vm.incarnation);
         it.vm = vm;
         it.vm.incarnation = incarnation;
@@ -104,37 +109,14 @@
     self.replan = true;
 }
 
-void dispatcher::state::record_failure(tracked_worker& worker,
-                                       std::uint64_t job, time_point now)
-{
-    ++worker.failures_in_a_row;
-    worker.failed_jobs.insert(job);
-    // Failures of a single job don't indicate a faulty worker.
-    if (worker.failures_in_a_row < options.suspect_failures ||
-        worker.failed_jobs.size() < 2) {
-        return;
-    }
-    const auto quarantined =
-        std::ranges::count_if(workers, [now](const auto& it) {
-            return it.second.quarantined_until > now;
-        });
-    if (static_cast<double>(quarantined + 1) >
-        options.quarantine_share * static_cast<double>(workers.size())) {
-        return;
-    }
-    worker.quarantined_until = now + options.quarantine;
-    worker.failures_in_a_row = 0;
-    worker.failed_jobs.clear();
-    log_decision(job, "worker set aside", worker.vm.id);
-}
-
 void dispatcher::state::on_run_failed(tracked_worker& worker,
                                       tracked_step& step, std::uint32_t index,
                                       time_point now)
 {
     auto& task = step.tasks[index];
     task.failed_on = worker.vm.id;
-    record_failure(worker, step.key.job, now);
+    record_bad_run(worker, {.step = step.key, .index = index}, bad_run::failed,
+                   now);
     const auto run = task.run;
     back_to_waiting(step, index, now);
     count_failed_run(step, index, run, now);
@@ -235,8 +217,7 @@
         clear_crashes(*step, index);
     }
     if (row.how == run_end::done && !step->spec->long_running) {
-        worker.failures_in_a_row = 0;
-        worker.failed_jobs.clear();
+        record_good_run(worker, row.task, now);
         task.completed_on = worker.vm.id;
         task.run_duration = now - task.since;
         complete_task(*step, index, now);
@@ -271,8 +252,7 @@
         if (!row.checkpoint.empty()) {
             task->checkpoint = row.checkpoint;
         }
-        task->percent = row.percent;
-        task->percent_at = sent_at;
+        check_progress(worker, *step, row, sent_at);
         update_speed_by_progress(worker, *step, row, now);
         if (task->phase == task_phase::start_sent ||
             task->phase == task_phase::unknown) {
--- a/src/rosemarytrail/fleet/worker_vm.hpp
+++ b/src/rosemarytrail/fleet/worker_vm.hpp
@@ -28,6 +28,9 @@
     /** @brief Minimum time until a draining worker shuts down, in
      * milliseconds. */
     std::int64_t remaining_ms{};
+    /** @brief How much longer the worker is slow after its start, in
+     * milliseconds. */
+    std::int64_t cold_left_ms{};
     /** @brief When this record was first read, if known. */
     std::optional<time_point> read_at;
     /** @brief Start time of this incarnation, in Unix milliseconds. */
--- /dev/null
+++ b/test/fleet/worker_health.cpp
@@ -0,0 +1,199 @@
+#include <rosemarytrail/fleet/worker_health.hpp>
+
+#include <test/lib/worker_fleet.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+
+namespace rosemarytrail::fleet {
+
+namespace {
+
+using namespace std::chrono_literals;
+using test::make_job;
+using test::task_outcome;
+using test::worker_fleet;
+
+constexpr resource_amounts eight_cores{8000, 16000, 0};
+constexpr resource_amounts one_core{1000, 1000, 0};
+
+/** @brief Eight workers and a steady load of small jobs. */
+struct loaded_fleet : worker_fleet
+{
+    loaded_fleet()
+    {
+        report_progress = true;
+        scripted_outcome = [](const task_key&) {
+            return task_outcome{.length = 300ms};
+        };
+        add_workers(8, eight_cores);
+        run(100ms);
+    }
+
+    /** @brief Submits a job of 20 tasks every 100 ms, which needs seven or
+     * eight workers. */
+    void load(duration length, const std::string& image = {})
+    {
+        for (const auto until = now + length; now < until;) {
+            submit(make_job(next_job++, {{.tasks = 20,
+                                          .demand = one_core,
+                                          .estimate_ms = 400,
+                                          .tasks_per_vm = 3,
+                                          .image = image}}));
+            run(100ms);
+        }
+    }
+
+    /** @return Number of workers that were set aside since the last call. */
+    [[nodiscard]] std::size_t set_aside()
+    {
+        const auto decisions = leader().take_decisions();
+        return static_cast<std::size_t>(
+            std::ranges::count(decisions, "worker set aside", &decision::what));
+    }
+
+    std::uint64_t next_job{1};
+};
+
+} // namespace
+
+TEST_CASE("Quarantines double and end with a probe", "[worker_health]")
+{
+    const worker_health_options options;
+    worker_health it;
+    auto now = time_point{1000s};
+    CHECK_FALSE(it.record_bad_run(1, false, options, now));
+    CHECK_FALSE(it.record_bad_run(1, false, options, now));
+    // Failures of a single job don't indicate a faulty worker.
+    CHECK_FALSE(it.record_bad_run(1, false, options, now));
+    CHECK_FALSE(it.on_probation());
+    CHECK(it.record_bad_run(2, false, options, now));
+    for (const auto expected : {2s, 4s, 8s, 16s, 30s, 30s}) {
+        CHECK(it.quarantine(options, now) == expected);
+        now += expected;
+        CHECK_FALSE(it.quarantined(now));
+        CHECK(it.on_probation());
+        CHECK(it.record_bad_run(3, true, options, now));
+    }
+    it.record_good_run(now, true);
+    CHECK_FALSE(it.on_probation());
+    CHECK(it.quarantine(options, now + 90s) == 2s);
+}
+
+TEST_CASE("Bad runs far apart, or offset by good ones, do not count",
+          "[worker_health]")
+{
+    const worker_health_options options;
+    worker_health it;
+    auto now = time_point{1000s};
+    for (std::uint64_t job = 1; job < 10; ++job) {
+        CHECK_FALSE(it.record_bad_run(job, false, options, now));
+        now += 6s;
+    }
+    for (std::uint64_t job = 1; job < 10; ++job) {
+        CHECK_FALSE(it.record_bad_run(job, false, options, now));
+        it.record_good_run(now + 10ms, false);
+        now += 100ms;
+    }
+}
+
+TEST_CASE("The probe is a small task for some time, and no member of a gang",
+          "[worker_health]")
+{
+    const worker_health_options options;
+    worker_health it;
+    const auto now = time_point{1000s};
+    it.quarantine(options, now);
+    const step_spec small{.demand = one_core};
+    const step_spec large{.demand = eight_cores};
+    const step_spec gang{.demand = one_core, .gang = true};
+    const auto accepts = [&](const step_spec& step, duration after) {
+        return it.accepts_probe(step, eight_cores, options, now + after);
+    };
+    CHECK_FALSE(accepts(small, 1900ms));
+    CHECK(accepts(small, 2s));
+    CHECK_FALSE(accepts(large, 2s));
+    CHECK(accepts(large, 5s));
+    CHECK_FALSE(accepts(gang, 5s));
+}
+
+// It was used with all its capacity again after each quarantine of 5 s.
+TEST_CASE("A worker that fails what it starts gets one task after a quarantine",
+          "[worker_health]")
+{
+    loaded_fleet cell;
+    cell.workers["w0"].fails_all = true;
+    cell.load(14s);
+    // Six at once or so until it is set aside, then a probe each after 2, 4
+    // and 8 s.
+    CHECK(cell.workers["w0"].next_end - 1 <= 14);
+    CHECK(cell.set_aside() >= 3);
+    cell.workers["w0"].fails_all = false;
+    cell.load(9s);
+    CHECK(cell.leader().count(cell.now).probed_workers == 0);
+    CHECK(cell.running_on("w0") > 1);
+}
+
+TEST_CASE("A worker whose runs stand still is set aside", "[worker_health]")
+{
+    loaded_fleet cell;
+    cell.load(1s);
+    cell.workers["w0"].hangs = true;
+    cell.load(4s);
+    CHECK(cell.set_aside() == 1);
+    // Tasks that take long everywhere are no reason.
+    cell.workers["w0"].hangs = false;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 3s};
+    };
+    cell.load(2s);
+    CHECK(cell.set_aside() == 0);
+}
+
+TEST_CASE("A worker that does not answer starts is set aside",
+          "[worker_health]")
+{
+    loaded_fleet cell;
+    cell.workers["w0"].start_delay = 1h;
+    cell.load(1s);
+    CHECK(cell.set_aside() == 1);
+}
+
+TEST_CASE("An image that fails everywhere sets no further worker aside",
+          "[worker_health]")
+{
+    loaded_fleet cell;
+    cell.scripted_outcome = [](const task_key& task) {
+        return task_outcome{.length = 300ms,
+                            .end = task.step.job < 100 ? run_end::done
+                                                       : run_end::failed};
+    };
+    cell.load(1s, "good");
+    cell.next_job = 100;
+    cell.load(1s, "bad");
+    [[maybe_unused]] const auto until_known = cell.set_aside();
+    cell.load(2s, "bad");
+    CHECK(cell.set_aside() == 0);
+    CHECK(cell.leader().count(cell.now).usable_workers == 8);
+}
+
+TEST_CASE("A worker that has just started is used when others are full",
+          "[worker_health]")
+{
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 10s};
+    };
+    cell.add_workers(2, eight_cores);
+    cell.workers["w0"].vm.cold_left_ms = 5000;
+    cell.list_workers();
+    cell.run(100ms);
+    cell.submit(make_job(1, {{.tasks = 12, .demand = one_core}}));
+    cell.run(200ms);
+    CHECK(cell.running_on("w1") == 8);
+    CHECK(cell.running_on("w0") == 4);
+}
+
+} // namespace rosemarytrail::fleet
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -274,7 +274,7 @@
         }
     }
     ++starts[request.task];
-    const auto length = step.long_running
+    const auto length = step.long_running || it.hangs
                             ? duration{std::chrono::hours{1}}
                             : scripted_outcome(request.task).length;
     const duration resumed = request.checkpoint.size() > 1
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -47,6 +47,8 @@
     duration start_delay{};
     /** @brief Every run on it fails. */
     bool fails_all{false};
+    /** @brief Runs that start on it make no progress. */
+    bool hangs{false};
     /** @brief It responds to polls and refuses every start. */
     bool refuses_starts{false};
     /** @brief It crashed; another incarnation with a new id is at its address
--- a/test/platform/decode.cpp
+++ b/test/platform/decode.cpp
@@ -97,10 +97,11 @@
     const auto it =
         read(R"({"service":"s","address":"1.2.3.4:80","zone":"z",)"
              R"("state":"ready","capacity":{"cpu":16000,"memMb":3,"gpu":0},)"
-             R"("labels":["a","r1-3"],"born":17})");
+             R"("labels":["a","r1-3"],"born":17,"coldLeftMs":2400})");
     REQUIRE(it);
     CHECK(it->rack == "r1-3");
     CHECK(it->incarnation == 17);
+    CHECK(it->cold_left_ms == 2400);
     CHECK_FALSE(read(R"({"service":"s","address":5,"zone":"z",)"
                      R"("state":"ready","capacity":{}})"));
     CHECK_FALSE(read(R"({"service":"s","address":"a","zone":"z",)"
