Test departures whose stop is not confirmed and takeovers during a move

Cause: the failure cases of docs/design/relocation.md had no tests.

Change: a worker that leaves before its stop ends, where the task must wait for the end of the lease; and takeovers 200 to 1,500 ms after a notice. Both look for lost and doubled runs.

--- a/test/fleet/departures.cpp
+++ b/test/fleet/departures.cpp
@@ -227,4 +227,47 @@
     CHECK(cell.violations.empty());
 }
 
+TEST_CASE("A worker that leaves before the stop is confirmed loses its task",
+          "[departures]")
+{
+    departing_fleet cell;
+    cell.stop_time = 3s;
+    cell.submit(make_job(1, {{.tasks = 1,
+                              .demand = one_core,
+                              .estimate_ms = 3000,
+                              .checkpoints = true}}));
+    cell.run(500ms);
+    cell.drain(cell.worker_of(1), 2s);
+    cell.run(4s);
+    // Its lease has not ended, so it may still run.
+    CHECK(cell.starts_of(1) == 1);
+    cell.run(8s);
+    CHECK(cell.state(1) == job_state::completed);
+    CHECK(cell.starts_of(1) == 2);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("A takeover during a move neither loses nor doubles a task",
+          "[departures]")
+{
+    departing_fleet cell;
+    const auto at = GENERATE(200ms, 800ms, 1200ms, 1500ms);
+    cell.submit(make_job(1, {{.tasks = 3,
+                              .demand = one_core,
+                              .estimate_ms = 3000,
+                              .checkpoints = true}}));
+    cell.submit(
+        make_job(2, {{.tasks = 1, .demand = one_core, .long_running = true}}));
+    cell.run(500ms);
+    const auto from = cell.worker_of(1);
+    REQUIRE(cell.running_on(from) == 4);
+    cell.drain(from, 2s);
+    cell.run(at);
+    cell.take_over();
+    cell.run(6s);
+    CHECK(cell.state(1) == job_state::completed);
+    CHECK(cell.running(2) == 1);
+    CHECK(cell.violations.empty());
+}
+
 } // namespace rosemarytrail::fleet
