--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -284,7 +284,7 @@
     }
     ++starts[request.task];
     const auto length =
-        step.long_running
+        step.long_running || it.hangs
             ? duration{std::chrono::hours{1}}
             : std::chrono::duration_cast<duration>(
                   scripted_outcome(request.task).length * it.slowness);
