Forecast the wait of submissions and decide on it

Cause: under overload, jobs that can only end after three times their latency objective, when they are worth nothing, are accepted and delay others of their account or queue. The existing rule only covers accounts beyond their share.

Change: the leader's dispatcher summarises the waiting work, the drain and the limits every 500 ms (load_forecast). reject_by_forecast decides on a submission: account_limit_backlog (215, 429) or cell_backlog (216, 503). The nodes do not use it yet.

--- a/src/rosemarytrail/fleet/fwd.hpp
+++ b/src/rosemarytrail/fleet/fwd.hpp
@@ -19,6 +19,7 @@
 struct task_key;
 struct worker_vm;
 struct cell_config;
+struct load_forecast;
 
 class job_index;
 class dispatcher;
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -1,6 +1,7 @@
 #ifndef ROSEMARYTRAIL_FLEET_INTERNAL_DISPATCHER_STATE_HPP
 #define ROSEMARYTRAIL_FLEET_INTERNAL_DISPATCHER_STATE_HPP
 
+#include <rosemarytrail/fleet/completion_meter.hpp>
 #include <rosemarytrail/fleet/dispatcher.hpp>
 
 #include <boost/container/flat_set.hpp>
@@ -398,6 +399,9 @@
     std::set<std::uint64_t> awaiting_removal;
     bool replan{true};
     bool superseded{false};
+    time_point started_at;
+    completion_meter completions;
+    std::optional<load_forecast> last_forecast;
 
     [[nodiscard]] tracked_step* find_step(const step_key& key);
     [[nodiscard]] task_state* find_task(const task_key& key);
@@ -474,6 +478,15 @@
     [[nodiscard]] std::string describe_timing(const tracked_job& job,
                                               const job_timing& timing) const;
 
+    // internal/forecasting.cpp
+    void forecast_waiting(load_forecast& result) const;
+    void forecast_drain(load_forecast& result, time_point now);
+    /** @return Work of the steps that become ready once this one, all of whose
+     * tasks run, is done; in core-milliseconds. */
+    [[nodiscard]] std::int64_t successor_work(const tracked_step& step) const;
+    void count_completed(const tracked_step& step, const task_state& task,
+                         time_point now);
+
     // internal/worker_speed.cpp
     void update_speeds(const tracked_step& step);
     void update_speed_by_progress(tracked_worker& worker,
