Decide on submissions by the leader's forecast

Cause: the forecast and the decision existed, but no node used them, and a repeat of a rejected call counted as a new job, placed behind newer ones.

Change: followers fetch the forecast by /peer/forecast every 500 ms and add the jobs recorded since. Before a rejection, by the forecast or by share, the node reads the ledger once more, so that a repeat of a recorded job is never reported as not run.

Asking the leader about each submission, which stops admission while the leader changes.

Test: "Followers reject by the leader's forecast what is not recorded" covers both kinds of node, a job recorded elsewhere and a repeat.

--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -22,6 +22,9 @@
           "appends of the leader that were sent again")}
     , calls_forwarded{all.make_counter("rosemarytrail_calls_handed_on_total",
                                        "calls that a peer was asked to serve")}
+    , forecast_fetch_failures{all.make_counter(
+          "rosemarytrail_forecast_fetch_failures_total",
+          "requests for the leader's forecast without a forecast as response")}
     , feed_read_failures{all.make_counter(
           "rosemarytrail_feed_read_failures_total",
           "reads of a feed of the store that failed")}
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -37,6 +37,7 @@
     metrics::counter& evacuations_unknown_zone;
     metrics::counter& append_retries;
     metrics::counter& calls_forwarded;
+    metrics::counter& forecast_fetch_failures;
     metrics::counter& feed_read_failures;
     metrics::counter& feed_reads_regained;
     metrics::counter& relayed_calls;
--- a/src/rosemarytrail/cell/peer_link.cpp
+++ b/src/rosemarytrail/cell/peer_link.cpp
@@ -19,6 +19,7 @@
 constexpr const char* worker_calls_path = "/peer/worker-calls";
 constexpr const char* worker_results_path = "/peer/worker-results";
 constexpr const char* leader_query_path = "/peer/lead";
+constexpr const char* forecast_path = "/peer/forecast";
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
@@ -102,6 +103,24 @@
             });
     }
 
+    void fetch_forecast(
+        std::string_view address, duration timeout,
+        std::function<void(std::optional<fleet::load_forecast>)> done) override
+    {
+        http_.fetch({.method = "POST",
+                     .url = "http://" + std::string{address} + forecast_path,
+                     .timeout = timeout},
+                    [sent = boot_clock::now(),
+                     done = std::move(done)](const http::client_response& it) {
+                        const bool complete =
+                            it.transport == http::transport_result::complete &&
+                            it.answer.status == status_ok;
+                        done(complete
+                                 ? fleet::decode_forecast(it.answer.body, sent)
+                                 : std::nullopt);
+                    });
+    }
+
 private:
     void post(std::string_view address, const char* path, std::string body,
               duration timeout, std::function<void(message_result)> done)
@@ -292,7 +311,7 @@
     if (head.method != "POST" ||
         (head.path != call_path && head.path != message_path &&
          head.path != worker_calls_path && head.path != worker_results_path &&
-         head.path != leader_query_path)) {
+         head.path != leader_query_path && head.path != forecast_path)) {
         return http::response{.status = status_not_found};
     }
     return std::nullopt;
@@ -308,6 +327,10 @@
         on_leader_query(std::move(it));
         return;
     }
+    if (it->incoming().path == forecast_path) {
+        on_forecast_request(std::move(it));
+        return;
+    }
     if (it->incoming().path == worker_calls_path) {
         on_worker_calls(std::move(it));
         return;
@@ -337,6 +360,17 @@
     });
 }
 
+void peer_api::on_forecast_request(std::shared_ptr<http::exchange> it)
+{
+    loop_.post([this, it = std::move(it)] {
+        const auto now = boot_clock::now();
+        const auto forecast = target_.forecast(now);
+        it->respond(forecast
+                        ? http::response{.body = fleet::encode(*forecast, now)}
+                        : http::response{.status = status_conflict});
+    });
+}
+
 void peer_api::on_worker_calls(std::shared_ptr<http::exchange> it)
 {
     auto batch = decode_calls(it->incoming().body);
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -501,4 +501,81 @@
     CHECK(result->kind == answer_kind::outcome_unknown);
 }
 
+// The cell's one worker is full, and three times the objective of the waiting
+// jobs is shorter than the queue.
+TEST_CASE("Followers reject by the leader's forecast what is not recorded",
+          "[node]")
+{
+    six_nodes cell;
+    const auto at = cell.start_and_find_other();
+    const auto leader = *cell.leader();
+    std::size_t follower = 0;
+    while (follower == leader || !cell.pending_at(follower)) {
+        ++follower;
+    }
+    const auto busy_job = [](std::uint64_t id) {
+        auto call = submission(id);
+        call.job->steps[0].tasks = 4;
+        call.job->steps[0].estimate_ms = 500;
+        return call;
+    };
+    constexpr std::uint64_t jobs = 14;
+    for (std::uint64_t id = 1; id <= jobs; ++id) {
+        CHECK(cell.ask(at, busy_job(id)).kind == answer_kind::accepted);
+    }
+    REQUIRE(cell.loop.run_until(
+        [&] {
+            const auto now = boot_clock::now();
+            const auto it = cell.nodes[leader]->forecast(now);
+            return cell.pending_at(follower) == jobs - 2 && it &&
+                   it->leading_for > 2s;
+        },
+        timeout));
+    // The follower fetches it every 500 ms.
+    const auto fetched = boot_clock::now() + 600ms;
+    cell.loop.run_until([&] { return boot_clock::now() > fetched; }, timeout);
+    const auto sent_unix_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    auto& forwarded = cell.metrics[at].make_counter(
+        "rosemarytrail_calls_handed_on_total", "");
+    const auto before = forwarded.value();
+    constexpr std::uint64_t id = 100;
+    const auto rejection = cell.ask(at, busy_job(id));
+    CHECK(rejection.kind == answer_kind::unavailable);
+    CHECK(rejection.code == result_code::cell_backlog);
+    CHECK(rejection.retry_after >= duration{1s});
+    CHECK(forwarded.value() == before + 1);
+    CHECK(cell.ask(at, state_query(id)).kind == answer_kind::no_such_job);
+    CHECK(cell.ask(follower, busy_job(id + 1)).code ==
+          result_code::cell_backlog);
+
+    // Another node has recorded the job, and this follower has not read it.
+    fleet::job_record record{.id = id + 2};
+    record.spec = *busy_job(id + 2).job;
+    cell.store.put(feed::ledger, key_of(id + 2), fleet::encode(record));
+    CHECK(cell.ask(follower, busy_job(id + 2)).kind == answer_kind::accepted);
+
+    // Other callers give up, and the queue is short again.
+    for (std::uint64_t other = 3; other <= jobs; ++other) {
+        auto call = submission(other);
+        call.kind = call_kind::cancel;
+        CHECK(cell.ask(at, call).kind == answer_kind::cancelled);
+    }
+    const auto retry = boot_clock::now() + 1s;
+    cell.loop.run_until([&] { return boot_clock::now() > retry; }, timeout);
+    REQUIRE(cell.ask(at, busy_job(id)).kind == answer_kind::accepted);
+    std::optional<fleet::job_record> recorded;
+    cell.store.read({.which = feed::ledger}, [&](const feed_page& page) {
+        for (const auto& it : page.records) {
+            if (it.key == key_of(id)) {
+                recorded = fleet::decode_job(*it.value);
+            }
+        }
+    });
+    REQUIRE(cell.loop.run_until([&] { return recorded.has_value(); }, timeout));
+    CHECK(recorded->accepted_unix_ms <= sent_unix_ms + 500);
+}
+
 } // namespace rosemarytrail::cell
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -160,6 +160,10 @@
                                          const cell::leader_status&)>
                           done) override;
 
+    void fetch_forecast(
+        std::string_view address, duration timeout,
+        std::function<void(std::optional<fleet::load_forecast>)> done) override;
+
     /** @brief Reports to the callers that the calls without a response have
      * timed out. */
     void time_out();
