--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -45,6 +45,7 @@
     metrics::counter& calls_forwarded;
     metrics::counter& call_status_queries;
     metrics::counter& peer_calls_failed;
+    metrics::counter& forecast_fetch_failures;
     metrics::counter& feed_read_failures;
     metrics::counter& feed_reads_regained;
     metrics::counter& relayed_calls;
