Fit the forecast and the tests of worker health to the merged state

Cause: after the merges, service_order in the dispatcher's state hides the type of the forecast, and the model workers always report their progress, so that the switch for it is gone. No check is changed.

--- a/src/rosemarytrail/fleet/internal/forecasting.cpp
+++ b/src/rosemarytrail/fleet/internal/forecasting.cpp
@@ -60,7 +60,8 @@
 
 void dispatcher::state::forecast_waiting(load_forecast& result) const
 {
-    std::map<std::tuple<std::string, std::string, service_order>, std::int64_t>
+    std::map<std::tuple<std::string, std::string, fleet::service_order>,
+             std::int64_t>
         sums;
     for (const auto* step : ready) {
         const auto& job = *step->job;
--- a/test/fleet/worker_health.cpp
+++ b/test/fleet/worker_health.cpp
@@ -24,7 +24,6 @@
 {
     loaded_fleet()
     {
-        report_progress = true;
         scripted_outcome = [](const task_key&) {
             return task_outcome{.length = 300ms};
         };
