Refuse entries that no append has included by their deadline

Cause: a node sends its entries to the leader while the store is slow. The leader kept them until some append succeeded, and the node reported their outcome as unknown when its own timeout had passed. So during an outage each submission that waited behind the leader's append was answered with 504, which callers may not repeat, and was often recorded later.

Ruled out: reporting these entries as not executed without a deadline at the leader, since it may still append them.

Change: messages with entries carry the time within which the leader appends them; it drops and refuses the rest, also from a batch that the store has refused each time. The sender waits for this report. The outbox sends nothing after its deadline or whose result would be known too late, waits 150 ms more for results of what is in flight, and after two appends without response repeats only what was sent before.

Before, in the new test "Entries that the leader has not appended by their deadline are not executed": the entry behind a silent append and both entries of a leader that the store refuses were answered as unknown, and recorded later. Now all three are unavailable and never recorded; only the entry of the silent append is unknown. Of the new outbox tests, the one on results after the deadline, the one on late results and the one on a single probe failed before.

--- a/src/rosemarytrail/cell/internal/node_advice.cpp
+++ b/src/rosemarytrail/cell/internal/node_advice.cpp
@@ -21,6 +21,13 @@
  * node. */
 constexpr std::size_t max_advice_calls = 1;
 
+/** @brief Maximum time that entries wait for an append of the leader; the next
+ * leader is known within it. */
+constexpr duration max_leader_wait{std::chrono::seconds{3}};
+/** @brief Time for the leader's report on entries that it did not append; well
+ * above the interval at which it checks their deadlines. */
+constexpr duration leader_reply_time{std::chrono::milliseconds{100}};
+
 } // namespace
 
 const fleet::leader_record& node::internal_state::current_leader() const
@@ -212,7 +219,9 @@
     const auto address = leader_address();
     if (slow && leadership) {
         leadership->waiting_peer_entries.push_back(
-            {.entries = std::move(request.entries), .done = std::move(done)});
+            {.entries = std::move(request.entries),
+             .send_by = request.send_by,
+             .done = std::move(done)});
         run();
         return;
     }
@@ -220,11 +229,24 @@
         shared.append(std::move(request), std::move(done));
         return;
     }
-    peer_message message{.entries = request.entries, .advice_requests = {}};
-    const auto timeout = request.timeout;
+    // The leader reports entries that it does not append by their deadline, so
+    // a shorter timeout would only make their outcome unknown.
+    const auto now = boot_clock::now();
+    const auto left =
+        std::clamp<duration>(request.send_by - now, {}, max_leader_wait);
+    const peer_message message{
+        .entries = request.entries, .send_within = left, .advice_requests = {}};
+    const auto timeout = std::max(request.timeout, left + leader_reply_time);
     peers.send(address, message, timeout,
-               [this, request = std::move(request),
+               [this, request = std::move(request), dropped_at = now + left,
                 done = std::move(done)](message_result result) mutable {
+                   if (result == message_result::refused &&
+                       boot_clock::now() >= dropped_at) {
+                       done({.result = store_result::refused,
+                             .expected_sequence = std::nullopt,
+                             .not_sent = true});
+                       return;
+                   }
                    if (result == message_result::refused) {
                        shared.append(std::move(request), std::move(done));
                        return;
@@ -290,6 +312,9 @@
     }
     leadership->waiting_peer_entries.push_back(
         {.entries = std::move(to_record),
+         .send_by = message.send_within
+                        ? boot_clock::now() + *message.send_within
+                        : time_point::max(),
          .done = [done = std::move(done)](const append_answer& it) {
              done(it.result == store_result::done ? message_result::accepted
                   : it.result == store_result::refused
--- a/src/rosemarytrail/cell/internal/node_leadership.cpp
+++ b/src/rosemarytrail/cell/internal/node_leadership.cpp
@@ -3,6 +3,7 @@
 #include <rosemarytrail/logging/event_log.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace rosemarytrail::cell {
@@ -323,7 +324,8 @@
     workers.clear();
     for (const auto& peer : previous->waiting_peer_entries) {
         peer.done({.result = store_result::refused,
-                   .expected_sequence = std::nullopt});
+                   .expected_sequence = std::nullopt,
+                   .not_sent = true});
     }
     for (const auto& peer : previous->batch_peer_entries) {
         peer.done({.result = store_result::unknown,
@@ -359,25 +361,21 @@
         if (now < leadership->next_append) {
             return;
         }
+        drop_expired_entries(now);
         auto batch = leadership->decisions.take_batch(unix_milliseconds());
         leadership->batch_peer_entries =
             std::exchange(leadership->waiting_peer_entries, {});
-        for (const auto& peer : leadership->batch_peer_entries) {
-            batch.entries.insert(batch.entries.end(), peer.entries.begin(),
-                                 peer.entries.end());
-        }
-        if (batch.entries.empty()) {
+        if (batch.entries.empty() && leadership->batch_peer_entries.empty()) {
             leadership->decisions.on_recorded(batch.number, now);
             return;
         }
         ++leadership->sequence;
-        batch.entries.push_back(
-            {.key = fleet::encode_key(
-                 {.kind = fleet::entry_kind::batch_mark, .step = {}}),
-             .value = fleet::encode(
-                 fleet::batch_mark{.epoch = leadership->epoch,
-                                   .sequence = leadership->sequence})});
+        leadership->batch_own_entries = batch.entries.size();
+        leadership->batch_maybe_recorded = false;
         leadership->batch = std::move(batch);
+        fill_batch();
+    } else {
+        drop_expired_entries_of_batch(now);
     }
     leadership->in_flight = true;
     leadership->append_sent = now;
@@ -397,6 +395,78 @@
                   });
 }
 
+// Adds the entries of other nodes and the mark to the leader's own entries.
+void node::internal_state::fill_batch() const
+{
+    auto& batch = leadership->batch->entries;
+    batch.resize(leadership->batch_own_entries);
+    for (const auto& peer : leadership->batch_peer_entries) {
+        batch.insert(batch.end(), peer.entries.begin(), peer.entries.end());
+    }
+    batch.push_back(
+        {.key = fleet::encode_key(
+             {.kind = fleet::entry_kind::batch_mark, .step = {}}),
+         .value = fleet::encode(fleet::batch_mark{
+             .epoch = leadership->epoch, .sequence = leadership->sequence})});
+}
+
+std::vector<node::internal_state::leader_state::peer_entries>
+node::internal_state::take_expired(
+    std::vector<leader_state::peer_entries>& from, time_point now)
+{
+    const auto kept_end =
+        std::stable_partition(from.begin(), from.end(), [now](const auto& it) {
+            return it.send_by > now;
+        });
+    std::vector<leader_state::peer_entries> result{
+        std::make_move_iterator(kept_end), std::make_move_iterator(from.end())};
+    from.erase(kept_end, from.end());
+    return result;
+}
+
+// The callers of expired entries are told that they are not executed, so no
+// append may include them any more.
+void node::internal_state::drop_expired_entries(time_point now)
+{
+    const auto expired = take_expired(leadership->waiting_peer_entries, now);
+    if (expired.empty()) {
+        return;
+    }
+    std::size_t count = 0;
+    for (const auto& it : expired) {
+        count += it.entries.size();
+        it.done({.result = store_result::refused,
+                 .expected_sequence = std::nullopt,
+                 .not_sent = true});
+    }
+    metrics.entries_expired.add(count);
+    logging::event(
+        logging::level::warning, "entries_expired",
+        {{"entries", std::to_string(count)},
+         {"left", std::to_string(leadership->waiting_peer_entries.size())},
+         {"append_in_flight_ms", leadership->in_flight
+                                     ? age_text(leadership->append_sent, now)
+                                     : "none"},
+         {"store_served_ms_ago", age_text(shared.served(), now)}});
+}
+
+// A batch that the store has refused each time may be changed.
+void node::internal_state::drop_expired_entries_of_batch(time_point now)
+{
+    if (leadership->batch_maybe_recorded) {
+        return;
+    }
+    auto expired = take_expired(leadership->batch_peer_entries, now);
+    if (expired.empty()) {
+        return;
+    }
+    fill_batch();
+    auto& waiting = leadership->waiting_peer_entries;
+    waiting.insert(waiting.end(), std::make_move_iterator(expired.begin()),
+                   std::make_move_iterator(expired.end()));
+    drop_expired_entries(now);
+}
+
 void node::internal_state::on_batch_recorded()
 {
     const auto now = boot_clock::now();
@@ -444,6 +514,7 @@
     }
     metrics.append_retries.add();
     if (it.result == store_result::unknown) {
+        leadership->batch_maybe_recorded = true;
         entries.observe_append(false, {});
         append_batch();
         return;
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -116,11 +116,18 @@
         struct peer_entries
         {
             std::vector<fleet::ledger_entry> entries;
+            /** @brief The entries are not appended later than this. */
+            time_point send_by;
             std::function<void(append_answer)> done;
         };
         std::vector<peer_entries> waiting_peer_entries;
         std::vector<peer_entries> batch_peer_entries;
         bool in_flight{false};
+        /** @brief Number of entries of the batch that are the leader's own. */
+        std::size_t batch_own_entries{};
+        /** @brief An append of the batch got no response, so that its entries
+         * may be recorded. */
+        bool batch_maybe_recorded{false};
         time_point next_append;
         time_point append_sent;
         /** @brief When the last successful call that would have revealed a
@@ -251,6 +258,12 @@
                            time_point sent);
     void step_down(std::string_view why);
     void append_batch();
+    void drop_expired_entries(time_point now);
+    void drop_expired_entries_of_batch(time_point now);
+    /** @brief Removes the entries whose deadline has passed. */
+    [[nodiscard]] static std::vector<leader_state::peer_entries>
+    take_expired(std::vector<leader_state::peer_entries>& from, time_point now);
+    void fill_batch() const;
     void on_batch_appended(const append_answer& it, std::uint64_t sequence);
     void on_batch_recorded();
     void send_worker_requests(time_point now);
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -467,6 +467,7 @@
         }
     }
     if (leadership) {
+        drop_expired_entries(now);
         leadership->decisions.plan(now, unix_milliseconds());
         append_batch();
         send_worker_requests(now);
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -22,6 +22,9 @@
           "appends of the leader that were sent again")}
     , calls_forwarded{all.make_counter("rosemarytrail_calls_handed_on_total",
                                        "calls that a peer was asked to serve")}
+    , entries_expired{all.make_counter(
+          "rosemarytrail_entries_expired_total",
+          "entries that no append of the leader included by their deadline")}
     , call_status_queries{all.make_counter(
           "rosemarytrail_call_status_queries_total",
           "queries to a peer for the status of a call forwarded to it")}
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -37,6 +37,7 @@
     metrics::counter& evacuations_unknown_zone;
     metrics::counter& append_retries;
     metrics::counter& calls_forwarded;
+    metrics::counter& entries_expired;
     metrics::counter& call_status_queries;
     metrics::counter& peer_calls_failed;
     metrics::counter& feed_read_failures;
--- a/src/rosemarytrail/cell/outbox.cpp
+++ b/src/rosemarytrail/cell/outbox.cpp
@@ -5,6 +5,13 @@
 
 namespace rosemarytrail::cell {
 
+namespace {
+
+/** @brief Ratio of the append timeout to the last response time. */
+constexpr int timeout_factor = 4;
+
+} // namespace
+
 struct outbox::item
 {
     fleet::ledger_entry entry;
@@ -13,6 +20,13 @@
     callback done;
     /** @brief An append that included the entry got no response. */
     bool maybe_recorded{false};
+    /** @brief An append that includes the entry has no result yet. */
+    bool in_flight{false};
+
+    [[nodiscard]] time_point result_by(duration grace) const
+    {
+        return maybe_recorded || in_flight ? deadline + grace : deadline;
+    }
 
     void complete(entry_result it)
     {
@@ -36,9 +50,8 @@
 
 void outbox::observe_append(bool answered, duration took)
 {
-    constexpr int factor = 4;
-    timeout_ =
-        answered ? std::max(options_.timeout, took * factor) : timeout_ * 2;
+    timeout_ = answered ? std::max(options_.timeout, took * timeout_factor)
+                        : timeout_ * 2;
     timeout_ = std::min(timeout_, options_.max_timeout);
 }
 
@@ -72,16 +85,15 @@
     std::vector<std::shared_ptr<item>> expired;
     for (const auto& it : open_) {
         if (auto locked = it.lock();
-            locked && locked->done && locked->deadline <= now) {
+            locked && locked->done &&
+            locked->result_by(options_.result_grace) <= now) {
             expired.push_back(std::move(locked));
         }
     }
     for (const auto& it : expired) {
-        const bool never_sent =
-            !it->maybe_recorded &&
-            std::ranges::find(waiting_, it) != waiting_.end();
-        it->complete(never_sent ? entry_result::refused
-                                : entry_result::unknown);
+        it->complete(it->maybe_recorded || it->in_flight
+                         ? entry_result::unknown
+                         : entry_result::refused);
     }
     std::erase_if(waiting_, [](const auto& it) { return !it->done; });
     open_.remove_if([](const auto& it) {
@@ -94,12 +106,46 @@
     }
 }
 
+outbox::item_list outbox::take_sendable(time_point now)
+{
+    // An append that would end after the deadline only turns a rejection into
+    // an unknown outcome.
+    const auto expected = timeout_ / timeout_factor;
+    const auto in_time = [&](const item& it) {
+        return it.deadline > now &&
+               (it.maybe_recorded ||
+                now + expected <= it.deadline + options_.result_grace);
+    };
+    const bool outage = unanswered_ >= options_.max_unanswered;
+    const bool probe = outage && in_flight_ == 0 &&
+                       std::ranges::none_of(waiting_, [&](const auto& it) {
+                           return it->maybe_recorded && in_time(*it);
+                       });
+    item_list result;
+    for (const auto& it : waiting_) {
+        const bool allowed =
+            !outage || it->maybe_recorded || (probe && result.empty());
+        if (allowed && in_time(*it)) {
+            result.push_back(it);
+        }
+    }
+    for (const auto& it : result) {
+        it->in_flight = true;
+    }
+    std::erase_if(waiting_, [](const auto& it) { return it->in_flight; });
+    return result;
+}
+
 void outbox::send(time_point now)
 {
-    auto sent = std::exchange(waiting_, {});
+    auto sent = take_sendable(now);
+    if (sent.empty()) {
+        return;
+    }
     append_request request{.timeout = timeout_};
     for (const auto& it : sent) {
         request.entries.push_back(it->entry);
+        request.send_by = std::min(request.send_by, it->deadline);
     }
     ++in_flight_;
     append_(std::move(request), [this, alive = alive_, sent = std::move(sent),
@@ -115,6 +161,11 @@
 {
     const auto now = boot_clock::now();
     --in_flight_;
+    for (const auto& it : sent) {
+        it->in_flight = false;
+    }
+    const bool unknown = answer.result == store_result::unknown;
+    unanswered_ = unknown ? unanswered_ + 1 : 0;
     if (answer.result == store_result::done) {
         observe_append(true, now - sent_at);
         for (const auto& it : sent) {
@@ -123,14 +174,14 @@
         run(now);
         return;
     }
-    const bool unknown = answer.result == store_result::unknown;
     if (unknown) {
         observe_append(false, {});
     }
     next_send_ = now + (unknown ? duration{} : options_.retry_delay);
     for (const auto& it : sent) {
         it->maybe_recorded = it->maybe_recorded || unknown;
-        if (!it->maybe_recorded && now - it->added > options_.refusal_timeout) {
+        if (!it->maybe_recorded && !answer.not_sent &&
+            now - it->added > options_.refusal_timeout) {
             it->complete(entry_result::refused);
         }
         if (it->done) {
--- a/src/rosemarytrail/cell/outbox.hpp
+++ b/src/rosemarytrail/cell/outbox.hpp
@@ -41,6 +41,13 @@
     /** @brief How long an entry that the store refuses is retried before it is
      * reported as refused. */
     duration refusal_timeout{std::chrono::milliseconds{400}};
+    /** @brief How long after its deadline the result of an entry that was sent
+     * is awaited. */
+    duration result_grace{std::chrono::milliseconds{150}};
+    /** @brief Successive appends without response after which entries that were
+     * never sent wait for a response to those that were; after a loss of
+     * responses, one repeat is answered. */
+    std::size_t max_unanswered{2};
 };
 
 /**
@@ -48,8 +55,10 @@
  *
  * Handles a store that is slow or loses responses: queued entries are batched
  * into one append, the number of concurrent appends is limited, an entry whose
- * response was lost is sent again, and every entry gets a result by its
- * deadline. Entries are idempotent, so a repeated append changes nothing.
+ * response was lost is sent again, and every entry gets a result soon after its
+ * deadline. An entry is reported as refused only if no append that includes it
+ * has been sent, or the store refused each of them. Entries are idempotent, so
+ * a repeated append changes nothing.
  */
 class outbox
 {
@@ -74,7 +83,9 @@
     /**
      * @brief Adds an entry.
      * @param entry Entry.
-     * @param deadline Time by which the result is reported.
+     * @param deadline Time after which the entry is not sent. If it was sent,
+     * its result is reported by this time plus the grace, otherwise by this
+     * time.
      * @param done Called once with the result.
      * @param now Current time.
      */
@@ -109,6 +120,7 @@
     using item_list = std::vector<std::shared_ptr<item>>;
 
     void send(time_point now);
+    [[nodiscard]] item_list take_sendable(time_point now);
     void on_append_result(const item_list& sent, const append_answer& answer,
                           time_point sent_at);
 
@@ -117,6 +129,8 @@
     duration timeout_;
     item_list waiting_;
     std::size_t in_flight_{};
+    /** @brief Successive appends without response. */
+    std::size_t unanswered_{};
     time_point next_send_;
     /** @brief Entries without a result, queued or in flight. */
     std::list<std::weak_ptr<item>> open_;
--- a/src/rosemarytrail/cell/peer_link.cpp
+++ b/src/rosemarytrail/cell/peer_link.cpp
@@ -208,8 +208,9 @@
             json::array({fleet::to_text(it.step), it.workers,
                          to_milliseconds(it.expected)}));
     }
-    return fleet::pack(
-        json::array({std::move(entries), std::move(advice_requests)}));
+    return fleet::pack(json::array(
+        {std::move(entries), std::move(advice_requests),
+         message.send_within ? to_milliseconds(*message.send_within) : -1}));
 }
 
 std::optional<peer_message> decode_message(std::string_view bytes)
@@ -237,6 +238,11 @@
                  .expected =
                      std::chrono::milliseconds{row.at(2).get<std::int64_t>()}});
         }
+        // Older builds send no deadline.
+        if (const auto ms = it.size() > 2 ? it.at(2).get<std::int64_t>() : -1;
+            ms >= 0) {
+            result.send_within = std::chrono::milliseconds{ms};
+        }
         return result;
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/rosemarytrail/cell/peer_link.hpp
+++ b/src/rosemarytrail/cell/peer_link.hpp
@@ -90,6 +90,8 @@
     /** @brief Entries that the leader appends to the ledger, and advice grants
      * that it applies. */
     std::vector<fleet::ledger_entry> entries;
+    /** @brief The leader appends the entries within this time or not at all. */
+    std::optional<duration> send_within{};
     /** @brief Requests that the receiver sends to the advice service. */
     std::vector<fleet::advice_request> advice_requests;
 };
--- a/src/rosemarytrail/cell/ports.hpp
+++ b/src/rosemarytrail/cell/ports.hpp
@@ -97,6 +97,9 @@
     std::optional<fenced_writer> writer;
     /** @brief How long to wait for the response. */
     duration timeout{std::chrono::milliseconds{1500}};
+    /** @brief Entries that wait for an append of another node are not appended
+     * later than this. */
+    time_point send_by{time_point::max()};
 };
 
 /** @brief Response to an append. */
@@ -106,6 +109,9 @@
     /** @brief Sequence number that the store expected, if the append was out of
      * sequence. */
     std::optional<std::uint64_t> expected_sequence;
+    /** @brief The append was refused before the store was called; it may be
+     * repeated. */
+    bool not_sent{false};
 };
 
 /** @brief Read of a feed from an offset. */
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -549,4 +549,59 @@
     CHECK(boot_clock::now() - sent >= duration{700ms});
 }
 
+TEST_CASE("Entries that the leader has not appended by their deadline are not "
+          "executed",
+          "[node]")
+{
+    six_nodes cell;
+    // Jobs without advice stay pending.
+    cell.formats.advice = fleet::advice_policy{.base_ms = 1e6, .valid_ms = 1};
+    const auto other = cell.start_and_find_other();
+    std::size_t at = 0;
+    while (at == *cell.leader() || !cell.pending_at(at)) {
+        ++at;
+    }
+    // A follower sends its entries to the leader while the store is slow.
+    cell.store.answer_time = 400ms;
+    REQUIRE(cell.ask(at, submission(1)).kind == answer_kind::accepted);
+    cell.loop.run_until([] { return false; }, 600ms);
+    cell.store.answer_time = 2ms;
+    std::map<std::uint64_t, answer_kind> results;
+    const auto submit = [&](std::uint64_t id) {
+        auto call = submission(id);
+        call.deadline = boot_clock::now() + 1s;
+        cell.nodes[at]->serve(
+            std::move(call),
+            [&, id](const client_answer& it) { results[id] = it.kind; });
+    };
+    std::set<std::uint64_t> rejected{3};
+    SECTION("not sent")
+    {
+        cell.store.ignores_leader = true;
+    }
+    SECTION("rejected by the store")
+    {
+        cell.store.refuses_leader = true;
+        rejected.insert(2);
+    }
+    submit(2);
+    REQUIRE(cell.loop.run_until(
+        [&] { return cell.store.ineffective_keys.contains(key_of(2)); },
+        500ms));
+    submit(3);
+    REQUIRE(cell.loop.run_until([&] { return results.size() == 2; }, 1s));
+    CHECK(results[2] == (rejected.contains(2) ? answer_kind::unavailable
+                                              : answer_kind::outcome_unknown));
+    CHECK(results[3] == answer_kind::unavailable);
+    cell.store.ignores_leader = false;
+    cell.store.refuses_leader = false;
+    // Later jobs are recorded, the rejected ones are not.
+    CHECK(cell.ask(other, submission(4)).kind == answer_kind::accepted);
+    REQUIRE(cell.loop.run_until(
+        [&] { return cell.store.appended[key_of(4)] > 0; }, timeout));
+    for (const auto id : rejected) {
+        CHECK(cell.store.appended[key_of(id)] == 0);
+    }
+}
+
 } // namespace rosemarytrail::cell
--- a/test/cell/outbox.cpp
+++ b/test/cell/outbox.cpp
@@ -106,6 +106,79 @@
     CHECK(it.results.size() == 1);
 }
 
+TEST_CASE("A result that is known soon after the deadline is reported",
+          "[outbox]")
+{
+    fixture it;
+    it.add("a", 1s);
+    it.entries.run(it.start + 1100ms);
+    CHECK(it.results.empty());
+    SECTION("recorded")
+    {
+        it.shared.answer(store_result::done);
+        CHECK(it.results.at("a") == entry_result::recorded);
+    }
+    SECTION("refused by the store, and not sent again")
+    {
+        it.shared.answer(store_result::refused);
+        it.entries.run(it.start + 1110ms);
+        CHECK(it.results.at("a") == entry_result::refused);
+        CHECK(it.shared.appends.empty());
+    }
+}
+
+TEST_CASE("An entry is not sent if its result would be known too late",
+          "[outbox]")
+{
+    fixture it;
+    it.entries.observe_append(true, 400ms);
+    it.add("a", 200ms);
+    CHECK(it.shared.appends.empty());
+    it.entries.run(it.start + 200ms);
+    CHECK(it.results.at("a") == entry_result::refused);
+    it.add("b", 300ms);
+    CHECK(it.shared.appends.size() == 1);
+}
+
+TEST_CASE("While the store is silent, entries that were never sent wait",
+          "[outbox]")
+{
+    fixture it;
+    it.add("a", 1h);
+    it.shared.answer(store_result::unknown);
+    it.shared.answer(store_result::unknown);
+    it.add("b", 1s);
+    it.add("c", 1h);
+    it.entries.run(it.start + 500ms);
+    REQUIRE(it.shared.appends.size() == 1);
+    CHECK(it.shared.appends.front().first.entries.front().key == "a");
+    it.entries.run(it.start + 1s);
+    CHECK(it.results.at("b") == entry_result::refused);
+    it.shared.answer(store_result::done);
+    CHECK(it.results.at("a") == entry_result::recorded);
+    REQUIRE(it.shared.appends.size() == 1);
+    it.shared.answer(store_result::done);
+    CHECK(it.results.at("c") == entry_result::recorded);
+}
+
+TEST_CASE("Of the entries that were never sent, one finds out whether a silent "
+          "store responds",
+          "[outbox]")
+{
+    fixture it;
+    it.add("a", 1s);
+    it.shared.answer(store_result::unknown);
+    it.shared.answer(store_result::unknown);
+    it.entries.run(it.start + 1200ms);
+    REQUIRE(it.results.at("a") == entry_result::unknown);
+    it.shared.answer(store_result::unknown);
+    it.add("b", 1h);
+    it.add("c", 1h);
+    it.entries.run(it.start + 1200ms);
+    REQUIRE(it.shared.appends.size() == 1);
+    CHECK(it.shared.appends.front().first.entries.size() == 1);
+}
+
 TEST_CASE("An entry that was never sent is refused at its deadline", "[outbox]")
 {
     fixture it;
--- a/test/cell/peer_link.cpp
+++ b/test/cell/peer_link.cpp
@@ -57,6 +57,7 @@
     const peer_message message{
         .entries = {{.key = "j/1", .value = "v"},
                     {.key = "c/2", .value = std::nullopt}},
+        .send_within = 800ms,
         .advice_requests = {{.step = {.job = 5, .occurrence = 1, .step = 2},
                              .workers = {"w1", "w2"},
                              .expected = std::chrono::milliseconds{700}}}};
@@ -65,6 +66,10 @@
     REQUIRE(it->entries.size() == 2);
     CHECK(it->entries[0].value == "v");
     CHECK_FALSE(it->entries[1].value);
+    CHECK(it->send_within == duration{800ms});
+    const auto without = decode_message(encode_message({}));
+    REQUIRE(without);
+    CHECK_FALSE(without->send_within);
     CHECK(it->advice_requests == message.advice_requests);
     CHECK_FALSE(decode_message("\xc1"));
 }
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -64,7 +64,17 @@
 void model_store::append(cell::append_request request,
                          std::function<void(cell::append_answer)> done)
 {
-    if (refuses_appends) {
+    if (request.writer && (ignores_leader || refuses_leader)) {
+        for (const auto& it : request.entries) {
+            ineffective_keys.insert(it.key);
+        }
+    }
+    if (ignores_leader && request.writer) {
+        loop_.post_at(boot_clock::now() + request.timeout,
+                      [done = std::move(done)] { done({}); });
+        return;
+    }
+    if (refuses_appends || (refuses_leader && request.writer)) {
         answer([done = std::move(done)] {
             done({.result = cell::store_result::refused,
                   .expected_sequence = std::nullopt});
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -77,6 +77,13 @@
     duration answer_time{std::chrono::milliseconds{2}};
     /** @brief Number of appends that included each key. */
     std::map<std::string, std::size_t> appended;
+    /** @brief Does not respond to the appends of the leader, nor execute
+     * them. */
+    bool ignores_leader{false};
+    /** @brief Rejects the appends of the leader. */
+    bool refuses_leader{false};
+    /** @brief Keys in appends of the leader that had no effect. */
+    std::set<std::string, std::less<>> ineffective_keys;
     /** @brief Rejects all appends. */
     bool refuses_appends{false};
     /** @brief Appends with an entry of this key are not executed until
