Let Retry-After grow with the age of a store outage

Cause: all rejections during an outage carried Retry-After 1 s, so callers used up their four repeats within an outage of 4 to 6 s.

Ruled out: doubling the delay with each attempt, since a node does not know the number of the attempt.

Change: cell/retry_delay replaces the constant for rejections that the store causes: the age of the outage in whole seconds, 1 to 5 s, rounded up or down by the job id, and a second more for priorities other than 0. A slow store and other reasons keep 1 s.

Before, the new node test (store down for 2.1 s) got 1 s; now at least 2 s.

--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -1,5 +1,6 @@
 #include <rosemarytrail/cell/internal/node_state.hpp>
 
+#include <rosemarytrail/cell/retry_delay.hpp>
 #include <rosemarytrail/fleet/admission.hpp>
 #include <rosemarytrail/logging/event_log.hpp>
 
@@ -10,8 +11,8 @@
 
 namespace {
 
-/** @brief Retry-After while no node can reach the store. */
-constexpr duration store_retry_after{std::chrono::seconds{1}};
+/** @brief Retry-After of rejections that no outage of the store causes. */
+constexpr duration short_retry_after{std::chrono::seconds{1}};
 /** @brief Maximum number of peers that a call is forwarded to, one after
  * another. */
 constexpr std::size_t max_forward_attempts = 2;
@@ -19,7 +20,7 @@
  * told so or too many are in progress. */
 constexpr client_answer peer_call_refused{.kind = answer_kind::unavailable,
                                           .code = result_code::queue_full,
-                                          .retry_after = store_retry_after};
+                                          .retry_after = short_retry_after};
 
 /** @return Job id in the path of a call; empty if there is none. */
 [[nodiscard]] std::string_view job_of(std::string_view path)
@@ -225,7 +226,7 @@
     if (!config || config->version < min_version) {
         return client_answer{.kind = answer_kind::unavailable,
                              .code = result_code::catching_up,
-                             .retry_after = store_retry_after};
+                             .retry_after = short_retry_after};
     }
     const auto* queue = config->find_queue(call.host, call.path);
     if (queue == nullptr) {
@@ -255,7 +256,7 @@
         if (!ledger.loaded()) {
             done({.kind = answer_kind::unavailable,
                   .code = result_code::catching_up,
-                  .retry_after = store_retry_after});
+                  .retry_after = short_retry_after});
             return;
         }
         done({.kind = answer_kind::pending,
@@ -281,7 +282,8 @@
         return;
     }
     // Another node may have accepted or ended the job since the last read.
-    catch_up([this, id = *id, call = std::move(call),
+    catch_up([this, id = *id, priority = queue->policy.priority,
+              call = std::move(call),
               done = std::move(done)](bool complete) mutable {
         const auto* entry = jobs.find(id);
         if (entry != nullptr && (entry->record || entry->outcome)) {
@@ -290,9 +292,7 @@
             done({.kind = answer_kind::no_such_job,
                   .code = result_code::job_unknown});
         } else {
-            done({.kind = answer_kind::unavailable,
-                  .code = result_code::submission_log_down,
-                  .retry_after = store_retry_after});
+            done(store_unavailable(id, priority));
         }
     });
 }
@@ -340,7 +340,7 @@
     logging::event(logging::level::info, "cancel",
                    {{"job", fleet::to_text(id)}});
     append_for_client(
-        id,
+        id, entry.record ? entry.record->queue : fleet::queue_policy{},
         {.key = fleet::encode_key(
              {.kind = fleet::entry_kind::cancellation, .step = {.job = id}}),
          .value = "1"},
@@ -363,9 +363,7 @@
         return;
     }
     if (!is_store_reachable(now)) {
-        done({.kind = answer_kind::unavailable,
-              .code = result_code::submission_log_down,
-              .retry_after = store_retry_after});
+        done(store_unavailable(id, queue.policy.priority));
         return;
     }
     fleet::job_record record{.id = id,
@@ -390,21 +388,37 @@
                     {"account", record.account},
                     {"config", std::to_string(config->version)},
                     {"steps", std::to_string(record.spec.steps.size())}});
-    append_for_client(id,
+    append_for_client(id, queue.policy,
                       {.key = fleet::encode_key({.kind = fleet::entry_kind::job,
                                                  .step = {.job = id}}),
                        .value = fleet::encode(record)},
                       call, answer_kind::accepted, std::move(done));
 }
 
+client_answer
+node::internal_state::store_unavailable(std::uint64_t id,
+                                        std::int32_t priority) const
+{
+    // A node that has just started has made no call in an earlier outage.
+    return {.kind = answer_kind::unavailable,
+            .code = result_code::submission_log_down,
+            .retry_after = retry_delay(
+                {.store_served = std::max(shared.served(), started_at),
+                 .priority = priority,
+                 .job = id},
+                boot_clock::now())};
+}
+
 void node::internal_state::append_for_client(
-    std::uint64_t id, fleet::ledger_entry entry, const client_call& call,
-    answer_kind on_done, std::function<void(client_answer)> done)
+    std::uint64_t id, const fleet::queue_policy& queue,
+    fleet::ledger_entry entry, const client_call& call, answer_kind on_done,
+    std::function<void(client_answer)> done)
 {
     const auto recorded_entry = entry;
+    const auto priority = queue.priority;
     entries.add(
         std::move(entry), call.deadline - options.answer_margin,
-        [this, id, recorded_entry, on_done,
+        [this, id, recorded_entry, on_done, priority,
          done = std::move(done)](entry_result it) {
             if (it == entry_result::recorded) {
                 // Applied without waiting for the next read of the ledger, so
@@ -424,12 +438,13 @@
                 done({.kind = on_done});
                 return;
             }
-            const bool unknown = it == entry_result::unknown;
-            done({.kind = unknown ? answer_kind::outcome_unknown
-                                  : answer_kind::unavailable,
-                  .code = unknown ? result_code::submission_outcome_unknown
-                                  : result_code::submission_log_down,
-                  .retry_after = store_retry_after});
+            if (it == entry_result::unknown) {
+                done({.kind = answer_kind::outcome_unknown,
+                      .code = result_code::submission_outcome_unknown,
+                      .retry_after = short_retry_after});
+                return;
+            }
+            done(store_unavailable(id, priority));
         },
         boot_clock::now());
 }
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -312,8 +312,12 @@
     void submit(std::uint64_t id, const fleet::queue& queue,
                 std::string account, client_call call,
                 std::function<void(client_answer)> done);
-    void append_for_client(std::uint64_t id, fleet::ledger_entry entry,
-                           const client_call& call, answer_kind on_done,
+    /** @return Rejection of a call that the store does not serve. */
+    [[nodiscard]] client_answer store_unavailable(std::uint64_t id,
+                                                  std::int32_t priority) const;
+    void append_for_client(std::uint64_t id, const fleet::queue_policy& queue,
+                           fleet::ledger_entry entry, const client_call& call,
+                           answer_kind on_done,
                            std::function<void(client_answer)> done);
     /** @brief Checks queue, key and configuration of a call.
      * @return Answer that rejects it, or nothing if it may be served. */
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -604,4 +604,25 @@
     }
 }
 
+TEST_CASE("A rejection during an outage asks for a retry after as long again",
+          "[node]")
+{
+    six_nodes cell;
+    const auto at = cell.start_and_find_other();
+    cell.store.down = true;
+    const auto down_since = boot_clock::now();
+    // Until then, a submission may still be recorded by a repeat.
+    cell.loop.run_until([] { return false; }, 2100ms);
+    auto call = submission(1);
+    call.deadline = boot_clock::now() + 3s;
+    const auto it = cell.ask(at, std::move(call));
+    const auto age = boot_clock::now() - down_since;
+    CHECK(it.kind == answer_kind::unavailable);
+    REQUIRE(it.retry_after);
+    CHECK(*it.retry_after >= duration{2s});
+    CHECK(*it.retry_after < age + 2s);
+    cell.store.down = false;
+    CHECK(cell.loop.run_until([&] { return cell.all_ready(); }, timeout));
+}
+
 } // namespace rosemarytrail::cell
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -74,7 +74,7 @@
                       [done = std::move(done)] { done({}); });
         return;
     }
-    if (refuses_appends || (refuses_leader && request.writer)) {
+    if (down || refuses_appends || (refuses_leader && request.writer)) {
         answer([done = std::move(done)] {
             done({.result = cell::store_result::refused,
                   .expected_sequence = std::nullopt});
@@ -129,6 +129,12 @@
 void model_store::answer_read(cell::read_request request,
                               std::function<void(cell::feed_page)> done)
 {
+    if (down) {
+        answer([done = std::move(done)] {
+            done({.result = cell::store_result::refused, .records = {}});
+        });
+        return;
+    }
     constexpr duration look_again = 10ms;
     const auto& records = records_[request.which];
     const auto from = request.from;
@@ -167,6 +173,12 @@
                        std::uint64_t /*generation*/, duration /*lifetime*/,
                        std::function<void(cell::membership)> done)
 {
+    if (down) {
+        answer([done = std::move(done)] {
+            done({.result = cell::store_result::refused});
+        });
+        return;
+    }
     auto& joined = group == cell::node_group::members ? names : candidates;
     if (std::ranges::find(joined, member) == joined.end()) {
         joined.emplace_back(member);
@@ -182,6 +194,10 @@
 void model_store::members(
     std::function<void(std::optional<std::vector<std::string>>)> done)
 {
+    if (down) {
+        answer([done = std::move(done)] { done(std::nullopt); });
+        return;
+    }
     answer([this, done = std::move(done)] {
         auto sorted = names;
         std::ranges::sort(sorted);
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -77,6 +77,8 @@
     duration answer_time{std::chrono::milliseconds{2}};
     /** @brief Number of appends that included each key. */
     std::map<std::string, std::size_t> appended;
+    /** @brief Rejects all appends, reads and joins. */
+    bool down{false};
     /** @brief Does not respond to the appends of the leader, nor execute
      * them. */
     bool ignores_leader{false};
