--- a/test/cell/peer_link.cpp
+++ b/test/cell/peer_link.cpp
@@ -1,7 +1,11 @@
 #include <rosemarytrail/cell/peer_link.hpp>
 
+#include <test/lib/fixed_server.hpp>
+
 #include <catch2/catch.hpp>
 
+#include <future>
+
 namespace rosemarytrail::cell {
 
 namespace {
@@ -52,6 +56,41 @@
     CHECK_FALSE(decode_call_report("zz"));
 }
 
+TEST_CASE("A status query distinguishes the states of a peer", "[peer]")
+{
+    test::fixed_server server;
+    auto expected = call_progress::unanswered;
+    SECTION("serving the call")
+    {
+        expected = call_progress::in_progress;
+        server.answer.body =
+            encode_call_report({.progress = expected, .answer = std::nullopt});
+    }
+    SECTION("of a build that does not know the path")
+    {
+        expected = call_progress::unsupported;
+        server.answer.status = 404;
+    }
+    SECTION("stopped: nothing listens")
+    {
+        expected = call_progress::refused;
+        server.stop();
+    }
+    SECTION("failing: no status")
+    {
+        server.answer.status = 500;
+    }
+    server.publish();
+    const auto client = http::make_curl_client({});
+    const auto peers = make_peer_link(*client);
+    const auto address = server.base().substr(std::string{"http://"}.size());
+    std::promise<call_progress> result;
+    peers->query_call(
+        address, {.origin = "n1", .value = 4}, 5s,
+        [&](const call_report& it) { result.set_value(it.progress); });
+    CHECK(result.get_future().get() == expected);
+}
+
 TEST_CASE("A message to a peer round-trips", "[peer]")
 {
     const peer_message message{
