--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -43,6 +43,7 @@
     metrics::counter& evacuation_moves;
     metrics::counter& append_retries;
     metrics::counter& calls_forwarded;
+    metrics::counter& entries_expired;
     metrics::counter& call_status_queries;
     metrics::counter& peer_calls_failed;
     metrics::counter& forecast_fetch_failures;
--- a/src/rosemarytrail/cell/peer_link.cpp
+++ b/src/rosemarytrail/cell/peer_link.cpp
@@ -227,7 +227,9 @@
             json::array({fleet::to_text(it.step), it.workers,
                          to_milliseconds(it.expected)}));
     }
-    json it = json::array({std::move(entries), std::move(advice_requests)});
+    json it = json::array(
+        {std::move(entries), std::move(advice_requests),
+         message.send_within ? to_milliseconds(*message.send_within) : -1});
     if (!message.advice_node.empty()) {
         it.push_back(message.advice_node);
     }
@@ -259,9 +261,13 @@
                  .expected =
                      std::chrono::milliseconds{row.at(2).get<std::int64_t>()}});
         }
-        // Earlier builds send no third field.
-        if (it.size() > 2) {
-            result.advice_node = it.at(2).get<std::string>();
+        // Earlier builds send neither a deadline nor a node.
+        if (const auto ms = it.size() > 2 ? it.at(2).get<std::int64_t>() : -1;
+            ms >= 0) {
+            result.send_within = std::chrono::milliseconds{ms};
+        }
+        if (it.size() > 3) {
+            result.advice_node = it.at(3).get<std::string>();
         }
         return result;
     } catch (const json::exception&) {
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -663,4 +663,80 @@
     CHECK(recorded->accepted_unix_ms <= sent_unix_ms + 500);
 }
 
+TEST_CASE("Entries that the leader has not appended by their deadline are not "
+          "executed",
+          "[node]")
+{
+    six_nodes cell;
+    // Jobs without advice stay pending.
+    cell.formats.advice = fleet::advice_policy{.base_ms = 1e6, .valid_ms = 1};
+    const auto other = cell.start_and_find_other();
+    std::size_t at = 0;
+    while (at == *cell.leader() || !cell.pending_at(at)) {
+        ++at;
+    }
+    // A follower sends its entries to the leader while the store is slow.
+    cell.store.answer_time = 400ms;
+    REQUIRE(cell.ask(at, submission(1)).kind == answer_kind::accepted);
+    cell.loop.run_until([] { return false; }, 600ms);
+    cell.store.answer_time = 2ms;
+    std::map<std::uint64_t, answer_kind> results;
+    const auto submit = [&](std::uint64_t id) {
+        auto call = submission(id);
+        call.deadline = boot_clock::now() + 1s;
+        cell.nodes[at]->serve(
+            std::move(call),
+            [&, id](const client_answer& it) { results[id] = it.kind; });
+    };
+    std::set<std::uint64_t> rejected{3};
+    SECTION("not sent")
+    {
+        cell.store.ignores_leader = true;
+    }
+    SECTION("rejected by the store")
+    {
+        cell.store.refuses_leader = true;
+        rejected.insert(2);
+    }
+    submit(2);
+    REQUIRE(cell.loop.run_until(
+        [&] { return cell.store.ineffective_keys.contains(key_of(2)); },
+        500ms));
+    submit(3);
+    REQUIRE(cell.loop.run_until([&] { return results.size() == 2; }, 1s));
+    CHECK(results[2] == (rejected.contains(2) ? answer_kind::unavailable
+                                              : answer_kind::outcome_unknown));
+    CHECK(results[3] == answer_kind::unavailable);
+    cell.store.ignores_leader = false;
+    cell.store.refuses_leader = false;
+    // Later jobs are recorded, the rejected ones are not.
+    CHECK(cell.ask(other, submission(4)).kind == answer_kind::accepted);
+    REQUIRE(cell.loop.run_until(
+        [&] { return cell.store.appended[key_of(4)] > 0; }, timeout));
+    for (const auto id : rejected) {
+        CHECK(cell.store.appended[key_of(id)] == 0);
+    }
+}
+
+TEST_CASE("A rejection during an outage asks for a retry after as long again",
+          "[node]")
+{
+    six_nodes cell;
+    const auto at = cell.start_and_find_other();
+    cell.store.down = true;
+    const auto down_since = boot_clock::now();
+    // Until then, a submission may still be recorded by a repeat.
+    cell.loop.run_until([] { return false; }, 2100ms);
+    auto call = submission(1);
+    call.deadline = boot_clock::now() + 3s;
+    const auto it = cell.ask(at, std::move(call));
+    const auto age = boot_clock::now() - down_since;
+    CHECK(it.kind == answer_kind::unavailable);
+    REQUIRE(it.retry_after);
+    CHECK(*it.retry_after >= duration{2s});
+    CHECK(*it.retry_after < age + 2s);
+    cell.store.down = false;
+    CHECK(cell.loop.run_until([&] { return cell.all_ready(); }, timeout));
+}
+
 } // namespace rosemarytrail::cell
--- a/test/cell/peer_link.cpp
+++ b/test/cell/peer_link.cpp
@@ -2,16 +2,17 @@
 #include <rosemarytrail/cell/node.hpp>
 #include <rosemarytrail/cell/peer_link.hpp>
 #include <rosemarytrail/fleet/msgpack.hpp>
+#include <test/lib/fixed_server.hpp>
 #include <test/lib/model_cell.hpp>
 
 #include <catch2/catch.hpp>
 
 #include <nlohmann/json.hpp>
 
+#include <future>
 #include <memory>
 #include <utility>
 
-
 namespace rosemarytrail::cell {
 
 namespace {
@@ -113,11 +114,47 @@
     CHECK_FALSE(decode_call_report("zz"));
 }
 
+TEST_CASE("A status query distinguishes the states of a peer", "[peer]")
+{
+    test::fixed_server server;
+    auto expected = call_progress::unanswered;
+    SECTION("serving the call")
+    {
+        expected = call_progress::in_progress;
+        server.answer.body =
+            encode_call_report({.progress = expected, .answer = std::nullopt});
+    }
+    SECTION("of a build that does not know the path")
+    {
+        expected = call_progress::unsupported;
+        server.answer.status = 404;
+    }
+    SECTION("stopped: nothing listens")
+    {
+        expected = call_progress::refused;
+        server.stop();
+    }
+    SECTION("failing: no status")
+    {
+        server.answer.status = 500;
+    }
+    server.publish();
+    const auto client = http::make_curl_client({});
+    const auto peers = make_peer_link(*client);
+    const auto address = server.base().substr(std::string{"http://"}.size());
+    std::promise<call_progress> result;
+    peers->query_call(
+        address, {.origin = "n1", .value = 4}, 5s,
+        [&](const call_report& it) { result.set_value(it.progress); });
+    CHECK(result.get_future().get() == expected);
+}
+
 TEST_CASE("A message to a peer round-trips", "[peer]")
 {
     const peer_message message{
         .entries = {{.key = "j/1", .value = "v"},
                     {.key = "c/2", .value = std::nullopt}},
+        .send_within = 800ms,
         .advice_requests = {{.step = {.job = 5, .occurrence = 1, .step = 2},
                              .workers = {"w1", "w2"},
                              .expected = std::chrono::milliseconds{700}}}};
@@ -126,6 +163,10 @@
     REQUIRE(it->entries.size() == 2);
     CHECK(it->entries[0].value == "v");
     CHECK_FALSE(it->entries[1].value);
+    CHECK(it->send_within == duration{800ms});
+    const auto without = decode_message(encode_message({}));
+    REQUIRE(without);
+    CHECK_FALSE(without->send_within);
     CHECK(it->advice_requests == message.advice_requests);
     CHECK_FALSE(decode_message("\xc1"));
 }
