Keep observed run times across takeovers, and count waiting tasks by class

Cause: a new leader had no run times for its first 20 runs of an image, so it took jobs for late or in time by declared durations. What the order of service does could not be seen.

Waiting tasks by class and demotions are metrics, and the decision `demoted` has its inputs.

Ruled out: a key that builds of before would take for a job's; of keys shorter than three characters they know `l` and `b` only, and log and count the others.

The test of the takeover fails if the entry is not read back.

--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -45,6 +45,9 @@
           "jobs that ended within their latency objective")}
     , jobs_late{all.make_counter("rosemarytrail_jobs_late_total",
                                  "jobs that ended after their objective")}
+    , job_demotions{all.make_counter(
+          "rosemarytrail_job_demotions_total",
+          "jobs that the leader found unable to meet their objective")}
     , leading{all.make_gauge("rosemarytrail_leading",
                              "1 while this node leads the cell")}
     , jobs{all.make_gauge("rosemarytrail_jobs_live",
@@ -57,6 +60,15 @@
     , tasks_waiting_for_advice{all.make_gauge(
           "rosemarytrail_tasks_waiting_for_advice",
           "other waiting tasks without a valid ticket, at the leader")}
+    , tasks_waiting_on_time{all.make_gauge(
+          "rosemarytrail_tasks_waiting_on_time",
+          "waiting tasks whose job can meet its objective, at the leader")}
+    , tasks_waiting_late{all.make_gauge(
+          "rosemarytrail_tasks_waiting_late",
+          "waiting tasks whose job can end within 3 times its objective")}
+    , tasks_waiting_overdue{all.make_gauge(
+          "rosemarytrail_tasks_waiting_overdue",
+          "waiting tasks whose job can do neither, at the leader")}
     , tasks_placed{all.make_gauge("rosemarytrail_tasks_placed",
                                   "tasks that take room, at the leader")}
     , evacuated_zones{all.make_gauge(
@@ -117,6 +129,14 @@
     set(tasks_waiting, counts.waiting);
     set(tasks_waiting_for_limit, counts.waiting_for_limit);
     set(tasks_waiting_for_advice, counts.waiting_for_advice);
+    set(tasks_waiting_on_time, counts.waiting_by_class[0]);
+    set(tasks_waiting_late, counts.waiting_by_class[1]);
+    set(tasks_waiting_overdue, counts.waiting_by_class[2]);
+    // Each leader counts from zero, and a node that does not lead counts none.
+    if (counts.demotions > demotions_counted) {
+        job_demotions.add(counts.demotions - demotions_counted);
+    }
+    demotions_counted = counts.demotions;
     set(tasks_placed, counts.placed);
     set(evacuated_zones, counts.evacuated_zones);
     set(evacuation_tasks_left, counts.tasks_in_evacuated_zones);
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -45,11 +45,15 @@
     metrics::counter& log_dropped;
     metrics::counter& jobs_in_time;
     metrics::counter& jobs_late;
+    metrics::counter& job_demotions;
     metrics::gauge& leading;
     metrics::gauge& jobs;
     metrics::gauge& tasks_waiting;
     metrics::gauge& tasks_waiting_for_limit;
     metrics::gauge& tasks_waiting_for_advice;
+    metrics::gauge& tasks_waiting_on_time;
+    metrics::gauge& tasks_waiting_late;
+    metrics::gauge& tasks_waiting_overdue;
     metrics::gauge& tasks_placed;
     metrics::gauge& evacuated_zones;
     metrics::gauge& evacuation_tasks_left;
@@ -62,6 +66,8 @@
     metrics::summary& placement_wait;
     metrics::summary& step_run;
     metrics::summary& job;
+    /** @brief Demotions of the current leadership that are counted. */
+    std::uint64_t demotions_counted{};
 };
 
 } // namespace rosemarytrail::cell
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -38,6 +38,7 @@
 {
     state_->options = options;
     state_->last_plan = now;
+    state_->restore_run_times(ledger_jobs, now);
     ledger_jobs.each_live([&](std::uint64_t /*id*/, const job_entry& entry) {
         state_->add_job(entry, now, unix_ms);
     });
@@ -482,8 +483,11 @@
     dispatcher_counts result;
     result.jobs = state_->jobs.size();
     result.evacuated_zones = state_->evacuated_zones.size();
+    result.demotions = state_->service_order.demotions;
     for (const auto* step : state_->ready) {
         result.waiting += step->waiting;
+        result.waiting_by_class[static_cast<std::size_t>(
+            step->job->triage.service_class)] += step->waiting;
         if (step->waiting > 0) {
             state_->count_waiting(*step, now, result);
         }
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include <rosemarytrail/fleet/worker_calls.hpp>
 #include <rosemarytrail/fleet/worker_vm.hpp>
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <set>
@@ -151,6 +152,9 @@
     /** @brief Fraction of the work placed under overload that belongs to the
      * step that has waited longest. */
     double aging_share{0.1};
+    /** @brief Minimum time between two ledger entries of the observed run
+     * times. */
+    duration run_times_interval{std::chrono::milliseconds{5000}};
     /** @brief How long ended jobs are tracked; late ledger entries of such a
      * job are ignored. */
     duration ended_retention{std::chrono::seconds{600}};
@@ -215,6 +219,10 @@
     std::size_t waiting{};
     /** @brief Waiting tasks whose account is at its limit. */
     std::size_t waiting_for_limit{};
+    /** @brief Waiting tasks, by the class of their job. */
+    std::array<std::size_t, triage_classes> waiting_by_class{};
+    /** @brief Jobs that this leader found unable to meet their objective. */
+    std::uint64_t demotions{};
     /** @brief Other waiting tasks, of steps without a valid ticket. */
     std::size_t waiting_for_advice{};
     /** @brief Of these steps, the one that has waited longest for tickets. */
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -487,6 +487,8 @@
                                   const running_row& row, time_point now);
 
     // internal/work_order.cpp
+    void restore_run_times(const job_index& ledger_jobs, time_point now);
+    void record_run_times(std::vector<ledger_entry>& entries);
     void observe_run(const tracked_worker& worker, tracked_step& step,
                      std::uint32_t index, time_point now);
     [[nodiscard]] duration expected_run(const tracked_step& step,
--- a/src/rosemarytrail/fleet/internal/ledger_batches.cpp
+++ b/src/rosemarytrail/fleet/internal/ledger_batches.cpp
@@ -139,6 +139,7 @@
         self.timings.push_back(timing);
     }
     self.finished.clear();
+    self.record_run_times(result.entries);
     for (auto& [id, worker] : self.workers) {
         if (worker.last_seen_end > worker.last_recorded_end) {
             worker.in_batch[result.number] = worker.last_seen_end;
--- a/src/rosemarytrail/fleet/internal/work_order.cpp
+++ b/src/rosemarytrail/fleet/internal/work_order.cpp
@@ -80,6 +80,26 @@
             .key = step.key};
 }
 
+void dispatcher::state::restore_run_times(const job_index& ledger_jobs,
+                                          time_point now)
+{
+    service_order.observed.restore(ledger_jobs.run_times(), now);
+    service_order.recorded_version = service_order.observed.version();
+}
+
+void dispatcher::state::record_run_times(std::vector<ledger_entry>& entries)
+{
+    auto& it = service_order;
+    if (it.observed.version() == it.recorded_version ||
+        last_plan - it.recorded_at < options.run_times_interval) {
+        return;
+    }
+    it.recorded_version = it.observed.version();
+    it.recorded_at = last_plan;
+    entries.push_back({.key = encode_key({.kind = entry_kind::run_times}),
+                       .value = encode(it.observed.ratios())});
+}
+
 void dispatcher::state::observe_run(const tracked_worker& worker,
                                     tracked_step& step, std::uint32_t index,
                                     time_point now)
@@ -330,6 +350,7 @@
     }
     constexpr double millis = 1000.0;
     const auto cores = cpu_millis / millis * options.max_slack_use;
+    service_order.overloaded = false;
     double ahead = 0;
     std::map<std::string, double> ahead_in_account;
     std::vector<due_work> all;
@@ -367,6 +388,8 @@
         for (const auto& it : all) {
             ahead += it.core_ms;
         }
+        service_order.overloaded =
+            service_order.overloaded || crowded || !crowded_accounts.empty();
         for (; begin != end; ++begin) {
             set_criterion(*begin->job,
                           crowded || crowded_accounts.contains(
@@ -429,7 +452,7 @@
 
 void dispatcher::state::add_aging_credit(double placed_work, bool tasks_left)
 {
-    if (options.order == overload_order::objective || !tasks_left) {
+    if (!service_order.overloaded || !tasks_left) {
         service_order.aging_credit = std::min(service_order.aging_credit, 0.0);
         return;
     }
--- a/src/rosemarytrail/fleet/internal/work_order.hpp
+++ b/src/rosemarytrail/fleet/internal/work_order.hpp
@@ -89,11 +89,18 @@
     };
 
     run_times observed;
+    /** @brief Version of the observed run times in the ledger, and when it was
+     * written. */
+    std::uint64_t recorded_version{};
+    time_point recorded_at;
     std::map<std::string, queue_work> queues;
     time_point last_pass;
     /** @brief Jobs that have left class 0 without having met their
      * objective. */
     std::uint64_t demotions{};
+    /** @brief The work of some class exceeds the capacity or the limit of an
+     * account. */
+    bool overloaded{false};
     /** @brief Work that may be placed out of order, in core-milliseconds. */
     double aging_credit{};
 };
--- a/src/rosemarytrail/fleet/job_index.cpp
+++ b/src/rosemarytrail/fleet/job_index.cpp
@@ -72,6 +72,12 @@
         }
         workers_.erase(decoded_key->worker);
         return value ? std::nullopt : decoded_key;
+    case entry_kind::run_times:
+        if (auto it = value ? decode_run_times(*value) : std::nullopt) {
+            run_times_ = std::move(*it);
+            return decoded_key;
+        }
+        return std::nullopt;
     case entry_kind::leader:
         if (const auto it = value ? decode_leader(*value) : std::nullopt) {
             leader_ = *it;
--- a/src/rosemarytrail/fleet/job_index.hpp
+++ b/src/rosemarytrail/fleet/job_index.hpp
@@ -124,6 +124,12 @@
         return workers_;
     }
 
+    /** @return Observed run times that the last leader recorded. */
+    [[nodiscard]] const std::vector<run_time_ratio>& run_times() const noexcept
+    {
+        return run_times_;
+    }
+
     /**
      * @brief Returns when this node read the claim that superseded all leaders
      * before an epoch; such leaders obtain no freshness evidence after it.
@@ -142,6 +148,7 @@
     bool keeps_progress_{true};
     leader_record leader_;
     std::map<std::string, ledger_worker> workers_;
+    std::vector<run_time_ratio> run_times_;
     /** @brief When this node read the claim of each epoch. */
     std::map<std::uint64_t, time_point> claims_;
 };
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace rosemarytrail::fleet {
 
@@ -12,7 +13,7 @@
 
 using json = nlohmann::json;
 
-constexpr char kind_letters[] = {'j', 'c', 's', 'a', 'f', 'l', 'b', 'w'};
+constexpr char kind_letters[] = {'j', 'c', 's', 'a', 'f', 'l', 'b', 'w', 'r'};
 
 [[nodiscard]] json pack_amounts(const resource_amounts& it)
 {
@@ -131,6 +132,7 @@
     switch (it.kind) {
     case entry_kind::leader:
     case entry_kind::batch_mark:
+    case entry_kind::run_times:
         return letter;
     case entry_kind::worker:
         return letter + "/" + it.worker;
@@ -151,11 +153,15 @@
         return entry_key{
             .kind = entry_kind::batch_mark, .step = {}, .worker = {}};
     }
+    if (text == "r") {
+        return entry_key{
+            .kind = entry_kind::run_times, .step = {}, .worker = {}};
+    }
     if (text.size() < 3 || text[1] != '/') {
         return std::nullopt;
     }
     const auto* letter = std::ranges::find(kind_letters, text[0]);
-    if (letter == std::end(kind_letters)) {
+    if (letter == std::end(kind_letters) || *letter == 'r') {
         return std::nullopt;
     }
     entry_key result{
@@ -251,6 +257,36 @@
     });
 }
 
+// Ratios are written in thousandths, which are shorter than floating-point
+// numbers.
+std::string encode(std::span<const run_time_ratio> it)
+{
+    constexpr double thousandths = 1000.0;
+    json rows = json::array();
+    for (const auto& row : it) {
+        rows.push_back(
+            json::array({row.key, std::llround(row.median * thousandths),
+                         std::llround(row.ninth_decile * thousandths)}));
+    }
+    return pack(rows);
+}
+
+std::optional<std::vector<run_time_ratio>>
+decode_run_times(std::string_view bytes)
+{
+    constexpr double thousandths = 1000.0;
+    return unpack(bytes, [](const json& it) {
+        std::vector<run_time_ratio> result;
+        for (const auto& row : it) {
+            result.push_back(
+                {.key = row.at(0).get<std::string>(),
+                 .median = row.at(1).get<double>() / thousandths,
+                 .ninth_decile = row.at(2).get<double>() / thousandths});
+        }
+        return result;
+    });
+}
+
 std::string encode(const batch_mark& it)
 {
     return pack(json::array({it.epoch, it.sequence}));
--- a/src/rosemarytrail/fleet/ledger_codec.hpp
+++ b/src/rosemarytrail/fleet/ledger_codec.hpp
@@ -2,6 +2,7 @@
 #define ROSEMARYTRAIL_FLEET_LEDGER_CODEC_HPP
 
 #include <rosemarytrail/fleet/job.hpp>
+#include <rosemarytrail/fleet/run_times.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -25,7 +26,9 @@
      * that the batch was appended. */
     batch_mark,
     /** @brief Last epoch whose leader may have renewed a worker's lease. */
-    worker
+    worker,
+    /** @brief Observed run times of images and queues. */
+    run_times
 };
 
 /** @brief Key of a ledger entry; only some kinds use `step`. */
@@ -128,6 +131,9 @@
 /** @copydoc encode(const job_record&) */
 [[nodiscard]] std::string encode(const worker_record& it);
 
+/** @copydoc encode(const job_record&) */
+[[nodiscard]] std::string encode(std::span<const run_time_ratio> it);
+
 /**
  * @brief Decodes a value.
  * @param bytes Encoded bytes.
@@ -157,6 +163,10 @@
 [[nodiscard]] std::optional<worker_record>
 decode_worker(std::string_view bytes);
 
+/** @copydoc decode_job */
+[[nodiscard]] std::optional<std::vector<run_time_ratio>>
+decode_run_times(std::string_view bytes);
+
 } // namespace rosemarytrail::fleet
 
 #endif
--- a/test/fleet/ledger.cpp
+++ b/test/fleet/ledger.cpp
@@ -107,6 +107,28 @@
     CHECK(ledger_jobs.pending("q") == 0);
 }
 
+TEST_CASE("Run times round-trip through the ledger in few bytes", "[ledger]")
+{
+    std::vector<run_time_ratio> rows;
+    rows.reserve(20);
+    for (int i = 0; i < 20; ++i) {
+        rows.push_back({.key = "i/image-" + std::to_string(10 + i),
+                        .median = 1.25,
+                        .ninth_decile = 1.5});
+    }
+    const auto key = encode_key({.kind = entry_kind::run_times});
+    // Builds that do not know the entry ignore such a key.
+    CHECK(key.size() < 3);
+    CHECK(encode(rows).size() < 400);
+    job_index ledger_jobs;
+    REQUIRE(ledger_jobs.apply(key, encode(rows), now));
+    CHECK(ledger_jobs.run_times() == rows);
+    CHECK_FALSE(ledger_jobs.apply(key, "\x91\x01", now));
+    CHECK_FALSE(ledger_jobs.apply("r/1", encode(rows), now));
+    CHECK_FALSE(ledger_jobs.apply("y", "1", now));
+    CHECK(ledger_jobs.run_times() == rows);
+}
+
 TEST_CASE("The progress of a step round-trips in few bytes", "[ledger]")
 {
     std::vector<task_progress> rows(26);
--- a/test/fleet/triage.cpp
+++ b/test/fleet/triage.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace rosemarytrail::fleet {
@@ -89,7 +90,17 @@
     cell.run(1500ms);
     CHECK(cell.running(3) == 4);
     CHECK(cell.running(2) == 0);
-    CHECK(cell.leader().count(cell.now).waiting == 4);
+    const auto counts = cell.leader().count(cell.now);
+    CHECK(counts.waiting_by_class == std::array<std::size_t, 3>{0, 0, 4});
+    CHECK(counts.demotions >= 1);
+    const auto decisions = cell.leader().take_decisions();
+    const auto demoted =
+        std::ranges::find_if(decisions, [](const decision& it) {
+            return it.what == "demoted" && it.job == 2;
+        });
+    REQUIRE(demoted != decisions.end());
+    CHECK_THAT(demoted->detail, Catch::Contains("objective 1100 remaining 1000 "
+                                                "declared chain 1000"));
     cell.run(2s);
     CHECK(cell.state(2) == job_state::completed);
     CHECK(cell.violations.empty());
@@ -137,6 +148,26 @@
     }
 }
 
+TEST_CASE("A new leader knows the run times that its predecessor observed",
+          "[triage]")
+{
+    small_cell cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 1500ms};
+    };
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        cell.submit_job(id, 300);
+        cell.run(1600ms);
+    }
+    cell.take_over();
+    cell.run(100ms);
+    cell.submit_job(9, 300);
+    cell.run(2s);
+    CHECK(cell.state(9) == job_state::completed);
+    CHECK(cell.leader().count(cell.now).demotions == 0);
+    CHECK(cell.violations.empty());
+}
+
 TEST_CASE("In a cell with room, the order makes no difference", "[triage]")
 {
     const auto before = replay_overload(
