--- a/test/fleet/triage.cpp
+++ b/test/fleet/triage.cpp
@@ -201,4 +201,30 @@
           queue.useful * queue.large_jobs);
 }
 
+TEST_CASE("Of an account at its limit, more jobs end at a useful time than in "
+          "the order of objectives",
+          "[triage]")
+{
+    const auto before = replay_overload({.load = overload_case::limited_account,
+                                         .order = overload_order::objective});
+    const auto it = replay_overload({.load = overload_case::limited_account});
+    CHECK(it.violations == 0);
+    CHECK(it.value_share() > before.value_share());
+    CHECK(it.queues.at("limited").useful > before.queues.at("limited").useful);
+    // The jobs of other accounts are served as before.
+    CHECK(it.queues.at("short").in_objective >=
+          before.queues.at("short").in_objective);
+}
+
+TEST_CASE("After an outage, as many jobs meet their objective as in the order "
+          "of objectives",
+          "[triage]")
+{
+    const auto before = replay_overload(
+        {.load = overload_case::outage, .order = overload_order::objective});
+    const auto it = replay_overload({.load = overload_case::outage});
+    CHECK(it.violations == 0);
+    CHECK(it.value_share() > before.value_share() - 0.02);
+}
+
 } // namespace rosemarytrail::fleet
