--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -500,8 +500,9 @@
         last_metrics_update = now;
         metrics.leading.set(leadership ? 1 : 0);
         metrics.reported_nodes.set(
-            leadership ? static_cast<double>(leadership->unlisted_nodes.size())
-                       : 0);
+            leadership
+                ? static_cast<std::int64_t>(leadership->unlisted_nodes.size())
+                : 0);
         const auto counts = leadership ? leadership->decisions.count(now)
                                        : fleet::dispatcher_counts{};
         metrics.update(counts);
