Send slow advice requests first for steps that can start tasks

Cause: slow requests were sent in the order of service for every step without tickets, and renewed for the first eight steps whether or not their account was at its limit or a worker had capacity. Steps at the limit of their account wait longest and so come first: their requests took all nodes, while steps that free workers could run got none.

Ruled out: renewing the first eight steps only if below their limit. Initial requests take most of the time, and the number of steps that can use what is released depends on their work, not on their count. Requests that name fewer workers: not tried.

Change: steps that can start a task now come first. Other steps get requests only until their waiting work reaches the limit of their account or the capacity of the cell (advice_reserve), on idle nodes, of which a quarter is left to the former.

--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -83,6 +83,9 @@
     /** @brief Minimum fraction of the trusted nodes that send fast advice
      * requests only. */
     double min_fast_advice_share{0.25};
+    /** @brief Fraction of the nodes for slow requests that stays idle while
+     * only steps without available capacity wait for advice. */
+    double idle_slow_advice_share{0.25};
     /** @brief Maximum intended wait of fast requests; for each such amount of
      * backlog, one node is withheld from slow requests. */
     duration max_fast_advice_wait{std::chrono::milliseconds{250}};
@@ -129,7 +132,7 @@
      */
     duration refused_retry_interval{std::chrono::milliseconds{4000}};
     duration max_refused_retry_interval{std::chrono::milliseconds{60000}};
-    /** @brief Number of steps at the head of the queue whose tickets are
+    /** @brief Number of steps at the head of the queue whose fast advice is
      * renewed even without available capacity. */
     std::size_t always_renewed_steps{8};
     /** @brief Time that a response may exceed its expected duration before the
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -1,6 +1,7 @@
 #ifndef ROSEMARYTRAIL_FLEET_INTERNAL_DISPATCHER_STATE_HPP
 #define ROSEMARYTRAIL_FLEET_INTERNAL_DISPATCHER_STATE_HPP
 
+#include <rosemarytrail/fleet/advice_reserve.hpp>
 #include <rosemarytrail/fleet/dispatcher.hpp>
 
 #include <boost/container/flat_set.hpp>
@@ -501,12 +502,8 @@
                                          time_point now) const;
     void request_fast_advice(std::span<const ranked_step> order,
                              time_point now);
-    void request_slow_advice(std::span<const ranked_step> order,
-                             std::span<const std::string> pool, time_point now);
     [[nodiscard]] std::vector<std::string> slow_nodes(duration fast_backlog,
                                                       time_point now) const;
-    [[nodiscard]] bool wants_advice(tracked_step& step, std::size_t position,
-                                    time_point now);
     [[nodiscard]] bool has_capacity(tracked_step& step, time_point now);
     [[nodiscard]] bool can_use_advice(tracked_step& step, time_point now);
     void schedule_refused_retry(tracked_step& step, time_point now) const;
@@ -515,6 +512,25 @@
     [[nodiscard]] bool nearly_ready(const tracked_step& step, duration horizon,
                                     time_point now) const;
 
+    // internal/slow_advice.cpp
+    void request_slow_advice(std::span<const ranked_step> order,
+                             std::span<const std::string> pool, time_point now);
+    /** @return Largest available amounts on a worker, by service. */
+    [[nodiscard]] std::map<std::string, resource_amounts>
+    largest_available(time_point now) const;
+    [[nodiscard]] bool
+    can_start_tasks(const tracked_step& step,
+                    const std::map<std::string, resource_amounts>& largest,
+                    time_point now) const;
+    [[nodiscard]] bool needs_renewal(const tracked_step& step,
+                                     time_point now) const;
+    [[nodiscard]] bool
+    can_use_more_advice(tracked_step& step,
+                        const std::map<std::string, resource_amounts>& largest,
+                        time_point now);
+    [[nodiscard]] bool add_to_reserve(advice_reserve& reserve,
+                                      const tracked_step& step) const;
+
     // internal/candidate_selection.cpp
     [[nodiscard]] std::size_t tasks_that_fit(const tracked_worker& worker,
                                              const tracked_step& step,
