Renew fast advice without capacity last, and bound searches for capacity

Cause: the first eight renewals of fast advice were assigned by rank, also for steps at the limit of their account, before steps that could start tasks. In addition, the search for a worker with capacity before a slow request had no bound: with steps that all workers with capacity had refused, each scan searched all workers once a step.

Ruled out: dropping these renewals. A step at the limit would then wait for a response each time that capacity is released.

Change: renewals without capacity come after all other fast requests. A scan makes at most 64 searches, and a step whose search failed pauses for 25 ms.

Test: with eight renewals at the limit and a new step of lower rank due in the same scan, the first assigned request was that of job 1 of the renewals before, and is that of the new step now.

--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -127,6 +127,12 @@
     duration expired_widen_interval{std::chrono::milliseconds{1000}};
     /** @brief Maximum number of these checks in one scan. */
     std::size_t candidate_checks_per_scan{8};
+    /** @brief Maximum number of searches for a worker with capacity, before
+     * slow requests, in one scan; each scans all workers in the worst case. */
+    std::size_t capacity_checks_per_scan{64};
+    /** @brief Minimum time until a step is searched again after a search that
+     * found none. */
+    duration capacity_check_interval{std::chrono::milliseconds{25}};
     /** @brief Interval after which a step without other candidates requests its
      * refused workers again; doubled each time that no new worker is granted.
      */
--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -296,20 +296,29 @@
     // after a request was assigned.
     const auto* node = least_loaded(members, is_full, now);
     std::size_t position = 0;
+    // Renewals that no worker has capacity for come last.
+    std::vector<tracked_step*> without_capacity;
     for (const auto& it : order) {
         if (node == nullptr) {
             return;
         }
-        // Under load, initial requests precede renewals that no worker has
-        // capacity for.
-        const bool renewal = !it.step->tickets.empty();
-        if (position++ >= options.always_renewed_steps && renewal &&
-            !can_use_advice(*it.step, now)) {
+        const bool always = position++ < options.always_renewed_steps;
+        if (!it.step->tickets.empty() && !can_use_advice(*it.step, now)) {
+            if (always) {
+                without_capacity.push_back(it.step);
+            }
             continue;
         }
         open_request(*it.step, *node, now);
         node = least_loaded(members, is_full, now);
     }
+    for (auto* step : without_capacity) {
+        if (node == nullptr) {
+            return;
+        }
+        open_request(*step, *node, now);
+        node = least_loaded(members, is_full, now);
+    }
 }
 
 void dispatcher::on_assignment_lost(const advice_assignment& assignment,
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -187,6 +187,8 @@
     duration refused_retry{};
     /** @brief Next check for further candidates. */
     time_point next_widening;
+    /** @brief Next search for a worker with capacity before a slow request. */
+    time_point next_capacity_check;
     /** @brief The occurrence is due and all preceding steps are done, so that
      * tasks may be placed. */
     bool ready{false};
@@ -396,6 +398,8 @@
     /** @brief Remaining checks for further candidates of expired steps in this
      * scan. */
     std::size_t candidate_checks_left{};
+    /** @brief Remaining searches for a worker with capacity in this scan. */
+    std::size_t capacity_checks_left{};
     /** @brief Jobs whose outcome is recorded; removed once their last task has
      * stopped. */
     std::set<std::uint64_t> awaiting_removal;
@@ -519,9 +523,9 @@
     [[nodiscard]] std::map<std::string, resource_amounts>
     largest_available(time_point now) const;
     [[nodiscard]] bool
-    can_start_tasks(const tracked_step& step,
+    can_start_tasks(tracked_step& step,
                     const std::map<std::string, resource_amounts>& largest,
-                    time_point now) const;
+                    time_point now);
     [[nodiscard]] bool needs_renewal(const tracked_step& step,
                                      time_point now) const;
     [[nodiscard]] bool
--- a/src/rosemarytrail/fleet/internal/slow_advice.cpp
+++ b/src/rosemarytrail/fleet/internal/slow_advice.cpp
@@ -29,23 +29,31 @@
 }
 
 bool dispatcher::state::can_start_tasks(
-    const tracked_step& step,
-    const std::map<std::string, resource_amounts>& largest,
-    time_point now) const
+    tracked_step& step, const std::map<std::string, resource_amounts>& largest,
+    time_point now)
 {
     if (!within_limit(*step.job, step.spec->demand)) {
         return false;
     }
     // A full cell with thousands of waiting steps is not searched for each.
+    // Steps whose search failed pause, so that all have their turn.
     const auto most = largest.find(step.job->record.queue.service);
     if (most == largest.end() || !step.spec->reserved().fits(most->second)) {
         return false;
     }
+    if (now < step.next_capacity_check || capacity_checks_left == 0) {
+        return false;
+    }
+    --capacity_checks_left;
     const bool retried = now >= step.next_refused_retry;
-    return std::ranges::any_of(workers, [&](const auto& it) {
+    const bool found = std::ranges::any_of(workers, [&](const auto& it) {
         return (retried || !step.refused.contains(it.first)) &&
                can_accept(it.second, step, now);
     });
+    if (!found) {
+        step.next_capacity_check = now + options.capacity_check_interval;
+    }
+    return found;
 }
 
 bool dispatcher::state::needs_renewal(const tracked_step& step,
@@ -60,18 +68,19 @@
     tracked_step& step, const std::map<std::string, resource_amounts>& largest,
     time_point now)
 {
-    if (!step.assigned_node.empty() || !can_start_tasks(step, largest, now)) {
+    const bool renewal = !step.tickets.empty() && needs_renewal(step, now);
+    const bool widening = !step.tickets.empty() && !renewal;
+    if (!step.assigned_node.empty() ||
+        (widening && (!step.ready || now < step.next_widening)) ||
+        !can_start_tasks(step, largest, now)) {
         return false;
     }
     if (step.tickets.empty()) {
         return true;
     }
-    if (needs_renewal(step, now)) {
+    if (renewal) {
         return can_use_advice(step, now);
     }
-    if (!step.ready || now < step.next_widening) {
-        return false;
-    }
     step.next_widening = now + options.widen_interval;
     return has_more_candidates(step, now);
 }
@@ -98,6 +107,7 @@
         return open.requests >= options.slow_requests_per_node;
     };
     const auto largest = largest_available(now);
+    capacity_checks_left = options.capacity_checks_per_scan;
     const auto* node = least_loaded(pool, is_full, now);
     for (const auto& it : order) {
         // A step is checked only if its request could be sent: the checks are
--- a/test/fleet/advice_overload.cpp
+++ b/test/fleet/advice_overload.cpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -180,6 +181,34 @@
     CHECK(cell.latencies[full_cell::short_job].size() >= 190);
 }
 
+TEST_CASE("Fast advice is not renewed for steps at the limit of their account "
+          "before others that can start tasks",
+          "[advice]")
+{
+    full_cell cell{1};
+    cell.config.accounts["l1"].limit = {1, 0, 0};
+    cell.leader().set_config(std::make_shared<const cell_config>(cell.config));
+    constexpr std::uint64_t limited_jobs = 8;
+    for (std::uint64_t i = 1; i <= limited_jobs; ++i) {
+        cell.submit_job(full_cell::short_job, "l1");
+        cell.grant({.job = 4 * i}, {"w1"}, 2500ms);
+    }
+    // Their tickets are renewed 2,330 ms after the grant.
+    cell.run(2320ms);
+    cell.advice_assignments.clear();
+    constexpr std::uint64_t other = 4 * (limited_jobs + 1);
+    auto job = make_advised_job(other, {.tasks = 4, .demand = two_cores});
+    job.acceptor.clear();
+    job.queue.priority = 2;
+    job.queue.advice->base_ms = 20;
+    job.queue.advice->per_worker_ms = 1.5;
+    cell.submit(job);
+    cell.run(10ms);
+    REQUIRE(cell.advice_assignments.size() >= 2);
+    CHECK(cell.advice_assignments[0].request.step.job == other);
+    CHECK(cell.advice_assignments[1].request.step.job < other);
+}
+
 TEST_CASE("No more steps hold tickets than can use the released capacity",
           "[advice]")
 {
