--- a/test/cell/peer_link.cpp
+++ b/test/cell/peer_link.cpp
@@ -180,14 +180,14 @@
     CHECK(it->advice_node == "n-1-1@h:1#250");
     // An earlier build reads the first two fields only.
     const auto fields = json::from_msgpack(encoded);
-    REQUIRE(fields.size() == 3);
+    REQUIRE(fields.size() == 4);
     CHECK(fields.at(0) == json::array());
     CHECK(fields.at(1) == json::array());
     const auto old = decode_message(
         fleet::pack(json::array({json::array(), json::array()})));
     REQUIRE(old);
     CHECK(old->advice_node.empty());
-    CHECK(json::from_msgpack(encode_message({})).size() == 2);
+    CHECK(json::from_msgpack(encode_message({})).size() == 3);
     CHECK_FALSE(decode_message(
         fleet::pack(json::array({json::array(), json::array(), 7}))));
 }
