Take the admission by forecast out again

The wait that it forecasts is that of a queue in order of arrival.

The test of peer messages checks malformed values of both optional fields.

--- a/src/rosemarytrail/cell/call_forwarder.cpp
+++ b/src/rosemarytrail/cell/call_forwarder.cpp
@@ -132,9 +132,7 @@
         return;
     }
     if (!it->abandoned) {
-        // Any other node would reject the job by the same forecast.
-        if (answer.kind == answer_kind::unavailable &&
-            answer.code != result_code::cell_backlog) {
+        if (answer.kind == answer_kind::unavailable) {
             abandon(it, describe(answer.code).name, false);
         } else {
             of.complete(answer);
--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -1,6 +1,7 @@
 #include <rosemarytrail/cell/internal/node_state.hpp>
 
 #include <rosemarytrail/cell/retry_delay.hpp>
+#include <rosemarytrail/fleet/admission.hpp>
 #include <rosemarytrail/logging/event_log.hpp>
 
 #include <algorithm>
@@ -169,6 +170,24 @@
     }
 }
 
+std::optional<duration>
+node::internal_state::check_admission(const fleet::job_record& record,
+                                      time_point now)
+{
+    if (!record.beyond_share) {
+        return std::nullopt;
+    }
+    auto& times = recent_starts[record.queue.name];
+    trim_starts(times, now);
+    const std::chrono::duration<double> window = options.drain_window;
+    return fleet::rejection_retry_after(
+        {.beyond_share = true,
+         .pending = jobs.pending(record.queue.name),
+         .starts_per_s = static_cast<double>(times.size()) / window.count(),
+         .slack = std::chrono::milliseconds{record.queue.target_latency_ms},
+         .job = record.id});
+}
+
 void node::internal_state::log_answer(call_kind kind, std::string_view path,
                                       const client_answer& answer,
                                       time_point asked_at, time_point now)
@@ -357,31 +376,21 @@
                              .spec = std::move(*call.job)};
     record.beyond_share =
         shares.beyond(record.account, weight_of(record.account), now);
-    // A repeat of a rejected call keeps the age of the first attempt and is not
-    // put behind newer jobs.
-    const auto age = rejected.age(id, now);
-    record.accepted_unix_ms -= to_milliseconds(age);
-    if (const auto rejection = check_admission(record, age, now)) {
-        reject_if_unknown(*rejection, std::move(record), std::move(call),
-                          std::move(done));
+    if (const auto after = check_admission(record, now)) {
+        done({.kind = answer_kind::too_many,
+              .code = result_code::account_over_limit,
+              .retry_after = after});
         return;
     }
-    record_job(record, call, std::move(done));
-}
-
-void node::internal_state::record_job(const fleet::job_record& record,
-                                      const client_call& call,
-                                      std::function<void(client_answer)> done)
-{
     logging::event(logging::level::info, "submit",
-                   {{"job", fleet::to_text(record.id)},
+                   {{"job", fleet::to_text(id)},
                     {"queue", record.queue.name},
                     {"account", record.account},
                     {"config", std::to_string(config->version)},
                     {"steps", std::to_string(record.spec.steps.size())}});
-    append_for_client(record.id, record.queue,
+    append_for_client(id, queue.policy,
                       {.key = fleet::encode_key({.kind = fleet::entry_kind::job,
-                                                 .step = {.job = record.id}}),
+                                                 .step = {.job = id}}),
                        .value = fleet::encode(record)},
                       call, answer_kind::accepted, std::move(done));
 }
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -16,8 +16,6 @@
 #include <rosemarytrail/fleet/advice_plan.hpp>
 #include <rosemarytrail/fleet/dispatcher.hpp>
 #include <rosemarytrail/fleet/job_index.hpp>
-#include <rosemarytrail/fleet/load_forecast.hpp>
-#include <rosemarytrail/fleet/rejected_attempts.hpp>
 #include <rosemarytrail/fleet/share_meter.hpp>
 
 #include <atomic>
@@ -165,11 +163,6 @@
     fleet::share_meter shares;
     /** @brief Recent start times of jobs by queue, for the drain rate. */
     std::map<std::string, std::deque<time_point>> recent_starts;
-    /** @brief Forecast of the leader, with the jobs recorded since. */
-    std::optional<fleet::load_forecast> forecast;
-    bool forecast_in_flight{false};
-    time_point next_forecast;
-    fleet::rejected_attempts rejected;
     /** @brief Newest configuration version in a response of a peer. */
     std::int64_t peer_config{};
     std::map<std::string, fleet::worker_vm> vms;
@@ -349,26 +342,8 @@
     void trim_starts(std::deque<time_point>& times, time_point now) const;
     void track_job_entry(const fleet::entry_key& about, bool new_job,
                          bool had_started, time_point now);
-    // node_admission.cpp
-    /** @brief Fetches the leader's forecast if it is due. */
-    void update_forecast(time_point now);
-    /** @brief Adds a job that was recorded after the last forecast. */
-    void add_to_forecast(const fleet::job_record& record, time_point now);
-    /** @return Rejection of an account beyond its share, if its queue is
-     * long. */
-    [[nodiscard]] std::optional<client_answer>
-    check_share(const fleet::job_record& record, time_point now);
-    /** @return Answer that rejects the submission, or nothing. */
-    [[nodiscard]] std::optional<client_answer>
-    check_admission(const fleet::job_record& record, duration age,
-                    time_point now);
-    /** @brief Answers with the rejection unless the job turns out to be
-     * recorded. */
-    void reject_if_unknown(const client_answer& rejection,
-                           fleet::job_record record, client_call call,
-                           std::function<void(client_answer)> done);
-    void record_job(const fleet::job_record& record, const client_call& call,
-                    std::function<void(client_answer)> done);
+    [[nodiscard]] std::optional<duration>
+    check_admission(const fleet::job_record& record, time_point now);
     void log_answer(call_kind kind, std::string_view path,
                     const client_answer& answer, time_point asked_at,
                     time_point now);
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -271,7 +271,6 @@
     const auto& record = *entry->record;
     if (about.kind == fleet::entry_kind::job && new_job) {
         shares.record(record.account, weight_of(record.account), now);
-        add_to_forecast(record, now);
     } else if (about.kind == fleet::entry_kind::progress && !had_started &&
                entry->has_started()) {
         auto& times = recent_starts[record.queue.name];
@@ -507,7 +506,6 @@
     entries.run(now);
     report_to_leader(now);
     drop_expired_reports(now);
-    update_forecast(now);
     if (now - last_metrics_update > metrics_period) {
         last_metrics_update = now;
         metrics.leading.set(leadership ? 1 : 0);
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -15,7 +15,6 @@
 #include <atomic>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace rosemarytrail::cell {
@@ -171,13 +170,6 @@
      */
     [[nodiscard]] leader_status leadership_status(time_point now) const;
 
-    /**
-     * @brief Returns the forecast of the waiting work; only on the loop.
-     * @param now Current time.
-     * @return Forecast, or nothing if this node does not lead.
-     */
-    [[nodiscard]] std::optional<fleet::load_forecast> forecast(time_point now);
-
     /**
      * @brief Checks whether this node accepts client calls; any thread.
      * @param now Current time.
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -40,9 +40,6 @@
     , peer_calls_failed{all.make_counter(
           "rosemarytrail_peer_calls_failed_total",
           "forwarded calls that the peer did not serve")}
-    , forecast_fetch_failures{all.make_counter(
-          "rosemarytrail_forecast_fetch_failures_total",
-          "requests for the leader's forecast without a forecast as response")}
     , feed_read_failures{all.make_counter(
           "rosemarytrail_feed_read_failures_total",
           "reads of a feed of the store that failed")}
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -46,7 +46,6 @@
     metrics::counter& entries_expired;
     metrics::counter& call_status_queries;
     metrics::counter& peer_calls_failed;
-    metrics::counter& forecast_fetch_failures;
     metrics::counter& feed_read_failures;
     metrics::counter& feed_reads_regained;
     metrics::counter& relayed_calls;
--- a/src/rosemarytrail/cell/peer_link.cpp
+++ b/src/rosemarytrail/cell/peer_link.cpp
@@ -20,7 +20,6 @@
 constexpr const char* worker_calls_path = "/peer/worker-calls";
 constexpr const char* worker_results_path = "/peer/worker-results";
 constexpr const char* leader_query_path = "/peer/lead";
-constexpr const char* forecast_path = "/peer/forecast";
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
@@ -121,24 +120,6 @@
             });
     }
 
-    void fetch_forecast(
-        std::string_view address, duration timeout,
-        std::function<void(std::optional<fleet::load_forecast>)> done) override
-    {
-        http_.fetch({.method = "POST",
-                     .url = "http://" + std::string{address} + forecast_path,
-                     .timeout = timeout},
-                    [sent = boot_clock::now(),
-                     done = std::move(done)](const http::client_response& it) {
-                        const bool complete =
-                            it.transport == http::transport_result::complete &&
-                            it.answer.status == status_ok;
-                        done(complete
-                                 ? fleet::decode_forecast(it.answer.body, sent)
-                                 : std::nullopt);
-                    });
-    }
-
 private:
     [[nodiscard]] static call_report report_of(const http::client_response& it,
                                                duration timeout)
@@ -405,8 +386,7 @@
     if (head.method != "POST" ||
         (head.path != call_path && head.path != message_path &&
          head.path != worker_calls_path && head.path != worker_results_path &&
-         head.path != leader_query_path && head.path != call_status_path &&
-         head.path != forecast_path)) {
+         head.path != leader_query_path && head.path != call_status_path)) {
         return http::response{.status = status_not_found};
     }
     return std::nullopt;
@@ -426,10 +406,6 @@
         on_call_query(std::move(it));
         return;
     }
-    if (it->incoming().path == forecast_path) {
-        on_forecast_request(std::move(it));
-        return;
-    }
     if (it->incoming().path == worker_calls_path) {
         on_worker_calls(std::move(it));
         return;
@@ -472,17 +448,6 @@
     });
 }
 
-void peer_api::on_forecast_request(std::shared_ptr<http::exchange> it)
-{
-    loop_.post([this, it = std::move(it)] {
-        const auto now = boot_clock::now();
-        const auto forecast = target_.forecast(now);
-        it->respond(forecast
-                        ? http::response{.body = fleet::encode(*forecast, now)}
-                        : http::response{.status = status_conflict});
-    });
-}
-
 void peer_api::on_worker_calls(std::shared_ptr<http::exchange> it)
 {
     auto batch = decode_calls(it->incoming().body);
--- a/src/rosemarytrail/cell/peer_link.hpp
+++ b/src/rosemarytrail/cell/peer_link.hpp
@@ -8,7 +8,6 @@
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/fleet/advice_request.hpp>
 #include <rosemarytrail/fleet/ledger_codec.hpp>
-#include <rosemarytrail/fleet/load_forecast.hpp>
 #include <rosemarytrail/http/client.hpp>
 #include <rosemarytrail/http/server.hpp>
 
@@ -216,18 +215,6 @@
     query_leader(std::string_view address, duration timeout,
                  std::function<void(leader_query_result, const leader_status&)>
                      done) = 0;
-
-    /**
-     * @brief Fetches the forecast of the leader.
-     * @param address IP address and port of the leader.
-     * @param timeout How long to wait for the response.
-     * @param done Called once with the forecast, its age counted from the
-     * request; nothing if there is none, as from a node that does not lead or
-     * runs an older build.
-     */
-    virtual void fetch_forecast(
-        std::string_view address, duration timeout,
-        std::function<void(std::optional<fleet::load_forecast>)> done) = 0;
 };
 
 /**
@@ -258,7 +245,6 @@
     void on_worker_results(std::shared_ptr<http::exchange> it);
     void on_leader_query(std::shared_ptr<http::exchange> it);
     void on_call_query(std::shared_ptr<http::exchange> it);
-    void on_forecast_request(std::shared_ptr<http::exchange> it);
 
     http::event_loop& loop_;
     node& target_;
--- a/src/rosemarytrail/core/result_code.cpp
+++ b/src/rosemarytrail/core/result_code.cpp
@@ -74,13 +74,6 @@
                     "limit; not run"},
     result_code_row{result_code::queue_full, "queue_full", 503,
                     "a bounded queue is full; not run"},
-    result_code_row{result_code::account_limit_backlog, "account_limit_backlog",
-                    429,
-                    "the work of the client account that waits for its limit "
-                    "would delay the job beyond use; not run"},
-    result_code_row{result_code::cell_backlog, "cell_backlog", 503,
-                    "the work that waits for the cell's capacity would delay "
-                    "the job beyond use; not run"},
     result_code_row{result_code::service_unknown, "service_unknown", 404,
                     "no such service"},
     result_code_row{result_code::no_upstream, "no_upstream", 503,
--- a/src/rosemarytrail/core/result_code.hpp
+++ b/src/rosemarytrail/core/result_code.hpp
@@ -47,8 +47,6 @@
     submission_outcome_unknown = 212,
     account_over_limit = 213,
     queue_full = 214,
-    account_limit_backlog = 215,
-    cell_backlog = 216,
 
     // 300: requests to services
     service_unknown = 300,
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -9,6 +9,28 @@
 
 namespace rosemarytrail::fleet {
 
+namespace {
+
+/** @return Longest chain of dependent declared work, in milliseconds. */
+[[nodiscard]] std::int64_t longest_chain(const job_spec& spec)
+{
+    std::vector<std::int64_t> ends;
+    std::int64_t longest = 0;
+    for (const auto& step : spec.steps) {
+        std::int64_t start = 0;
+        for (const auto before : step.depends_on) {
+            if (before < ends.size()) {
+                start = std::max(start, ends[before]);
+            }
+        }
+        ends.push_back(start + (step.long_running ? 0 : step.estimate_ms));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+} // namespace
+
 dispatcher::dispatcher(const dispatcher_options& options,
                        const job_index& ledger_jobs, time_point now,
                        std::int64_t unix_ms)
@@ -16,7 +38,6 @@
 {
     state_->options = options;
     state_->last_plan = now;
-    state_->started_at = now;
     state_->restore_run_times(ledger_jobs, now);
     ledger_jobs.each_live([&](std::uint64_t /*id*/, const job_entry& entry) {
         state_->add_job(entry, now, unix_ms);
@@ -259,7 +280,7 @@
     job.payload =
         std::make_shared<const std::string>(std::move(job.record.spec.payload));
     const auto& spec = job.record.spec;
-    job.chain_ms = longest_chain_ms(spec);
+    job.chain_ms = longest_chain(spec);
     // New submissions are read within milliseconds, so the age matters only for
     // jobs found at a takeover. It is clamped because the nodes' clocks may
     // differ.
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -5,7 +5,6 @@
 #include <rosemarytrail/fleet/advice_request.hpp>
 #include <rosemarytrail/fleet/cell_config.hpp>
 #include <rosemarytrail/fleet/job_index.hpp>
-#include <rosemarytrail/fleet/load_forecast.hpp>
 #include <rosemarytrail/fleet/relocation.hpp>
 #include <rosemarytrail/fleet/triage.hpp>
 #include <rosemarytrail/fleet/worker_calls.hpp>
@@ -407,13 +406,6 @@
      */
     [[nodiscard]] dispatcher_counts count(time_point now) const;
 
-    /**
-     * @brief Summarises the waiting work; computed at most every 500 ms.
-     * @param now Current time.
-     * @return Forecast, valid until the next call.
-     */
-    [[nodiscard]] const load_forecast& forecast(time_point now);
-
 private:
     struct state;
     std::unique_ptr<state> state_;
--- a/src/rosemarytrail/fleet/fwd.hpp
+++ b/src/rosemarytrail/fleet/fwd.hpp
@@ -19,7 +19,6 @@
 struct task_key;
 struct worker_vm;
 struct cell_config;
-struct load_forecast;
 
 class job_index;
 class dispatcher;
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -2,7 +2,6 @@
 #define ROSEMARYTRAIL_FLEET_INTERNAL_DISPATCHER_STATE_HPP
 
 #include <rosemarytrail/fleet/advice_reserve.hpp>
-#include <rosemarytrail/fleet/completion_meter.hpp>
 #include <rosemarytrail/fleet/dispatcher.hpp>
 #include <rosemarytrail/fleet/internal/work_order.hpp>
 
@@ -435,9 +434,6 @@
     internal::work_order service_order;
     bool replan{true};
     bool superseded{false};
-    time_point started_at;
-    completion_meter completions;
-    std::optional<load_forecast> last_forecast;
 
     [[nodiscard]] tracked_step* find_step(const step_key& key);
     [[nodiscard]] task_state* find_task(const task_key& key);
@@ -523,15 +519,6 @@
     [[nodiscard]] std::string describe_timing(const tracked_job& job,
                                               const job_timing& timing) const;
 
-    // internal/forecasting.cpp
-    void forecast_waiting(load_forecast& result) const;
-    void forecast_drain(load_forecast& result, time_point now);
-    /** @return Work of the steps that become ready once this one, all of whose
-     * tasks run, is done; in core-milliseconds. */
-    [[nodiscard]] std::int64_t successor_work(const tracked_step& step) const;
-    void count_completed(const tracked_step& step, const task_state& task,
-                         time_point now);
-
     // internal/worker_speed.cpp
     void update_speeds(const tracked_step& step);
     void update_speed_by_progress(tracked_worker& worker,
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -148,14 +148,12 @@
 void dispatcher::state::complete_task(tracked_step& step, std::uint32_t index,
                                       time_point now)
 {
-    count_completed(step, step.tasks[index], now);
     set_done(step, index);
     if (step.spec->gang) {
         // The end of one member completes the gang; the ends of the others are
         // reported later.
         for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
             if (step.tasks[i].phase != task_phase::done) {
-                count_completed(step, step.tasks[i], now);
                 set_done(step, i);
             }
         }
--- a/src/rosemarytrail/fleet/job.cpp
+++ b/src/rosemarytrail/fleet/job.cpp
@@ -1,6 +1,5 @@
 #include <rosemarytrail/fleet/job.hpp>
 
-#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -26,23 +25,6 @@
 
 } // namespace
 
-std::int64_t longest_chain_ms(const job_spec& spec)
-{
-    std::vector<std::int64_t> ends;
-    std::int64_t longest = 0;
-    for (const auto& step : spec.steps) {
-        std::int64_t start = 0;
-        for (const auto before : step.depends_on) {
-            if (before < ends.size()) {
-                start = std::max(start, ends[before]);
-            }
-        }
-        ends.push_back(start + (step.long_running ? 0 : step.estimate_ms));
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
-}
-
 std::string to_text(std::uint64_t id)
 {
     std::string text(id_digits, '0');
--- a/src/rosemarytrail/fleet/job.hpp
+++ b/src/rosemarytrail/fleet/job.hpp
@@ -307,13 +307,6 @@
     std::int64_t granted_unix_ms{};
 };
 
-/**
- * @brief Returns the longest chain of dependent declared work of a job.
- * @param spec Job.
- * @return Its length in milliseconds; long-running steps count as zero.
- */
-[[nodiscard]] std::int64_t longest_chain_ms(const job_spec& spec);
-
 /**
  * @brief Formats a job id as clients and workers use it.
  * @param id Job id.
--- a/test/cell/peer_link.cpp
+++ b/test/cell/peer_link.cpp
@@ -1,17 +1,12 @@
-#include <rosemarytrail/cell/member_name.hpp>
-#include <rosemarytrail/cell/node.hpp>
 #include <rosemarytrail/cell/peer_link.hpp>
 #include <rosemarytrail/fleet/msgpack.hpp>
 #include <test/lib/fixed_server.hpp>
-#include <test/lib/model_cell.hpp>
 
 #include <catch2/catch.hpp>
 
 #include <nlohmann/json.hpp>
 
 #include <future>
-#include <memory>
-#include <utility>
 
 namespace rosemarytrail::cell {
 
@@ -20,57 +15,6 @@
 using namespace std::chrono_literals;
 constexpr time_point now{std::chrono::seconds{50}};
 
-/** @brief Request that is answered to a callback. */
-class model_exchange final : public http::exchange
-{
-public:
-    model_exchange(http::request incoming, http::client::callback done)
-        : incoming_{std::move(incoming)}
-        , done_{std::move(done)}
-    {}
-
-    [[nodiscard]] const http::request& incoming() const noexcept override
-    {
-        return incoming_;
-    }
-    void respond(http::response answer) override
-    {
-        done_({.transport = http::transport_result::complete,
-               .answer = std::move(answer)});
-    }
-    void cut_off(http::response /*answer*/,
-                 std::size_t /*partial_bytes*/) override
-    {}
-
-private:
-    http::request incoming_;
-    http::client::callback done_;
-};
-
-/** @brief HTTP client whose requests a handler serves; without one, each path
- * is unknown, as a new one is to an older build. */
-class model_client final : public http::client
-{
-public:
-    void fetch(http::client_request outgoing, callback done) override
-    {
-        const auto path = outgoing.url.substr(outgoing.url.find("/peer"));
-        http::request request{.method = outgoing.method, .path = path};
-        const auto rejection =
-            target == nullptr ? std::optional{http::response{.status = 404}}
-                              : target->on_head(request);
-        auto it = std::make_shared<model_exchange>(std::move(request),
-                                                   std::move(done));
-        if (rejection) {
-            it->respond(*rejection);
-        } else {
-            target->on_request(std::move(it));
-        }
-    }
-
-    http::handler* target{};
-};
-
 } // namespace
 
 TEST_CASE("A call to a peer round-trips", "[peer]")
@@ -189,7 +133,9 @@
     CHECK(old->advice_node.empty());
     CHECK(json::from_msgpack(encode_message({})).size() == 3);
     CHECK_FALSE(decode_message(
-        fleet::pack(json::array({json::array(), json::array(), 7}))));
+        fleet::pack(json::array({json::array(), json::array(), "n"}))));
+    CHECK_FALSE(decode_message(
+        fleet::pack(json::array({json::array(), json::array(), -1, 7}))));
 }
 
 TEST_CASE("A leadership status round-trips", "[peer]")
@@ -218,51 +164,4 @@
     CHECK_FALSE(decode_answer("zz"));
 }
 
-TEST_CASE("Only a leader answers a request for the forecast", "[peer]")
-{
-    test::stepped_loop loop;
-    test::model_store store{loop};
-    store.put(feed::configuration, "c", "1");
-    store.put(feed::workers, "w1", "1");
-    test::model_workers workers{loop};
-    test::model_advice advice{loop};
-    test::model_peers peers{loop};
-    const test::model_formats formats;
-    metrics::registry metrics;
-    node target{{.name = "n",
-                 .member = to_text(
-                     {.incarnation = "n", .address = "n:1", .cpu_millis = 250}),
-                 .cpu_millis = 250},
-                loop,
-                store,
-                workers,
-                peers,
-                advice,
-                formats,
-                metrics};
-    peer_api api{loop, target};
-    model_client client;
-    const auto link = make_peer_link(client);
-    const auto fetch = [&] {
-        std::optional<std::optional<fleet::load_forecast>> result;
-        link->fetch_forecast("n:1", 1s,
-                             [&](std::optional<fleet::load_forecast> it) {
-                                 result = std::move(it);
-                             });
-        REQUIRE(loop.run_until([&] { return result.has_value(); }, 10s));
-        return *result;
-    };
-    CHECK_FALSE(fetch());
-    client.target = &api;
-    CHECK_FALSE(fetch());
-    target.start();
-    REQUIRE(loop.run_until(
-        [&] { return target.leadership_status(boot_clock::now()).leading; },
-        20s));
-    const auto it = fetch();
-    REQUIRE(it);
-    CHECK(it->epoch == target.leadership_status(boot_clock::now()).epoch);
-    CHECK(boot_clock::now() - it->computed_at < duration{10s});
-}
-
 } // namespace rosemarytrail::cell
--- a/test/cell/relayed_workers.cpp
+++ b/test/cell/relayed_workers.cpp
@@ -37,11 +37,6 @@
                  std::function<void(leader_query_result, const leader_status&)>
                  /*done*/) override
     {}
-    void fetch_forecast(
-        std::string_view /*address*/, duration /*timeout*/,
-        std::function<void(std::optional<fleet::load_forecast>)> /*done*/)
-        override
-    {}
     void send_calls(std::string_view address, const worker_call_batch& batch,
                     duration /*timeout*/,
                     std::function<void(message_result)> done) override
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -391,17 +391,6 @@
     });
 }
 
-void model_peers::fetch_forecast(
-    std::string_view address, duration /*timeout*/,
-    std::function<void(std::optional<fleet::load_forecast>)> done)
-{
-    const auto it = nodes.find(std::string{address});
-    loop_.post([to = it == nodes.end() ? nullptr : it->second,
-                done = std::move(done)] {
-        done(to == nullptr ? std::nullopt : to->forecast(boot_clock::now()));
-    });
-}
-
 std::optional<fleet::cell_config>
 model_formats::configuration(const cell::feed_record& record) const
 {
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -180,10 +180,6 @@
                                          const cell::leader_status&)>
                           done) override;
 
-    void fetch_forecast(
-        std::string_view address, duration timeout,
-        std::function<void(std::optional<fleet::load_forecast>)> done) override;
-
     /** @brief Reports to the callers that the calls and status queries without
      * a response have timed out. */
     void time_out();
