Count a long-running task as unavailable until its startup is done

Cause: found while reading the moves before their merge.

Ruled out: relying on the memory of losses, which covers tasks that were lost, not those that were stopped; and on the rate of moves, which grows with the zone.

Change: a long-running task is at work at 100 percent.

--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -610,7 +610,8 @@
                                        const tracked_step& step,
                                        std::uint32_t index,
                                        time_point now) const;
-    [[nodiscard]] bool is_at_work(const task_state& task) const;
+    [[nodiscard]] bool is_at_work(const tracked_step& step,
+                                  const task_state& task) const;
     [[nodiscard]] std::size_t count_unavailable(const tracked_step& step,
                                                 time_point now) const;
     void move_task(const task_relocation& move, time_point now);
--- a/src/rosemarytrail/fleet/internal/task_relocation.cpp
+++ b/src/rosemarytrail/fleet/internal/task_relocation.cpp
@@ -26,11 +26,15 @@
 
 } // namespace
 
-bool dispatcher::state::is_at_work(const task_state& task) const
+// A long-running task serves nobody until it has completed its startup.
+bool dispatcher::state::is_at_work(const tracked_step& step,
+                                   const task_state& task) const
 {
+    constexpr std::int32_t started_up = 100;
     const auto worker = workers.find(task.worker);
     return task.phase == task_phase::running && worker != workers.end() &&
-           worker->second.unanswered == 0;
+           worker->second.unanswered == 0 &&
+           (!step.spec->long_running || task.percent >= started_up);
 }
 
 std::size_t dispatcher::state::count_unavailable(const tracked_step& step,
@@ -39,7 +43,7 @@
     const auto n = std::ranges::count_if(step.tasks, [&](const auto& it) {
         const bool lost =
             it.lost_at && now - *it.lost_at < options.relocation.loss_memory;
-        return lost || !is_at_work(it);
+        return lost || !is_at_work(step, it);
     });
     return static_cast<std::size_t>(n);
 }
@@ -51,7 +55,7 @@
 {
     const auto& task = step.tasks[index];
     closing_task result{.index = index,
-                        .at_work = is_at_work(task),
+                        .at_work = is_at_work(step, task),
                         .expected_end = time_point::max(),
                         .rate_allows = worker.next_slow_move <= now};
     if (worker.leaves_at) {
--- a/test/fleet/evacuation.cpp
+++ b/test/fleet/evacuation.cpp
@@ -199,4 +199,27 @@
     }
 }
 
+// Its replacement is running long before it serves its users.
+TEST_CASE("A moved long-running task is unavailable until its startup is done",
+          "[evacuation]")
+{
+    two_zones cell;
+    cell.startup = 9s;
+    const step_spec lasting{.tasks = 8,
+                            .demand = one_core,
+                            .long_running = true,
+                            .max_unavailable = 1};
+    // The rate of moves would allow several tasks of each job.
+    cell.submit(make_job(1, {lasting}));
+    cell.submit(make_job(2, {lasting}));
+    cell.run(12s);
+    const auto before = cell.running_in_a();
+    REQUIRE(before > 8);
+    cell.leader().set_evacuated_zones({"a"});
+    cell.run(8s);
+    CHECK(cell.running_in_a() < before);
+    CHECK(cell.running_in_a() + 2 >= before);
+    CHECK(cell.violations.empty());
+}
+
 } // namespace rosemarytrail::fleet
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -13,6 +13,9 @@
 [[nodiscard]] std::int32_t percent_of(const model_run& run, time_point now)
 {
     constexpr int whole = 100;
+    if (run.startup) {
+        return now - run.started >= *run.startup ? whole : 0;
+    }
     const auto done = run.resumed + (now - run.started);
     const auto length = run.resumed + (run.ends - run.started);
     return static_cast<std::int32_t>(whole * done /
@@ -292,12 +295,14 @@
                                  ? std::chrono::milliseconds{std::stoll(
                                        request.checkpoint.substr(1))}
                                  : std::chrono::milliseconds{};
-    it.running[request.task] = {.run = request.run,
-                                .started = now,
-                                .ends = now + length - resumed,
-                                .demand = step.reserved(),
-                                .checkpoint = step.checkpoints ? "c" : "",
-                                .resumed = resumed};
+    it.running[request.task] = {
+        .run = request.run,
+        .started = now,
+        .ends = now + length - resumed,
+        .demand = step.reserved(),
+        .checkpoint = step.checkpoints ? "c" : "",
+        .resumed = resumed,
+        .startup = step.long_running ? std::optional{startup} : std::nullopt};
     check(it);
     if (crashes_worker && crashes_worker(request.task)) {
         // Three workers may crash, and two more starts may follow.
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -24,6 +24,8 @@
     std::string checkpoint;
     /** @brief Work saved in the checkpoint that it resumed from. */
     duration resumed{};
+    /** @brief Startup of a long-running task; none for other tasks. */
+    std::optional<duration> startup;
     bool stopping{false};
 };
 
@@ -104,6 +106,9 @@
     /** @brief Executed starts, by task. */
     std::map<fleet::task_key, std::size_t> starts;
     std::vector<fleet::throttle_request> throttles;
+    /** @brief Time from the start of a long-running task until it is at work.
+     */
+    duration startup{std::chrono::milliseconds{300}};
     /** @brief Time from a stop request to the end of the run. */
     duration stop_time{};
     /** @brief Workers refuse all tickets while it is set. */
