--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -81,9 +81,6 @@
     /** @brief Minimum fraction of the trusted nodes that send fast advice
      * requests only. */
     double min_fast_advice_share{0.25};
-    /** @brief Fraction of the nodes for slow requests that stays idle while
-     * only steps without available capacity wait for advice. */
-    double idle_slow_advice_share{0.25};
     /** @brief Maximum intended wait of fast requests; for each such amount of
      * backlog, one node is withheld from slow requests. */
     duration max_fast_advice_wait{std::chrono::milliseconds{250}};
@@ -125,18 +122,12 @@
     duration expired_widen_interval{std::chrono::milliseconds{1000}};
     /** @brief Maximum number of these checks in one scan. */
     std::size_t candidate_checks_per_scan{8};
-    /** @brief Maximum number of searches for a worker with capacity, before
-     * slow requests, in one scan; each scans all workers in the worst case. */
-    std::size_t capacity_checks_per_scan{64};
-    /** @brief Minimum time until a step is searched again after a search that
-     * found none. */
-    duration capacity_check_interval{std::chrono::milliseconds{25}};
     /** @brief Interval after which a step without other candidates requests its
      * refused workers again; doubled each time that no new worker is granted.
      */
     duration refused_retry_interval{std::chrono::milliseconds{4000}};
     duration max_refused_retry_interval{std::chrono::milliseconds{60000}};
-    /** @brief Number of steps at the head of the queue whose fast advice is
+    /** @brief Number of steps at the head of the queue whose tickets are
      * renewed even without available capacity. */
     std::size_t always_renewed_steps{8};
     /** @brief Time that a response may exceed its expected duration before the
--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -121,6 +121,28 @@
     return true;
 }
 
+bool dispatcher::state::wants_advice(tracked_step& step, std::size_t position,
+                                     time_point now)
+{
+    const auto& policy = *step.job->record.queue.advice;
+    if (step.tickets.empty()) {
+        return true;
+    }
+    const auto cost = advice_cost(policy, step.tickets.size());
+    if (step.tickets_until - cost > now) {
+        if (!step.ready || now < step.next_widening) {
+            return false;
+        }
+        step.next_widening = now + options.widen_interval;
+        return has_more_candidates(step, now);
+    }
+    if (position < options.always_renewed_steps) {
+        retry_refused(step, now);
+        return true;
+    }
+    return can_use_advice(step, now);
+}
+
 // Workers without a ticket count too: those with one may stay full for as long
 // as the step runs, such as those that have reached its tasks_per_vm.
 bool dispatcher::state::can_use_advice(tracked_step& step, time_point now)
@@ -296,28 +318,43 @@
     // after a request was assigned.
     const auto* node = least_loaded(members, is_full, now);
     std::size_t position = 0;
-    // Renewals that no worker has capacity for come last.
-    std::vector<tracked_step*> without_capacity;
     for (const auto& it : order) {
         if (node == nullptr) {
             return;
         }
-        const bool always = position++ < options.always_renewed_steps;
-        if (!it.step->tickets.empty() && !can_use_advice(*it.step, now)) {
-            if (always) {
-                without_capacity.push_back(it.step);
-            }
+        // Under load, initial requests precede renewals that no worker has
+        // capacity for.
+        const bool renewal = !it.step->tickets.empty();
+        if (position++ >= options.always_renewed_steps && renewal &&
+            !can_use_advice(*it.step, now)) {
             continue;
         }
         open_request(*it.step, *node, now);
         node = least_loaded(members, is_full, now);
     }
-    for (auto* step : without_capacity) {
+}
+
+void dispatcher::state::request_slow_advice(std::span<const ranked_step> order,
+                                            std::span<const std::string> pool,
+                                            time_point now)
+{
+    const auto is_full = [this](const node_backlog& open) {
+        return open.requests >= options.slow_requests_per_node;
+    };
+    const auto* node = least_loaded(pool, is_full, now);
+    std::size_t position = 0;
+    for (const auto& it : order) {
+        // A step is checked only if its request could be sent: the checks are
+        // limited in number, and steps that rank lower would take the node.
         if (node == nullptr) {
             return;
         }
-        open_request(*step, *node, now);
-        node = least_loaded(members, is_full, now);
+        const auto here = position++;
+        if (it.step->assigned_node.empty() &&
+            wants_advice(*it.step, here, now)) {
+            open_request(*it.step, *node, now);
+            node = least_loaded(pool, is_full, now);
+        }
     }
 }
 
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -1,7 +1,6 @@
 #ifndef ROSEMARYTRAIL_FLEET_INTERNAL_DISPATCHER_STATE_HPP
 #define ROSEMARYTRAIL_FLEET_INTERNAL_DISPATCHER_STATE_HPP
 
-#include <rosemarytrail/fleet/advice_reserve.hpp>
 #include <rosemarytrail/fleet/dispatcher.hpp>
 #include <rosemarytrail/fleet/internal/work_order.hpp>
 
@@ -200,8 +199,6 @@
     duration refused_retry{};
     /** @brief Next check for further candidates. */
     time_point next_widening;
-    /** @brief Next search for a worker with capacity before a slow request. */
-    time_point next_capacity_check;
     /** @brief The occurrence is due and all preceding steps are done, so that
      * tasks may be placed. */
     bool ready{false};
@@ -426,8 +423,6 @@
     /** @brief Remaining checks for further candidates of expired steps in this
      * scan. */
     std::size_t candidate_checks_left{};
-    /** @brief Remaining searches for a worker with capacity in this scan. */
-    std::size_t capacity_checks_left{};
     /** @brief Jobs whose outcome is recorded; removed once their last task has
      * stopped. */
     std::set<std::uint64_t> awaiting_removal;
@@ -564,8 +559,12 @@
                                          time_point now) const;
     void request_fast_advice(std::span<const ranked_step> order,
                              time_point now);
+    void request_slow_advice(std::span<const ranked_step> order,
+                             std::span<const std::string> pool, time_point now);
     [[nodiscard]] std::vector<std::string> slow_nodes(duration fast_backlog,
                                                       time_point now) const;
+    [[nodiscard]] bool wants_advice(tracked_step& step, std::size_t position,
+                                    time_point now);
     [[nodiscard]] bool has_capacity(tracked_step& step, time_point now);
     [[nodiscard]] bool can_use_advice(tracked_step& step, time_point now);
     void schedule_refused_retry(tracked_step& step, time_point now) const;
@@ -574,25 +573,6 @@
     [[nodiscard]] bool nearly_ready(const tracked_step& step, duration horizon,
                                     time_point now) const;
 
-    // internal/slow_advice.cpp
-    void request_slow_advice(std::span<const ranked_step> order,
-                             std::span<const std::string> pool, time_point now);
-    /** @return Largest available amounts on a worker, by service. */
-    [[nodiscard]] std::map<std::string, resource_amounts>
-    largest_available(time_point now) const;
-    [[nodiscard]] bool
-    can_start_tasks(tracked_step& step,
-                    const std::map<std::string, resource_amounts>& largest,
-                    time_point now);
-    [[nodiscard]] bool needs_renewal(const tracked_step& step,
-                                     time_point now) const;
-    [[nodiscard]] bool
-    can_use_more_advice(tracked_step& step,
-                        const std::map<std::string, resource_amounts>& largest,
-                        time_point now);
-    [[nodiscard]] bool add_to_reserve(advice_reserve& reserve,
-                                      const tracked_step& step) const;
-
     // internal/candidate_selection.cpp
     [[nodiscard]] std::size_t tasks_that_fit(const tracked_worker& worker,
                                              const tracked_step& step,
