--- a/test/cell/ledger_followers.cpp
+++ b/test/cell/ledger_followers.cpp
@@ -71,6 +71,7 @@
     }
     const auto addresses = [](const std::vector<std::string>& names) {
         std::vector<std::string> result;
+        result.reserve(names.size());
         for (const auto& it : names) {
             result.push_back(address_of(it));
         }
