Compute ranks and estimates in a planning pass only where they are used

Each planning pass estimated the work of every waiting step, of which few are placed; each read of the configuration, about one a second, made the leader scan all workers and plan again although the evacuated zones had not changed; and rank_of took a current time that it no longer reads.

Ruled out: checking the zones where the feed is read; a leader that has just been elected would need the same check. Taking out the unused setting of the interval between checkpoints: a test reads it.

Change: the estimate follows a placement, set_evacuated_zones returns if nothing changes, rank_of has no time. Same decisions.

--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -249,7 +249,7 @@
                         : wants_fast_advice(step, now)) {
                 (is_slow ? slow_steps : fast_steps)
                     .push_back(
-                        {.rank = internal::rank_of(step, now), .step = &step});
+                        {.rank = internal::rank_of(step), .step = &step});
             }
         }
     }
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -51,10 +51,9 @@
  * jobs are first, or those that `overload_order` names if the class exceeds the
  * capacity. The rank is that of the last planning pass.
  * @param step Step.
- * @param now Current time.
  * @return Its rank; the smallest is served first.
  */
-[[nodiscard]] step_rank rank_of(const tracked_step& step, time_point now);
+[[nodiscard]] step_rank rank_of(const tracked_step& step);
 
 /** @brief Step with its rank. */
 struct ranked_step
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -277,8 +277,7 @@
         const bool advised = step->job->record.queue.advice.has_value();
         if (step->waiting > 0 && !step->job->ended() &&
             (!advised || step->tickets_until > now)) {
-            order.push_back(
-                {.rank = internal::rank_of(*step, now), .step = step});
+            order.push_back({.rank = internal::rank_of(*step), .step = step});
         }
     }
     std::ranges::sort(order, internal::served_before);
@@ -292,8 +291,11 @@
         } else {
             it.place_step(*step, now, step->tasks.size());
         }
-        placed_work +=
-            it.work_of(*step) * static_cast<double>(before - step->waiting);
+        // Of thousands of waiting steps, few are placed in a pass.
+        if (step->waiting != before) {
+            placed_work +=
+                it.work_of(*step) * static_cast<double>(before - step->waiting);
+        }
         tasks_left = tasks_left || step->waiting > 0;
     }
     it.add_aging_credit(placed_work, tasks_left);
--- a/src/rosemarytrail/fleet/internal/work_order.cpp
+++ b/src/rosemarytrail/fleet/internal/work_order.cpp
@@ -70,8 +70,7 @@
 
 } // namespace
 
-internal::step_rank internal::rank_of(const tracked_step& step,
-                                      time_point /*now*/)
+internal::step_rank internal::rank_of(const tracked_step& step)
 {
     const auto& job = *step.job;
     return {.group = group_of(job),
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -102,6 +102,9 @@
 void dispatcher::set_evacuated_zones(const std::set<std::string>& zones)
 {
     auto& self = *state_;
+    if (zones == self.evacuated_zones) {
+        return;
+    }
     self.evacuated_zones = zones;
     for (auto& [id, it] : self.workers) {
         it.evacuated = zones.contains(it.vm.zone);
