Compute percentiles of the benches from a view

On x86-64 the same compiler does not warn.

Ruled out: taking the warning out of the build, which would hide real ones; a fault of the bench, since the vector is an ordinary copy.

Change: percentile takes a span and copies it in its body.

--- a/bench/percentile.hpp
+++ b/bench/percentile.hpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <span>
 #include <vector>
 
 namespace rosemarytrail::bench {
@@ -13,7 +14,7 @@
  * @param fraction Fraction from 0 to 1.
  * @return The value; zero if there are none.
  */
-[[nodiscard]] inline double percentile(std::vector<double> values,
+[[nodiscard]] inline double percentile(std::span<const double> values,
                                        double fraction)
 {
     if (values.empty()) {
@@ -21,8 +22,10 @@
     }
     const auto last = static_cast<double>(values.size() - 1);
     const auto n = static_cast<std::ptrdiff_t>(last * fraction);
-    std::nth_element(values.begin(), values.begin() + n, values.end());
-    return values[static_cast<std::size_t>(n)];
+    std::vector<double> partly_sorted{values.begin(), values.end()};
+    const auto nth = partly_sorted.begin() + n;
+    std::nth_element(partly_sorted.begin(), nth, partly_sorted.end());
+    return *nth;
 }
 
 } // namespace rosemarytrail::bench
