Log failed claims, unrenewed workers and withheld starts

Cause: the logs of a node cannot tell the three hypotheses on lapsed leases apart. A claim of leadership that fails leaves no line, so a cell without a leader looks idle; workers whose lease is not renewed are not counted; and a placement that is on record and not started leaves no line at all.

Ruled out: deriving it from what is there. leader_changed and lead_taken say only who led at last, append_slow has claims and entries alike.

Change: leader_lost and claim_failed, with the result, the attempts and the time since the first; lead_taken has the same. books and two gauges count workers with tasks that did not answer the last poll, and those whose lease waits for a ledger entry. A withheld start is logged with its reason. Counters for claims and for withheld starts, by reason. No decision changes.

--- a/src/rosemarytrail/cell/internal/node_leadership.cpp
+++ b/src/rosemarytrail/cell/internal/node_leadership.cpp
@@ -198,12 +198,31 @@
         [this, epoch = jobs.leader().epoch](leader_query_result how,
                                             const leader_status& status) {
             leader_query_in_flight = false;
+            const bool was_lost = monitor.may_claim(jobs.leader(), elected);
             monitor.on_query_result(epoch, how, status, boot_clock::now(),
                                     shared.serving_since());
+            if (!was_lost && monitor.may_claim(jobs.leader(), elected)) {
+                log_lost_leader(how, status);
+            }
             try_claim();
         });
 }
 
+void node::internal_state::log_lost_leader(leader_query_result result,
+                                           const leader_status& status) const
+{
+    const bool reported = result == leader_query_result::reported;
+    logging::event(
+        logging::level::info, "leader_lost",
+        {{"leader", jobs.leader().node},
+         {"epoch", std::to_string(jobs.leader().epoch)},
+         {"query", to_text(result)},
+         {"leading", reported ? (status.leading ? "true" : "false") : "none"},
+         {"store_age_ms",
+          reported ? std::to_string(to_milliseconds(status.store_age))
+                   : "none"}});
+}
+
 void node::internal_state::try_claim()
 {
     if (leadership || claiming || claim || shutting_down || !ledger.loaded() ||
@@ -215,6 +234,10 @@
     const auto epoch = jobs.leader().epoch + 1;
     const auto claim_offset = ledger.offset();
     const auto sent = boot_clock::now();
+    metrics.claims.add();
+    if (attempts.sent++ == 0) {
+        attempts.since = sent;
+    }
     append_request request{
         .entries = {{.key =
                          fleet::encode_key({.kind = fleet::entry_kind::leader}),
@@ -231,6 +254,7 @@
             ledger.catch_up([this](bool) { confirm_claim(); });
             return;
         }
+        on_claim_failed(epoch, it.result, sent);
         // The next page of the ledger shows who leads. If it cannot be read,
         // the claim is repeated after the next successful join.
         if (it.result == store_result::conflict) {
@@ -245,6 +269,23 @@
     });
 }
 
+void node::internal_state::on_claim_failed(std::uint64_t epoch,
+                                           store_result result, time_point sent)
+{
+    const auto now = boot_clock::now();
+    auto& counter = result == store_result::conflict ? metrics.claims_conflicted
+                    : result == store_result::unknown
+                        ? metrics.claims_unanswered
+                        : metrics.claims_refused;
+    counter.add();
+    logging::event(logging::level::info, "claim_failed",
+                   {{"epoch", std::to_string(epoch)},
+                    {"result", to_text(result)},
+                    {"took_ms", age_text(sent, now)},
+                    {"attempts", std::to_string(attempts.sent)},
+                    {"claiming_for_ms", age_text(attempts.since, now)}});
+}
+
 // Two nodes may claim the same epoch concurrently: the store treats the second
 // append as a repeat of the first and confirms both. The ledger holds only one
 // of the claims, which decides who leads.
@@ -263,6 +304,7 @@
     logging::event(logging::level::info, "claim_lost",
                    {{"epoch", std::to_string(own_claim.epoch)},
                     {"leader", jobs.leader().node}});
+    attempts = {};
     elected = false;
 }
 
@@ -292,7 +334,10 @@
                     {"ledger_offset", std::to_string(claim_offset)},
                     {"jobs", std::to_string(counts.jobs)},
                     {"placed", std::to_string(counts.placed)},
-                    {"workers", std::to_string(counts.workers)}});
+                    {"workers", std::to_string(counts.workers)},
+                    {"claims", std::to_string(attempts.sent)},
+                    {"claiming_for_ms", age_text(attempts.since, now)}});
+    attempts = {};
     assign_relays();
     announce();
     run();
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -212,6 +212,14 @@
         time_point sent;
     };
     std::optional<pending_claim> claim;
+    /** @brief Claims sent since this node last led or gave up, and when the
+     * first of them was sent. */
+    struct claim_attempts
+    {
+        std::size_t sent{};
+        time_point since;
+    };
+    claim_attempts attempts;
     bool shutting_down{false};
     bool run_posted{false};
     time_point last_run;
@@ -258,7 +266,11 @@
     void update_read_intervals();
     void on_join(const membership& it, time_point sent);
     void check_leader();
+    void log_lost_leader(leader_query_result result,
+                         const leader_status& status) const;
     void try_claim();
+    void on_claim_failed(std::uint64_t epoch, store_result result,
+                         time_point sent);
     void confirm_claim();
     void assume_leadership(std::uint64_t epoch, std::int64_t claim_offset,
                            time_point sent);
@@ -278,7 +290,7 @@
     void run_now();
     void tick();
     void drop_old_outcomes();
-    static void log_counts(const fleet::dispatcher_counts& counts);
+    void log_counts(const fleet::dispatcher_counts& counts) const;
     [[nodiscard]] std::optional<fleet::advice_request>
     next_advice_request(time_point now);
     void ask_advice(time_point now);
--- a/src/rosemarytrail/cell/leader_monitor.hpp
+++ b/src/rosemarytrail/cell/leader_monitor.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace rosemarytrail::cell {
 
@@ -29,6 +30,25 @@
     unknown
 };
 
+/**
+ * @brief Returns the name of a query result for log lines.
+ * @param it Result.
+ * @return Its name.
+ */
+[[nodiscard]] constexpr std::string_view
+to_text(leader_query_result it) noexcept
+{
+    switch (it) {
+    case leader_query_result::reported:
+        return "reported";
+    case leader_query_result::refused:
+        return "refused";
+    case leader_query_result::unknown:
+        break;
+    }
+    return "unknown";
+}
+
 /** @brief Timing parameters and limits of a leader monitor. */
 struct leader_monitor_options
 {
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -478,6 +478,7 @@
         send_worker_requests(now);
         metrics.add(leadership->decisions.take_timings());
         metrics.add(leadership->decisions.take_relocation_counts());
+        metrics.add(leadership->decisions.take_withheld_starts());
         for (const auto& it : leadership->decisions.take_decisions()) {
             logging::event(logging::level::info, "decision",
                            {{"job", fleet::to_text(it.job)},
@@ -546,7 +547,8 @@
     loop.post_at(now + tick_period, [this] { tick(); });
 }
 
-void node::internal_state::log_counts(const fleet::dispatcher_counts& counts)
+void node::internal_state::log_counts(
+    const fleet::dispatcher_counts& counts) const
 {
     logging::event(
         logging::level::info, "books",
@@ -563,6 +565,10 @@
          {"placed", std::to_string(counts.placed)},
          {"workers", std::to_string(counts.workers)},
          {"usable", std::to_string(counts.usable_workers)},
+         {"fenced", std::to_string(counts.fenced_workers)},
+         {"unanswered", std::to_string(counts.unanswered_workers)},
+         {"unrecorded", std::to_string(counts.unrecorded_workers)},
+         {"relayed_calls_open", std::to_string(workers.open_calls())},
          {"cpu_millis", std::to_string(counts.capacity.cpu_millis)},
          {"cpu_millis_used", std::to_string(counts.used.cpu_millis)}});
 }
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -26,9 +26,29 @@
     , evacuation_moves{all.make_counter(
           "rosemarytrail_evacuation_moves_total",
           "tasks stopped to continue outside an evacuated zone")}
+    , starts_withheld_worker{all.make_counter(
+          "rosemarytrail_starts_withheld_worker_total",
+          "recorded placements not started as the worker accepts no tasks")}
+    , starts_withheld_capacity{all.make_counter(
+          "rosemarytrail_starts_withheld_capacity_total",
+          "recorded placements not started for lack of capacity")}
+    , starts_withheld_ticket{all.make_counter(
+          "rosemarytrail_starts_withheld_ticket_total",
+          "recorded placements not started as their tickets had expired")}
     , append_retries{all.make_counter(
           "rosemarytrail_append_retries_total",
           "appends of the leader that were sent again")}
+    , claims{all.make_counter("rosemarytrail_lead_claims_total",
+                              "claims of leadership that this node sent")}
+    , claims_conflicted{all.make_counter(
+          "rosemarytrail_lead_claims_conflicted_total",
+          "claims that failed because the ledger had changed")}
+    , claims_refused{all.make_counter(
+          "rosemarytrail_lead_claims_refused_total",
+          "claims that the store rejected for another reason")}
+    , claims_unanswered{all.make_counter(
+          "rosemarytrail_lead_claims_unanswered_total",
+          "claims that got no response, so that they may have been recorded")}
     , calls_forwarded{all.make_counter("rosemarytrail_calls_handed_on_total",
                                        "calls that a peer was asked to serve")}
     , entries_expired{all.make_counter(
@@ -111,6 +131,14 @@
     , workers_reached{all.make_gauge(
           "rosemarytrail_workers_reached",
           "workers that answer under this leader's epoch")}
+    , workers_unanswered{all.make_gauge(
+          "rosemarytrail_workers_unanswered",
+          "workers with tasks that did not answer the last poll, at the "
+          "leader")}
+    , workers_unrecorded{all.make_gauge(
+          "rosemarytrail_workers_unrecorded",
+          "other workers with tasks whose lease waits for a ledger entry, at "
+          "the leader")}
     , workers_quarantined{all.make_gauge(
           "rosemarytrail_workers_quarantined",
           "workers that get no tasks after bad runs, at the leader")}
@@ -156,6 +184,13 @@
     evacuation_moves.add(moved.evacuations);
 }
 
+void node_metrics::add(const fleet::withheld_starts& withheld)
+{
+    starts_withheld_worker.add(withheld.worker);
+    starts_withheld_capacity.add(withheld.capacity);
+    starts_withheld_ticket.add(withheld.ticket);
+}
+
 void node_metrics::update_log_losses()
 {
     const auto lost = logging::lost_events();
@@ -187,6 +222,8 @@
     set(evacuation_wait_unavailable, counts.evacuation_left.max_unavailable);
     set(evacuation_wait_rate, counts.evacuation_left.rate);
     set(workers_reached, counts.fenced_workers);
+    set(workers_unanswered, counts.unanswered_workers);
+    set(workers_unrecorded, counts.unrecorded_workers);
     set(workers_quarantined, counts.quarantined_workers);
     set(workers_probed, counts.probed_workers);
 }
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -23,6 +23,9 @@
     /** @param moved Tasks that were moved to other workers. */
     void add(const fleet::relocation_counts& moved);
 
+    /** @param withheld Recorded placements whose start was not sent. */
+    void add(const fleet::withheld_starts& withheld);
+
     /**
      * @brief Updates the gauges of the leader's state; all counts are zero
      * while the node does not lead.
@@ -41,7 +44,14 @@
     metrics::counter& ignored_reports;
     metrics::counter& departure_moves;
     metrics::counter& evacuation_moves;
+    metrics::counter& starts_withheld_worker;
+    metrics::counter& starts_withheld_capacity;
+    metrics::counter& starts_withheld_ticket;
     metrics::counter& append_retries;
+    metrics::counter& claims;
+    metrics::counter& claims_conflicted;
+    metrics::counter& claims_refused;
+    metrics::counter& claims_unanswered;
     metrics::counter& calls_forwarded;
     metrics::counter& entries_expired;
     metrics::counter& call_status_queries;
@@ -71,6 +81,8 @@
     metrics::gauge& evacuation_wait_unavailable;
     metrics::gauge& evacuation_wait_rate;
     metrics::gauge& workers_reached;
+    metrics::gauge& workers_unanswered;
+    metrics::gauge& workers_unrecorded;
     metrics::gauge& workers_quarantined;
     metrics::gauge& workers_probed;
     metrics::summary& client_call;
--- a/src/rosemarytrail/cell/ports.hpp
+++ b/src/rosemarytrail/cell/ports.hpp
@@ -78,6 +78,32 @@
     unknown
 };
 
+/**
+ * @brief Returns the name of a result for log lines.
+ * @param it Result.
+ * @return Its name.
+ */
+[[nodiscard]] constexpr std::string_view to_text(store_result it) noexcept
+{
+    switch (it) {
+    case store_result::done:
+        return "done";
+    case store_result::refused:
+        return "refused";
+    case store_result::conflict:
+        return "conflict";
+    case store_result::fenced:
+        return "fenced";
+    case store_result::out_of_sequence:
+        return "out of sequence";
+    case store_result::history_lost:
+        return "history lost";
+    case store_result::unknown:
+        break;
+    }
+    return "unknown";
+}
+
 /** @brief Identity of the leader's appends, which the store verifies. */
 struct fenced_writer
 {
--- a/src/rosemarytrail/cli/log_story.cpp
+++ b/src/rosemarytrail/cli/log_story.cpp
@@ -18,10 +18,11 @@
 constexpr std::int64_t beside_ms = 4000;
 
 /** @brief Events that bear on all jobs. */
-constexpr std::array<std::string_view, 11> bearing_on_all{
-    "started",        "stopping",           "stopped",          "reload",
-    "lead_taken",     "lead_lost",          "claim_lost",       "store_lost",
-    "store_regained", "log_lines_left_out", "log_lines_dropped"};
+constexpr std::array<std::string_view, 13> bearing_on_all{
+    "started",          "stopping",   "stopped",        "reload",
+    "lead_taken",       "lead_lost",  "leader_lost",    "claim_failed",
+    "claim_lost",       "store_lost", "store_regained", "log_lines_left_out",
+    "log_lines_dropped"};
 
 /** @brief Decisions that bear on all jobs. */
 constexpr std::array<std::string_view, 4> bearing_decisions{
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -465,6 +465,11 @@
     return std::exchange(state_->relocated, {});
 }
 
+withheld_starts dispatcher::take_withheld_starts()
+{
+    return std::exchange(state_->withheld, {});
+}
+
 bool dispatcher::superseded() const noexcept
 {
     return state_->superseded;
@@ -516,6 +521,11 @@
         result.placed += worker.load.size();
         result.tasks_in_evacuated_zones +=
             worker.evacuated ? worker.load.size() : 0;
+        if (!worker.load.empty() && worker.unanswered > 0) {
+            ++result.unanswered_workers;
+        } else if (!worker.load.empty() && !worker.renewable) {
+            ++result.unrecorded_workers;
+        }
         if (worker.health.quarantined(now)) {
             ++result.quarantined_workers;
         } else if (worker.health.on_probation()) {
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -222,6 +222,17 @@
     std::size_t evacuations{};
 };
 
+/** @brief Recorded placements whose start was not sent, by reason. */
+struct withheld_starts
+{
+    /** @brief The worker no longer accepts tasks or does not respond. */
+    std::size_t worker{};
+    /** @brief The worker's capacity no longer suffices. */
+    std::size_t capacity{};
+    /** @brief The tickets of the step have expired. */
+    std::size_t ticket{};
+};
+
 /** @brief Counts of the state that a dispatcher tracks. */
 struct dispatcher_counts
 {
@@ -241,6 +252,12 @@
     std::size_t placed{};
     std::size_t workers{};
     std::size_t fenced_workers{};
+    /** @brief Workers with tasks whose last poll got no response, so that
+     * their lease is not renewed. */
+    std::size_t unanswered_workers{};
+    /** @brief Other workers with tasks whose lease is not renewed because the
+     * ledger does not yet name this leader for them. */
+    std::size_t unrecorded_workers{};
     /** @brief Workers that currently accept new tasks. */
     std::size_t usable_workers{};
     /** @brief Workers in quarantine, and those that have not yet ended a task
@@ -387,6 +404,9 @@
     /** @return Tasks moved since the last call. */
     [[nodiscard]] relocation_counts take_relocation_counts();
 
+    /** @return Starts withheld since the last call. */
+    [[nodiscard]] withheld_starts take_withheld_starts();
+
     /** @return Timings of the jobs that ended since the last call. */
     [[nodiscard]] std::vector<job_timing> take_timings();
 
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -349,6 +349,16 @@
         resource_amounts used;
     };
 
+    /** @brief Why the start of a recorded placement is not sent. */
+    enum class start_obstacle : std::uint8_t
+    {
+        none,
+        job_ended,
+        worker,
+        capacity,
+        ticket
+    };
+
     dispatcher_options options;
     std::shared_ptr<const cell_config> config;
     std::unordered_map<std::uint64_t, std::unique_ptr<tracked_job>> jobs;
@@ -415,6 +425,7 @@
     time_point next_relocation;
     evacuation_budget evacuation_moves;
     relocation_counts relocated;
+    withheld_starts withheld;
     evacuation_backlog evacuation_left;
     image_health images;
     std::uint64_t planning_pass{};
@@ -460,8 +471,11 @@
     void fail_job(tracked_job& job, std::string_view why, time_point now);
     void stop_all(tracked_job& job, time_point now);
     void stop_task(tracked_step& step, std::uint32_t index, time_point now);
-    [[nodiscard]] bool can_start(const tracked_step& step, std::uint32_t index,
-                                 time_point now) const;
+    [[nodiscard]] start_obstacle obstacle_to_start(const tracked_step& step,
+                                                   std::uint32_t index,
+                                                   time_point now) const;
+    void withhold_start(tracked_step& step, std::uint32_t index,
+                        start_obstacle obstacle, time_point now);
     void abort_gang(tracked_step& step, time_point now);
     void lose_run(tracked_step& step, std::uint32_t index, time_point now);
     void send_start(const placed_run& it, time_point now);
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -53,21 +53,52 @@
     return clock + to_milliseconds(options.lease);
 }
 
-bool dispatcher::state::can_start(const tracked_step& step, std::uint32_t index,
-                                  time_point now) const
+dispatcher::state::start_obstacle
+dispatcher::state::obstacle_to_start(const tracked_step& step,
+                                     std::uint32_t index, time_point now) const
 {
     const auto& task = step.tasks[index];
+    if (task.phase != task_phase::placed || step.job->ended()) {
+        return start_obstacle::job_ended;
+    }
     const auto worker = workers.find(task.worker);
-    if (task.phase != task_phase::placed || step.job->ended() ||
-        worker == workers.end() || !is_usable(worker->second, step, now)) {
-        return false;
+    if (worker == workers.end() || !is_usable(worker->second, step, now)) {
+        return start_obstacle::worker;
     }
     // The capacity may have shrunk since the task was placed.
     if (!worker->second.used.fits(worker->second.vm.capacity)) {
-        return false;
+        return start_obstacle::capacity;
+    }
+    const bool has_ticket =
+        !step.job->record.queue.advice ||
+        (step.tickets_until > now && step.tickets.contains(task.worker));
+    return has_ticket ? start_obstacle::none : start_obstacle::ticket;
+}
+
+void dispatcher::state::withhold_start(tracked_step& step, std::uint32_t index,
+                                       start_obstacle obstacle, time_point now)
+{
+    std::string_view why = "the job has ended";
+    if (obstacle == start_obstacle::worker) {
+        why = "the worker accepts no tasks";
+        ++withheld.worker;
+    } else if (obstacle == start_obstacle::capacity) {
+        why = "the worker's capacity does not suffice";
+        ++withheld.capacity;
+    } else if (obstacle == start_obstacle::ticket) {
+        why = "the tickets have expired";
+        ++withheld.ticket;
+    }
+    const auto& task = step.tasks[index];
+    log_decision(step.key.job, "start withheld",
+                 to_text(task_key{.step = step.key, .index = index}) + " run " +
+                     std::to_string(task.run) + " on " + task.worker + ": " +
+                     std::string{why});
+    if (step.spec->gang) {
+        abort_gang(step, now);
+    } else {
+        back_to_waiting(step, index, now);
     }
-    return !step.job->record.queue.advice ||
-           (step.tickets_until > now && step.tickets.contains(task.worker));
 }
 
 // The remaining members of an incomplete gang would only occupy capacity.
@@ -106,18 +137,15 @@
     if (task.phase != task_phase::placed || task.run != it.run) {
         return;
     }
-    bool possible = can_start(*step, key.index, now);
+    auto obstacle = obstacle_to_start(*step, key.index, now);
     if (step->spec->gang && key.index == 0) {
-        for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
-            possible = possible && can_start(*step, i, now);
+        for (std::uint32_t i = 0;
+             i < step->tasks.size() && obstacle == start_obstacle::none; ++i) {
+            obstacle = obstacle_to_start(*step, i, now);
         }
     }
-    if (!possible) {
-        if (step->spec->gang) {
-            abort_gang(*step, now);
-        } else {
-            back_to_waiting(*step, key.index, now);
-        }
+    if (obstacle != start_obstacle::none) {
+        withhold_start(*step, key.index, obstacle, now);
         return;
     }
     auto& worker = workers[task.worker];
