--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -211,6 +211,19 @@
     CHECK(shared.empty());
 }
 
+// Guards against a cell without a leader for as long as its nodes append.
+TEST_CASE("A node becomes the leader while others append to the ledger",
+          "[node][!shouldfail]")
+{
+    two_nodes cell;
+    cell.store.has_other_writers = true;
+    cell.start();
+    const auto led = [&] {
+        return cell.polls(0) > 3 || cell.polls(1) > 3;
+    };
+    REQUIRE(cell.loop.run_until(led, timeout));
+}
+
 TEST_CASE("A restarted leader resumes its leadership at once", "[node]")
 {
     two_nodes cell;
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -90,6 +90,12 @@
         return;
     }
     auto& ledger = records_[request.which];
+    if (has_other_writers) {
+        ledger.push_back(
+            {.key = fleet::encode_key(
+                 {.kind = fleet::entry_kind::cancellation, .step = {.job = 1}}),
+             .value = "1"});
+    }
     cell::append_answer result{.result = cell::store_result::done,
                                .expected_sequence = std::nullopt};
     bool repeat = false;
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -90,6 +90,8 @@
     std::set<std::string, std::less<>> ineffective_keys;
     /** @brief Rejects all appends. */
     bool refuses_appends{false};
+    /** @brief The record of another writer arrives just before each append. */
+    bool has_other_writers{false};
     /** @brief Appends with an entry of this key are not executed until
      * `release`. */
     std::optional<std::string> delayed_key;
