Keep advice for the next leader instead of appending it

Cause: each node that could not hand advice to the leader appended it to the ledger by itself. With hundreds of advice requests open, over sixty nodes appended at once and repeated what the store refused, while its partition carries out some twenty appends a second when it is slow. The new leader's entries, which renewals and starts wait for, waited behind them: 588 workers without a record after 0.4 s, and appends refused or unanswered until 10.4 s. A class of fault: soft state written to the shared log just when that is the bottleneck.

Ruled out: the leader's processor and its relays (all 1,100 workers answered within 0.4 s, none was unanswered). Shorter retries of the leader's append would add to the load. The record served nobody: a new leader gets all valid advice again anyway, and tickets are valid for 2.5 s.

Change: a node keeps advice while it is valid and sends it to the leader again each 0.2 s until it is taken, and when the leader changes. Counted by rosemarytrail_advice_grants_not_taken_total. The ledger holds none any more.

Test: "Advice that the leader does not take is not written to the ledger" failed before (an entry in the ledger). test_cell 96, test_fleet 131, test_metrics 4, test_platform 7 cases pass.

--- a/src/rosemarytrail/cell/internal/node_advice.cpp
+++ b/src/rosemarytrail/cell/internal/node_advice.cpp
@@ -153,13 +153,12 @@
     metrics.advice.add(now - sent);
     it.grant.granted_unix_ms = unix_milliseconds();
     const auto until = now + std::chrono::milliseconds{it.grant.valid_ms};
-    own_grants.push_back(
-        {.step = step, .grant = std::move(it.grant), .until = until});
-    while (!own_grants.empty() && own_grants.front().until < now) {
-        own_grants.pop_front();
-    }
+    own_grants.push_back({.key = ++last_grant,
+                          .step = step,
+                          .grant = std::move(it.grant),
+                          .until = until});
     apply_grant(own_grants.back().entry(now));
-    send_grant_to_leader(own_grants.back());
+    send_waiting_grants(now);
     run();
 }
 
@@ -172,32 +171,55 @@
             .value = fleet::encode(left)};
 }
 
-// Tickets are valid for seconds only, so they are sent to the leader directly;
-// a new leader receives those that are still valid again.
-void node::internal_state::send_grant_to_leader(const own_grant& grant)
+// Tickets are valid for seconds only, so they are sent to the leader directly
+// and never recorded: after the loss of a leader, the appends of all nodes that
+// hold grants would delay those of its successor.
+void node::internal_state::send_grant_to_leader(own_grant& grant,
+                                                time_point now)
 {
     const auto address = leader_address();
     if (leadership || address.empty()) {
         return;
     }
-    peers.send(
-        address,
-        {.entries = {grant.entry(boot_clock::now())}, .advice_requests = {}},
-        options.peer_timeout, [this, grant](message_result result) {
-            if (result != message_result::accepted) {
-                const auto now = boot_clock::now();
-                entries.add(
-                    grant.entry(now), grant.until, [](entry_result) {}, now);
-            }
-        });
+    grant.next_send = now + options.grant_retry_delay;
+    peers.send(address, {.entries = {grant.entry(now)}, .advice_requests = {}},
+               options.peer_timeout,
+               [this, key = grant.key](message_result result) {
+                   on_grant_sent(key, result);
+               });
+}
+
+void node::internal_state::on_grant_sent(std::uint64_t key,
+                                         message_result result)
+{
+    const auto found = std::ranges::find(own_grants, key, &own_grant::key);
+    if (found == own_grants.end()) {
+        return;
+    }
+    if (result == message_result::accepted) {
+        found->next_send = time_point::max();
+    } else {
+        metrics.grants_not_taken.add();
+    }
 }
 
+// A new leader receives the grants that are still valid.
 void node::internal_state::resend_grants()
 {
     const auto now = boot_clock::now();
-    for (const auto& it : own_grants) {
-        if (it.until > now) {
-            send_grant_to_leader(it);
+    for (auto& it : own_grants) {
+        it.next_send = now;
+    }
+    send_waiting_grants(now);
+}
+
+void node::internal_state::send_waiting_grants(time_point now)
+{
+    std::erase_if(own_grants,
+                  [now](const own_grant& it) { return it.until < now; });
+    for (auto& it : own_grants) {
+        if (it.next_send <= now) {
+            send_grant_to_leader(it, now);
         }
     }
 }
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -294,16 +294,23 @@
     /** @brief Advice granted to this node, kept while its tickets are valid. */
     struct own_grant
     {
+        std::uint64_t key{};
         fleet::step_key step;
         fleet::advice_grant grant;
         time_point until;
+        /** @brief When it is sent to the leader next; never once a leader has
+         * taken it. */
+        time_point next_send;
 
         /** @return Ledger entry with the remaining validity of the tickets. */
         [[nodiscard]] fleet::ledger_entry entry(time_point now) const;
     };
     std::deque<own_grant> own_grants;
-    void send_grant_to_leader(const own_grant& grant);
+    std::uint64_t last_grant{};
+    void send_grant_to_leader(own_grant& grant, time_point now);
+    void on_grant_sent(std::uint64_t key, message_result result);
     void resend_grants();
+    void send_waiting_grants(time_point now);
     // internal/node_reports.cpp
     void report_to_leader(time_point now);
     /** @return False if the report has no effect. */
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -508,6 +508,7 @@
         ready_flag = reached;
     }
     entries.run(now);
+    send_waiting_grants(now);
     report_to_leader(now);
     drop_expired_reports(now);
     if (now - last_metrics_update > metrics_period) {
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -89,6 +89,9 @@
     duration slow_append{std::chrono::milliseconds{100}};
     /** @brief Timeout of a message to a peer. */
     duration peer_timeout{std::chrono::milliseconds{150}};
+    /** @brief Delay before advice that the leader did not take is sent again.
+     */
+    duration grant_retry_delay{std::chrono::milliseconds{200}};
     /** @brief Interval at which a node that the store does not list reports
      * itself to the leader. */
     duration report_period{std::chrono::milliseconds{1000}};
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -38,6 +38,9 @@
     , append_retries{all.make_counter(
           "rosemarytrail_append_retries_total",
           "appends of the leader that were sent again")}
+    , grants_not_taken{all.make_counter(
+          "rosemarytrail_advice_grants_not_taken_total",
+          "times that the leader did not take advice, which is sent again")}
     , claims{all.make_counter("rosemarytrail_lead_claims_total",
                               "claims of leadership that this node sent")}
     , claims_outdated{all.make_counter(
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -48,6 +48,7 @@
     metrics::counter& starts_withheld_capacity;
     metrics::counter& starts_withheld_ticket;
     metrics::counter& append_retries;
+    metrics::counter& grants_not_taken;
     metrics::counter& claims;
     metrics::counter& claims_outdated;
     metrics::counter& claims_refused;
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -348,6 +348,32 @@
     CHECK(cell.advice.requests.size() == jobs);
 }
 
+// Guards against the appends of all nodes with advice holding up those of the
+// next leader.
+TEST_CASE("Advice that the leader does not take is not written to the ledger",
+          "[node]")
+{
+    two_nodes cell;
+    cell.formats.advice = fleet::advice_policy{.base_ms = 20, .valid_ms = 2500};
+    cell.nodes[0]->start();
+    REQUIRE(cell.loop.run_until([&] { return cell.polls(0) > 3; }, timeout));
+    cell.nodes[1]->start();
+    REQUIRE(cell.loop.run_until(
+        [&] { return cell.nodes[1]->ready(boot_clock::now()); }, timeout));
+    cell.peers.nodes.erase("n0:1");
+    cell.nodes[1]->serve(submission(1), [](const client_answer&) {});
+    const auto tried_again = [&] {
+        const auto text = cell.metrics[1].expose();
+        return text.find("rosemarytrail_advice_grants_not_taken_total 2\n") !=
+               std::string::npos;
+    };
+    CHECK(cell.loop.run_until(tried_again, 2s));
+    for (const auto& [key, count] : cell.store.appended) {
+        const auto about = fleet::decode_key(key);
+        CHECK_FALSE((about && about->kind == fleet::entry_kind::advice));
+    }
+}
+
 TEST_CASE("A node that the store does not list is assigned advice requests",
           "[node]")
 {
