--- a/test/fleet/advice_requests.cpp
+++ b/test/fleet/advice_requests.cpp
@@ -368,4 +368,29 @@
     CHECK(advice.run_until_placed(1, 12, 30s) <= 6s);
 }
 
+// Guards against tasks that are placed again and again and never started.
+TEST_CASE("A step is not placed with tickets that expire before the record",
+          "[advice]")
+{
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 600s};
+    };
+    cell.ledger_delay = 400ms;
+    cell.take_over();
+    cell.add_workers(4, eight_cores);
+    cell.leader().set_members(node_names(2));
+    cell.run(2s);
+    cell.submit(make_advised_job(1, {.tasks = 1, .demand = one_core}));
+    cell.grant({.job = 1}, worker_ids(0, 4), 300ms);
+    cell.run(2s);
+    CHECK(cell.leader().take_withheld_starts().ticket == 0);
+    CHECK(cell.running(1) == 0);
+    cell.grant({.job = 1}, worker_ids(0, 4), 2500ms);
+    cell.run(2s);
+    CHECK(cell.running(1) == 1);
+    CHECK(cell.leader().take_withheld_starts().ticket == 0);
+    CHECK(cell.violations.empty());
+}
+
 } // namespace rosemarytrail::fleet
