Limit the calls that a leader makes directly when its relays are lost

Cause: after a restart of all nodes the list of members still names their previous incarnations for about a second, and so does the plan of relays, among them the leader's own. Each refused its calls, which went on to the next one, and with the last of them the leader called all 1,100 workers by itself. On half a core that takes seconds, in which it reads no results, answers no queries and renews no lease; relays that were only slow counted as lost for 10 s and the next calls were direct again. New leaders came each few seconds with more waiting work. A class of fault: a fallback that costs more than what it replaces, without a limit.

Ruled out: by the log lines, claims (one each, within 15 ms) and records. A wait for the relays without direct calls would leave a cell whose relays are really gone without renewals.

Change: at most 64 calls to workers whose relays are all lost are in flight, the others wait for a result or for a relay. A relay that refuses calls is not used for 1 s in place of 10 s; one that does not respond for 10 s as before. A previous incarnation of the leader is no relay.

--- a/src/rosemarytrail/cell/relay_plan.cpp
+++ b/src/rosemarytrail/cell/relay_plan.cpp
@@ -53,11 +53,13 @@
     if (vms.size() <= options.direct_workers) {
         return result;
     }
+    // The list may still name an earlier incarnation of the leader.
+    const auto leader_address = address_of(leader);
     ranked_members all;
     std::map<std::string, ranked_members> by_zone;
     for (const auto& it : members) {
         const auto name = parse_member_name(it);
-        if (!name || it == leader) {
+        if (!name || name->address == leader_address) {
             continue;
         }
         ranked_member ranked{.cpu_millis = name->cpu_millis,
--- a/src/rosemarytrail/cell/relayed_workers.cpp
+++ b/src/rosemarytrail/cell/relayed_workers.cpp
@@ -95,18 +95,18 @@
 bool relayed_workers::enqueue(const Request& request, Callback& done,
                               duration wait)
 {
-    const auto now = boot_clock::now();
-    auto relay = route(request.worker.id, now);
-    if (relay.empty()) {
+    if (!plan_.contains(request.worker.id)) {
         return false;
     }
+    const auto now = boot_clock::now();
     const auto call = std::make_shared<const worker_call>(
         worker_call{.id = ++last_id_, .request = request});
-    relays_[relay].queued.push_back(call);
     open_.emplace(call->id, open_call{.call = call,
                                       .done = std::move(done),
-                                      .relay = std::move(relay),
+                                      .relay = {},
                                       .wait = wait});
+    reroute(call->id, now);
+    send_waiting(now);
     return true;
 }
 
@@ -169,8 +169,10 @@
 
 void relayed_workers::call_directly(const worker_call& call)
 {
+    ++direct_in_flight_;
     make_call(direct_, call, [this, alive = alive_](worker_call_result result) {
         if (*alive) {
+            --direct_in_flight_;
             complete(std::move(result));
         }
     });
@@ -234,15 +236,19 @@
             open->second.sent = false;
         }
     }
-    lose(name, refused ? "it refused calls" : "it did not respond",
-         boot_clock::now());
+    if (refused) {
+        lose(name, "it refused calls", options_.refusal_distrust,
+             boot_clock::now());
+    } else {
+        lose(name, "it did not respond", options_.distrust, boot_clock::now());
+    }
 }
 
 void relayed_workers::lose(const std::string& name, std::string_view why,
-                           time_point now)
+                           duration unused, time_point now)
 {
     auto& relay = relays_[name];
-    relay.distrusted_until = now + options_.distrust;
+    relay.distrusted_until = now + unused;
     relay.queued.clear();
     std::vector<std::uint64_t> ids;
     for (const auto& [id, it] : open_) {
@@ -251,17 +257,17 @@
         }
     }
     lost_relays_.add();
-    logging::event(
-        logging::level::warning, "relay_lost",
-        {{"relay", name},
-         {"why", why},
-         {"open_calls", std::to_string(ids.size())},
-         {"unused_ms", std::to_string(to_milliseconds(options_.distrust))}});
+    logging::event(logging::level::warning, "relay_lost",
+                   {{"relay", name},
+                    {"why", why},
+                    {"open_calls", std::to_string(ids.size())},
+                    {"unused_ms", std::to_string(to_milliseconds(unused))}});
     // The calls keep their order.
     std::ranges::sort(ids);
     for (const auto id : ids) {
         reroute(id, now);
     }
+    send_waiting(now);
 }
 
 void relayed_workers::reroute(std::uint64_t id, time_point now)
@@ -272,18 +278,43 @@
     open.relay =
         std::visit([&](const auto& it) { return route(it.worker.id, now); },
                    open.call->request);
+    open.expires = time_point::max();
     if (open.relay.empty()) {
-        // The call outlives its entry, which goes with the result.
-        const auto call = open.call;
-        call_directly(*call);
-        return;
+        waiting_.push_back(id);
+    } else {
+        relays_[open.relay].queued.push_back(open.call);
+    }
+}
+
+void relayed_workers::send_waiting(time_point now)
+{
+    std::vector<std::uint64_t> relayed;
+    while (!waiting_.empty()) {
+        const auto found = open_.find(waiting_.front());
+        if (found != open_.end()) {
+            // The call outlives its entry, which goes with the result.
+            const auto call = found->second.call;
+            const auto relay = std::visit(
+                [&](const auto& it) { return route(it.worker.id, now); },
+                call->request);
+            if (!relay.empty()) {
+                relayed.push_back(call->id);
+            } else if (direct_in_flight_ < options_.max_direct_calls) {
+                call_directly(*call);
+            } else {
+                break;
+            }
+        }
+        waiting_.pop_front();
+    }
+    for (const auto id : relayed) {
+        reroute(id, now);
     }
-    open.expires = time_point::max();
-    relays_[open.relay].queued.push_back(open.call);
 }
 
 void relayed_workers::run(time_point now)
 {
+    send_waiting(now);
     for (const auto& [name, relay] : relays_) {
         if (!relay.queued.empty() && !relay.in_flight &&
             relay.next_send <= now) {
@@ -301,7 +332,7 @@
         }
     }
     for (const auto& name : overdue) {
-        lose(name, "results are overdue", now);
+        lose(name, "results are overdue", options_.distrust, now);
     }
     std::erase_if(relays_, [now](const auto& it) {
         const auto& relay = it.second;
@@ -314,6 +345,7 @@
 void relayed_workers::clear()
 {
     open_.clear();
+    waiting_.clear();
     for (auto& [name, relay] : relays_) {
         relay.queued.clear();
     }
--- a/src/rosemarytrail/cell/relayed_workers.hpp
+++ b/src/rosemarytrail/cell/relayed_workers.hpp
@@ -9,6 +9,7 @@
 #include <rosemarytrail/metrics/registry.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -35,6 +36,12 @@
     /** @brief How long a lost relay is not used. Exceeds the time in which the
      * losses of several relays are noticed one after another. */
     duration distrust{std::chrono::milliseconds{10000}};
+    /** @brief The same after a refusal: the relay responds, and may only have
+     * been paused. */
+    duration refusal_distrust{std::chrono::milliseconds{1000}};
+    /** @brief Maximum number of calls in flight to workers whose relays are all
+     * lost; more would take the leader's processor time from its decisions. */
+    std::size_t max_direct_calls{64};
 };
 
 /**
@@ -43,9 +50,9 @@
  * A relay only makes the calls that it is sent, with the lease end and the
  * epoch that the leader has set, so it can grant nothing itself. All calls are
  * idempotent: if a relay is lost, its open calls are made again by way of
- * another one, or directly if there is none. Whichever result arrives first
- * counts, but a start that an earlier relay may have made is not reported as
- * not executed.
+ * another one, or a few at a time directly if there is none. Whichever result
+ * arrives first counts, but a start that an earlier relay may have made is not
+ * reported as not executed.
  */
 class relayed_workers final : public worker_port
 {
@@ -146,11 +153,13 @@
     [[nodiscard]] bool enqueue(const Request& request, Callback& done,
                                duration wait);
     void reroute(std::uint64_t id, time_point now);
+    void send_waiting(time_point now);
     void send(const std::string& name, time_point now);
     void on_sent(const std::string& name,
                  const std::vector<std::shared_ptr<const worker_call>>& calls,
                  message_result result);
-    void lose(const std::string& name, std::string_view why, time_point now);
+    void lose(const std::string& name, std::string_view why, duration unused,
+              time_point now);
     void call_directly(const worker_call& call);
     void complete(worker_call_result result);
 
@@ -165,6 +174,9 @@
     std::vector<std::string> planned_relays_;
     std::map<std::string, relay_state> relays_;
     std::unordered_map<std::uint64_t, open_call> open_;
+    /** @brief Calls that wait for a trusted relay or to be made directly. */
+    std::deque<std::uint64_t> waiting_;
+    std::size_t direct_in_flight_{};
     std::uint64_t last_id_{};
     time_point next_check_;
     /** @brief Shared with callbacks in flight; false once the port is
--- a/test/cell/relay_plan.cpp
+++ b/test/cell/relay_plan.cpp
@@ -98,4 +98,19 @@
               .empty());
 }
 
+TEST_CASE("An earlier incarnation of the leader relays no calls", "[relays]")
+{
+    const auto vms = workers_in({"a"}, 200);
+    const std::vector<std::string> members{member(1, 500, "a"),
+                                           member(2, 120, "a")};
+    const auto restarted = to_text({.incarnation = "n1-2000-8",
+                                    .address = "10.0.0.1:1",
+                                    .cpu_millis = 500,
+                                    .zone = "a"});
+    for (const auto& [worker, relay] :
+         assign_relays(vms, members, restarted, {})) {
+        CHECK(relay == members[1]);
+    }
+}
+
 } // namespace rosemarytrail::cell
--- a/test/cell/relayed_workers.cpp
+++ b/test/cell/relayed_workers.cpp
@@ -240,6 +240,87 @@
     }
 }
 
+// Guards against a leader that spends its processor time on calls to all
+// workers at once after all relays have restarted.
+TEST_CASE("The leader makes a limited number of calls directly at a time",
+          "[relayed]")
+{
+    constexpr std::size_t n = 300;
+    leader_port it;
+    relay_assignment plan;
+    for (std::size_t i = 0; i < n; ++i) {
+        plan.emplace("w" + std::to_string(i), relay);
+    }
+    it.port.set_plan(plan);
+    std::size_t answered = 0;
+    for (const auto& [worker, name] : plan) {
+        it.port.poll({.worker = {.id = worker, .address = worker + ":1"}},
+                     [&](fleet::poll_result, const fleet::poll_response&) {
+                         ++answered;
+                     });
+    }
+    it.port.run(boot_clock::now());
+    it.peers.calls[0].done(message_result::refused);
+    CHECK(it.direct.polls.size() == relayed_workers_options{}.max_direct_calls);
+    CHECK(it.port.open_calls() == n);
+    // Calls that wait go to a relay as soon as there is one.
+    const std::string other =
+        to_text({.incarnation = "s-1-1", .address = "s:1", .cpu_millis = 500});
+    for (auto& [worker, name] : plan) {
+        name = other;
+    }
+    it.port.set_plan(plan);
+    it.port.run(boot_clock::now());
+    CHECK(it.direct.polls.size() == relayed_workers_options{}.max_direct_calls);
+    REQUIRE(it.peers.calls.size() == 2);
+    CHECK(it.peers.calls[1].address == "s:1");
+    REQUIRE(it.loop.run_until(
+        [&] { return answered == relayed_workers_options{}.max_direct_calls; },
+        timeout));
+}
+
+TEST_CASE("Calls that wait for a relay are all made without one", "[relayed]")
+{
+    constexpr std::size_t n = 300;
+    leader_port it;
+    relay_assignment plan;
+    for (std::size_t i = 0; i < n; ++i) {
+        plan.emplace("w" + std::to_string(i), relay);
+    }
+    it.port.set_plan(plan);
+    std::size_t answered = 0;
+    for (const auto& [worker, name] : plan) {
+        it.port.poll({.worker = {.id = worker, .address = worker + ":1"}},
+                     [&](fleet::poll_result, const fleet::poll_response&) {
+                         ++answered;
+                     });
+    }
+    it.port.run(boot_clock::now());
+    it.peers.calls[0].done(message_result::unknown);
+    REQUIRE(it.loop.run_until(
+        [&] {
+            it.port.run(boot_clock::now());
+            return answered == n;
+        },
+        timeout));
+    CHECK(it.port.open_calls() == 0);
+}
+
+// Guards against relays that were only paused being unused for long.
+TEST_CASE("A relay that refused calls is soon used again", "[relayed]")
+{
+    leader_port it;
+    it.start(1);
+    it.port.run(boot_clock::now());
+    it.peers.calls[0].done(message_result::refused);
+    const auto used_again = [&] {
+        it.start(2);
+        it.port.run(boot_clock::now());
+        return it.peers.calls.size() == 2;
+    };
+    CHECK(it.loop.run_until(used_again, 3s));
+}
+
 TEST_CASE("A poll reaches the third relay after two that return nothing",
           "[relayed]")
 {
