Lead with a claim that is executed after its timeout, and pause repeated ones

Cause: found by a review of the change of claims. A store with a long queue executes a claim after its timeout of 1.5 s; the node had forgotten it by then, found itself on record without leading, and claimed the next epoch behind the same queue. The first batch of a new leader started with the shortest timeout in a store that its claim had just shown to be slow. The late response of a previous leader could mark advice as taken by the next one.

Ruled out: keeping the condition on the first claim only, so that a claim that is executed seconds late cannot depose a healthy leader. It is safe (the leader is fenced, and the claimant leads once it reads its claim), it needs a lost response, a leader that missed its queries and a late execution together, and the condition would delay each takeover in a busy cell.

Change: an unanswered claim is remembered until the ledger is loaded anew or reaches its epoch; an outdated one is repeated only if the ledger names that epoch; the round trip of the claim sets the timeout of the first append; an acceptance counts only for the present leader.

--- a/src/rosemarytrail/cell/internal/node_advice.cpp
+++ b/src/rosemarytrail/cell/internal/node_advice.cpp
@@ -184,14 +184,19 @@
     grant.next_send = now + options.grant_retry_delay;
     peers.send(address, {.entries = {grant.entry(now)}, .advice_requests = {}},
                options.peer_timeout,
-               [this, key = grant.key](message_result result) {
-                   on_grant_sent(key, result);
+               [this, key = grant.key, address](message_result result) {
+                   on_grant_sent(key, address, result);
                });
 }
 
 void node::internal_state::on_grant_sent(std::uint64_t key,
+                                         const std::string& address,
                                          message_result result)
 {
+    // The response of a previous leader says nothing about the present one.
+    if (address != leader_address()) {
+        return;
+    }
     const auto found = std::ranges::find(own_grants, key, &own_grant::key);
     if (found == own_grants.end()) {
         return;
--- a/src/rosemarytrail/cell/internal/node_leadership.cpp
+++ b/src/rosemarytrail/cell/internal/node_leadership.cpp
@@ -265,10 +265,16 @@
     case store_result::fenced:
     case store_result::out_of_sequence:
         // The ledger names a newer leader, or another one of this epoch.
-        claim.reset();
-        ledger.catch_up([this](bool complete) {
-            if (complete) {
+        ledger.catch_up([this, sent = claim->sent](bool complete) {
+            if (!claim || claim->sent != sent) {
+                return;
+            }
+            const bool outdated = jobs.leader().epoch >= claim->epoch;
+            if (complete && outdated) {
+                claim.reset();
                 try_claim();
+            } else {
+                withdraw_claim();
             }
         });
         return;
@@ -276,6 +282,10 @@
         ledger.catch_up([this, sent = claim->sent](bool) {
             confirm_claim();
             if (claim && claim->sent == sent) {
+                if (!unanswered_claim ||
+                    unanswered_claim->epoch != claim->epoch) {
+                    unanswered_claim = claim;
+                }
                 withdraw_claim();
             }
         });
@@ -316,6 +326,14 @@
 // of the claims, which decides who leads.
 void node::internal_state::confirm_claim()
 {
+    // A store with a long queue executes a claim after its timeout.
+    if (!claim && unanswered_claim && !leadership && directory.loaded() &&
+        config && jobs.leader().epoch >= unanswered_claim->epoch) {
+        claim = unanswered_claim;
+    }
+    if (claim && jobs.leader().epoch >= claim->epoch) {
+        unanswered_claim.reset();
+    }
     if (!claim || jobs.leader().epoch < claim->epoch) {
         return;
     }
@@ -339,6 +357,8 @@
         return;
     }
     const auto now = boot_clock::now();
+    // The first batch follows at once and is as slow as the claim.
+    entries.observe_append(true, now - sent);
     auto with_epoch = options.dispatcher;
     with_epoch.epoch = epoch;
     leadership = std::make_unique<leader_state>(with_epoch, jobs, now,
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -209,6 +209,9 @@
         time_point sent;
     };
     std::optional<pending_claim> claim;
+    /** @brief Earlier claim without a response, which the store may still
+     * execute. */
+    std::optional<pending_claim> unanswered_claim;
     /** @brief Claims sent since this node last led or gave up, and when the
      * first of them was sent. */
     struct claim_attempts
@@ -308,7 +311,8 @@
     std::deque<own_grant> own_grants;
     std::uint64_t last_grant{};
     void send_grant_to_leader(own_grant& grant, time_point now);
-    void on_grant_sent(std::uint64_t key, message_result result);
+    void on_grant_sent(std::uint64_t key, const std::string& address,
+                       message_result result);
     void resend_grants();
     void send_waiting_grants(time_point now);
     // internal/node_reports.cpp
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -192,6 +192,7 @@
     // The newest records are not a consistent snapshot: a claim among them does
     // not show that all that was recorded before it has been read.
     owner->claim.reset();
+    owner->unanswered_claim.reset();
     owner->loading_ledger = true;
 }
 
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -240,6 +240,16 @@
     CHECK(polls.front().epoch == 1);
 }
 
+// Guards against a second claim behind the queue that delayed the first one.
+TEST_CASE("A claim that is executed after its timeout takes effect", "[node]")
+{
+    two_nodes cell;
+    cell.store.claims_to_delay = 1;
+    cell.nodes[0]->start();
+    REQUIRE(cell.loop.run_until([&] { return cell.polls(0) > 3; }, timeout));
+    CHECK(cell.workers[0]->polls.front().epoch == 1);
+}
+
 TEST_CASE("A restarted leader resumes its leadership at once", "[node]")
 {
     two_nodes cell;
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -81,6 +81,17 @@
         });
         return;
     }
+    const bool is_claim = request.writer && request.writer->sequence == 0;
+    if (is_claim && claims_to_delay > 0) {
+        --claims_to_delay;
+        const auto times_out = boot_clock::now() + request.timeout;
+        loop_.post_at(times_out, [done = std::move(done)] { done({}); });
+        loop_.post_at(times_out + claim_delay,
+                      [this, request = std::move(request)] {
+                          append(request, [](const cell::append_answer&) {});
+                      });
+        return;
+    }
     const auto delayed = [&](const auto& it) {
         return it.key == delayed_key;
     };
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -93,6 +93,11 @@
     /** @brief Number of next appends of the leader that are executed without a
      * response. */
     std::size_t leader_responses_to_lose{};
+    /** @brief Number of next claims of leadership that are executed only after
+     * their timeout. */
+    std::size_t claims_to_delay{};
+    /** @brief How long after its timeout such a claim is executed. */
+    duration claim_delay{std::chrono::milliseconds{30}};
     /** @brief The record of another writer arrives just before each append. */
     bool has_other_writers{false};
     /** @brief Appends with an entry of this key are not executed until
