Limit how deep MessagePack of the ledger and of peers may nest

Cause: the library parses MessagePack recursively, a level of the stack for each array or object. One entry of the ledger, one announcement of the leader or one message to a peer that nests some ten thousand levels deep ends the process by SIGSEGV, and since an entry of the ledger stays, again after each restart.

Ruled out: JSON text, which is parsed and released without recursion: a worker's entry with 300,000 levels is decoded and ignored. Huge lengths of strings and arrays: the parser allocates as it reads.

Change: parse_msgpack builds the value from the parser's events and ends at 32 levels; all decoders use it. What nodes write nests a few levels deep.

Before: "A deeply nested entry of the ledger is rejected", "Deeply nested batches are rejected" and "Deeply nested messages of peers are rejected" each end with "SIGSEGV - Segmentation violation signal". After: these and all other cases of test_fleet and test_cell pass.

--- a/src/rosemarytrail/cell/peer_link.cpp
+++ b/src/rosemarytrail/cell/peer_link.cpp
@@ -182,7 +182,7 @@
 std::optional<leader_status> decode_leader_status(std::string_view bytes)
 {
     try {
-        const auto it = json::from_msgpack(bytes.begin(), bytes.end());
+        const auto it = fleet::parse_msgpack(bytes);
         return leader_status{.leading = it.at(0),
                              .epoch = it.at(1),
                              .store_age = std::chrono::milliseconds{
@@ -220,7 +220,7 @@
 std::optional<peer_message> decode_message(std::string_view bytes)
 {
     try {
-        const auto it = json::from_msgpack(bytes.begin(), bytes.end());
+        const auto it = fleet::parse_msgpack(bytes);
         peer_message result;
         for (const auto& row : it.at(0)) {
             fleet::ledger_entry entry{.key = row.at(0).get<std::string>(),
@@ -274,7 +274,7 @@
 std::optional<client_call> decode_call(std::string_view bytes, time_point now)
 {
     try {
-        const auto it = json::from_msgpack(bytes.begin(), bytes.end());
+        const auto it = fleet::parse_msgpack(bytes);
         client_call result{
             .kind = static_cast<call_kind>(it.at(0).get<int>()),
             .host = it.at(1).get<std::string>(),
@@ -314,7 +314,7 @@
 std::optional<client_answer> decode_answer(std::string_view bytes)
 {
     try {
-        const auto it = json::from_msgpack(bytes.begin(), bytes.end());
+        const auto it = fleet::parse_msgpack(bytes);
         client_answer result{
             .kind = static_cast<answer_kind>(it.at(0).get<int>()),
             .state = static_cast<fleet::job_state>(it.at(1).get<int>()),
@@ -339,7 +339,7 @@
 std::optional<call_number> decode_call_number(std::string_view bytes)
 {
     try {
-        const auto it = json::from_msgpack(bytes.begin(), bytes.end());
+        const auto it = fleet::parse_msgpack(bytes);
         return call_number{.origin = it.at(0), .value = it.at(1)};
     } catch (const json::exception&) {
         return std::nullopt;
@@ -356,7 +356,7 @@
 std::optional<call_report> decode_call_report(std::string_view bytes)
 {
     try {
-        const auto it = json::from_msgpack(bytes.begin(), bytes.end());
+        const auto it = fleet::parse_msgpack(bytes);
         call_report result{.progress =
                                static_cast<call_progress>(it.at(0).get<int>()),
                            .answer = std::nullopt};
--- a/src/rosemarytrail/fleet/msgpack.hpp
+++ b/src/rosemarytrail/fleet/msgpack.hpp
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -10,6 +11,19 @@
 
 namespace rosemarytrail::fleet {
 
+/** @brief Maximum nesting of arrays and objects in encoded bytes; what nodes
+ * write nests a few levels deep. */
+constexpr std::size_t max_msgpack_depth = 32;
+
+/**
+ * @brief Parses MessagePack bytes, which may come from another writer: parsing
+ * recurses, so bytes that nest without a limit would exhaust the stack.
+ * @param bytes Encoded bytes.
+ * @return Value, or a discarded one, which throws on any access, if the bytes
+ * are malformed or nest deeper than `max_msgpack_depth`.
+ */
+[[nodiscard]] nlohmann::json parse_msgpack(std::string_view bytes);
+
 /**
  * @brief Encodes a value as MessagePack.
  * @param value Value.
@@ -34,7 +48,11 @@
     -> std::optional<decltype(read(nlohmann::json{}))>
 {
     try {
-        return read(nlohmann::json::from_msgpack(bytes.begin(), bytes.end()));
+        const auto value = parse_msgpack(bytes);
+        if (value.is_discarded()) {
+            return std::nullopt;
+        }
+        return read(value);
     } catch (const nlohmann::json::exception&) {
         return std::nullopt;
     } catch (const std::out_of_range&) {
--- a/test/cell/peer_link.cpp
+++ b/test/cell/peer_link.cpp
@@ -149,6 +149,18 @@
     CHECK_FALSE(decode_leader_status("zz"));
 }
 
+TEST_CASE("Deeply nested messages of peers are rejected", "[peer]")
+{
+    constexpr std::size_t depth = 1000000;
+    const std::string bytes(depth, '\x91');
+    CHECK_FALSE(decode_message(bytes));
+    CHECK_FALSE(decode_call(bytes, now));
+    CHECK_FALSE(decode_answer(bytes));
+    CHECK_FALSE(decode_call_number(bytes));
+    CHECK_FALSE(decode_call_report(bytes));
+    CHECK_FALSE(decode_leader_status(bytes));
+}
+
 TEST_CASE("A response of a peer round-trips", "[peer]")
 {
     const client_answer answer{.kind = answer_kind::state,
--- a/test/cell/worker_batch.cpp
+++ b/test/cell/worker_batch.cpp
@@ -117,6 +117,14 @@
     CHECK(poll.response.ended[0].how == fleet::run_end::gang_broken);
 }
 
+TEST_CASE("Deeply nested batches are rejected", "[worker_batch]")
+{
+    constexpr std::size_t depth = 1000000;
+    const std::string bytes(depth, '\x91');
+    CHECK_FALSE(decode_calls(bytes));
+    CHECK_FALSE(decode_results(bytes));
+}
+
 TEST_CASE("Malformed batches are rejected", "[worker_batch]")
 {
     for (const auto* bad :
--- a/test/fleet/ledger.cpp
+++ b/test/fleet/ledger.cpp
@@ -1,7 +1,12 @@
 #include <rosemarytrail/fleet/job_index.hpp>
+#include <rosemarytrail/fleet/msgpack.hpp>
 
 #include <catch2/catch.hpp>
 
+#include <nlohmann/json.hpp>
+
+#include <string>
+
 namespace rosemarytrail::fleet {
 
 namespace {
@@ -95,6 +100,49 @@
     CHECK(ledger_jobs.pending("q") == 0);
 }
 
+TEST_CASE("A deeply nested entry of the ledger is rejected", "[ledger]")
+{
+    constexpr std::size_t depth = 1000000;
+    constexpr char array_of_one = '\x91';
+    constexpr char object_of_one = '\x81';
+    auto bytes = std::string(
+        depth, GENERATE(values<char>({array_of_one, object_of_one})));
+    bytes.push_back('\x01');
+    CHECK_FALSE(decode_job(bytes));
+    CHECK_FALSE(decode_leader(bytes));
+    CHECK_FALSE(decode_worker(bytes));
+    job_index ledger_jobs;
+    CHECK_FALSE(ledger_jobs.apply(job_key(), bytes, now));
+    CHECK(ledger_jobs.find(id) == nullptr);
+}
+
+TEST_CASE("Values that nest as deep as entries may round-trip", "[ledger]")
+{
+    auto value = nlohmann::json::object(
+        {{"text", "x"},
+         {"null", nullptr},
+         {"numbers", {1, -1, 1.5, true, 18446744073709551615U}},
+         {"bytes", nlohmann::json::binary({1, 2})},
+         {"empty", {nlohmann::json::array(), nlohmann::json::object()}}});
+    const auto nested = [&value](std::size_t levels) {
+        auto result = value;
+        for (std::size_t n = 0; n < levels; ++n) {
+            result = nlohmann::json::array({result, 7});
+        }
+        return result;
+    };
+    const auto read = [](const nlohmann::json& it) {
+        return it;
+    };
+    // The value itself has three levels.
+    const auto deepest = nested(max_msgpack_depth - 3);
+    CHECK(unpack(pack(deepest), read) == deepest);
+    CHECK_FALSE(unpack(pack(nested(max_msgpack_depth - 2)), read));
+    CHECK_FALSE(unpack(pack(value) + "x", read));
+    CHECK_FALSE(unpack(pack(value).substr(0, 9), read));
+    CHECK_FALSE(unpack("", read));
+}
+
 TEST_CASE("A job counts as started once a task was placed", "[ledger]")
 {
     job_index ledger_jobs;
