Reject numbers of the ledger that ask for too much memory

Cause: earlier versions wrote the number of a task's failed runs, and reading it allocates that many rows. A number that is too large throws std::length_error or std::bad_alloc, which unpack does not catch, so the process ends. A job with 4,294,967,295 tasks, or as many occurrences, is taken, and the leader allocates its tasks; a step that depends on a later one is taken too.

Ruled out: catching std::bad_alloc: with overcommitted memory it is not thrown.

Change: a number of failed runs above 1,000,000 and a job above 10,000 steps, 1,000,000 tasks of a step or 1,000,000 occurrences are unreadable entries, which are counted and logged as before. Submissions have lower limits (1,000, 100,000 and 100,000), so no accepted job is affected.

--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <stdexcept>
 
 namespace rosemarytrail::fleet {
 
@@ -13,6 +14,14 @@
 
 using json = nlohmann::json;
 
+/** @brief Maximum number of failed runs of a task. */
+constexpr std::uint64_t max_failed_runs = 1'000'000;
+/** @brief Maximum numbers of steps of a job, of tasks of a step and of
+ * occurrences. Submissions have lower limits, so no accepted job is above. */
+constexpr std::size_t max_steps = 10'000;
+constexpr std::uint32_t max_tasks = 1'000'000;
+constexpr std::uint32_t max_occurrences = 1'000'000;
+
 constexpr char kind_letters[] = {'j', 'c', 's', 'a', 'f', 'l', 'b', 'w', 'r'};
 
 [[nodiscard]] json pack_amounts(const resource_amounts& it)
@@ -106,10 +115,14 @@
 }
 
 /** @brief Reads the failed runs of a task; earlier versions wrote only their
- * number. */
+ * number. Throws if it is out of range: memory would be allocated for it. */
 [[nodiscard]] std::vector<std::uint32_t> read_failed_runs(const json& it)
 {
     if (it.is_number()) {
+        if (!it.is_number_unsigned() ||
+            it.get<std::uint64_t>() > max_failed_runs) {
+            throw std::out_of_range{"number of failed runs"};
+        }
         return std::vector<std::uint32_t>(it.get<std::size_t>(), 0);
     }
     return it.get<std::vector<std::uint32_t>>();
@@ -124,6 +137,24 @@
     return row;
 }
 
+/** @brief Checks that a job can be tracked: memory is allocated for each of its
+ * tasks, and steps are found by their number. */
+[[nodiscard]] bool is_trackable(const job_spec& it)
+{
+    if (it.steps.size() > max_steps || it.occurrences > max_occurrences) {
+        return false;
+    }
+    for (std::size_t i = 0; i < it.steps.size(); ++i) {
+        const auto& step = it.steps[i];
+        const bool depends_on_earlier = std::ranges::all_of(
+            step.depends_on, [i](std::uint32_t n) { return n < i; });
+        if (!depends_on_earlier || step.tasks > max_tasks) {
+            return false;
+        }
+    }
+    return true;
+}
+
 } // namespace
 
 std::string encode_key(const entry_key& it)
@@ -316,6 +347,9 @@
         for (const auto& step : it.at(6)) {
             result.spec.steps.push_back(read_step(step));
         }
+        if (!is_trackable(result.spec)) {
+            throw std::out_of_range{"work of a job"};
+        }
         return result;
     });
 }
--- a/test/fleet/ledger.cpp
+++ b/test/fleet/ledger.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
+#include <limits>
 #include <string>
 
 namespace rosemarytrail::fleet {
@@ -116,6 +118,45 @@
     CHECK(ledger_jobs.find(id) == nullptr);
 }
 
+TEST_CASE("A number of the ledger that is too large is rejected", "[ledger]")
+{
+    using nlohmann::json;
+    const auto number = GENERATE(
+        values<json>({json(std::uint64_t{1} << 62U), json(1e300), json(-1),
+                      json(std::numeric_limits<std::uint64_t>::max())}));
+    INFO(number.dump());
+    CHECK_FALSE(decode_progress(
+        pack(json::array({json::array({1, number, "w", ""})}))));
+    CHECK(decode_progress(pack(json::array({json::array({1, 3, "w", ""})})))
+              ->at(0)
+              .failed_runs.size() == 3);
+}
+
+TEST_CASE("A job of the ledger with too much work is rejected", "[ledger]")
+{
+    REQUIRE(decode_job(encode(make_record())));
+    auto record = make_record();
+    SECTION("tasks")
+    {
+        record.spec.steps.back().tasks =
+            std::numeric_limits<std::uint32_t>::max();
+    }
+    SECTION("occurrences")
+    {
+        record.spec.occurrences = std::numeric_limits<std::uint32_t>::max();
+    }
+    SECTION("steps")
+    {
+        record.spec.steps.resize(1000000, record.spec.steps.back());
+    }
+    SECTION("a dependency on no earlier step")
+    {
+        record.spec.steps.back().depends_on = {
+            static_cast<std::uint32_t>(record.spec.steps.size() - 1)};
+    }
+    CHECK_FALSE(decode_job(encode(record)));
+}
+
 TEST_CASE("Values that nest as deep as entries may round-trip", "[ledger]")
 {
     auto value = nlohmann::json::object(
