--- /dev/null
+++ b/test/platform/worker_client.cpp
@@ -0,0 +1,61 @@
+#include <platform/worker_client.hpp>
+
+#include <rosemarytrail/http/client.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rosemarytrail::platform {
+
+namespace {
+
+/** @brief HTTP client that gets the same response to each request. */
+struct scripted_http final : http::client
+{
+    void fetch(http::client_request /*outgoing*/, callback done) override
+    {
+        done({.transport = http::transport_result::complete, .answer = answer});
+    }
+
+    http::response answer{.status = 200};
+};
+
+} // namespace
+
+TEST_CASE("A rejection that cannot be read does not end the caller",
+          "[platform]")
+{
+    scripted_http http;
+    http.answer = {.status = 409};
+    http.answer.body =
+        GENERATE(values<std::string>({R"({"reason":5})", R"({"reason":null})",
+                                      R"({"reason":[]})", "[]", "{", "1e999"}));
+    INFO(http.answer.body);
+    worker_client client{http};
+    std::optional<fleet::poll_result> polled;
+    client.poll({}, [&](fleet::poll_result it, const auto&) { polled = it; });
+    CHECK(polled == fleet::poll_result::failed);
+    std::optional<fleet::start_result> started;
+    client.start({.payload = std::make_shared<const std::string>("x")},
+                 [&](fleet::start_result it) { started = it; });
+    CHECK(started == fleet::start_result::invalid);
+}
+
+TEST_CASE("A worker whose id is no UTF-8 does not end an advice request",
+          "[platform]")
+{
+    scripted_http http;
+    http.answer.status = 400;
+    advice_client client{http, "s:1"};
+    const std::vector<std::string> workers{"a", "\xff\xfe"};
+    std::optional<cell::advice_answer> result;
+    client.advise({}, workers, std::chrono::seconds{1},
+                  [&](cell::advice_answer it) { result = std::move(it); });
+    REQUIRE(result);
+    CHECK_FALSE(result->answered);
+}
+
+} // namespace rosemarytrail::platform
