End a load of newest records that does not advance

Cause: a page that says more follow and ends with the key that it started after is requested again at once, without an end, and its records are kept each time. A page without any record that says more follow passes for the last one: the records read so far replace all others, also those of the ledger.

Ruled out: comparing keys in order: the order of the store's pages is not stated.

Change: a page without a key to continue after, or with one that was continued after before, is a failed read. The load starts again after a delay that grows, and what was known stays in force. A load counts as a success when it has ended, so the delay grows also if the first page is readable.

--- a/src/rosemarytrail/cell/feed_reader.cpp
+++ b/src/rosemarytrail/cell/feed_reader.cpp
@@ -1,6 +1,8 @@
 #include <rosemarytrail/cell/feed_reader.hpp>
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace rosemarytrail::cell {
@@ -27,10 +29,12 @@
     time_point fresh_at;
     std::vector<feed_record> loading;
     std::int64_t load_end{};
+    /** @brief Keys after which the pages of this load started. */
+    std::set<std::string> continued;
     read_pacing pacing;
 
     void load(const std::string& after);
-    void on_newest(newest_page page, time_point sent);
+    void on_newest(newest_page page, bool first, time_point sent);
     void read();
     void on_page(const feed_page& page, time_point sent);
     void apply(const feed_page& page, std::int64_t from);
@@ -97,41 +101,52 @@
 {
     if (after.empty()) {
         loading.clear();
+        continued.clear();
     }
     source.newest(options.which, after,
-                  [self = shared_from_this(),
+                  [self = shared_from_this(), first = after.empty(),
                    sent = boot_clock::now()](newest_page page) {
                       if (!self->stopped) {
-                          self->on_newest(std::move(page), sent);
+                          self->on_newest(std::move(page), first, sent);
                       }
                   });
 }
 
-void feed_reader::internal_state::on_newest(newest_page page, time_point sent)
+void feed_reader::internal_state::on_newest(newest_page page, bool first,
+                                            time_point sent)
 {
     if (page.result != store_result::done) {
         on_failure(page.result, &internal_state::reload);
         return;
     }
-    on_success();
     // The pages are not a consistent snapshot. Records written while the pages
     // are read follow in the log, from the end offset that the first page
     // reported.
-    if (loading.empty()) {
+    if (first) {
         load_end = page.end_offset;
     }
     const auto last =
         page.records.empty() ? std::string{} : page.records.back().key;
     std::ranges::move(page.records, std::back_inserter(loading));
-    if (page.more && !last.empty()) {
+    if (page.more) {
+        // A part of the records must not pass for all of them, and a page that
+        // was read before would follow again and again.
+        if (last.empty() || !continued.insert(last).second) {
+            on_failure(store_result::unknown, &internal_state::reload);
+            return;
+        }
         load(last);
         return;
     }
+    // Only now, so that loads that fail at a later page are delayed more and
+    // more.
+    on_success();
     target.on_reset();
     for (const auto& it : loading) {
         target.on_record(it);
     }
     loading.clear();
+    continued.clear();
     offset = load_end;
     fresh_at = sent;
     loaded = true;
