--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -113,4 +113,14 @@
     CHECK(newest(body).result == cell::store_result::unknown);
 }
 
+TEST_CASE("A key of any bytes continues the newest records", "[platform]")
+{
+    scripted_http http;
+    store_client client{http, "s:1", 4, 0};
+    client.newest(cell::feed::workers, "i-1/x_.~:", [](const auto&) {});
+    CHECK(http.url.ends_with("&dependsOn=i-1/x_.~:"));
+    client.newest(cell::feed::workers, "a b&c=\r\n%\xff+#", [](const auto&) {});
+    CHECK(http.url.ends_with("&dependsOn=a%20b%26c%3D%0D%0A%25%FF%2B%23"));
+}
+
 } // namespace rosemarytrail::platform
