Ignore entries of workers with values out of range, and say so

A start in the far future hides the later starts of the worker under that key. A key with control characters goes into a header. The node calls such addresses, and an odd entry under the key of a worker stays usable. Nothing is counted.

Entries are rewritten every heartbeat, so a line for each would be a flood.

--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -167,6 +167,8 @@
     std::int64_t peer_config{};
     std::map<std::string, fleet::worker_vm> vms;
     std::vector<fleet::worker_vm> vm_list;
+    /** @brief Why entries of the directory name no worker, by key. */
+    std::map<std::string, std::string> ignored_entries;
     fleet::advice_plan advice_requests;
     /** @brief Newest incarnations of the live members, sorted. */
     std::vector<std::string> members;
@@ -244,6 +246,9 @@
     bool loading_ledger{false};
     void on_configuration(fleet::cell_config found);
     void on_evacuation(const fleet::zone_evacuation& it);
+    /** @brief Counts an entry of the directory that names no worker to use, and
+     * logs it if the reason is new; an empty reason ends that. */
+    void track_ignored_entry(const std::string& key, const std::string& why);
     [[nodiscard]] bool is_known_zone(std::string_view zone) const;
     [[nodiscard]] const fleet::job_entry*
     find_job_by_key(std::string_view key) const;
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -392,7 +392,9 @@
 void node::internal_state::directory_listener::on_record(
     const feed_record& record)
 {
-    auto vm = owner->formats.worker(record);
+    std::string why;
+    auto vm = owner->formats.worker(record, why);
+    owner->track_ignored_entry(record.key, why);
     if (!vm) {
         if (owner->vms.erase(record.key) > 0) {
             logging::event(logging::level::info, "worker_unlisted",
@@ -416,6 +418,27 @@
     slot = std::move(*vm);
 }
 
+void node::internal_state::track_ignored_entry(const std::string& key,
+                                               const std::string& why)
+{
+    constexpr std::size_t max_tracked = 1000;
+    constexpr std::size_t max_logged_bytes = 64;
+    if (why.empty()) {
+        ignored_entries.erase(key);
+        return;
+    }
+    metrics.worker_entries_ignored.add();
+    const auto it = ignored_entries.find(key);
+    if (it == ignored_entries.end() ? ignored_entries.size() >= max_tracked
+                                    : it->second == why) {
+        return;
+    }
+    ignored_entries.insert_or_assign(key, why);
+    logging::event(
+        logging::level::warning, "worker_entry_ignored",
+        {{"worker", key.substr(0, max_logged_bytes)}, {"reason", why}});
+}
+
 void node::internal_state::directory_listener::on_caught_up()
 {
     auto& it = *owner;
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -17,6 +17,9 @@
     , evacuations_unknown_zone{all.make_counter(
           "rosemarytrail_evacuations_unknown_zone_total",
           "changes of evacuation requests for a zone that is not known")}
+    , worker_entries_ignored{all.make_counter(
+          "rosemarytrail_worker_entries_ignored_total",
+          "entries of the worker directory that name no worker to use")}
     , ignored_reports{all.make_counter(
           "rosemarytrail_advice_node_reports_ignored_total",
           "reports of nodes whose name is malformed or that are too many")}
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -41,6 +41,7 @@
     metrics::counter& unreadable;
     metrics::counter& evacuations_unreadable;
     metrics::counter& evacuations_unknown_zone;
+    metrics::counter& worker_entries_ignored;
     metrics::counter& ignored_reports;
     metrics::counter& departure_moves;
     metrics::counter& evacuation_moves;
--- a/src/rosemarytrail/cell/ports.hpp
+++ b/src/rosemarytrail/cell/ports.hpp
@@ -344,10 +344,12 @@
     /**
      * @brief Decodes a record of the worker directory.
      * @param record Record.
+     * @param why Set to the reason if a record that has a value names no worker
+     * to use; otherwise empty.
      * @return Worker, or nothing if the record describes no usable worker.
      */
     [[nodiscard]] virtual std::optional<fleet::worker_vm>
-    worker(const feed_record& record) const = 0;
+    worker(const feed_record& record, std::string& why) const = 0;
 };
 
 } // namespace rosemarytrail::cell
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -426,8 +426,9 @@
 }
 
 std::optional<fleet::worker_vm>
-model_formats::worker(const cell::feed_record& record) const
+model_formats::worker(const cell::feed_record& record, std::string& why) const
 {
+    why.clear();
     return fleet::worker_vm{.id = record.key,
                             .service = "s",
                             .address = record.key + ":1",
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -220,7 +220,7 @@
     [[nodiscard]] std::optional<fleet::zone_evacuation>
     evacuation(const cell::feed_record& record) const override;
     [[nodiscard]] std::optional<fleet::worker_vm>
-    worker(const cell::feed_record& record) const override;
+    worker(const cell::feed_record& record, std::string& why) const override;
 
     /** @brief Cost of advice on the queue `q`; none if it needs no advice. */
     std::optional<fleet::advice_policy> advice;
--- a/test/platform/decode.cpp
+++ b/test/platform/decode.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <string>
+
 namespace rosemarytrail::platform {
 
 namespace {
@@ -92,7 +94,8 @@
 {
     const platform_decoder formats;
     const auto read = [&](const char* text) {
-        return formats.worker({.key = "i-1", .value = text});
+        std::string why;
+        return formats.worker({.key = "i-1", .value = text}, why);
     };
     const auto it =
         read(R"({"service":"s","address":"1.2.3.4:80","zone":"z",)"
@@ -109,6 +112,109 @@
     CHECK_FALSE(read("\xff\xfe"));
 }
 
+TEST_CASE("A worker entry with a value out of range names no worker to use",
+          "[platform]")
+{
+    const platform_decoder formats;
+    const auto [field, value] = GENERATE(table<std::string, std::string>({
+        {R"("1.2.3.4:80")", R"("1.2.3.4:99999")"},
+        {R"("1.2.3.4:80")", R"("1.2.3.4:65536")"},
+        {R"("1.2.3.4:80")", R"("1.2.3.4:0")"},
+        {R"("1.2.3.4:80")", R"("1.2.3.4:-80")"},
+        {R"("1.2.3.4:80")", R"("1.2.3.4:18446744073709551696")"},
+        {R"("1.2.3.4:80")", R"("1.2.3.4:")"},
+        {R"("1.2.3.4:80")", R"("1.2.3.4")"},
+        {R"("1.2.3.4:80")", R"("1.2.3.444:80")"},
+        {R"("1.2.3.4:80")", R"("1.2.3.4:80\r\nX: y")"},
+        {R"("1.2.3.4:80")", R"("1.2.3.4\u0000:80")"},
+        {R"("1.2.3.4:80")", R"("1.2.3.4:80/x")"},
+        {R"("1.2.3.4:80")", R"("u@1.2.3.4:80")"},
+        {R"("1.2.3.4:80")", R"("")"},
+        {R"("cpu":16000)", R"("cpu":-5)"},
+        {R"("cpu":16000)", R"("cpu":9223372036854775807)"},
+        {R"("cpu":16000)", R"("cpu":18446744073709551615)"},
+        {R"("cpu":16000)", R"("cpu":true)"},
+        {R"("memMb":3)", R"("memMb":9223372036854775807)"},
+        {R"("memMb":3)", R"("memMb":-1)"},
+        {R"("gpu":0)", R"("gpu":1e300)"},
+        {R"("remainingMs":5)", R"("remainingMs":1e300)"},
+        {R"("remainingMs":5)", R"("remainingMs":-1e300)"},
+        {R"("remainingMs":5)", R"("remainingMs":1e999)"},
+        {R"("remainingMs":5)", R"("remainingMs":99999999999999999999)"},
+        {R"("coldLeftMs":2400)", R"("coldLeftMs":9223372036854775807)"},
+        {R"("coldLeftMs":2400)", R"("coldLeftMs":"1")"},
+        {R"("born":17)", R"("born":9223372036854775807)"},
+        {R"("born":17)", R"("born":-1)"},
+    }));
+    std::string text =
+        R"({"service":"s","address":"1.2.3.4:80","zone":"z",)"
+        R"("state":"ready","capacity":{"cpu":16000,"memMb":3,"gpu":0},)"
+        R"("remainingMs":5,"born":17,"coldLeftMs":2400})";
+    std::string why{"left"};
+    REQUIRE(formats.worker({.key = "i-1", .value = text}, why));
+    CHECK(why.empty());
+    text.replace(text.find(field), field.size(), value);
+    INFO(text);
+    CHECK_FALSE(formats.worker({.key = "i-1", .value = text}, why));
+    CHECK_FALSE(why.empty());
+    // The removal of an entry is nothing odd.
+    CHECK_FALSE(formats.worker({.key = "i-1", .value = std::nullopt}, why));
+    CHECK(why.empty());
+}
+
+TEST_CASE("A worker entry at the edges of the valid range is taken",
+          "[platform]")
+{
+    const platform_decoder formats;
+    std::string why;
+    const auto it = formats.worker(
+        {.key = "i-1",
+         .value = R"({"service":"s","address":"255.1.0.9:65535","zone":"z",)"
+                  R"("state":"draining","capacity":{"cpu":999999999,)"
+                  R"("memMb":999999999},"remainingMs":86400000,)"
+                  R"("coldLeftMs":-3.5,"born":1796436540000})"},
+        why);
+    REQUIRE(it);
+    CHECK(it->remaining_ms == 86400000);
+    CHECK(it->cold_left_ms == 0);
+    CHECK(it->capacity.gpus == 0);
+}
+
+TEST_CASE("A worker entry whose key cannot be sent names no worker to use",
+          "[platform]")
+{
+    const platform_decoder formats;
+    const auto key = GENERATE(values<std::string>(
+        {"", "\xff\xfe", "a\r\nX: y", std::string("a\0b", 3), "a\x7f"}));
+    const auto read = [&](const std::string& with) {
+        std::string why;
+        return formats.worker(
+            {.key = with,
+             .value = R"({"service":"s","address":"1.2.3.4:80","zone":"z",)"
+                      R"("state":"ready","capacity":{}})"},
+            why);
+    };
+    CHECK_FALSE(read(key));
+    CHECK(read("i-1"));
+    CHECK(read(R"(\"\u12\ name)"));
+    CHECK(read("\xc3\xa9"));
+}
+
+TEST_CASE("A deeply nested worker entry is ignored", "[platform]")
+{
+    constexpr std::size_t depth = 300000;
+    const platform_decoder formats;
+    const auto field = GENERATE(values<std::string>({"labels", "extra"}));
+    const auto text =
+        R"({"service":"s","address":5,"zone":"z","state":"ready",)"
+        R"("capacity":{},")" +
+        field + R"(":)" + std::string(depth, '[') + std::string(depth, ']') +
+        "}";
+    std::string why;
+    CHECK_FALSE(formats.worker({.key = "i-1", .value = text}, why));
+    CHECK_FALSE(why.empty());
+}
+
 TEST_CASE("A job is parsed, an invalid one is rejected", "[platform]")
 {
     const auto it = parse_job(
