--- a/test/platform/decode.cpp
+++ b/test/platform/decode.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdlib>
 #include <string>
 
 namespace rosemarytrail::platform {
@@ -215,6 +216,63 @@
     CHECK_FALSE(why.empty());
 }
 
+TEST_CASE("Numbers of a configuration out of range are brought into it",
+          "[platform]")
+{
+    const platform_decoder formats;
+    const auto number = GENERATE(
+        values<std::string>({"1e300", "-1e300", "9223372036854775807",
+                             "-9223372036854775808", "99999999999999999999"}));
+    const auto it = formats.configuration(
+        {.key = "config",
+         .value = R"({"version":7,"routes":[{"name":"r","host":"h.example",)"
+                  R"("pathPrefix":"/p/","service":"s","priority":)" +
+                  number + R"(,"maxAttempts":)" + number +
+                  R"(,"slackFactor":)" + number + R"(,"targetLatencyMs":)" +
+                  number + R"(,"advice":{"decideMs":)" + number +
+                  R"(,"eachMs":)" + number + R"(,"validMs":)" + number +
+                  R"(}}],"services":[],"tenants":[{"name":"t","apiKeys":[],)"
+                  R"("weight":)" +
+                  number + R"(,"cap":{"cpu":)" + number + R"(,"memMb":)" +
+                  number + "}}]}"});
+    INFO(number);
+    REQUIRE(it);
+    constexpr auto week_ms = std::int64_t{7} * 24 * 3600 * 1000;
+    constexpr std::int64_t max_amount = 1'000'000'000'000'000;
+    const auto& policy = it->queues.at(0).policy;
+    CHECK(std::abs(policy.priority) <= 1000000);
+    CHECK(policy.max_attempts >= 1);
+    CHECK(policy.max_attempts <= 1000000);
+    CHECK(policy.slack_factor >= 0);
+    CHECK(policy.slack_factor <= 1e6);
+    CHECK(policy.target_latency_ms >= 0);
+    CHECK(policy.target_latency_ms <= week_ms);
+    REQUIRE(policy.advice);
+    CHECK(policy.advice->base_ms >= 0);
+    CHECK(policy.advice->base_ms <= static_cast<double>(week_ms));
+    CHECK(policy.advice->per_worker_ms <= static_cast<double>(week_ms));
+    CHECK(policy.advice->valid_ms >= 0);
+    CHECK(policy.advice->valid_ms <= week_ms);
+    const auto& account = it->accounts.at("t");
+    CHECK(account.weight >= 0);
+    CHECK(account.weight <= 1e9);
+    CHECK(account.limit.cpu_millis >= 0);
+    CHECK(account.limit.cpu_millis <= max_amount);
+    CHECK(account.limit.memory_mb <= max_amount);
+}
+
+TEST_CASE("A configuration whose version is out of range is ignored",
+          "[platform]")
+{
+    const platform_decoder formats;
+    const auto version = GENERATE(values<std::string>(
+        {"1e300", "99999999999999999999", "-1", R"("7")", "1e999"}));
+    CHECK_FALSE(
+        formats.configuration({.key = "config",
+                               .value = R"({"version":)" + version +
+                                        R"(,"routes":[],"services":[]})"}));
+}
+
 TEST_CASE("A job is parsed, an invalid one is rejected", "[platform]")
 {
     const auto it = parse_job(
