Let the soak find leases that lapse during a takeover

Cause: no fault of the soak stops the leader while the store is slow and followers append, no promise says anything on leases, and its store carried out the appends of one partition side by side. So it could not find a cell in which claims of leadership conflict for longer than a lease.

A bound on the time between lead_lost and lead_taken: workers see what counts, a renewal.

Nothing of src or platform changes, and scripts/soak.sh stays as it is.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -1,6 +1,10 @@
 """What must hold, judged from what clients and workers see."""
 
 import random
+import time
+
+# `dispatcher_options::lease`, which "outlasts a leader takeover" (docs/PLATFORM.md).
+LEASE_MS = 4500
 
 
 class Job:
@@ -19,6 +23,19 @@
         self.lengths = {n: rng.uniform(0.05, 0.8) for n in range(len(steps))}
 
 
+class Renewal:
+    """Newest renewal of a worker's lease, and the runs that lapsed since."""
+
+    def __init__(self, worker):
+        self.at = time.monotonic()
+        self.epoch = worker.token
+        # A longer lease would only delay the lapse.
+        self.ends = min(worker.deadline, worker.clock + LEASE_MS)
+        self.excused_ms = 0.0  # on the worker's clock
+        self.lapsed = []
+        self.late = ""  # the breach, until it is known who renews next
+
+
 class Promises:
     """Ledger of all starts and ends; collects the promises that were broken."""
 
@@ -31,6 +48,9 @@
         self.failures = {}
         self.starts = 0
         self.broken = []
+        self.begun = time.monotonic()
+        self.renewals = {}  # worker: Renewal
+        self.leader_of = lambda epoch: "unknown"
 
     def breach(self, rule, text):
         self.broken.append(f"{rule}: {text}")
@@ -71,11 +91,50 @@
     def on_end(self, worker, task, how):
         if self.running.get(task) is worker:
             del self.running[task]
-        if how == "done":
+        if how == "lapsed":
+            self.renewals[worker].lapsed.append(task)
+        elif how == "done":
             self.done.add(task)
         elif how == "failed":
             self.failures[task] = self.failures.get(task, 0) + 1
 
+    def on_renewed(self, worker):
+        """Takes note of a renewal; the previous one may have been too long ago."""
+        self.judge_renewal(worker)
+        if worker in self.renewals and self.renewals[worker].late:
+            now = self.text(time.monotonic())
+            self.report_late(worker, f"renewed {now} by {self.leader_of(worker.token)}")
+        self.renewals[worker] = Renewal(worker)
+
+    def on_restart(self, worker):
+        """A worker that crashed holds no lease."""
+        self.report_late(worker, "not renewed before it crashed")
+        self.renewals.pop(worker, None)
+
+    def excuse(self, worker, seconds):
+        """Adds time in which the worker's lease need not have been renewed."""
+        if worker in self.renewals:
+            self.renewals[worker].excused_ms += seconds * 1000 * worker.rate
+            self.judge_renewal(worker)
+
+    def judge_renewal(self, worker):
+        """No lease lapses, unless the excused time since its renewal explains it."""
+        it = self.renewals.get(worker)
+        if it is None or it.late or worker.clock < it.ends + it.excused_ms:
+            return
+        if runs := it.lapsed + list(worker.running):
+            it.late = (
+                f"{', '.join(runs)} on {worker.name}: last renewed {self.text(it.at)} "
+                f"by {self.leader_of(it.epoch)}, due {self.text(time.monotonic())}"
+            )
+
+    def report_late(self, worker, then):
+        if worker in self.renewals and self.renewals[worker].late:
+            self.breach("LAPSED", f"{self.renewals[worker].late}, {then}")
+
+    def text(self, at):
+        return f"at {at - self.begun:.2f} s"
+
     def on_acknowledged(self, task, how):
         if how == "done":
             self.acknowledged.add(task)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -23,6 +23,10 @@
     def port(self):
         return self.server.sockets[0].getsockname()[1]
 
+    @property
+    def cut(self):
+        return self.silent_to or self.silent_from or self.refusing
+
     def heal(self):
         """Ends all faults; bytes that were held back are lost."""
         held = self.silent_to or self.silent_from
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -8,9 +8,11 @@
 
 import argparse
 import asyncio
+import itertools
 import json
 import os
 import random
+import re
 import signal
 import sys
 import tempfile
@@ -18,9 +20,9 @@
 from pathlib import Path
 
 from http_io import Client, serve
-from promises import Job, Promises
+from promises import LEASE_MS, Job, Promises
 from proxy import Proxy
-from store_model import Store
+from store_model import SLOW, Store
 from worker_model import Advice, Worker
 
 HOST = "queue.example"
@@ -37,6 +39,11 @@
 # Leases, takeover and retries take seconds; work that stands still for this
 # long after the last fault has been lost.
 SETTLE_WITHIN_S = 60
+# Submitters of the series of takeovers, on each node.
+CROWD = 6
+CROWD_PAUSE_S = 0.05
+# A pause of the soak itself; longer ones excuse leases.
+OWN_PAUSE_S = 0.1
 
 
 class Node:
@@ -48,6 +55,7 @@
         self.log = folder / f"{name}.log"
         self.process = None
         self.paused = False
+        self.ending = False
         self.turn = asyncio.Lock()  # faults that end and start it take turns
         self.store = self.advice = None
 
@@ -66,6 +74,8 @@
         self.settings.write_text("".join(f"{k}={v}\n" for k, v in lines.items()))
 
     async def start(self):
+        self.ending = False
+        self.log_from = self.log.stat().st_size if self.log.exists() else 0
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 str(self.program), stdout=log, stderr=log,
@@ -76,6 +86,11 @@
     def alive(self):
         return self.process is not None and self.process.returncode is None
 
+    @property
+    def in_charge(self):
+        """Tells whether it could lead: it runs on, and the store can be reached."""
+        return self.alive and not self.ending and not self.paused and not self.store.cut
+
     def send(self, number):
         if self.alive:
             self.process.send_signal(number)
@@ -96,6 +111,7 @@
         """Ends the process and waits until it is gone."""
         if self.paused:
             self.resume()
+        self.ending = True
         self.send(number)
         try:
             await asyncio.wait_for(self.process.wait(), 10)
@@ -132,7 +148,7 @@
         self.worker_proxies = {}
         self.nodes = []
         self.folder = Path(tempfile.mkdtemp(prefix="rosemarytrail-soak-"))
-        self.stopping = False
+        self.stopping = self.crowd_leaves = False
         self.version = 0
 
     def say(self, text):
@@ -181,17 +197,53 @@
 
     async def beat(self):
         """Workers write themselves into the directory and end what is due."""
-        last = 0.0
+        last, before = 0.0, time.monotonic()
         while True:
             now = time.monotonic()
+            passed, before = now - before, now
             for name, worker in self.workers.items():
                 worker.advance()
+                own = max(0.0, passed - OWN_PAUSE_S)
+                self.promises.excuse(worker, passed if self.lease_excused(name) else own)
                 if now - last >= BEAT_S and self.store.mode == "up":
                     address = f"127.0.0.1:{self.worker_proxies[name].port}"
                     self.store.put("keyed.servers", name, worker.entry(address))
             last = now if now - last >= BEAT_S else last
             await asyncio.sleep(0.01)
 
+    def lease_excused(self, name):
+        """Tells whether no node can be expected to renew a worker's lease now."""
+        worker, proxy = self.workers[name], self.worker_proxies[name]
+        return (
+            not self.store.serves
+            or not any(node.in_charge for node in self.nodes)
+            or proxy.cut
+            or proxy.delay > 0
+            or worker.late_share > 0
+        )
+
+    def claims(self):
+        """Returns, for each epoch, who took the lead and whether it still leads."""
+        claims = {}
+        for node in self.nodes:
+            lines = node.log.read_bytes()
+            for n in (it.start() for it in re.finditer(rb'"event":"lead_(taken|lost)"', lines)):
+                begin, end = lines.rfind(b"\n", 0, n) + 1, lines.find(b"\n", n)
+                event = json.loads(lines[begin:end])
+                leads = event["event"] == "lead_taken" and begin >= node.log_from
+                claims[int(event["epoch"])] = (node, leads)
+        return claims
+
+    def leader_of(self, epoch):
+        node, _ = self.claims().get(epoch, (None, False))
+        return f"{node.name if node else 'nobody known'} (epoch {epoch})"
+
+    def leader(self):
+        """Returns the node that leads, or None."""
+        claims = self.claims()
+        node, leads = claims[max(claims)] if claims else (None, False)
+        return node if leads and node.in_charge else None
+
     async def watch(self):
         """Starts processes again; an end of its own is a breach."""
         while True:
@@ -363,6 +415,66 @@
         for it in (node.store, node.advice, proxy):
             it.heal()
 
+    def renewing_leader(self):
+        """Returns the leader once it has renewed the leases of all runs."""
+        node = self.leader()
+        renewals = self.promises.renewals
+        epoch = max(self.claims(), default=0)
+        stale = any(it.epoch < epoch for worker, it in renewals.items() if worker.running)
+        return None if stale else node
+
+    async def crowd_client(self, n):
+        """Submits one short job after another over one connection, until it ends."""
+        nodes = [Client(node.ip, CLIENT_PORT) for node in self.nodes]
+        while not self.crowd_leaves:
+            client = nodes[n % len(nodes)]
+            step = {"count": 1, "cpu": 500, "memMb": 100, "estimateMs": 50}
+            job_id = f"{self.rng.getrandbits(64):016x}"
+            job = Job(job_id, f"spec of {job_id}", [step], self.rng)
+            job.lengths = {0: 0.05}
+            self.promises.jobs[job.id] = job
+            await self.submit([client], job)
+            if client.stream is None:
+                n += 1
+            await asyncio.sleep(CROWD_PAUSE_S)
+        for client in nodes:
+            client.close()
+
+    async def wait_for(self, condition):
+        """Waits for a condition, up to twice the time in which a leader must renew."""
+        until = time.monotonic() + 2 * LEASE_MS / 1000
+        while not condition() and time.monotonic() < until:
+            await asyncio.sleep(0.1)
+
+    async def take_over(self, until):
+        """Stops whoever leads, again and again, while the store is slow."""
+        clients = [Client(node.ip, CLIENT_PORT) for node in self.nodes]
+        services = [self.make_service() for _ in self.workers]
+        for job in services:
+            self.promises.jobs[job.id] = job
+            await self.submit(clients, job)
+        accepted = [job for job in services if job.accepted]
+        await self.wait_for(lambda: all(self.promises.all_running(job) for job in accepted))
+        self.store.slowness = self.options.slowness
+        crowd = [
+            asyncio.create_task(self.crowd_client(n)) for n in range(CROWD * len(self.nodes))
+        ]
+        self.say(f"store {self.options.slowness} times slower, {len(crowd)} submitters")
+        ways = [signal.SIGTERM, signal.SIGKILL]
+        self.rng.shuffle(ways)
+        for way in itertools.cycle(ways):
+            # Stopped any sooner, it would not have renewed what its predecessor had.
+            await self.wait_for(self.renewing_leader)
+            await asyncio.sleep(self.rng.uniform(0.5, 2))
+            node = self.leader()
+            if time.monotonic() > until or not node:
+                break
+            self.say(f"{node.name}, which leads, gets {way.name}")
+            await node.replace(way, self.rng.uniform(0, 2))
+        self.store.slowness = 1
+        self.crowd_leaves = True
+        await asyncio.gather(*crowd)
+
     async def mend(self):
         """Ends all faults, so that what was accepted can be carried out."""
         self.store.mode = "up"
@@ -420,7 +532,8 @@
                 await asyncio.sleep(0.1)
 
     async def run(self):
-        self.begun = time.monotonic()
+        self.begun = self.promises.begun = time.monotonic()
+        self.promises.leader_of = self.leader_of
         await self.prepare()
         background = [asyncio.create_task(it) for it in (self.beat(), self.watch())]
         faults = []
@@ -428,7 +541,9 @@
             await self.ready()
             callers = [asyncio.create_task(self.client()) for _ in range(self.options.clients)]
             until = time.monotonic() + self.options.seconds
-            while time.monotonic() < until:
+            if self.options.takeovers:
+                await self.take_over(until)
+            while time.monotonic() < until and not self.options.takeovers:
                 faults = [it for it in faults if not it.done()]
                 if len(faults) < self.options.overlap:
                     faults.append(asyncio.create_task(self.fault()))
@@ -443,6 +558,8 @@
             self.stopping = True
             for task in background:
                 task.cancel()
+            for worker in self.workers.values():
+                self.promises.report_late(worker, "not renewed before the end")
             for node in self.nodes:
                 if node.alive:
                     await node.end(signal.SIGKILL)
@@ -484,6 +601,12 @@
     parser.add_argument("--workers", type=int, default=6)
     parser.add_argument("--clients", type=int, default=6)
     parser.add_argument("--overlap", type=int, default=3, help="faults at the same time")
+    parser.add_argument(
+        "--takeovers", action="store_true", help="stop whoever leads while the store is slow"
+    )
+    parser.add_argument(
+        "--slowness", type=float, default=SLOW, help="factor on the store's times with --takeovers"
+    )
     options = parser.parse_args()
     failed = []
     for seed in range(options.seed, options.seed + options.seeds):
--- a/soak/store_model.py
+++ b/soak/store_model.py
@@ -11,6 +11,11 @@
 
 PAGE_RECORDS = 500
 REMEMBERED_APPENDS = 5
+CALL_S = 0.001  # any call, before it is carried out
+APPEND_S = 0.001  # the platform's `appendMs`
+APPEND_BYTES_PER_S = 20e6  # the platform's `partMbS`
+APPEND_BACKLOG_S = 2.0  # an append that would wait for longer is refused
+SLOW = 50
 
 
 class Partition:
@@ -22,6 +27,7 @@
         self.newest = {}
         self.grown = asyncio.Event()
         self.writers = {}
+        self.free_at = 0.0  # when the appends that wait have been carried out
 
     @property
     def end(self):
@@ -87,6 +93,13 @@
         self.partitions = {}
         self.groups = {}
         self.mode = "up"
+        self.slowness = 1  # factor on the time of each call and each append
+        self.late = set()
+
+    @property
+    def serves(self):
+        """False while it is down or refuses calls."""
+        return self.mode not in ("silent", "reset", "busy")
 
     def partition(self, topic, part=0):
         return self.partitions.setdefault((topic, int(part)), Partition())
@@ -110,19 +123,28 @@
             return reply(503, {})
         if self.mode == "slow":
             await asyncio.sleep(self.rng.uniform(0.2, 0.5))
+        if self.slowness > 1:
+            await asyncio.sleep(CALL_S * self.slowness)
         if method == "POST" and self.mode == "late" and self.rng.random() < 0.3:
-            delay = self.rng.uniform(1, 6)
-            asyncio.get_running_loop().call_later(delay, self._post, path, query, body)
+            task = asyncio.create_task(self._post_late(self.rng.uniform(1, 6), path, query, body))
+            self.late.add(task)
+            task.add_done_callback(self.late.discard)
             return SILENT
         if method == "GET":
             return await self._get(path, query)
-        answer = self._post(path, query, body)
+        answer = await self._post(path, query, body)
         if self.mode == "lost" and self.rng.random() < 0.3:
             return SILENT
         return answer
 
-    def _post(self, path, query, body):
+    async def _post_late(self, delay, path, query, body):
+        await asyncio.sleep(delay)
+        await self._post(path, query, body)
+
+    async def _post(self, path, query, body):
         if path == "/-/log-append":
+            if not await self._take_turn(self.partition(query["topic"], query["part"]), body):
+                return reply(503, {})
             return self._append(query, body)
         call = json.loads(body)
         group = self.groups.setdefault(call["group"], Group())
@@ -133,6 +155,20 @@
         rows = group.join(call["member"], call["topics"], ttl_s, time.monotonic(), self.parts)
         return reply(200, {"generation": group.generation, "parts": rows})
 
+    async def _take_turn(self, partition, body):
+        """Waits until a partition has carried out an append; False if refused.
+
+        A partition carries out its appends one at a time, in order of arrival.
+        """
+        now = time.monotonic()
+        begin = max(now, partition.free_at)
+        if begin - now > APPEND_BACKLOG_S:
+            return False
+        slowness = max(self.slowness, SLOW if self.mode == "slow" else 1)
+        partition.free_at = begin + (APPEND_S + len(body) / APPEND_BYTES_PER_S) * slowness
+        await asyncio.sleep(partition.free_at - now)
+        return True
+
     def _append(self, query, body):
         partition = self.partition(query["topic"], query["part"])
         name = query.get("producer")
--- a/soak/worker_model.py
+++ b/soak/worker_model.py
@@ -33,6 +33,7 @@
         self.born = int(time.time() * 1000)
         self.origin = time.monotonic()
         self.token, self.deadline, self.beat = 0, 0, 0
+        self.ledger.on_restart(self)
         self.running, self.highest = {}, {}
         self.finished, self.next_end = [], 1
         self.ended = asyncio.Event()
@@ -109,7 +110,9 @@
     def _extend(self, call):
         if "deadlineMs" in call:
             granted = min(call["deadlineMs"], self.clock + HOLD_MAX_MS)
-            self.deadline = max(self.deadline, granted)
+            if granted > self.deadline:
+                self.deadline = granted
+                self.ledger.on_renewed(self)
 
     def _order(self, path, call):
         refused = self._fence(call)
