--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 python3 soak/soak.py --seed 1 --seeds 4 --seconds 6 "$@"
 python3 soak/soak.py --seed 7 --seconds 6 "$@"
+python3 soak/soak.py --takeovers --seed 1 --seconds 8 "$@"
--- a/test/cell/relayed_workers.cpp
+++ b/test/cell/relayed_workers.cpp
@@ -99,6 +99,31 @@
     std::optional<fleet::start_result> last;
 };
 
+/** @brief Leader's port with a poll to each of many workers, which have one
+ * relay. */
+struct many_polls : leader_port
+{
+    static constexpr std::size_t workers = 300;
+
+    many_polls()
+    {
+        for (std::size_t i = 0; i < workers; ++i) {
+            plan.emplace("w" + std::to_string(i), relay);
+        }
+        port.set_plan(plan);
+        for (const auto& [worker, name] : plan) {
+            port.poll({.worker = {.id = worker, .address = worker + ":1"}},
+                      [this](fleet::poll_result, const fleet::poll_response&) {
+                          ++answered;
+                      });
+        }
+        port.run(boot_clock::now());
+    }
+
+    relay_assignment plan;
+    std::size_t answered{};
+};
+
 [[nodiscard]] worker_result_batch started(std::uint64_t id)
 {
     return {.leader = leader,
@@ -245,62 +270,33 @@
 TEST_CASE("The leader makes a limited number of calls directly at a time",
           "[relayed]")
 {
-    constexpr std::size_t n = 300;
-    leader_port it;
-    relay_assignment plan;
-    for (std::size_t i = 0; i < n; ++i) {
-        plan.emplace("w" + std::to_string(i), relay);
-    }
-    it.port.set_plan(plan);
-    std::size_t answered = 0;
-    for (const auto& [worker, name] : plan) {
-        it.port.poll({.worker = {.id = worker, .address = worker + ":1"}},
-                     [&](fleet::poll_result, const fleet::poll_response&) {
-                         ++answered;
-                     });
-    }
-    it.port.run(boot_clock::now());
+    constexpr auto limit = relayed_workers_options{}.max_direct_calls;
+    many_polls it;
     it.peers.calls[0].done(message_result::refused);
-    CHECK(it.direct.polls.size() == relayed_workers_options{}.max_direct_calls);
-    CHECK(it.port.open_calls() == n);
+    CHECK(it.direct.polls.size() == limit);
+    CHECK(it.port.open_calls() == many_polls::workers);
     // Calls that wait go to a relay as soon as there is one.
     const std::string other =
         to_text({.incarnation = "s-1-1", .address = "s:1", .cpu_millis = 500});
-    for (auto& [worker, name] : plan) {
+    for (auto& [worker, name] : it.plan) {
         name = other;
     }
-    it.port.set_plan(plan);
+    it.port.set_plan(it.plan);
     it.port.run(boot_clock::now());
-    CHECK(it.direct.polls.size() == relayed_workers_options{}.max_direct_calls);
+    CHECK(it.direct.polls.size() == limit);
     REQUIRE(it.peers.calls.size() == 2);
     CHECK(it.peers.calls[1].address == "s:1");
-    REQUIRE(it.loop.run_until(
-        [&] { return answered == relayed_workers_options{}.max_direct_calls; },
-        timeout));
+    REQUIRE(it.loop.run_until([&] { return it.answered == limit; }, timeout));
 }
 
 TEST_CASE("Calls that wait for a relay are all made without one", "[relayed]")
 {
-    constexpr std::size_t n = 300;
-    leader_port it;
-    relay_assignment plan;
-    for (std::size_t i = 0; i < n; ++i) {
-        plan.emplace("w" + std::to_string(i), relay);
-    }
-    it.port.set_plan(plan);
-    std::size_t answered = 0;
-    for (const auto& [worker, name] : plan) {
-        it.port.poll({.worker = {.id = worker, .address = worker + ":1"}},
-                     [&](fleet::poll_result, const fleet::poll_response&) {
-                         ++answered;
-                     });
-    }
-    it.port.run(boot_clock::now());
+    many_polls it;
     it.peers.calls[0].done(message_result::unknown);
     REQUIRE(it.loop.run_until(
         [&] {
             it.port.run(boot_clock::now());
-            return answered == n;
+            return it.answered == many_polls::workers;
         },
         timeout));
     CHECK(it.port.open_calls() == 0);
