Route and queue a relayed call in one place, and classify a failed claim once

Cause: found on the last read of the change. reroute and send_waiting chose a relay by the same lines, and a waiting call was routed twice; a failed claim was sorted by its result once for what follows and once more for its counter; a start of a gang that is withheld since another member is not placed was logged as "the job has ended"; two comments in relayed_workers.hpp were outdated; two test files built the same submission, and three cases the same condition.

Change: route and queue of a call, on_claim_failed with its counter, a reason of its own for incomplete gangs, submission_of in the test library, two_nodes::led. Same decisions and the same assertions; one log text differs.

--- a/src/rosemarytrail/cell/internal/node_leadership.cpp
+++ b/src/rosemarytrail/cell/internal/node_leadership.cpp
@@ -255,9 +255,6 @@
 
 void node::internal_state::on_claim_result(store_result result)
 {
-    if (result != store_result::done) {
-        log_failed_claim(result);
-    }
     switch (result) {
     case store_result::done:
         ledger.catch_up([this](bool) { confirm_claim(); });
@@ -265,6 +262,7 @@
     case store_result::fenced:
     case store_result::out_of_sequence:
         // The ledger names a newer leader, or another one of this epoch.
+        on_claim_failed(result, metrics.claims_outdated);
         ledger.catch_up([this, sent = claim->sent](bool complete) {
             if (!claim || claim->sent != sent) {
                 return;
@@ -279,6 +277,7 @@
         });
         return;
     case store_result::unknown:
+        on_claim_failed(result, metrics.claims_unanswered);
         ledger.catch_up([this, sent = claim->sent](bool) {
             confirm_claim();
             if (claim && claim->sent == sent) {
@@ -291,6 +290,7 @@
         });
         return;
     default:
+        on_claim_failed(result, metrics.claims_refused);
         withdraw_claim();
     }
 }
@@ -303,15 +303,10 @@
     elected = false;
 }
 
-void node::internal_state::log_failed_claim(store_result result)
+void node::internal_state::on_claim_failed(store_result result,
+                                           metrics::counter& counter) const
 {
     const auto now = boot_clock::now();
-    const bool outdated = result == store_result::fenced ||
-                          result == store_result::out_of_sequence;
-    auto& counter = outdated ? metrics.claims_outdated
-                    : result == store_result::unknown
-                        ? metrics.claims_unanswered
-                        : metrics.claims_refused;
     counter.add();
     logging::event(logging::level::info, "claim_failed",
                    {{"epoch", std::to_string(claim->epoch)},
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -275,7 +275,8 @@
                          const leader_status& status) const;
     void try_claim();
     void on_claim_result(store_result result);
-    void log_failed_claim(store_result result);
+    /** @brief Counts and logs a claim that failed. */
+    void on_claim_failed(store_result result, metrics::counter& counter) const;
     void withdraw_claim();
     void confirm_claim();
     void assume_leadership(std::uint64_t epoch, time_point sent);
--- a/src/rosemarytrail/cell/relayed_workers.cpp
+++ b/src/rosemarytrail/cell/relayed_workers.cpp
@@ -91,6 +91,19 @@
     return other == planned_relays_.end() ? std::string{} : *other;
 }
 
+std::string relayed_workers::route(const worker_call& call,
+                                   time_point now) const
+{
+    return std::visit([&](const auto& it) { return route(it.worker.id, now); },
+                      call.request);
+}
+
+void relayed_workers::queue(open_call& open, std::string relay)
+{
+    open.relay = std::move(relay);
+    relays_[open.relay].queued.push_back(open.call);
+}
+
 template <typename Request, typename Callback>
 bool relayed_workers::enqueue(const Request& request, Callback& done,
                               duration wait)
@@ -236,12 +249,9 @@
             open->second.sent = false;
         }
     }
-    if (refused) {
-        lose(name, "it refused calls", options_.refusal_distrust,
-             boot_clock::now());
-    } else {
-        lose(name, "it did not respond", options_.distrust, boot_clock::now());
-    }
+    lose(name, refused ? "it refused calls" : "it did not respond",
+         refused ? options_.refusal_distrust : options_.distrust,
+         boot_clock::now());
 }
 
 void relayed_workers::lose(const std::string& name, std::string_view why,
@@ -275,41 +285,32 @@
     auto& open = open_.at(id);
     open.maybe_made = open.maybe_made || open.sent;
     open.sent = false;
-    open.relay =
-        std::visit([&](const auto& it) { return route(it.worker.id, now); },
-                   open.call->request);
+    open.relay.clear();
     open.expires = time_point::max();
-    if (open.relay.empty()) {
-        waiting_.push_back(id);
+    if (auto relay = route(*open.call, now); !relay.empty()) {
+        queue(open, std::move(relay));
     } else {
-        relays_[open.relay].queued.push_back(open.call);
+        waiting_.push_back(id);
     }
 }
 
 void relayed_workers::send_waiting(time_point now)
 {
-    std::vector<std::uint64_t> relayed;
     while (!waiting_.empty()) {
         const auto found = open_.find(waiting_.front());
         if (found != open_.end()) {
             // The call outlives its entry, which goes with the result.
             const auto call = found->second.call;
-            const auto relay = std::visit(
-                [&](const auto& it) { return route(it.worker.id, now); },
-                call->request);
-            if (!relay.empty()) {
-                relayed.push_back(call->id);
+            if (auto relay = route(*call, now); !relay.empty()) {
+                queue(found->second, std::move(relay));
             } else if (direct_in_flight_ < options_.max_direct_calls) {
                 call_directly(*call);
             } else {
-                break;
+                return;
             }
         }
         waiting_.pop_front();
     }
-    for (const auto id : relayed) {
-        reroute(id, now);
-    }
 }
 
 void relayed_workers::run(time_point now)
--- a/src/rosemarytrail/cell/relayed_workers.hpp
+++ b/src/rosemarytrail/cell/relayed_workers.hpp
@@ -122,7 +122,7 @@
     {
         std::shared_ptr<const worker_call> call;
         callback done;
-        /** @brief Relay; empty if the call is made directly. */
+        /** @brief Relay; empty if the call is made directly or waits. */
         std::string relay;
         /** @brief The relay may have received the call. */
         bool sent{false};
@@ -146,9 +146,12 @@
     /** @return Relay for the next call to a worker; empty for none. */
     [[nodiscard]] std::string route(const std::string& worker,
                                     time_point now) const;
+    [[nodiscard]] std::string route(const worker_call& call,
+                                    time_point now) const;
+    void queue(open_call& open, std::string relay);
     [[nodiscard]] bool is_trusted(const std::string& relay,
                                   time_point now) const;
-    /** @return True if the call is made by way of a relay. */
+    /** @return False if the worker has no relay in the plan. */
     template <typename Request, typename Callback>
     [[nodiscard]] bool enqueue(const Request& request, Callback& done,
                                duration wait);
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -354,6 +354,7 @@
     {
         none,
         job_ended,
+        incomplete_gang,
         worker,
         capacity,
         ticket
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -58,9 +58,12 @@
                                      std::uint32_t index, time_point now) const
 {
     const auto& task = step.tasks[index];
-    if (task.phase != task_phase::placed || step.job->ended()) {
+    if (step.job->ended()) {
         return start_obstacle::job_ended;
     }
+    if (task.phase != task_phase::placed) {
+        return start_obstacle::incomplete_gang;
+    }
     const auto worker = workers.find(task.worker);
     if (worker == workers.end() || !is_usable(worker->second, step, now)) {
         return start_obstacle::worker;
@@ -79,7 +82,9 @@
                                        start_obstacle obstacle, time_point now)
 {
     std::string_view why = "the job has ended";
-    if (obstacle == start_obstacle::worker) {
+    if (obstacle == start_obstacle::incomplete_gang) {
+        why = "another member of the gang is not placed";
+    } else if (obstacle == start_obstacle::worker) {
         why = "the worker accepts no tasks";
         ++withheld.worker;
     } else if (obstacle == start_obstacle::capacity) {
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -75,6 +75,9 @@
     two_nodes()
         : model_cell{2, {}}
     {}
+
+    /** @return True if one of the nodes polls the worker. */
+    [[nodiscard]] bool led() const { return polls(0) > 3 || polls(1) > 3; }
 };
 
 /** @brief Six nodes of which two follow the ledger. */
@@ -167,15 +170,7 @@
 
 [[nodiscard]] client_call submission(std::uint64_t id)
 {
-    client_call call{.kind = call_kind::submit,
-                     .host = "h",
-                     .path = "/q/" + fleet::to_text(id),
-                     .key = {},
-                     .job = fleet::job_spec{},
-                     .deadline = boot_clock::now() + timeout};
-    call.job->steps = {
-        {.tasks = 1, .demand = {.cpu_millis = 1000, .memory_mb = 1}}};
-    return call;
+    return test::submission_of(id, boot_clock::now() + timeout);
 }
 
 /** @return Ledger key of a job. */
@@ -194,10 +189,7 @@
     // During a rebalance of all partitions, each node considers itself elected.
     cell.store.elects_all = true;
     cell.start();
-    const auto both = [&] {
-        return cell.polls(0) > 3 || cell.polls(1) > 3;
-    };
-    REQUIRE(cell.loop.run_until(both, timeout));
+    REQUIRE(cell.loop.run_until([&] { return cell.led(); }, timeout));
     std::set<std::uint64_t> first;
     std::set<std::uint64_t> second;
     for (const auto& it : cell.workers[0]->polls) {
@@ -218,10 +210,7 @@
     two_nodes cell;
     cell.store.has_other_writers = true;
     cell.start();
-    const auto led = [&] {
-        return cell.polls(0) > 3 || cell.polls(1) > 3;
-    };
-    REQUIRE(cell.loop.run_until(led, timeout));
+    REQUIRE(cell.loop.run_until([&] { return cell.led(); }, timeout));
 }
 
 // Guards against a second claim, and as long a wait again, for a leader whose
@@ -232,10 +221,7 @@
     two_nodes cell;
     cell.store.leader_responses_to_lose = 1;
     cell.start();
-    const auto led = [&] {
-        return cell.polls(0) > 3 || cell.polls(1) > 3;
-    };
-    REQUIRE(cell.loop.run_until(led, timeout));
+    REQUIRE(cell.loop.run_until([&] { return cell.led(); }, timeout));
     const auto& polls = cell.workers[cell.polls(0) > 3 ? 0 : 1]->polls;
     CHECK(polls.front().epoch == 1);
 }
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -456,4 +456,17 @@
                             .incarnation = 1};
 }
 
+cell::client_call submission_of(std::uint64_t id, time_point deadline)
+{
+    cell::client_call call{.kind = cell::call_kind::submit,
+                           .host = "h",
+                           .path = "/q/" + fleet::to_text(id),
+                           .key = {},
+                           .job = fleet::job_spec{},
+                           .deadline = deadline};
+    call.job->steps = {
+        {.tasks = 1, .demand = {.cpu_millis = 1000, .memory_mb = 1}}};
+    return call;
+}
+
 } // namespace rosemarytrail::test
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -219,6 +219,16 @@
     stepped_loop& loop_;
 };
 
+/**
+ * @brief Submission of a job of one task to the queue with the host `h` and the
+ * path prefix `/q/`.
+ * @param id Job.
+ * @param deadline Deadline of the call.
+ * @return Call.
+ */
+[[nodiscard]] cell::client_call submission_of(std::uint64_t id,
+                                              time_point deadline);
+
 /** @brief Takes any configuration record for one queue, and names workers. */
 class model_formats final : public cell::decoder
 {
--- a/test/platform/directory.cpp
+++ b/test/platform/directory.cpp
@@ -60,15 +60,8 @@
 
     void submit(std::uint64_t id) const
     {
-        cell::client_call call{.kind = cell::call_kind::submit,
-                               .host = "h",
-                               .path = "/q/" + fleet::to_text(id),
-                               .key = {},
-                               .job = fleet::job_spec{},
-                               .deadline = boot_clock::now() + timeout};
-        call.job->steps = {
-            {.tasks = 1, .demand = {.cpu_millis = 1000, .memory_mb = 1}}};
-        node->serve(std::move(call), [](const cell::client_answer&) {});
+        node->serve(test::submission_of(id, boot_clock::now() + timeout),
+                    [](const cell::client_answer&) {});
     }
 
     [[nodiscard]] bool has_polled(const std::string& address) const
