--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -67,7 +67,8 @@
 
     def __init__(self, task, number, worker, started):
         self.task, self.number, self.worker, self.started = task, number, worker, started
-        self.life = worker.life
+        self.life, self.labels = worker.life, worker.labels
+        self.worker_told = worker.told
         self.ended = None
         self.how = None
         self.acknowledged = None
@@ -97,6 +98,7 @@
         self.running, self.highest = {}, {}
         self.finished, self.next_end = [], 1
         self.ended = asyncio.Event()
+        self.told = False  # a hold has been answered in this life
 
     @property
     def clock(self):
@@ -210,6 +212,9 @@
         if not self.up:
             return DROP
         self.advance()
+        if not self.told:
+            self.told = True
+            self.record(f"first hold on {self.name} in life {self.life}, born {self.born}")
         now = time.monotonic()
         rows = []
         for task, (run, ends) in self.running.items():
@@ -402,7 +407,7 @@
 
     async def beat(self):
         """Ends what is due and writes the workers into the directory."""
-        due = dict.fromkeys(self.workers, 0.0)
+        due = {name: time.monotonic() + self.rng.uniform(0, BEAT_S) for name in self.workers}
         lives = {}
         while True:
             now = time.monotonic()
