Show that a task waits for half a minute once three workers are lost under it

One of sixteen silent workers at a time is lost for good 1 s after it has started the only task, three times. The fourth start comes 24 s after the third loss.

--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -84,7 +84,7 @@
     def __init__(self, name, capacity, labels, record, length_of, runs):
         self.name, self.capacity, self.labels = name, capacity, labels
         self.record, self.length_of, self.runs = record, length_of, runs
-        self.up, self.life, self.sequence, self.busy = True, 0, 0, False
+        self.up, self.life, self.sequence, self.busy, self.dark = True, 0, 0, False, False
         self.server = self.port = None
         self.connections = set()
         self.begin()
@@ -148,6 +148,14 @@
         for writer in list(self.connections):
             writer.transport.abort()
 
+    def vanish(self):
+        """It is lost for good and silent: nothing sent to it is answered any more."""
+        self.up, self.dark = False, True
+        self.record(f"worker {self.name} is lost for good, running {sorted(self.running)}")
+        for task, (run, _) in self.running.items():
+            run.ended, run.how = self.record.now(), "crashed"
+        self.running = {}
+
     async def restart(self):
         self.begin()
         self.sequence = 0
@@ -182,7 +190,7 @@
 
     async def handle(self, method, path, query, headers, body):
         if not self.up:
-            return DROP
+            return SILENT if self.dark else DROP
         if headers.get("rosemarytrail-expect-instance", self.name) != self.name:
             return reply(421, {})
         call = json.loads(body)
@@ -210,7 +218,7 @@
             except asyncio.TimeoutError:
                 pass
         if not self.up:
-            return DROP
+            return SILENT if self.dark else DROP
         self.advance()
         if not self.told:
             self.told = True
@@ -413,6 +421,9 @@
             now = time.monotonic()
             for name, worker in self.workers.items():
                 if not worker.up:
+                    if lives.get(name) and now > due[name] + 2 * BEAT_S and self.store.serves:
+                        lives[name] = None
+                        self.store.put("keyed.servers", name, None)
                     continue
                 worker.advance()
                 fresh = lives.get(name) != worker.life
