Log runs that a worker no longer lists

The logs had one line for each rejected end ("late end not taken") but none for the decision before it, so they could not tell a list of ends that was cut off from a poll that was compared with a later start, or from ends lost with a restart.

The new line names the worker, how many tasks it no longer lists, and the sizes of both lists.

No decision differs.

--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -271,6 +271,7 @@
         }
         observe_running(worker, row.task, sent_at);
     }
+    std::size_t missing = 0;
     const std::vector<task_key> load{worker.load.begin(), worker.load.end()};
     for (const auto& key : load) {
         auto* step = find_step(key.step);
@@ -284,6 +285,7 @@
             (task.phase == task_phase::stopping && task.stop_acknowledged &&
              *task.stop_acknowledged <= sent_at);
         if (lost) {
+            ++missing;
             lose_run(*step, key.index, now);
             check_finished(*step->job);
         } else if (task.phase == task_phase::stopping &&
@@ -291,6 +293,13 @@
             stop_task(*step, key.index, now);
         }
     }
+    if (missing > 0) {
+        log_decision(0, "runs missing",
+                     worker.vm.id + " tasks " + std::to_string(missing) +
+                         ", listed running " +
+                         std::to_string(response.running.size()) + ", ended " +
+                         std::to_string(response.ended.size()));
+    }
 }
 
 // Limits scavenger tasks that slow down a serving task on the same worker: they
