Take no run for lost on a truncated list of ends

What callers saw: while the store is down for 4.2 s, more than 500 tasks of a worker end.

Cause: a worker returns at most 500 ends at a time, the others after these are acknowledged, which takes a record in the ledger. compare_running took every run that a response lists neither as running nor as ended for lost, also when the list of ends was cut off at that limit. The leader placed these tasks again in the batch that recorded the first 500 ends, so their own ends, which the next response listed, came too late ("late end not taken").

Ruled out: a poll compared with a run that began after it (the runs began 3 s earlier, and a `running` run must precede the poll); a restart or an expired lease (none is logged, and leases were renewed throughout); ends dropped by an acknowledgement (the first ackCursor after the outage is 500, and rows up to it had all been read).

A run that such a response lacks keeps its phase. Why it works: each acknowledged list is followed by the next part of it, so the end arrives, or a complete list without it shows the loss as before. The same comparison serves runs of a previous leader and stopped runs.

The new test of the dispatcher fails without the condition in compare_running (16 of 38 assertions, with the same leader and with a new one) and passes with it. The tests of adapter and relay need the new field and were not seen to fail.

--- a/src/rosemarytrail/cell/worker_batch.cpp
+++ b/src/rosemarytrail/cell/worker_batch.cpp
@@ -163,9 +163,9 @@
             json::array({row.number, pack_task(row.task), row.run,
                          static_cast<int>(row.how), row.checkpoint}));
     }
-    return json::array({it.clock_ms,
-                        it.incarnation ? json(*it.incarnation) : json(),
-                        std::move(running), std::move(ended)});
+    return json::array(
+        {it.clock_ms, it.incarnation ? json(*it.incarnation) : json(),
+         std::move(running), std::move(ended), it.ended_truncated});
 }
 
 [[nodiscard]] fleet::poll_response read_poll_response(const json& it)
@@ -173,7 +173,8 @@
     fleet::poll_response result{.clock_ms = it.at(0),
                                 .incarnation = std::nullopt,
                                 .running = {},
-                                .ended = {}};
+                                .ended = {},
+                                .ended_truncated = it.at(4)};
     if (it.at(1).is_number()) {
         result.incarnation = it.at(1).get<std::int64_t>();
     }
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -284,6 +284,10 @@
             (task.phase == task_phase::running && task.since < sent_at) ||
             (task.phase == task_phase::stopping && task.stop_acknowledged &&
              *task.stop_acknowledged <= sent_at);
+        if (lost && response.ended_truncated) {
+            // The run may be among the ends that follow.
+            continue;
+        }
         if (lost) {
             ++missing;
             lose_run(*step, key.index, now);
--- a/src/rosemarytrail/fleet/worker_calls.hpp
+++ b/src/rosemarytrail/fleet/worker_calls.hpp
@@ -144,6 +144,9 @@
     std::optional<std::int64_t> incarnation;
     std::vector<running_row> running;
     std::vector<ended_row> ended;
+    /** @brief `ended` may lack runs, which follow once its rows are
+     * acknowledged. */
+    bool ended_truncated{false};
 };
 
 /** @brief Result of a poll. */
--- a/test/cell/worker_batch.cpp
+++ b/test/cell/worker_batch.cpp
@@ -95,7 +95,8 @@
                                          .task = task,
                                          .run = 2,
                                          .how = fleet::run_end::gang_broken,
-                                         .checkpoint = "d"}}}}}}};
+                                         .checkpoint = "d"}},
+                              .ended_truncated = true}}}}};
     const auto it = decode_results(encode_results(batch));
     REQUIRE(it);
     CHECK(it->leader == "l");
@@ -115,6 +116,7 @@
     REQUIRE(poll.response.ended.size() == 1);
     CHECK(poll.response.ended[0].number == 7);
     CHECK(poll.response.ended[0].how == fleet::run_end::gang_broken);
+    CHECK(poll.response.ended_truncated);
 }
 
 TEST_CASE("Deeply nested batches are rejected", "[worker_batch]")
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -365,6 +365,38 @@
     CHECK(cell.violations.empty());
 }
 
+// More ends than one response lists accumulate while none can be recorded.
+TEST_CASE("Runs whose ends a truncated response lacks do not start again",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 600ms};
+    };
+    cell.add_workers(2, eight_cores);
+    cell.submit(make_job(1, {{.tasks = 16, .demand = one_core}}));
+    cell.run(300ms);
+    REQUIRE(cell.running(1) == 16);
+    for (auto& [id, it] : cell.workers) {
+        it.max_ended_rows = 3;
+    }
+    const bool new_leader = GENERATE(false, true);
+    CAPTURE(new_leader);
+    cell.ledger_down = true;
+    cell.run(2s);
+    if (new_leader) {
+        cell.take_over();
+        cell.run(500ms);
+    }
+    cell.ledger_down = false;
+    cell.run(2s);
+    CHECK(cell.state(1) == job_state::completed);
+    for (const auto& [task, n] : cell.starts) {
+        CHECK(n == 1);
+    }
+    CHECK(cell.violations.empty());
+}
+
 TEST_CASE("A late end counts while the start of the next run has not been sent",
           "[dispatcher]")
 {
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -402,7 +402,12 @@
     fleet::poll_response response{.clock_ms = clock_ms(),
                                   .incarnation = it.vm.incarnation,
                                   .running = {},
-                                  .ended = it.ended};
+                                  .ended = it.ended,
+                                  .ended_truncated = false};
+    if (it.max_ended_rows && response.ended.size() >= *it.max_ended_rows) {
+        response.ended.resize(*it.max_ended_rows);
+        response.ended_truncated = true;
+    }
     for (const auto& [task, run] : it.running) {
         response.running.push_back({.task = task,
                                     .run = run.run,
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -3,6 +3,8 @@
 
 #include <rosemarytrail/fleet/dispatcher.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -55,6 +57,8 @@
     bool hangs{false};
     /** @brief It responds to polls and refuses every start. */
     bool refuses_starts{false};
+    /** @brief Maximum number of ended runs in a response to a poll. */
+    std::optional<std::size_t> max_ended_rows;
     /** @brief It crashed; another incarnation with a new id is at its address
      * from then on. */
     std::optional<time_point> replaced_at;
--- a/test/platform/worker_client.cpp
+++ b/test/platform/worker_client.cpp
@@ -44,6 +44,30 @@
     CHECK(started == fleet::start_result::invalid);
 }
 
+// Runs that a response lists nowhere are taken for lost if it is complete.
+TEST_CASE("A response with as many ends as a worker returns is truncated",
+          "[platform]")
+{
+    const auto [rows, truncated] = GENERATE(table<std::size_t, bool>(
+        {{0, false}, {1, false}, {499, false}, {500, true}}));
+    CAPTURE(rows);
+    std::string finished;
+    for (std::size_t i = 1; i <= rows; ++i) {
+        finished += (i > 1 ? "," : "") + ("[" + std::to_string(i)) +
+                    R"(,"00000000000000a1.0.0.1",1,"done",""])";
+    }
+    scripted_http http;
+    http.answer.body =
+        R"({"clockMs":5,"running":[],"finished":[)" + finished + "]}";
+    worker_client client{http};
+    std::optional<fleet::poll_response> polled;
+    client.poll({},
+                [&](fleet::poll_result, auto it) { polled = std::move(it); });
+    REQUIRE(polled);
+    CHECK(polled->ended.size() == rows);
+    CHECK(polled->ended_truncated == truncated);
+}
+
 TEST_CASE("A worker whose id is no UTF-8 does not end an advice request",
           "[platform]")
 {
