Probe a worker with a gang if no single task does

Cause: a worker that was set aside stays on probation until its probe ends well, and only a single task could be the probe. Where only gangs need the worker, by their label, their size or their number of members, nothing ended the probation but a change of leader. There was a second lock behind it: one probe at a time would have let a single member of a gang onto the worker.

In a fleet of twelve workers in virtual time the decisions end with "worker set aside w0 for 2000 ms: refused start", and `probed_workers` stays at its number, with 1, 2 and 4 members on one worker and on two. A single task that ends well does end probation there, as the test of workers that fail all that they start has shown before.

Change: - after the time reserved for small tasks a gang may be the probe, with all its members on the worker; a bad run of any of them is a bad probe; - a gang takes other workers first, as one bad member ends all of it; - the end of a gang counts as a good run on each worker where a member ran: only the one whose end was listed first left probation; - a planning pass follows the end of a quarantine and of that time. In an otherwise idle fleet without changes of the directory none did.

Why it works: any task or gang that may run on a worker can now be its probe, so probation ends with whatever work there is.

"Gangs are placed on a worker that refused starts for some time" fails before in all six of its cases; "A gang avoids a worker on probation while others have room" fails without the new rank.

The test of worker_health said that a gang is never the probe, which is the fault; it now bounds the time for gangs and long-running tasks from both sides, as for large tasks.

--- a/src/rosemarytrail/fleet/internal/candidate_selection.cpp
+++ b/src/rosemarytrail/fleet/internal/candidate_selection.cpp
@@ -31,7 +31,12 @@
         return 0;
     }
     if (worker.health.on_probation()) {
-        return can_accept(worker, step, now) ? 1 : 0;
+        if (!can_accept(worker, step, now)) {
+            return 0;
+        }
+        if (!step.spec->gang) {
+            return 1;
+        }
     }
     const auto demand = step.spec->reserved();
     const auto left = worker.available();
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -298,7 +298,8 @@
     /** @brief Reported runs that the dispatcher does not track. */
     std::size_t untracked_runs{};
     worker_health health;
-    /** @brief Its only task after a quarantine, until that ends or is lost. */
+    /** @brief Its only task after a quarantine, or a member of its only gang,
+     * until that ends or is lost. */
     std::optional<task_key> probe;
     /** @brief Time until which it is slow after its start. */
     time_point cold_until;
@@ -424,6 +425,9 @@
     std::deque<std::pair<time_point, std::uint64_t>> ended_order;
     time_point last_plan;
     time_point next_relocation;
+    /** @brief When workers that were set aside accept a probe, and a larger
+     * one. */
+    std::set<time_point> probe_times;
     evacuation_budget evacuation_moves;
     relocation_counts relocated;
     withheld_starts withheld;
@@ -494,6 +498,9 @@
                         bad_run cause, time_point now);
     void record_good_run(tracked_worker& worker, const task_key& task,
                          time_point now);
+    [[nodiscard]] static bool is_probe(const tracked_worker& worker,
+                                       const tracked_step& step,
+                                       std::uint32_t index);
     [[nodiscard]] bool accepts_probe(const tracked_worker& worker,
                                      const tracked_step& step,
                                      time_point now) const;
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -114,7 +114,8 @@
     const auto& task = step.tasks[index];
     const bool apart = task.crashes.counted() > 0;
     tracked_worker* best = nullptr;
-    std::tuple<bool, std::size_t, std::size_t, bool, bool, int, std::int64_t>
+    std::tuple<bool, bool, std::size_t, std::size_t, bool, bool, int,
+               std::int64_t>
         best_rank;
     const auto consider = [&](tracked_worker& it) {
         if (!can_accept(it, step, now)) {
@@ -125,11 +126,12 @@
         const auto left = it.available().cpu_millis - demand.cpu_millis;
         const std::tuple rank{
             task.refused_by.contains(it.vm.id),
+            // A bad run there would end the whole gang.
+            spec.gang && it.health.on_probation(),
             apart ? count_new_runs(it) : std::size_t{it.isolated_run ? 1U : 0U},
             apart ? it.load.size() : std::size_t{0},
             !spec.data_rack.empty() && it.vm.rack != spec.data_rack,
-            it.vm.id == task.failed_on,
-            speed_rank(it, step, now),
+            it.vm.id == task.failed_on, speed_rank(it, step, now),
             spec.scavenger ? -left : left};
         if (best == nullptr || rank < best_rank) {
             best = &it;
@@ -264,6 +266,10 @@
         it.update_ready(*job->second, unix_ms);
         return false;
     });
+    while (!it.probe_times.empty() && *it.probe_times.begin() <= now) {
+        it.probe_times.erase(it.probe_times.begin());
+        it.replan = true;
+    }
     it.update_order(now);
     it.plan_advice(now);
     // Before placement, which leaves no capacity while tasks wait.
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -156,7 +156,12 @@
         // The end of one member completes the gang; the ends of the others are
         // reported later.
         for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-            if (step.tasks[i].phase != task_phase::done) {
+            const auto& member = step.tasks[i];
+            if (member.phase == task_phase::running) {
+                record_good_run(workers[member.worker],
+                                {.step = step.key, .index = i}, now);
+            }
+            if (member.phase != task_phase::done) {
                 set_done(step, i);
             }
         }
--- a/src/rosemarytrail/fleet/internal/worker_quarantine.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_quarantine.cpp
@@ -5,6 +5,15 @@
 
 namespace rosemarytrail::fleet {
 
+// All members of a gang on the worker are its probe, so that a gang which only
+// fits there is placed, too.
+bool dispatcher::state::is_probe(const tracked_worker& worker,
+                                 const tracked_step& step, std::uint32_t index)
+{
+    return worker.probe && worker.probe->step == step.key &&
+           (step.spec->gang || worker.probe->index == index);
+}
+
 void dispatcher::state::record_bad_run(tracked_worker& worker,
                                        const task_key& task, bad_run cause,
                                        time_point now)
@@ -12,7 +21,7 @@
     const auto* step = find_step(task.step);
     const auto& image = step->spec->image;
     images.record(image, worker.vm.id, false, options.health, now);
-    const bool probe = worker.probe == task;
+    const bool probe = is_probe(worker, *step, task.index);
     if (probe) {
         worker.probe.reset();
     }
@@ -31,6 +40,8 @@
     }
     const auto bad_runs = worker.health.bad_runs();
     const auto length = worker.health.quarantine(options.health, now);
+    probe_times.insert(now + length);
+    probe_times.insert(now + length + options.health.small_probe_wait);
     log_decision(
         task.step.job, "worker set aside",
         worker.vm.id + " for " + std::to_string(to_milliseconds(length)) +
@@ -43,7 +54,7 @@
                                         const task_key& task, time_point now)
 {
     const auto* step = find_step(task.step);
-    const bool probe = worker.probe == task;
+    const bool probe = is_probe(worker, *step, task.index);
     images.record(step->spec->image, worker.vm.id, true, options.health, now);
     worker.health.record_good_run(step->tasks[task.index].since, probe);
     if (probe) {
@@ -57,7 +68,8 @@
                                       time_point now) const
 {
     // The probe may have been lost or stopped.
-    const bool pending = worker.probe && worker.load.contains(*worker.probe);
+    const bool pending = worker.probe && worker.load.contains(*worker.probe) &&
+                         !(step.spec->gang && worker.probe->step == step.key);
     return !pending && worker.health.accepts_probe(
                            *step.spec, worker.vm.capacity, options.health, now);
 }
--- a/src/rosemarytrail/fleet/worker_health.cpp
+++ b/src/rosemarytrail/fleet/worker_health.cpp
@@ -69,12 +69,12 @@
                                   const worker_health_options& options,
                                   time_point now) const
 {
-    // A failed member would end its whole gang.
-    if (step.gang || quarantined(now)) {
+    if (quarantined(now)) {
         return false;
     }
+    // A failed member would end its whole gang.
     const bool small =
-        !step.long_running &&
+        !step.gang && !step.long_running &&
         static_cast<double>(step.demand.cpu_millis) <=
             options.probe_size * static_cast<double>(capacity.cpu_millis);
     return small || now - quarantined_until_ >= options.small_probe_wait;
--- a/src/rosemarytrail/fleet/worker_health.hpp
+++ b/src/rosemarytrail/fleet/worker_health.hpp
@@ -32,8 +32,8 @@
     double max_share{0.25};
     /** @brief Maximum fraction of a worker's CPU that a probe requests. */
     double probe_size{0.25};
-    /** @brief After this time without a small task, any single task is the
-     * probe. */
+    /** @brief After this time without a small task, any task is the probe, and
+     * of a gang all members on the worker. */
     duration small_probe_wait{std::chrono::milliseconds{3000}};
     /** @brief A run without progress for this multiple of its declared
      * duration, and at least `min_stall`, stands still. */
@@ -119,7 +119,8 @@
      * @param capacity Capacity of the worker.
      * @param options Limits.
      * @param now Current time.
-     * @return True if the worker may get this task and no other.
+     * @return True if the worker may get this task, or members of this gang,
+     * and no other.
      */
     [[nodiscard]] bool accepts_probe(const step_spec& step,
                                      const resource_amounts& capacity,
