End a probation while a long probe makes progress

After a worker has refused starts for a moment, everything else that needs it waits until its probe has ended: for a minute beside an otherwise empty worker if the probe is a batch task or a gang of a minute (LOST, once its label or size leaves no other worker).

Cause: a probe counted as good only at its end, or after 3 s if it lasts for good. So a batch run left probation later than a service, by its own length.

Evidence and ruled out: three jobs of 60 s that need the worker's label; 10 s after it accepts starts 1 task runs (of a gang 2), `probed_workers` is 1, and the worker has room for all six. Neither the quarantine (2 s) nor the time for small tasks (3 s) lasts that long.

Change: a probe that has run for as long as a service must, and whose reported progress has risen since, ends probation. A run that hangs reports no progress and one that resumed from a checkpoint must advance beyond it, so such runs show nothing; a worker that then fails its runs is set aside again as before, for twice the time.

Before and after: the new test fails before in the section of a probe that works, for single tasks and for gangs, and passes with the change; the section of a probe that hangs passes both times.

--- a/src/rosemarytrail/fleet/internal/worker_quarantine.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_quarantine.cpp
@@ -81,11 +81,19 @@
                                        time_point sent_at)
 {
     auto& task = step.tasks[row.task.index];
-    if (row.percent > task.percent || task.progress_at == time_point{}) {
+    const bool first_report = task.progress_at == time_point{};
+    const bool advanced = !first_report && row.percent > task.percent;
+    if (advanced || first_report) {
         task.progress_at = sent_at;
     }
     task.percent = row.percent;
     task.percent_at = sent_at;
+    // The end of a long run is not awaited.
+    if (advanced && task.phase == task_phase::running &&
+        sent_at - task.since >= options.stable_after &&
+        is_probe(worker, step, row.task.index)) {
+        record_good_run(worker, row.task, sent_at);
+    }
     if (task.stalled || task.phase != task_phase::running ||
         step.spec->long_running || step.spec->scavenger || step.spec->gang) {
         return;
--- a/test/fleet/worker_health.cpp
+++ b/test/fleet/worker_health.cpp
@@ -212,6 +212,76 @@
     CHECK(cell.running_on("w0") == 4);
 }
 
+// The worker was kept for its probe alone until that had ended.
+TEST_CASE("A worker leaves probation while a long probe makes progress",
+          "[worker_health]")
+{
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 60s};
+    };
+    cell.add_workers(6, eight_cores);
+    auto& worker = cell.workers["w0"];
+    worker.vm.labels = {"b"};
+    worker.refuses_starts = true;
+    cell.list_workers();
+    cell.run(200ms);
+    const bool gang = GENERATE(false, true);
+    CAPTURE(gang);
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        cell.submit(make_job(id, {{.tasks = 2,
+                                   .demand = one_core,
+                                   .estimate_ms = 60000,
+                                   .gang = gang,
+                                   .required_label = "b"}}));
+    }
+    cell.run(1s);
+    REQUIRE(cell.leader().count(cell.now).quarantined_workers == 1);
+    worker.refuses_starts = false;
+    SECTION("probe that works")
+    {
+        // Quarantine, time reserved for small tasks, time of the probe alone.
+        cell.run(2s + 3s + 3s + 2s);
+        CHECK(cell.running_on("w0") == 6);
+        CHECK(cell.leader().count(cell.now).probed_workers == 0);
+    }
+    SECTION("probe that hangs")
+    {
+        worker.hangs = true;
+        cell.run(2s + 3s + 3s + 2s);
+        CHECK(cell.running_on("w0") <= 2);
+        CHECK(cell.leader().count(cell.now).probed_workers == 1);
+    }
+}
+
+// Capped at 30 s, the quarantine outlasts the fault by far.
+TEST_CASE("A task that only fits a worker that refused starts waits for at "
+          "most 7 s",
+          "[worker_health][!shouldfail]")
+{
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 1s};
+    };
+    cell.add_workers(12, eight_cores);
+    cell.workers["w0"].vm.labels = {"b"};
+    cell.list_workers();
+    cell.run(200ms);
+    for (std::uint64_t round = 0; round < 3; ++round) {
+        cell.workers["w0"].refuses_starts = true;
+        for (std::uint64_t i = 1; i <= 3; ++i) {
+            cell.submit(make_job(3 * round + i, {{.tasks = 2,
+                                                  .demand = one_core,
+                                                  .long_running = true,
+                                                  .required_label = "b"}}));
+        }
+        cell.run(6500ms);
+        cell.workers["w0"].refuses_starts = false;
+        cell.run(7s);
+        CHECK(cell.running_on("w0") == 6 * (round + 1));
+    }
+}
+
 TEST_CASE("A worker whose runs stand still is set aside", "[worker_health]")
 {
     loaded_fleet cell;
