Add a review case: jobs that have not begun are not counted as pending

One worker of twelve, the only one with the label that six jobs require, answers starts with 503 for 6.5 s. Every node gives 0 as pending meanwhile, as a job counts as started once it has been placed.

--- a/review/lib-2/cell.py
+++ b/review/lib-2/cell.py
@@ -109,6 +109,7 @@
         self.server = Server(self.handle)
         self.up = False
         self.clock_ahead_s = 0.0  # of its time of day
+        self.kind = "a"
         self.late_orders = None  # delay of an order that is carried out late
         self.stop_s = 0.0  # time that a stop takes
         self.last_beat = 0.0
@@ -145,7 +146,7 @@
         self.case.store.put("keyed.servers", self.name, {
             "service": "work", "address": f"127.0.0.1:{self.server.port}", "zone": "z1",
             "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
-            "labels": ["a", self.rack],
+            "labels": [self.kind, self.rack],
             "capacity": {"cpu": self.cpu, "memMb": 65536, "gpu": 0},
             "clockMs": self.clock, "born": self.born, "sequence": self.sequence,
         })  # fmt: skip
