Add a review case: a cancelled long schedule stops all work for good

A client cancels a job that is to run each ten minutes for a year. Its removal is one append of 3.2 MB, over the store's limit of 2 MB for a call, which the leader repeats for ever.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,52 +1,63 @@
-"""Two workers crash one after the other, each soon after it has begun a task of a job."""
+"""A client cancels a job that runs each ten minutes for a year."""
 
 import asyncio
 import pathlib
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib-2"))
 
 import cell  # noqa: E402
 
-JOB = "5c0e7a21d94b36f8"
-CRASHES = 2
-DOWN_S = 1.0
-AFTER_START_S = 0.3
+SCHEDULED = "5c0e7a21d94b36f8"
+EACH_TEN_MINUTES_FOR_A_YEAR = 6 * 24 * 365
+EACH_TEN_MINUTES_FOR_A_DAY = 6 * 24
+BEFORE, AFTER = 5, 10
+FINISH_S = 14  # the site's finish_s
 
 
-class Case(cell.Case):
-    WORKERS = 8  # one of them at a time is an eighth of the service's workers
+def peak_mb(process):
+    text = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    return next(int(it.split()[1]) // 1024 for it in text.splitlines() if it.startswith("VmHWM:"))
 
-    def work_of(self, worker, task, run, call):
-        return 4.8, "done"
 
-    def run_of(self, number):
-        """Returns the worker on which the first task of the job began its run `number`."""
-        return next((w for _, w, task, run, _ in self.starts
-                     if task == f"{JOB}.0.0.0" and run == number), None)  # fmt: skip
+class Case(cell.Case):
+    WORKERS = 8
+    STEPS = [
+        {"count": 1, "cpu": 1300, "memMb": 2600, "estimateMs": 800},
+        {"count": 1, "cpu": 1300, "memMb": 2600, "estimateMs": 800, "dependsOn": [0]},
+    ]
 
-    async def script(self):
-        await self.submit(JOB, [{"count": 3, "cpu": 2700, "memMb": 7800, "estimateMs": 4800}])
-        if self.trouble:
-            for n in range(1, CRASHES + 1):
-                await self.wait_for(lambda: self.run_of(n) is not None, 10, "no start")
-                await asyncio.sleep(AFTER_START_S)
-                worker = self.run_of(n)
-                worker.crash()
-                await asyncio.sleep(DOWN_S)
-                await worker.start()
-        state = None
-        for _ in range(40):
-            state = await self.state(JOB)
-            if state in ("completed", "failed", "cancelled"):
-                break
+    async def plain_jobs(self, first, n):
+        for k in range(n):
+            job = f"{0x1000 + first + k:016x}"
+            await self.submit(job, self.STEPS)
+            self.plain.append(job)
             await asyncio.sleep(0.5)
-        failed = [it for it in self.ends if it[4] == "failed"]
-        self.say(f"runs that ended failed: {len(failed)}; maxAttempts 4; state {state}")
-        if state in ("failed", "cancelled"):
-            return [f"LOST: job {JOB} is shown as {state}, and none of its runs has ended failed"]
-        if state != "completed":
-            return [f"LOST: job {JOB} is still {state}"]
+
+    async def script(self):
+        self.plain = []
+        times = EACH_TEN_MINUTES_FOR_A_YEAR if self.trouble else EACH_TEN_MINUTES_FOR_A_DAY
+        due = int((time.time() + 3600) * 1000)
+        await self.submit(SCHEDULED, self.STEPS, repeatCount=times, startAtMs=due,
+                          intervalMs=600 * 1000)  # fmt: skip
+        await self.plain_jobs(0, BEFORE)
+        await asyncio.sleep(4)
+        before = [await self.state(it) for it in self.plain]
+        status, _ = await self.call("DELETE", cell.PREFIX + SCHEDULED)
+        if status not in (200, 410):
+            raise cell.CannotRun(f"the cancel was answered {status}")
+        await self.plain_jobs(BEFORE, AFTER)
+        await asyncio.sleep(FINISH_S)
+        states = [await self.state(it) for it in self.plain]
+        done = states.count("completed")
+        self.say(f"before the cancel {before}; appends over the limits of a call: "
+                 f"{self.store.refused}, largest {self.store.largest} bytes")  # fmt: skip
+        self.say(f"peak memory in MB: {[peak_mb(it.process) for it in self.nodes]}")
+        self.say(f"plain jobs: {len(states)} accepted, {done} completed: {states}")
+        if done < len(states):
+            return [f"LOST: {len(states) - done} of {len(states)} accepted plain jobs are not "
+                    f"completed {FINISH_S} s after the end of the traffic"]  # fmt: skip
         return []
 
 
--- a/review/lib-2/cell.py
+++ b/review/lib-2/cell.py
@@ -35,6 +35,39 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
 
+CALL_BYTES = 2097152  # platform.callBytes
+RECORD_BYTES = 262144  # platform.recordBytes
+
+
+class LimitedStore(Store):
+    """The store with its limits on the records of one call; a call beyond them gets 400."""
+
+    def __init__(self, *args, **fields):
+        super().__init__(*args, **fields)
+        self.refused = 0
+        self.largest = 0
+
+    def _append(self, query, body):
+        size = len(body)
+        self.largest = max(self.largest, size)
+        if size > CALL_BYTES or self._has_large_record(body):
+            self.refused += 1
+            return reply(400, {})
+        return super()._append(query, body)
+
+    @staticmethod
+    def _has_large_record(body):
+        if len(body) <= RECORD_BYTES:
+            return False
+        offset = 0
+        while offset < len(body):
+            n = int.from_bytes(body[offset : offset + 4], "big")
+            if n > RECORD_BYTES:
+                return True
+            offset += 4 + n
+        return False
+
+
 class CannotRun(Exception):
     """The case could not be brought about."""
 
@@ -265,6 +298,7 @@
             "portRange": f"{self.inner},{self.inner + 15}",
             "platform.address": f"127.0.0.1:{self.store.port}", "platform.form": "log",
             "platform.parts": 24, "platform.ttlMinMs": 1000,
+            "platform.callBytes": CALL_BYTES, "platform.recordBytes": RECORD_BYTES,
             "limits.cpuShare": 0.25, "limits.cores": 1, "limits.linkMbps": 1000,
             "heartbeatMs": 1500, "orders": "call", "bounds.holdMaxMs": HOLD_MAX_MS,
             "bounds.maxSkewMs": 5000, "bounds.graceS": 6, "bounds.stopMs": 900,
@@ -313,7 +347,7 @@
         self.record = (Path(folder) / "record.txt").open("w", buffering=1)
         self.folder = Path(tempfile.mkdtemp(prefix="rosemarytrail-review-"))
         self.begun = time.monotonic()
-        self.store = Store(random.Random(1), parts=24)
+        self.store = LimitedStore(random.Random(1), parts=24)
         self.starts, self.ends, self.acknowledged = [], [], []
         self.nodes, self.workers = [], []
 
