--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,8 +1,7 @@
-"""A worker refuses all starts for some seconds; the queue's jobs that wait for it
-are not counted as pending."""
+"""Two workers fail all that they start; when they are sound again, a task that lasts
+and requires their label is not started on them for long."""
 
 import asyncio
-import json
 import pathlib
 import sys
 import time
@@ -11,64 +10,84 @@
 
 import cell  # noqa: E402
 
-JOBS = 6
+JOB = "5c0e7a21d94b36f8"
+TASK = f"{JOB}.0.0.0"
 GREY_S = 6.5
-# MIXED: accepted over `visible_ms` + 2 s before, and not begun.
-OLD_S = 3 + 2
+TIMES = 3
+PAUSE_S = 4
+# LOST: "from 6 s after its last run", 3 s in which nothing runs; these and the 4 s
+# before them are calm.
+CALM_S = 4 + 3
+WATCHED_S = 45
 
 
 class Grey(cell.Worker):
-    """Worker that answers starts with 503 while it is unhealthy; holds are served."""
+    failing = False
 
-    unhealthy = False
 
-    def _order(self, path, call):
-        if self.unhealthy and path == "/-/run-start":
-            self.case.say(f"{self.name} refuses {call['task']} run {call['run']} with 503")
-            return cell.reply(503, {})
-        return super()._order(path, call)
+class Case(cell.Case):
+    WORKERS = 22
+    FRAGILE = 2  # of 24 workers: 0.083
 
+    def work_of(self, worker, task, run, call):
+        if getattr(worker, "failing", False):
+            return 0.3, "failed"
+        return (1e9, "done") if task == TASK else (0.8, "done")
 
-class Case(cell.Case):
-    WORKERS = 11
+    def is_running(self):
+        return any(TASK in it.running for it in self.workers)
 
-    async def pending(self, node):
-        status, content = await self.call("GET", cell.PREFIX, node=node)
-        return json.loads(content)["pending"] if status == 200 else None
+    async def small_jobs(self):
+        """Small jobs of the same queue that may run on the same workers."""
+        step = {"count": 1, "cpu": 1300, "memMb": 2600, "estimateMs": 800, "requires": "b"}
+        n = 0
+        while True:
+            n += 1
+            await self.submit(f"{n:016x}", [step])
+            await asyncio.sleep(0.7)
 
     async def script(self):
-        # One worker of twelve is of the kind that the jobs require.
-        special = Grey(self, "w11", self.CPU, "r1-1")
-        special.kind = "b"
-        self.workers.append(special)
-        await special.start()
+        special = [Grey(self, f"s{n}", self.CPU, "r1-9") for n in range(self.FRAGILE)]
+        for it in special:
+            it.kind = "b"
+            self.workers.append(it)
+            await it.start()
         await asyncio.sleep(4)
-        special.unhealthy = self.trouble
-        began = time.monotonic()
-        accepted = {}
-        for n in range(JOBS):
-            job = f"{n + 1:016x}"
-            await self.submit(job, [{"count": 1, "cpu": 1300, "memMb": 2600, "estimateMs": 800,
-                                     "requires": "b"}])  # fmt: skip
-            accepted[job] = time.monotonic()
-        broken = []
-        while time.monotonic() - began < GREY_S - 0.3:
-            for node in self.nodes:
-                asked = time.monotonic()
-                begun = {task.split(".")[0] for _, _, task, _, _ in self.starts}
-                old = [it for it, at in accepted.items() if asked - at > OLD_S and it not in begun]
-                shown = await self.pending(node)
-                if shown is not None and shown < len(old) / 2:
-                    broken.append(f"MIXED: {node.name} gives {shown} as pending; {len(old)} jobs "
-                                  f"were accepted over {OLD_S} s before and have not begun")  # fmt: skip
-            await asyncio.sleep(0.5)
-        special.unhealthy = False
-        for job in accepted:
-            for _ in range(60):
-                if await self.state(job) in ("completed", "failed"):
+        step = {"count": 1, "cpu": 3400, "memMb": 6900, "longRunning": True, "requires": "b"}
+        await self.submit(JOB, [step])
+        await self.wait_for(self.is_running, 10, "no start")
+        traffic = asyncio.create_task(self.small_jobs())
+        await asyncio.sleep(2)
+        for n in range(TIMES if self.trouble else 0):
+            self.say("workers s0 and s1 fail all that they start; a task that lasts fails there")
+            for it in special:
+                it.failing = True
+                if TASK in it.running:
+                    it.running[TASK].ends, it.running[TASK].how = time.monotonic(), "failed"
+            await asyncio.sleep(GREY_S)
+            for it in special:
+                it.failing = False
+            self.say("workers s0 and s1 are sound again")
+            if n + 1 < TIMES:
+                await self.wait_for(self.is_running, 20, "the task does not run in between")
+                await asyncio.sleep(PAUSE_S)
+        since = time.monotonic()
+        gap = 0.0
+        while time.monotonic() - since < WATCHED_S:
+            if self.is_running():
+                gap = time.monotonic() - since
+                if all(not it.failing for it in special) and time.monotonic() - since > 0.5:
                     break
-                await asyncio.sleep(0.5)
-        return broken
+            await asyncio.sleep(0.02)
+        else:
+            gap = WATCHED_S
+        traffic.cancel()
+        last = [at for at, _, task, _, _ in self.ends if task == TASK]
+        self.say(f"{TASK} runs {gap:.1f} s after the workers were sound again; its last run ended "
+                 f"{time.monotonic() - max(last):.1f} s ago" if last else f"{TASK} ran throughout")  # fmt: skip
+        if last and gap > CALM_S and time.monotonic() - max(last) > 9:
+            return [f"LOST: {TASK} is to last and did not run for {gap:.1f} s of calm, with room for it"]
+        return []
 
 
 cell.main(Case)
