Split the leader's batches, and drop a record that the store never accepts

Cause: the outcome of a job removed its progress entries for each step of each occurrence, written or not, in one append: 105,120 records, 3.2 MB. The store rejects a call of more than `callBytes`. The leader took that for a passing refusal and sent the same batch again for ever, and so did each successor.

Change: - only the progress entries that were written are removed, after the outcome; a new leader removes what its predecessor has left; - the progress of a step is kept in entries of a limited number of tasks, of which only the changed ones are written, so no record grows with a step; - a batch is appended in parts within the sizes of the settings; - "never accepted" (400, 413) is a result of its own. A rejected part is halved down to one entry, which is left out if the store then accepts an append without entries. It is counted and logged; a job whose progress cannot be recorded fails; - the outbox of each node does the same for the entries of its clients, and a job whose document exceeds a record is refused at submission (215); - the removal of old outcomes is bounded in each round.

Why it works: every append now has a bound that does not depend on a job, and an entry that the store rejects for good leaves the batch instead of holding it.

"The end of a job removes only the entries that were written" and "A new leader removes the progress that its predecessor has left" fail on the sources before, with the fixture's counters added there.

--- a/src/rosemarytrail/cell/internal/node_advice.cpp
+++ b/src/rosemarytrail/cell/internal/node_advice.cpp
@@ -349,7 +349,8 @@
                         : time_point::max(),
          .done = [done = std::move(done)](const append_answer& it) {
              done(it.result == store_result::done ? message_result::accepted
-                  : it.result == store_result::refused
+                  : it.result == store_result::refused ||
+                          it.result == store_result::rejected
                       ? message_result::refused
                       : message_result::unknown);
          }});
--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -382,17 +382,23 @@
               .retry_after = after});
         return;
     }
+    fleet::ledger_entry entry{
+        .key = fleet::encode_key(
+            {.kind = fleet::entry_kind::job, .step = {.job = id}}),
+        .value = fleet::encode(record)};
+    if (record_size(entry) > options.appends.record_bytes) {
+        done({.kind = answer_kind::malformed,
+              .code = result_code::job_too_large});
+        return;
+    }
     logging::event(logging::level::info, "submit",
                    {{"job", fleet::to_text(id)},
                     {"queue", record.queue.name},
                     {"account", record.account},
                     {"config", std::to_string(config->version)},
                     {"steps", std::to_string(record.spec.steps.size())}});
-    append_for_client(id, queue.policy,
-                      {.key = fleet::encode_key({.kind = fleet::entry_kind::job,
-                                                 .step = {.job = id}}),
-                       .value = fleet::encode(record)},
-                      call, answer_kind::accepted, std::move(done));
+    append_for_client(id, queue.policy, std::move(entry), call,
+                      answer_kind::accepted, std::move(done));
 }
 
 client_answer
@@ -438,6 +444,11 @@
                 done({.kind = on_done});
                 return;
             }
+            if (it == entry_result::rejected) {
+                done({.kind = answer_kind::malformed,
+                      .code = result_code::job_too_large});
+                return;
+            }
             if (it == entry_result::unknown) {
                 done({.kind = answer_kind::outcome_unknown,
                       .code = result_code::submission_outcome_unknown,
--- a/src/rosemarytrail/cell/internal/node_leadership.cpp
+++ b/src/rosemarytrail/cell/internal/node_leadership.cpp
@@ -356,8 +356,8 @@
     entries.observe_append(true, now - sent);
     auto with_epoch = options.dispatcher;
     with_epoch.epoch = epoch;
-    leadership = std::make_unique<leader_state>(with_epoch, jobs, now,
-                                                unix_milliseconds());
+    leadership = std::make_unique<leader_state>(with_epoch, options.appends,
+                                                jobs, now, unix_milliseconds());
     jobs.discard_progress();
     leadership->decisions.set_config(config);
     leadership->decisions.set_evacuated_zones(evacuated_zones);
@@ -461,21 +461,22 @@
             return;
         }
         ++leadership->sequence;
-        leadership->batch_own_entries = batch.entries.size();
         leadership->batch_maybe_recorded = false;
         leadership->batch = std::move(batch);
-        fill_batch();
+        split_batch();
     } else {
         drop_expired_entries_of_batch(now);
     }
     leadership->in_flight = true;
     leadership->append_sent = now;
     leadership->next_append = now + options.min_append_interval;
-    append_request request{.entries = leadership->batch->entries,
+    const auto part = leadership->parts.part();
+    append_request request{.entries = {part.begin(), part.end()},
                            .writer =
                                fenced_writer{.epoch = leadership->epoch,
                                              .sequence = leadership->sequence},
                            .timeout = entries.timeout()};
+    request.entries.push_back(current_batch_mark());
     shared.append(std::move(request),
                   [this, number = leadership_number,
                    sequence = leadership->sequence](append_answer it) {
@@ -485,19 +486,35 @@
                   });
 }
 
-// Adds the entries of other nodes and the mark to the leader's own entries.
-void node::internal_state::fill_batch() const
+// Adds the entries of other nodes to the leader's own entries.
+void node::internal_state::split_batch()
 {
-    auto& batch = leadership->batch->entries;
-    batch.resize(leadership->batch_own_entries);
+    auto all = leadership->batch->entries;
     for (const auto& peer : leadership->batch_peer_entries) {
-        batch.insert(batch.end(), peer.entries.begin(), peer.entries.end());
+        all.insert(all.end(), peer.entries.begin(), peer.entries.end());
+    }
+    leadership->parts.assign(std::move(all));
+    drop_rejected_entries();
+}
+
+fleet::ledger_entry node::internal_state::current_batch_mark() const
+{
+    return {.key = fleet::encode_key(
+                {.kind = fleet::entry_kind::batch_mark, .step = {}}),
+            .value = fleet::encode(fleet::batch_mark{
+                .epoch = leadership->epoch, .sequence = leadership->sequence})};
+}
+
+void node::internal_state::drop_rejected_entries()
+{
+    for (const auto& it : leadership->parts.take_dropped()) {
+        metrics.entries_rejected.add();
+        logging::event(
+            logging::level::error, "ledger_entry_rejected",
+            {{"key", it.key}, {"bytes", std::to_string(record_size(it))}});
+        leadership->decisions.on_rejected(it.key, boot_clock::now());
+        leadership->dropped_keys.insert(it.key);
     }
-    batch.push_back(
-        {.key = fleet::encode_key(
-             {.kind = fleet::entry_kind::batch_mark, .step = {}}),
-         .value = fleet::encode(fleet::batch_mark{
-             .epoch = leadership->epoch, .sequence = leadership->sequence})});
 }
 
 std::vector<node::internal_state::leader_state::peer_entries>
@@ -543,14 +560,14 @@
 // A batch that the store has refused each time may be changed.
 void node::internal_state::drop_expired_entries_of_batch(time_point now)
 {
-    if (leadership->batch_maybe_recorded) {
+    if (leadership->batch_maybe_recorded || !leadership->parts.untouched()) {
         return;
     }
     auto expired = take_expired(leadership->batch_peer_entries, now);
     if (expired.empty()) {
         return;
     }
-    fill_batch();
+    split_batch();
     auto& waiting = leadership->waiting_peer_entries;
     waiting.insert(waiting.end(), std::make_move_iterator(expired.begin()),
                    std::make_move_iterator(expired.end()));
@@ -560,23 +577,49 @@
 void node::internal_state::on_batch_recorded()
 {
     const auto now = boot_clock::now();
-    auto entries_of_batch = std::move(leadership->batch->entries);
-    // The mark is the last entry.
-    entries_of_batch.pop_back();
-    leadership->decisions.on_recorded(leadership->batch->number, now);
-    leadership->batch.reset();
+    const auto part = leadership->parts.part();
+    const std::vector<fleet::ledger_entry> recorded{part.begin(), part.end()};
     leadership->in_flight = false;
-    const auto recorded = std::exchange(leadership->batch_peer_entries, {});
-    for (const auto& it : entries_of_batch) {
+    leadership->batch_maybe_recorded = false;
+    leadership->parts.on_appended();
+    drop_rejected_entries();
+    const auto done = leadership->parts.complete()
+                          ? std::exchange(leadership->batch_peer_entries, {})
+                          : std::vector<leader_state::peer_entries>{};
+    const auto dropped = leadership->parts.complete()
+                             ? std::exchange(leadership->dropped_keys, {})
+                             : std::set<std::string>{};
+    if (leadership->parts.complete()) {
+        leadership->decisions.on_recorded(leadership->batch->number, now);
+        leadership->batch.reset();
+    } else {
+        ++leadership->sequence;
+    }
+    for (const auto& it : recorded) {
         on_ledger_record({.key = it.key, .value = it.value});
     }
-    for (const auto& peer : recorded) {
+    for (const auto& peer : done) {
+        const bool rejected =
+            std::ranges::any_of(peer.entries, [&dropped](const auto& it) {
+                return dropped.contains(it.key);
+            });
         peer.done(
-            {.result = store_result::done, .expected_sequence = std::nullopt});
+            {.result = rejected ? store_result::rejected : store_result::done,
+             .expected_sequence = std::nullopt});
     }
     run();
 }
 
+void node::internal_state::retry_append(time_point now)
+{
+    loop.post_at(now + options.append_retry_delay,
+                 [this, number = leadership_number] {
+                     if (leadership && number == leadership_number) {
+                         append_batch();
+                     }
+                 });
+}
+
 void node::internal_state::on_batch_appended(const append_answer& it,
                                              std::uint64_t sequence)
 {
@@ -609,12 +652,12 @@
         append_batch();
         return;
     }
-    loop.post_at(now + options.append_retry_delay,
-                 [this, number = leadership_number] {
-                     if (leadership && number == leadership_number) {
-                         append_batch();
-                     }
-                 });
+    if (it.result == store_result::rejected &&
+        leadership->parts.on_rejected() == after_rejection::append) {
+        append_batch();
+        return;
+    }
+    retry_append(now);
 }
 
 void node::internal_state::send_worker_requests(time_point now)
--- a/src/rosemarytrail/cell/internal/node_state.hpp
+++ b/src/rosemarytrail/cell/internal/node_state.hpp
@@ -1,6 +1,7 @@
 #ifndef ROSEMARYTRAIL_CELL_INTERNAL_NODE_STATE_HPP
 #define ROSEMARYTRAIL_CELL_INTERNAL_NODE_STATE_HPP
 
+#include <rosemarytrail/cell/append_parts.hpp>
 #include <rosemarytrail/cell/call_forwarder.hpp>
 #include <rosemarytrail/cell/call_table.hpp>
 #include <rosemarytrail/cell/feed_reader.hpp>
@@ -103,15 +104,23 @@
     struct leader_state
     {
         leader_state(const fleet::dispatcher_options& options,
-                     const fleet::job_index& jobs, time_point now,
-                     std::int64_t unix_ms)
+                     const append_limits& limits, const fleet::job_index& jobs,
+                     time_point now, std::int64_t unix_ms)
             : decisions{options, jobs, now, unix_ms}
+            , parts{limits}
         {}
 
         fleet::dispatcher decisions;
         std::uint64_t epoch{};
         std::uint64_t sequence{};
+        /** @brief Batch that is not recorded yet, with the leader's own
+         * entries. */
         std::optional<fleet::ledger_batch> batch;
+        /** @brief Appends of the entries of the batch, own ones and those of
+         * other nodes. */
+        append_parts parts;
+        /** @brief Entries of the batch that the store never accepts. */
+        std::set<std::string> dropped_keys;
         /** @brief Entries of another node, with the callback that reports their
          * result. */
         struct peer_entries
@@ -124,10 +133,8 @@
         std::vector<peer_entries> waiting_peer_entries;
         std::vector<peer_entries> batch_peer_entries;
         bool in_flight{false};
-        /** @brief Number of entries of the batch that are the leader's own. */
-        std::size_t batch_own_entries{};
-        /** @brief An append of the batch got no response, so that its entries
-         * may be recorded. */
+        /** @brief The current append of the batch got no response, so that its
+         * entries may be recorded. */
         bool batch_maybe_recorded{false};
         time_point next_append;
         time_point append_sent;
@@ -287,7 +294,10 @@
     /** @brief Removes the entries whose deadline has passed. */
     [[nodiscard]] static std::vector<leader_state::peer_entries>
     take_expired(std::vector<leader_state::peer_entries>& from, time_point now);
-    void fill_batch() const;
+    void split_batch();
+    [[nodiscard]] fleet::ledger_entry current_batch_mark() const;
+    void drop_rejected_entries();
+    void retry_append(time_point now);
     void on_batch_appended(const append_answer& it, std::uint64_t sequence);
     void on_batch_recorded();
     void send_worker_requests(time_point now);
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -59,7 +59,7 @@
             loop_,
             workers_,
             peers_}
-    , entries{{},
+    , entries{{.appends = options_.appends},
               [this](append_request request,
                      std::function<void(append_answer)> done) {
                   append_entries(std::move(request), std::move(done));
@@ -606,13 +606,20 @@
     const auto before =
         unix_milliseconds() - to_milliseconds(options.outcome_retention);
     append_request request;
+    std::size_t bytes = 0;
     for (const auto id : jobs.outcomes_before(before)) {
+        // The next cleanup continues. All entries of a job go together: without
+        // its outcome, its record would start it again.
+        if (bytes > options.appends.append_bytes / 2) {
+            break;
+        }
         for (const auto kind :
              {fleet::entry_kind::outcome, fleet::entry_kind::job,
               fleet::entry_kind::cancellation}) {
             request.entries.push_back(
                 {.key = fleet::encode_key({.kind = kind, .step = {.job = id}}),
                  .value = std::nullopt});
+            bytes += record_size(request.entries.back());
         }
     }
     if (!request.entries.empty()) {
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -1,6 +1,7 @@
 #ifndef ROSEMARYTRAIL_CELL_NODE_HPP
 #define ROSEMARYTRAIL_CELL_NODE_HPP
 
+#include <rosemarytrail/cell/append_limits.hpp>
 #include <rosemarytrail/cell/client_call.hpp>
 #include <rosemarytrail/cell/forward_plan.hpp>
 #include <rosemarytrail/cell/ledger_followers.hpp>
@@ -34,6 +35,7 @@
      * leadership. */
     follower_options followers;
     fleet::dispatcher_options dispatcher;
+    append_limits appends;
     /** @brief Which workers the leader calls by way of other nodes. */
     relay_plan_options relays;
     /** @brief Lifetime of a group membership that is not renewed; a leader
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -60,6 +60,9 @@
     , entries_expired{all.make_counter(
           "rosemarytrail_entries_expired_total",
           "entries that no append of the leader included by their deadline")}
+    , entries_rejected{all.make_counter(
+          "rosemarytrail_entries_rejected_total",
+          "entries of the leader's batches that the store never accepts")}
     , call_status_queries{all.make_counter(
           "rosemarytrail_call_status_queries_total",
           "queries to a peer for the status of a call forwarded to it")}
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -56,6 +56,7 @@
     metrics::counter& claims_unanswered;
     metrics::counter& calls_forwarded;
     metrics::counter& entries_expired;
+    metrics::counter& entries_rejected;
     metrics::counter& call_status_queries;
     metrics::counter& peer_calls_failed;
     metrics::counter& feed_read_failures;
--- a/src/rosemarytrail/cell/outbox.cpp
+++ b/src/rosemarytrail/cell/outbox.cpp
@@ -22,6 +22,8 @@
     bool maybe_recorded{false};
     /** @brief An append that includes the entry has no result yet. */
     bool in_flight{false};
+    /** @brief The store rejected an append that included it and others. */
+    bool alone{false};
 
     [[nodiscard]] time_point result_by(duration grace) const
     {
@@ -122,11 +124,21 @@
                            return it->maybe_recorded && in_time(*it);
                        });
     item_list result;
+    std::size_t bytes = 0;
     for (const auto& it : waiting_) {
         const bool allowed =
             !outage || it->maybe_recorded || (probe && result.empty());
-        if (allowed && in_time(*it)) {
-            result.push_back(it);
+        if (!allowed || !in_time(*it)) {
+            continue;
+        }
+        bytes += record_size(it->entry);
+        if (!result.empty() &&
+            (it->alone || bytes > options_.appends.append_bytes)) {
+            break;
+        }
+        result.push_back(it);
+        if (it->alone) {
+            break;
         }
     }
     for (const auto& it : result) {
@@ -177,10 +189,18 @@
     if (unknown) {
         observe_append(false, {});
     }
-    next_send_ = now + (unknown ? duration{} : options_.retry_delay);
+    if (answer.result == store_result::rejected && sent.size() == 1) {
+        sent.front()->complete(entry_result::rejected);
+        run(now);
+        return;
+    }
+    const bool rejected = answer.result == store_result::rejected;
+    next_send_ =
+        now + (unknown || rejected ? duration{} : options_.retry_delay);
     for (const auto& it : sent) {
         it->maybe_recorded = it->maybe_recorded || unknown;
-        if (!it->maybe_recorded && !answer.not_sent &&
+        it->alone = it->alone || rejected;
+        if (!rejected && !it->maybe_recorded && !answer.not_sent &&
             now - it->added > options_.refusal_timeout) {
             it->complete(entry_result::refused);
         }
--- a/src/rosemarytrail/cell/outbox.hpp
+++ b/src/rosemarytrail/cell/outbox.hpp
@@ -1,6 +1,7 @@
 #ifndef ROSEMARYTRAIL_CELL_OUTBOX_HPP
 #define ROSEMARYTRAIL_CELL_OUTBOX_HPP
 
+#include <rosemarytrail/cell/append_limits.hpp>
 #include <rosemarytrail/cell/ports.hpp>
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/fleet/ledger_codec.hpp>
@@ -21,6 +22,8 @@
     recorded,
     /** @brief The entry is not recorded and never will be. */
     refused,
+    /** @brief The store never accepts the entry. */
+    rejected,
     /** @brief The entry may be recorded, now or later. */
     unknown
 };
@@ -48,6 +51,7 @@
      * never sent wait for a response to those that were; after a loss of
      * responses, one repeat is answered. */
     std::size_t max_unanswered{2};
+    append_limits appends;
 };
 
 /**
@@ -58,7 +62,8 @@
  * response was lost is sent again, and every entry gets a result soon after its
  * deadline. An entry is reported as refused only if no append that includes it
  * has been sent, or the store refused each of them. Entries are idempotent, so
- * a repeated append changes nothing.
+ * a repeated append changes nothing. Entries of an append that the store
+ * rejects are sent one by one, so that one of them does not stop the others.
  */
 class outbox
 {
--- a/src/rosemarytrail/cell/ports.hpp
+++ b/src/rosemarytrail/cell/ports.hpp
@@ -64,8 +64,12 @@
 enum class store_result : std::uint8_t
 {
     done,
-    /** @brief The store rejected the call; nothing was done. */
+    /** @brief The store rejected the call; nothing was done. It may accept the
+     * call later. */
     refused,
+    /** @brief The store never accepts the call, such as one that is too large;
+     * nothing was done. */
+    rejected,
     /** @brief The store knows a writer with a higher epoch. */
     fenced,
     /** @brief The store expected another sequence number. */
@@ -88,6 +92,8 @@
         return "done";
     case store_result::refused:
         return "refused";
+    case store_result::rejected:
+        return "rejected";
     case store_result::fenced:
         return "fenced";
     case store_result::out_of_sequence:
--- a/src/rosemarytrail/core/result_code.cpp
+++ b/src/rosemarytrail/core/result_code.cpp
@@ -74,6 +74,9 @@
                     "limit; not run"},
     result_code_row{result_code::queue_full, "queue_full", 503,
                     "a bounded queue is full; not run"},
+    result_code_row{result_code::job_too_large, "job_too_large", 400,
+                    "the document of the job is larger than a record of the "
+                    "log may be; not run"},
     result_code_row{result_code::service_unknown, "service_unknown", 404,
                     "no such service"},
     result_code_row{result_code::no_upstream, "no_upstream", 503,
--- a/src/rosemarytrail/core/result_code.hpp
+++ b/src/rosemarytrail/core/result_code.hpp
@@ -47,6 +47,7 @@
     submission_outcome_unknown = 212,
     account_over_limit = 213,
     queue_full = 214,
+    job_too_large = 215,
 
     // 300: requests to services
     service_unknown = 300,
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -43,6 +43,13 @@
         state_->add_job(entry, now, unix_ms);
     });
     state_->restore_lease_bounds(ledger_jobs, now);
+    ledger_jobs.each_leftover([this](const task_key& first) {
+        state_->removals.push_back(
+            {.key = encode_key({.kind = entry_kind::progress,
+                                .step = first.step,
+                                .first_task = first.index}),
+             .value = std::nullopt});
+    });
 }
 
 dispatcher::~dispatcher() = default;
@@ -75,9 +82,10 @@
                : nullptr;
 }
 
-void dispatcher::state::mark_dirty(tracked_step& step)
+void dispatcher::state::mark_dirty(tracked_step& step, std::uint32_t index)
 {
     dirty.insert(&step);
+    step.changed_entries.insert(index - index % step.tasks_per_entry);
     step.job->triage.stale = true;
     replan = true;
 }
@@ -133,7 +141,7 @@
     task.stalled = false;
     task.cpu_limit_percent = 100;
     task.stop_acknowledged.reset();
-    mark_dirty(step);
+    mark_dirty(step, index);
 }
 
 void dispatcher::state::set_done(tracked_step& step, std::uint32_t index)
@@ -149,7 +157,7 @@
     task.phase = task_phase::done;
     task.crashes = {};
     ++step.done;
-    mark_dirty(step);
+    mark_dirty(step, index);
 }
 
 void dispatcher::state::update_ready(tracked_job& job, std::int64_t unix_ms)
@@ -179,13 +187,20 @@
     }
 }
 
-void dispatcher::state::restore_tasks(tracked_step& step,
+void dispatcher::state::restore_tasks(tracked_step& step, std::uint32_t first,
                                       const std::vector<task_progress>& rows,
                                       time_point now)
 {
-    for (std::uint32_t i = 0; i < rows.size() && i < step.tasks.size(); ++i) {
+    const auto n = static_cast<std::uint32_t>(
+        std::min(rows.size(), step.tasks.size() - first));
+    step.recorded_entries.insert(first);
+    for (std::uint32_t i = first; i < first + n; ++i) {
         auto& task = step.tasks[i];
-        const auto& row = rows[i];
+        const auto& row = rows[i - first];
+        // Entries of earlier versions hold all tasks of a step.
+        if (n > step.tasks_per_entry) {
+            mark_dirty(step, i);
+        }
         task.run = row.run;
         task.failed_runs = row.failed_runs;
         task.crashes = row.crashes;
@@ -304,9 +319,12 @@
         step.job = &job;
         step.tasks.resize(step.spec->tasks);
         step.waiting = step.tasks.size();
-        if (const auto it = entry.progress.find(step.key);
-            it != entry.progress.end()) {
-            restore_tasks(step, it->second, now);
+        step.tasks_per_entry = tasks_per_entry(job.record.queue.max_attempts);
+        for (auto it = entry.progress.lower_bound({.step = step.key});
+             it != entry.progress.end() && it->first.step == step.key &&
+             it->first.index < step.tasks.size();
+             ++it) {
+            restore_tasks(step, it->first.index, it->second, now);
         }
         if (const auto it = entry.advice.find(step.key);
             it != entry.advice.end()) {
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -387,6 +387,14 @@
      */
     void on_recorded(std::uint64_t number, time_point now);
 
+    /**
+     * @brief Handles an entry of a batch that the store never accepts. A job
+     * whose progress cannot be recorded fails; a worker is not used.
+     * @param key Key of the entry, which may be one of another node.
+     * @param now Current time.
+     */
+    void on_rejected(std::string_view key, time_point now);
+
     /**
      * @brief Returns the requests that are due.
      * @param now Current time.
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -209,6 +209,12 @@
     time_point done_at;
     /** @brief Longest run of its tasks on a worker of usual speed. */
     duration longest_run{};
+    /** @brief Number of tasks whose progress one ledger entry holds. */
+    std::uint32_t tasks_per_entry{1};
+    /** @brief First tasks of the progress entries that have changed, and of
+     * those that the ledger may hold. */
+    boost::container::flat_set<std::uint32_t> changed_entries;
+    boost::container::flat_set<std::uint32_t> recorded_entries;
 
     [[nodiscard]] bool complete() const noexcept
     {
@@ -454,11 +460,15 @@
                                             bool renewing);
     void restore_lease_bounds(const job_index& ledger_jobs, time_point now);
     void add_job(const job_entry& entry, time_point now, std::int64_t unix_ms);
-    void restore_tasks(tracked_step& step,
+    void restore_tasks(tracked_step& step, std::uint32_t first,
                        const std::vector<task_progress>& rows, time_point now);
     void apply_advice(tracked_step& step, const ledger_advice& advice);
     void update_granted_share(tracked_step& step, const advice_grant& grant);
-    void mark_dirty(tracked_step& step);
+    /** @brief Has the progress of a task written with the next batch. */
+    void mark_dirty(tracked_step& step, std::uint32_t index);
+    void add_progress(tracked_step& step, std::vector<ledger_entry>& entries);
+    void add_outcome(const tracked_job& job, std::int64_t unix_ms,
+                     std::vector<ledger_entry>& entries) const;
     void allocate(tracked_step& step, std::uint32_t index,
                   const std::string& worker);
     void release(tracked_step& step, std::uint32_t index);
--- a/src/rosemarytrail/fleet/internal/ledger_batches.cpp
+++ b/src/rosemarytrail/fleet/internal/ledger_batches.cpp
@@ -6,8 +6,6 @@
 
 namespace rosemarytrail::fleet {
 
-using internal::task_phase;
-
 job_timing dispatcher::state::timing_of(const tracked_job& job) const
 {
     const auto elapsed = [](time_point from, time_point to) {
@@ -72,6 +70,61 @@
     }
 }
 
+void dispatcher::state::add_progress(tracked_step& step,
+                                     std::vector<ledger_entry>& entries)
+{
+    std::vector<task_progress> rows;
+    for (const auto first : step.changed_entries) {
+        rows.clear();
+        const auto end = std::min<std::size_t>(
+            std::size_t{first} + step.tasks_per_entry, step.tasks.size());
+        for (std::size_t i = first; i < end; ++i) {
+            const auto& task = step.tasks[i];
+            rows.push_back({.done = task.phase == task_phase::done,
+                            .run = task.run,
+                            .failed_runs = task.failed_runs,
+                            .worker = task.worker,
+                            .checkpoint = step.spec->checkpoints
+                                              ? task.checkpoint
+                                              : std::string{},
+                            .crashes = task.crashes});
+        }
+        entries.push_back({.key = encode_key({.kind = entry_kind::progress,
+                                              .step = step.key,
+                                              .first_task = first}),
+                           .value = encode(rows)});
+        step.recorded_entries.insert(first);
+    }
+    step.changed_entries.clear();
+}
+
+// The outcome precedes the removals: if only a part of them is appended, the
+// job has ended all the same, and a successor removes the rest.
+void dispatcher::state::add_outcome(const tracked_job& job,
+                                    std::int64_t unix_ms,
+                                    std::vector<ledger_entry>& entries) const
+{
+    const auto id = job.record.id;
+    const auto remove = [&entries](const entry_key& key) {
+        entries.push_back({.key = encode_key(key), .value = std::nullopt});
+    };
+    entries.push_back(
+        {.key = encode_key({.kind = entry_kind::outcome, .step = {.job = id}}),
+         .value =
+             encode(job_outcome{.state = *job.outcome, .unix_ms = unix_ms})});
+    remove({.kind = entry_kind::job, .step = {.job = id}});
+    if (job.cancelled) {
+        remove({.kind = entry_kind::cancellation, .step = {.job = id}});
+    }
+    for (const auto& step : job.steps) {
+        for (const auto first : step.recorded_entries) {
+            remove({.kind = entry_kind::progress,
+                    .step = step.key,
+                    .first_task = first});
+        }
+    }
+}
+
 ledger_batch dispatcher::take_batch(std::int64_t unix_ms)
 {
     auto& self = *state_;
@@ -89,50 +142,15 @@
     for (const auto& id : open.workers) {
         result.entries.push_back(self.worker_entry(id, true));
     }
-    std::vector<task_progress> rows;
     for (auto* step : self.dirty) {
-        if (step->job->outcome) {
-            continue;
-        }
-        rows.clear();
-        for (const auto& task : step->tasks) {
-            rows.push_back({.done = task.phase == task_phase::done,
-                            .run = task.run,
-                            .failed_runs = task.failed_runs,
-                            .worker = task.worker,
-                            .checkpoint = step->spec->checkpoints
-                                              ? task.checkpoint
-                                              : std::string{},
-                            .crashes = task.crashes});
+        if (!step->job->outcome) {
+            self.add_progress(*step, result.entries);
         }
-        result.entries.push_back(
-            {.key =
-                 encode_key({.kind = entry_kind::progress, .step = step->key}),
-             .value = encode(rows)});
     }
     self.dirty.clear();
     for (auto* job : self.finished) {
         const auto id = job->record.id;
-        const auto add = [&](entry_kind kind, const step_key& key) {
-            result.entries.push_back(
-                {.key = encode_key({.kind = kind, .step = key}),
-                 .value = std::nullopt});
-        };
-        result.entries.push_back(
-            {.key =
-                 encode_key({.kind = entry_kind::outcome, .step = {.job = id}}),
-             .value = encode(
-                 job_outcome{.state = *job->outcome, .unix_ms = unix_ms})});
-        add(entry_kind::job, {.job = id});
-        if (job->cancelled) {
-            add(entry_kind::cancellation, {.job = id});
-        }
-        for (const auto& step : job->steps) {
-            add(entry_kind::progress, step.key);
-            if (job->record.queue.advice) {
-                add(entry_kind::advice, step.key);
-            }
-        }
+        self.add_outcome(*job, unix_ms, result.entries);
         open.finished.push_back(id);
         const auto timing = self.timing_of(*job);
         self.log_decision(id, "ended", self.describe_timing(*job, timing));
@@ -193,6 +211,25 @@
     }
 }
 
+void dispatcher::on_rejected(std::string_view key, time_point now)
+{
+    auto& self = *state_;
+    const auto about = decode_key(key);
+    if (!about) {
+        return;
+    }
+    if (about->kind == entry_kind::worker) {
+        for (auto& [number, batch] : self.batches) {
+            std::erase(batch.workers, about->worker);
+        }
+    }
+    const auto job = self.jobs.find(about->step.job);
+    if (about->kind == entry_kind::progress && job != self.jobs.end() &&
+        !job->second->ended()) {
+        self.fail_job(*job->second, "its progress cannot be recorded", now);
+    }
+}
+
 std::vector<job_timing> dispatcher::take_timings()
 {
     return std::exchange(state_->timings, {});
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -170,7 +170,7 @@
     if (task.crashes.counted() > 0) {
         worker.isolated_run = {.step = step.key, .index = index};
     }
-    mark_dirty(step);
+    mark_dirty(step, index);
     placed.push_back(
         {.task = {.step = step.key, .index = index}, .run = task.run});
 }
--- a/src/rosemarytrail/fleet/internal/worker_crashes.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_crashes.cpp
@@ -33,7 +33,7 @@
                      !expired && task.evidence == run_evidence::started});
         }
         worker.losses_expire = now + options.crash_memory;
-        mark_dirty(step);
+        mark_dirty(step, key.index);
     }
 }
 
@@ -56,7 +56,7 @@
         }
         const bool run_confirmed = loss->run_confirmed;
         losses.erase(loss);
-        mark_dirty(*step);
+        mark_dirty(*step, key.index);
         // A start may have reached the new incarnation.
         const bool runs_on =
             task.worker == worker.vm.id && task.phase == task_phase::running;
@@ -76,7 +76,7 @@
                      " confirmed " + std::to_string(task.crashes.confirmed) +
                      " of " + std::to_string(options.max_confirmed_crashes) +
                      ", possible " + std::to_string(task.crashes.possible));
-    mark_dirty(step);
+    mark_dirty(step, index);
     if (exceeds_crash_limit(task) && !step.job->ended()) {
         fail_job(*step.job, "workers crashed under each run of a task", now);
     }
@@ -103,7 +103,7 @@
     auto& task = step.tasks[index];
     if (!task.crashes.empty()) {
         task.crashes = {};
-        mark_dirty(step);
+        mark_dirty(step, index);
     }
 }
 
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <span>
 #include <utility>
 
 namespace rosemarytrail::fleet {
@@ -134,15 +133,17 @@
         return;
     }
     const auto first = step.spec->gang ? 0 : index;
-    const auto n = step.spec->gang ? step.tasks.size() : 1;
+    const auto n =
+        step.spec->gang ? static_cast<std::uint32_t>(step.tasks.size()) : 1U;
     std::size_t attempts = 0;
-    for (auto& it : std::span{step.tasks}.subspan(first, n)) {
+    for (std::uint32_t i = first; i < first + n; ++i) {
+        auto& it = step.tasks[i];
         if (std::ranges::find(it.failed_runs, run) == it.failed_runs.end()) {
             it.failed_runs.push_back(run);
         }
         attempts = std::max(attempts, it.failed_runs.size());
+        mark_dirty(step, i);
     }
-    mark_dirty(step);
     if (attempts >= step.job->record.queue.max_attempts && !step.job->ended()) {
         fail_job(*step.job, "a task failed in each of its attempts", now);
     }
--- a/src/rosemarytrail/fleet/job_index.cpp
+++ b/src/rosemarytrail/fleet/job_index.cpp
@@ -5,6 +5,15 @@
 
 namespace rosemarytrail::fleet {
 
+namespace {
+
+[[nodiscard]] task_key first_task_of(const entry_key& it)
+{
+    return {.step = it.step, .index = it.first_task};
+}
+
+} // namespace
+
 bool job_entry::has_started() const noexcept
 {
     return started || std::ranges::any_of(progress, [](const auto& step) {
@@ -24,6 +33,19 @@
     return has_started() ? job_state::running : job_state::queued;
 }
 
+const task_progress*
+job_entry::find_progress(const task_key& task) const noexcept
+{
+    auto it = progress.upper_bound(task);
+    if (it == progress.begin()) {
+        return nullptr;
+    }
+    --it;
+    const auto& [first, rows] = *it;
+    const auto n = task.index - first.index;
+    return first.step == task.step && n < rows.size() ? &rows[n] : nullptr;
+}
+
 void job_index::apply_job(std::uint64_t id,
                           std::optional<std::string_view> value)
 {
@@ -99,13 +121,17 @@
             break;
         }
         if (auto it = value ? decode_progress(*value) : std::nullopt) {
-            jobs_[id].progress[decoded_key->step] = std::move(*it);
+            jobs_[id].progress[first_task_of(*decoded_key)] = std::move(*it);
         } else {
-            jobs_[id].progress.erase(decoded_key->step);
+            jobs_[id].progress.erase(first_task_of(*decoded_key));
             readable = !value;
         }
         break;
     case entry_kind::advice:
+        // Tickets may be granted after the end of the job.
+        if (jobs_[id].outcome) {
+            break;
+        }
         if (auto it = value ? decode_advice(*value) : std::nullopt) {
             const auto age_ms = std::max<std::int64_t>(
                 unix_ms ? *unix_ms - it->granted_unix_ms : 0, 0);
@@ -120,6 +146,9 @@
     case entry_kind::outcome:
         jobs_[id].outcome = value ? decode_outcome(*value) : std::nullopt;
         readable = !value || jobs_[id].outcome;
+        if (jobs_[id].outcome) {
+            jobs_[id].advice.clear();
+        }
         break;
     }
     drop_if_empty(id);
@@ -167,6 +196,18 @@
     }
 }
 
+void job_index::each_leftover(
+    const std::function<void(const task_key&)>& visit) const
+{
+    for (const auto& [id, entry] : jobs_) {
+        if (entry.outcome) {
+            for (const auto& [first, rows] : entry.progress) {
+                visit(first);
+            }
+        }
+    }
+}
+
 std::vector<std::uint64_t>
 job_index::outcomes_before(std::int64_t before_unix_ms) const
 {
--- a/src/rosemarytrail/fleet/job_index.hpp
+++ b/src/rosemarytrail/fleet/job_index.hpp
@@ -36,7 +36,8 @@
 {
     /** @brief Absent while only a cancellation or an outcome is known. */
     std::optional<job_record> record;
-    std::map<step_key, std::vector<task_progress>> progress;
+    /** @brief Progress of tasks, by the first task of each entry. */
+    std::map<task_key, std::vector<task_progress>> progress;
     std::map<step_key, ledger_advice> advice;
     bool cancelled{false};
     /** @brief A task has been started; set without `progress` while the index
@@ -49,6 +50,14 @@
 
     /** @return Job state as reported to clients. */
     [[nodiscard]] job_state state() const noexcept;
+
+    /**
+     * @brief Finds the progress of a task.
+     * @param task Task.
+     * @return Its progress, or null if none is known.
+     */
+    [[nodiscard]] const task_progress*
+    find_progress(const task_key& task) const noexcept;
 };
 
 /**
@@ -103,6 +112,14 @@
     void each_live(const std::function<void(std::uint64_t, const job_entry&)>&
                        visit) const;
 
+    /**
+     * @brief Visits the progress entries of jobs that have an outcome. They
+     * remain if a leader is lost after it has recorded the outcome and before
+     * it has removed them.
+     * @param visit Called with the first task of each entry.
+     */
+    void each_leftover(const std::function<void(const task_key&)>& visit) const;
+
     /**
      * @brief Finds jobs whose outcome is older than a given time.
      * @param before_unix_ms Time in Unix milliseconds.
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -157,6 +157,16 @@
 
 } // namespace
 
+std::uint32_t tasks_per_entry(std::uint32_t max_attempts)
+{
+    constexpr std::uint64_t entry_bytes = std::uint64_t{1} << 16U;
+    // Run, worker, checkpoint and crashes of a task.
+    constexpr std::uint64_t task_bytes = 400;
+    constexpr std::uint64_t failed_run_bytes = 5;
+    const auto n = entry_bytes / (task_bytes + failed_run_bytes * max_attempts);
+    return static_cast<std::uint32_t>(std::max<std::uint64_t>(n, 1));
+}
+
 std::string encode_key(const entry_key& it)
 {
     std::string letter(1, kind_letters[static_cast<int>(it.kind)]);
@@ -168,6 +178,10 @@
     case entry_kind::worker:
         return letter + "/" + it.worker;
     case entry_kind::progress:
+        return letter + "/" +
+               (it.first_task == 0 ? to_text(it.step)
+                                   : to_text(task_key{.step = it.step,
+                                                      .index = it.first_task}));
     case entry_kind::advice:
         return letter + "/" + to_text(it.step);
     default:
@@ -204,6 +218,13 @@
         result.worker = text;
         return result;
     }
+    if (result.kind == entry_kind::progress) {
+        if (const auto task = parse_task_key(text)) {
+            result.step = task->step;
+            result.first_task = task->index;
+            return result;
+        }
+    }
     if (result.kind == entry_kind::progress ||
         result.kind == entry_kind::advice) {
         const auto step = parse_step_key(text);
--- a/src/rosemarytrail/fleet/ledger_codec.hpp
+++ b/src/rosemarytrail/fleet/ledger_codec.hpp
@@ -38,6 +38,9 @@
     step_key step;
     /** @brief Worker id; used by worker entries only. */
     std::string worker;
+    /** @brief First task of the step whose progress the entry holds; used by
+     * progress entries only. */
+    std::uint32_t first_task{};
 };
 
 /** @brief Final state of a job. */
@@ -80,6 +83,14 @@
     friend bool operator==(const batch_mark&, const batch_mark&) = default;
 };
 
+/**
+ * @brief Returns how many tasks share a progress entry, so that its size does
+ * not grow with the step.
+ * @param max_attempts Number of failed runs that are kept of each task.
+ * @return Number of tasks, at least one.
+ */
+[[nodiscard]] std::uint32_t tasks_per_entry(std::uint32_t max_attempts);
+
 /** @brief Entry to write; no value removes the key. */
 struct ledger_entry
 {
@@ -109,8 +120,8 @@
 [[nodiscard]] std::string encode(const job_record& it);
 
 /**
- * @brief Encodes the progress of a step's tasks. Of a task that is done, only
- * that is kept.
+ * @brief Encodes the progress of some tasks of a step. Of a task that is done,
+ * only that is kept.
  * @param it Progress of each task.
  * @return Encoded bytes.
  */
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -312,6 +312,60 @@
     CHECK(ask(true).code == result_code::catching_up);
 }
 
+// Guards against a cell that starts nothing any more because of one record.
+TEST_CASE("A record that the store never accepts fails its job only", "[node]")
+{
+    two_nodes cell;
+    cell.store.rejected_key = fleet::encode_key(
+        {.kind = fleet::entry_kind::progress, .step = {.job = 2}});
+    cell.start();
+    REQUIRE(cell.loop.run_until([&] { return cell.led(); }, timeout));
+    std::size_t accepted = 0;
+    constexpr std::uint64_t jobs = 3;
+    for (std::uint64_t id = 1; id <= jobs; ++id) {
+        cell.nodes[0]->serve(submission(id), [&](const client_answer& it) {
+            accepted += it.kind == answer_kind::accepted ? 1U : 0U;
+        });
+    }
+    REQUIRE(cell.loop.run_until([&] { return accepted == jobs; }, timeout));
+    std::optional<fleet::job_state> state;
+    REQUIRE(cell.loop.run_until(
+        [&] {
+            cell.nodes[0]->serve(state_query(2), [&](const client_answer& it) {
+                state = it.state;
+            });
+            return state == fleet::job_state::failed;
+        },
+        timeout));
+    const auto started = [&cell] {
+        std::set<std::uint64_t> result;
+        for (const auto& worker : cell.workers) {
+            for (const auto& it : worker->starts) {
+                result.insert(it.task.step.job);
+            }
+        }
+        return result;
+    };
+    const std::set<std::uint64_t> others{1, 3};
+    CHECK(cell.loop.run_until([&] { return started() == others; }, timeout));
+}
+
+// Guards against a record that no append can hold.
+TEST_CASE("A job whose record is too large is refused at submission", "[node]")
+{
+    two_nodes cell;
+    cell.start();
+    REQUIRE(cell.loop.run_until([&] { return cell.led(); }, timeout));
+    auto call = submission(1);
+    call.job->payload = std::string(append_limits{}.record_bytes, 'p');
+    std::optional<client_answer> result;
+    cell.nodes[0]->serve(std::move(call),
+                         [&](const client_answer& it) { result = it; });
+    REQUIRE(cell.loop.run_until([&] { return result.has_value(); }, timeout));
+    CHECK(result->kind == answer_kind::malformed);
+    CHECK(result->code == result_code::job_too_large);
+}
+
 TEST_CASE("An advice request reaches a node that has not read the job",
           "[node]")
 {
--- a/test/cell/outbox.cpp
+++ b/test/cell/outbox.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 
@@ -83,6 +84,47 @@
     CHECK(it.results.size() == 4);
 }
 
+// Guards against an append that grows with the number of queued entries.
+TEST_CASE("Queued entries beyond the size of an append wait for the next one",
+          "[outbox]")
+{
+    fixture it;
+    it.add("a", 1h);
+    it.add("b", 1h);
+    for (const auto* key : {"c", "d", "e"}) {
+        it.entries.add(
+            {.key = key,
+             .value = std::string(append_limits{}.append_bytes / 2, 'v')},
+            it.start + 1h, [](entry_result) {}, it.start);
+    }
+    it.shared.answer(store_result::done);
+    CHECK(it.shared.appends.back().first.entries.size() == 1);
+}
+
+// Guards against an entry that the store never accepts and that is repeated
+// together with all others.
+TEST_CASE("Entries of a rejected append are sent one by one", "[outbox]")
+{
+    fixture it;
+    for (const auto* key : {"x", "y", "a", "bad", "c"}) {
+        it.add(key, 1h);
+    }
+    REQUIRE(it.shared.appends.size() == 2);
+    std::size_t calls = 0;
+    while (!it.shared.appends.empty()) {
+        REQUIRE(++calls < 20);
+        const auto& entries = it.shared.appends.front().first.entries;
+        const bool bad = std::ranges::any_of(
+            entries, [](const auto& entry) { return entry.key == "bad"; });
+        it.shared.answer(bad ? store_result::rejected : store_result::done);
+    }
+    CHECK(it.results.size() == 5);
+    for (const auto& [key, result] : it.results) {
+        CHECK(result ==
+              (key == "bad" ? entry_result::rejected : entry_result::recorded));
+    }
+}
+
 TEST_CASE("An entry without a response is never reported as refused",
           "[outbox]")
 {
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -38,6 +38,70 @@
     CHECK(cell.violations.empty());
 }
 
+// Guards against removals that grow with the times of a schedule.
+TEST_CASE("The end of a job removes only the entries that were written",
+          "[dispatcher]")
+{
+    constexpr std::size_t few = 10;
+    worker_fleet cell;
+    cell.add_workers(2, eight_cores);
+    auto job = make_job(1, {{.tasks = 1, .demand = one_core},
+                            {.tasks = 1, .demand = one_core}});
+    job.spec.occurrences = 50000;
+    job.spec.interval_ms = 600000;
+    job.spec.first_due_ms = to_milliseconds(cell.now.time_since_epoch());
+    cell.submit(job);
+    cell.run(3s);
+    CHECK(cell.starts.size() == 2);
+    cell.cancel(1);
+    cell.run(100ms);
+    CHECK(cell.state(1) == job_state::cancelled);
+    CHECK(cell.most_entries < few);
+    CHECK(cell.violations.empty());
+}
+
+// Guards against a progress entry that grows with the tasks of a step.
+TEST_CASE("The progress of a step of many tasks is kept in entries of limited "
+          "size",
+          "[dispatcher]")
+{
+    constexpr std::size_t max_bytes = 1U << 16U;
+    constexpr std::uint32_t tasks = 3000;
+    worker_fleet cell;
+    cell.scripted_outcome = [](const task_key& it) {
+        return task_outcome{.length = it.index % 2 == 0 ? 500ms : 4s};
+    };
+    cell.add_workers(400, eight_cores);
+    cell.submit(make_job(1, {{.tasks = tasks, .demand = one_core}}));
+    cell.run(300ms);
+    CHECK(cell.running(1) == tasks);
+    cell.run(1s);
+    cell.take_over();
+    cell.run(100ms);
+    CHECK(cell.running(1) == tasks / 2);
+    cell.run(6s);
+    CHECK(cell.state(1) == job_state::completed);
+    CHECK(cell.starts.size() == tasks);
+    CHECK(cell.largest_entry <= max_bytes);
+    CHECK(cell.entry(1).progress.empty());
+    CHECK(cell.violations.empty());
+}
+
+// Guards against progress that no leader removes any more.
+TEST_CASE("A new leader removes the progress that its predecessor has left",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.add_workers(1, eight_cores);
+    cell.submit(make_job(1, {{.tasks = 1, .demand = one_core}}));
+    cell.run(100ms);
+    REQUIRE_FALSE(cell.entry(1).progress.empty());
+    cell.end_in_ledger(1);
+    cell.take_over();
+    cell.run(100ms);
+    CHECK(cell.entry(1).progress.empty());
+}
+
 TEST_CASE("No worker is loaded beyond its capacity", "[dispatcher]")
 {
     worker_fleet cell;
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -81,6 +81,16 @@
         });
         return;
     }
+    if (!rejected_key.empty() &&
+        std::ranges::any_of(request.entries, [this](const auto& it) {
+            return it.key == rejected_key;
+        })) {
+        answer([done = std::move(done)] {
+            done({.result = cell::store_result::rejected,
+                  .expected_sequence = std::nullopt});
+        });
+        return;
+    }
     const bool is_claim = request.writer && request.writer->sequence == 0;
     if (is_claim && claims_to_delay > 0) {
         --claims_to_delay;
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -90,6 +90,9 @@
     std::set<std::string, std::less<>> ineffective_keys;
     /** @brief Rejects all appends. */
     bool refuses_appends{false};
+    /** @brief Key whose records it never accepts; it rejects each append that
+     * includes one. */
+    std::string rejected_key;
     /** @brief Number of next appends of the leader that are executed without a
      * response. */
     std::size_t leader_responses_to_lose{};
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -165,6 +165,15 @@
     dispatcher_->on_job_changed(id, *ledger_jobs_.find(id), now, clock_ms());
 }
 
+void worker_fleet::end_in_ledger(std::uint64_t id)
+{
+    apply(
+        {{.key = fleet::encode_key(
+              {.kind = fleet::entry_kind::outcome, .step = {.job = id}}),
+          .value = fleet::encode(fleet::job_outcome{
+              .state = fleet::job_state::completed, .unix_ms = clock_ms()})}});
+}
+
 void worker_fleet::grant(const fleet::step_key& step,
                          const std::vector<std::string>& ids, duration valid)
 {
@@ -264,11 +273,9 @@
         }
     }
     const auto* entry = ledger_jobs_.find(request.task.step.job);
-    const auto* rows =
-        entry != nullptr && entry->progress.contains(request.task.step)
-            ? &entry->progress.at(request.task.step)
-            : nullptr;
-    if (rows == nullptr || rows->at(request.task.index).run < request.run) {
+    const auto* recorded =
+        entry != nullptr ? entry->find_progress(request.task) : nullptr;
+    if (recorded == nullptr || recorded->run < request.run) {
         violations.push_back("start not recorded: " + to_text(request.task));
     }
     if (acknowledged_.contains(request.task)) {
@@ -423,6 +430,12 @@
     if (!ledger_down && !pending_batch_) {
         pending_batch_ = {now + ledger_delay,
                           dispatcher_->take_batch(clock_ms())};
+        for (const auto& it : pending_batch_->second.entries) {
+            largest_entry =
+                std::max(largest_entry, it.value ? it.value->size() : 0);
+        }
+        most_entries =
+            std::max(most_entries, pending_batch_->second.entries.size());
     }
     if (pending_batch_ && pending_batch_->first <= now) {
         const auto batch = std::exchange(pending_batch_, std::nullopt)->second;
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -101,6 +101,10 @@
     std::map<fleet::task_key, std::size_t> crashes;
     /** @brief No batch is appended while it is set. */
     bool ledger_down{false};
+    /** @brief Size of the largest value that was appended, and the number of
+     * entries of the largest batch. */
+    std::size_t largest_entry{};
+    std::size_t most_entries{};
     /** @brief Time from an append to its acknowledgement. */
     duration ledger_delay{};
     time_point now{std::chrono::seconds{1000}};
@@ -136,6 +140,9 @@
     /** @brief Records the job in the ledger. */
     void submit(fleet::job_record record);
     void cancel(std::uint64_t id);
+    /** @brief Records the outcome of a job and nothing else, as a leader that
+     * is lost after it. */
+    void end_in_ledger(std::uint64_t id);
     void grant(const fleet::step_key& step, const std::vector<std::string>& ids,
                duration valid);
     /** @brief Starts a new leader with the next epoch. */
