Request advice only for steps that can start

Cause: `wants_slow_advice` looked at the steps before a step, not at the time of its occurrence, so the first step of each future occurrence counted as nearly ready. Its tickets expired unused and were requested again, in the order of priority.

Ruled out: too few nodes for the load (60 future steps alone use up all requests; the plain jobs need a few); distrusted nodes and lost requests (all calls are answered); capacity (all workers are idle).

Change: a step gets slow advice once its occurrence is due within the time that the request takes. Found with it, and held by tests of their own: - a step that no worker could run, by label or size, takes no request and no place in a planning pass, nor the turn of the job that has waited longest; - steps of an account at its limit, and those whose only tasks wait for the explanation of a crash, come after all steps that can start, four of an account; they no longer keep nodes from slow requests either; - a node requests no fast advice for an occurrence that is not due; - a job that is not due does not count as waiting when a submission beyond the share of its account is admitted.

The limit of an account is kept beside its usage, as it is looked up for each step.

"An occurrence takes no advice request before it is nearly due", "A step that suits no worker takes no advice request" and "Steps that wait for their account's limit are advised after others" fail on the sources before. "A node requests no advice for an occurrence that is not due" needs the time as an argument and was not run before.

--- a/src/rosemarytrail/cell/internal/node_advice.cpp
+++ b/src/rosemarytrail/cell/internal/node_advice.cpp
@@ -70,6 +70,7 @@
     const auto& policy = record.queue.advice;
     // Jobs beyond the share of their account are scheduled by the leader.
     if (!policy || record.beyond_share || !all_follow() ||
+        !record.spec.due(0, unix_milliseconds()) ||
         policy->base_ms > options.dispatcher.slow_advice_ms) {
         return;
     }
@@ -107,7 +108,8 @@
         }
     }
     return all_follow() && ledger.loaded()
-               ? advice_requests.next(jobs, vm_list, advice_nodes(), now)
+               ? advice_requests.next(jobs, vm_list, advice_nodes(), now,
+                                      unix_milliseconds())
                : std::nullopt;
 }
 
--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -182,7 +182,7 @@
     const std::chrono::duration<double> window = options.drain_window;
     return fleet::rejection_retry_after(
         {.beyond_share = true,
-         .pending = jobs.pending(record.queue.name),
+         .pending = jobs.due(record.queue.name, unix_milliseconds()),
          .starts_per_s = static_cast<double>(times.size()) / window.count(),
          .slack = std::chrono::milliseconds{record.queue.target_latency_ms},
          .job = record.id});
--- a/src/rosemarytrail/fleet/advice_plan.cpp
+++ b/src/rosemarytrail/fleet/advice_plan.cpp
@@ -66,7 +66,8 @@
 std::optional<advice_request>
 advice_plan::next(const job_index& ledger_jobs,
                   std::span<const worker_vm> workers,
-                  std::span<const std::string> members, time_point now)
+                  std::span<const std::string> members, time_point now,
+                  std::int64_t unix_ms)
 {
     const step_key* best = nullptr;
     step_key best_key;
@@ -87,7 +88,8 @@
         if (best != nullptr && !(rank < best_rank)) {
             return;
         }
-        for (std::uint32_t n = 0; n < record.spec.rounds(); ++n) {
+        for (std::uint32_t n = 0;
+             n < record.spec.rounds() && record.spec.due(n, unix_ms); ++n) {
             for (std::uint32_t i = 0; i < record.spec.steps.size(); ++i) {
                 const step_key key{.job = id, .occurrence = n, .step = i};
                 if (due(entry, key, now)) {
--- a/src/rosemarytrail/fleet/advice_plan.hpp
+++ b/src/rosemarytrail/fleet/advice_plan.hpp
@@ -74,11 +74,13 @@
      * @param workers Directory of workers.
      * @param members All live nodes, sorted.
      * @param now Current time.
+     * @param unix_ms Current wall-clock time in Unix milliseconds.
      * @return Request, or nothing if none is due.
      */
     [[nodiscard]] std::optional<advice_request>
     next(const job_index& ledger_jobs, std::span<const worker_vm> workers,
-         std::span<const std::string> members, time_point now);
+         std::span<const std::string> members, time_point now,
+         std::int64_t unix_ms);
 
     /**
      * @brief Builds the request for a step.
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -98,7 +98,7 @@
     target.vm.id = worker;
     target.used += step.spec->reserved();
     target.load.insert({.step = step.key, .index = index});
-    accounts[step.job->record.account].used += step.spec->demand;
+    step.job->account->used += step.spec->demand;
     ++step.job->active;
 }
 
@@ -115,7 +115,7 @@
     if (target.isolated_run == key) {
         target.isolated_run.reset();
     }
-    accounts[step.job->record.account].used -= step.spec->demand;
+    step.job->account->used -= step.spec->demand;
     --step.job->active;
     task.worker.clear();
     replan = true;
@@ -167,9 +167,7 @@
         if (step.ready || step.complete() || job.ended()) {
             continue;
         }
-        const auto due =
-            spec.first_due_ms + step.key.occurrence * spec.interval_ms;
-        if (spec.occurrences > 0 && unix_ms < due) {
+        if (!spec.due(step.key.occurrence, unix_ms)) {
             continue;
         }
         const auto first = step.key.occurrence * spec.steps.size();
@@ -292,6 +290,8 @@
     auto owned = std::make_unique<tracked_job>();
     auto& job = *owned;
     job.record = *entry.record;
+    job.account = &accounts[job.record.account];
+    job.account->limit = limit_of(job.record.account);
     job.payload =
         std::make_shared<const std::string>(std::move(job.record.spec.payload));
     const auto& spec = job.record.spec;
@@ -355,9 +355,21 @@
     }
 }
 
+resource_amounts
+dispatcher::state::limit_of(const std::string& account) const
+{
+    const auto* found = config && !account.empty()
+                            ? config->find_account(account)
+                            : nullptr;
+    return found == nullptr ? resource_amounts{} : found->limit;
+}
+
 void dispatcher::set_config(std::shared_ptr<const cell_config> config)
 {
     state_->config = std::move(config);
+    for (auto& [name, it] : state_->accounts) {
+        it.limit = state_->limit_of(name);
+    }
     state_->replan = true;
 }
 
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -130,6 +130,9 @@
     /** @brief Number of steps at the head of the queue whose tickets are
      * renewed even without available capacity. */
     std::size_t always_renewed_steps{8};
+    /** @brief Number of steps of an account at its limit that get advice, after
+     * all steps that can start. */
+    std::size_t advised_steps_at_limit{4};
     /** @brief Time that a response may exceed its expected duration before the
      * request counts as lost. */
     duration advice_slack{std::chrono::milliseconds{1000}};
--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -2,6 +2,8 @@
 #include <rosemarytrail/fleet/internal/dispatcher_state.hpp>
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 namespace rosemarytrail::fleet {
 
@@ -229,8 +231,8 @@
     last_advice_scan = now;
     candidate_checks_left = options.candidate_checks_per_scan;
     duration fast_backlog{};
-    std::vector<ranked_step> fast_steps;
-    std::vector<ranked_step> slow_steps;
+    advice_candidates fast;
+    advice_candidates slow;
     for (auto& [id, job] : jobs) {
         const auto& policy = job->record.queue.advice;
         if (!policy) {
@@ -242,21 +244,45 @@
             if (step.waiting == 0 || job->ended()) {
                 continue;
             }
-            if (!is_slow && step.ready && step.tickets_until <= now) {
+            const bool expired =
+                !is_slow && step.ready && step.tickets_until <= now;
+            const bool wanted = is_slow ? wants_slow_advice(step, now)
+                                        : wants_fast_advice(step, now);
+            if (!(expired || wanted) || !suits_a_worker(step)) {
+                continue;
+            }
+            const bool startable = may_start(step);
+            if (expired && startable) {
                 fast_backlog += typical_cost(*policy);
             }
-            if (is_slow ? wants_slow_advice(step, now)
-                        : wants_fast_advice(step, now)) {
-                (is_slow ? slow_steps : fast_steps)
+            if (wanted) {
+                auto& to = is_slow ? slow : fast;
+                (startable ? to.startable : to.blocked)
                     .push_back(
                         {.rank = internal::rank_of(step), .step = &step});
             }
         }
     }
-    std::ranges::sort(fast_steps, internal::served_before);
-    std::ranges::sort(slow_steps, internal::served_before);
-    request_fast_advice(fast_steps, now);
-    request_slow_advice(slow_steps, slow_nodes(fast_backlog, now), now);
+    request_fast_advice(order_for_advice(std::move(fast)), now);
+    request_slow_advice(order_for_advice(std::move(slow)),
+                        slow_nodes(fast_backlog, now), now);
+}
+
+// An account at its limit may have any number of steps that wait for it. Some
+// of them get advice, so that they start as soon as others end.
+std::vector<internal::ranked_step>
+dispatcher::state::order_for_advice(advice_candidates steps) const
+{
+    std::ranges::sort(steps.startable, internal::served_before);
+    std::ranges::sort(steps.blocked, internal::served_before);
+    std::map<const internal::account_usage*, std::size_t> by_account;
+    for (const auto& it : steps.blocked) {
+        if (++by_account[it.step->job->account] <=
+            options.advised_steps_at_limit) {
+            steps.startable.push_back(it);
+        }
+    }
+    return std::move(steps.startable);
 }
 
 void dispatcher::state::close_if_stale(tracked_step& step, time_point now)
@@ -305,7 +331,10 @@
 {
     const auto horizon =
         typical_cost(*step.job->record.queue.advice) + options.advice_slack / 4;
-    return step.ready || nearly_ready(step, horizon, now);
+    const bool nearly_due =
+        step.job->record.spec.due(step.key.occurrence,
+                                  last_plan_unix_ms + to_milliseconds(horizon));
+    return step.ready || (nearly_due && nearly_ready(step, horizon, now));
 }
 
 void dispatcher::state::request_fast_advice(std::span<const ranked_step> order,
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -162,6 +162,14 @@
 
 struct tracked_job;
 
+/** @brief Resources that a client account uses. */
+struct account_usage
+{
+    resource_amounts used;
+    /** @brief Limit of the configuration in force; zero for none. */
+    resource_amounts limit;
+};
+
 /** @brief Step of one occurrence as tracked by the dispatcher. */
 struct tracked_step
 {
@@ -177,6 +185,10 @@
      * directory. */
     std::vector<tracked_worker*> allowed;
     std::uint64_t allowed_as_of{};
+    /** @brief A worker could run it if the worker were empty; looked up once
+     * for each version of the directory. */
+    bool suits_a_worker{false};
+    std::uint64_t suits_as_of{};
     time_point tickets_until;
     /** @brief When the last applied advice was read. */
     time_point advice_read_at;
@@ -227,6 +239,7 @@
 {
     job_record record;
     std::shared_ptr<const std::string> payload;
+    account_usage* account{};
     /** @brief All steps of the first occurrence, followed by those of the next
      * ones. */
     std::vector<tracked_step> steps;
@@ -350,12 +363,6 @@
     using tracked_worker = internal::tracked_worker;
     using ranked_step = internal::ranked_step;
 
-    /** @brief Resources that a client account uses. */
-    struct account_usage
-    {
-        resource_amounts used;
-    };
-
     /** @brief Why the start of a recorded placement is not sent. */
     enum class start_obstacle : std::uint8_t
     {
@@ -372,9 +379,10 @@
     std::unordered_map<std::uint64_t, std::unique_ptr<tracked_job>> jobs;
     std::map<std::string, tracked_worker> workers;
     std::set<std::string> evacuated_zones;
-    /** @brief Incremented when workers are added or removed. */
+    /** @brief Incremented when workers are added or removed, or one of them
+     * changes its kind. */
     std::uint64_t workers_version{1};
-    std::map<std::string, account_usage> accounts;
+    std::map<std::string, internal::account_usage> accounts;
     /** @brief Steps whose tasks may be placed; scanned at each planning
      * pass. */
     boost::container::flat_set<tracked_step*> ready;
@@ -430,6 +438,8 @@
     /** @brief Ended jobs in the order of their end. */
     std::deque<std::pair<time_point, std::uint64_t>> ended_order;
     time_point last_plan;
+    /** @brief Wall-clock time of the last planning pass. */
+    std::int64_t last_plan_unix_ms{};
     time_point next_relocation;
     /** @brief When workers that were set aside accept a probe, and a larger
      * one. */
@@ -459,6 +469,8 @@
     [[nodiscard]] ledger_entry worker_entry(const std::string& worker,
                                             bool renewing);
     void restore_lease_bounds(const job_index& ledger_jobs, time_point now);
+    /** @return Limit of an account; zero for none. */
+    [[nodiscard]] resource_amounts limit_of(const std::string& account) const;
     void add_job(const job_entry& entry, time_point now, std::int64_t unix_ms);
     void restore_tasks(tracked_step& step, std::uint32_t first,
                        const std::vector<task_progress>& rows, time_point now);
@@ -588,6 +600,17 @@
                                          time_point now) const;
     [[nodiscard]] bool wants_fast_advice(const tracked_step& step,
                                          time_point now) const;
+    /** @brief Steps that need advice. */
+    struct advice_candidates
+    {
+        std::vector<ranked_step> startable;
+        /** @brief Steps that cannot start, such as those of an account at its
+         * limit. */
+        std::vector<ranked_step> blocked;
+    };
+    /** @brief Orders steps by rank; those that cannot start come last. */
+    [[nodiscard]] std::vector<ranked_step>
+    order_for_advice(advice_candidates steps) const;
     void request_fast_advice(std::span<const ranked_step> order,
                              time_point now);
     void request_slow_advice(std::span<const ranked_step> order,
@@ -628,6 +651,11 @@
     void move_task(const task_relocation& move, time_point now);
 
     // internal/placement.cpp
+    /** @return True if a worker could run the step if the worker were
+     * empty. */
+    [[nodiscard]] bool suits_a_worker(tracked_step& step) const;
+    /** @return True if a waiting task may be placed now, given capacity. */
+    [[nodiscard]] bool may_start(tracked_step& step) const;
     [[nodiscard]] bool can_accept(const tracked_worker& worker,
                                   const tracked_step& step,
                                   time_point now) const;
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -31,6 +31,17 @@
     return urgent ? std::max(rank, 0) : -std::max(rank, 0);
 }
 
+/** @return True if the worker belongs to the service of the step and has the
+ * label that it requires. */
+[[nodiscard]] bool is_of_kind(const internal::tracked_worker& worker,
+                              const tracked_step& step)
+{
+    const auto& label = step.spec->required_label;
+    return worker.vm.service == step.job->record.queue.service &&
+           (label.empty() || std::ranges::find(worker.vm.labels, label) !=
+                                 worker.vm.labels.end());
+}
+
 } // namespace
 
 bool dispatcher::state::accepts_work(const tracked_worker& worker,
@@ -45,14 +56,29 @@
                                   const tracked_step& step,
                                   time_point now) const
 {
-    const auto& spec = *step.spec;
-    if (!accepts_work(worker, now) ||
-        worker.vm.service != step.job->record.queue.service) {
-        return false;
+    return accepts_work(worker, now) && is_of_kind(worker, step);
+}
+
+bool dispatcher::state::suits_a_worker(tracked_step& step) const
+{
+    if (step.suits_as_of != workers_version) {
+        step.suits_as_of = workers_version;
+        step.suits_a_worker = std::ranges::any_of(workers, [&](const auto& it) {
+            return is_of_kind(it.second, step) &&
+                   step.spec->reserved().fits(it.second.vm.capacity);
+        });
     }
-    return spec.required_label.empty() ||
-           std::ranges::find(worker.vm.labels, spec.required_label) !=
-               worker.vm.labels.end();
+    return step.suits_a_worker;
+}
+
+bool dispatcher::state::may_start(tracked_step& step) const
+{
+    return suits_a_worker(step) &&
+           within_limit(*step.job, step.spec->demand) &&
+           std::ranges::any_of(step.tasks, [this](const auto& it) {
+               return it.phase == internal::task_phase::waiting &&
+                      !awaits_crash_proof(it);
+           });
 }
 
 bool dispatcher::state::can_accept(const tracked_worker& worker,
@@ -69,17 +95,8 @@
 bool dispatcher::state::within_limit(const tracked_job& job,
                                      const resource_amounts& demand) const
 {
-    if (!config || job.record.account.empty()) {
-        return true;
-    }
-    const auto* account = config->find_account(job.record.account);
-    if (account == nullptr) {
-        return true;
-    }
-    const auto& limit = account->limit;
-    const auto known = accounts.find(job.record.account);
-    const auto total =
-        known == accounts.end() ? demand : known->second.used + demand;
+    const auto& limit = job.account->limit;
+    const auto total = job.account->used + demand;
     return (limit.cpu_millis == 0 || total.cpu_millis <= limit.cpu_millis) &&
            (limit.memory_mb == 0 || total.memory_mb <= limit.memory_mb) &&
            (limit.gpus == 0 || total.gpus <= limit.gpus);
@@ -257,6 +274,7 @@
 {
     auto& it = *state_;
     it.last_plan = now;
+    it.last_plan_unix_ms = unix_ms;
     ++it.planning_pass;
     std::erase_if(it.scheduled, [&it, unix_ms](std::uint64_t id) {
         const auto job = it.jobs.find(id);
@@ -282,7 +300,8 @@
     for (auto* step : it.ready) {
         const bool advised = step->job->record.queue.advice.has_value();
         if (step->waiting > 0 && !step->job->ended() &&
-            (!advised || step->tickets_until > now)) {
+            (!advised || step->tickets_until > now) &&
+            it.suits_a_worker(*step)) {
             order.push_back({.rank = internal::rank_of(*step), .step = step});
         }
     }
--- a/src/rosemarytrail/fleet/internal/work_order.cpp
+++ b/src/rosemarytrail/fleet/internal/work_order.cpp
@@ -429,7 +429,7 @@
     };
     for (const auto& it : waiting) {
         if ((oldest == nullptr || rank(*it.step) < rank(*oldest)) &&
-            within_limit(*it.step->job, it.step->spec->demand)) {
+            may_start(*it.step)) {
             oldest = it.step;
         }
     }
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -51,6 +51,7 @@
         it.listed = false;
     }
     const auto known_before = self.workers.size();
+    bool kind_changed = false;
     for (const auto& vm : vms) {
         auto& it = self.workers[vm.id];
         const bool known = !it.vm.address.empty();
@@ -70,6 +71,9 @@
             it.cold_until = vm.read_at.value_or(now) +
                             std::chrono::milliseconds{vm.cold_left_ms};
         }
+        kind_changed = kind_changed || vm.service != it.vm.service ||
+                       vm.labels != it.vm.labels ||
+                       !(vm.capacity == it.vm.capacity);
         const auto incarnation = std::max(vm.incarnation, it.vm.incarnation);
         it.vm = vm;
         it.vm.incarnation = incarnation;
@@ -92,7 +96,7 @@
             }
             return removable;
         });
-    if (any_added || removed > 0) {
+    if (any_added || removed > 0 || kind_changed) {
         ++self.workers_version;
     }
     self.replan = true;
--- a/src/rosemarytrail/fleet/job.hpp
+++ b/src/rosemarytrail/fleet/job.hpp
@@ -131,6 +131,19 @@
     {
         return occurrences == 0 ? 1 : occurrences;
     }
+
+    /**
+     * @brief Checks whether an occurrence is due.
+     * @param occurrence Number of the occurrence.
+     * @param unix_ms Time in Unix milliseconds.
+     * @return True if its steps may run by then; always for a plain job.
+     */
+    [[nodiscard]] bool due(std::uint32_t occurrence,
+                           std::int64_t unix_ms) const noexcept
+    {
+        return occurrences == 0 ||
+               first_due_ms + occurrence * interval_ms <= unix_ms;
+    }
 };
 
 /** @brief Cost of an advice request, and how long its tickets are valid. */
--- a/src/rosemarytrail/fleet/job_index.cpp
+++ b/src/rosemarytrail/fleet/job_index.cpp
@@ -176,13 +176,26 @@
     return it == claims_.end() ? std::nullopt : std::optional{it->second};
 }
 
+bool job_index::is_pending(const job_entry& entry, std::string_view queue)
+{
+    return entry.record && !entry.outcome && !entry.cancelled &&
+           entry.record->queue.name == queue && !entry.has_started();
+}
+
 std::size_t job_index::pending(std::string_view queue) const
 {
     return static_cast<std::size_t>(
         std::ranges::count_if(jobs_, [queue](const auto& it) {
-            const auto& entry = it.second;
-            return entry.record && !entry.outcome && !entry.cancelled &&
-                   entry.record->queue.name == queue && !entry.has_started();
+            return is_pending(it.second, queue);
+        }));
+}
+
+std::size_t job_index::due(std::string_view queue, std::int64_t unix_ms) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(jobs_, [queue, unix_ms](const auto& it) {
+            return is_pending(it.second, queue) &&
+                   it.second.record->spec.due(0, unix_ms);
         }));
 }
 
--- a/src/rosemarytrail/fleet/job_index.hpp
+++ b/src/rosemarytrail/fleet/job_index.hpp
@@ -105,6 +105,16 @@
      */
     [[nodiscard]] std::size_t pending(std::string_view queue) const;
 
+    /**
+     * @brief Counts the jobs of a queue that wait for their first start.
+     * @param queue Name of the queue.
+     * @param unix_ms Current wall-clock time in Unix milliseconds.
+     * @return Number of jobs with no started task whose first occurrence is
+     * due.
+     */
+    [[nodiscard]] std::size_t due(std::string_view queue,
+                                  std::int64_t unix_ms) const;
+
     /**
      * @brief Visits the jobs without an outcome.
      * @param visit Called with each job's id and entry.
@@ -158,6 +168,9 @@
     claimed_at(std::uint64_t epoch) const;
 
 private:
+    /** @return True if the job belongs to the queue and no task was started. */
+    [[nodiscard]] static bool is_pending(const job_entry& entry,
+                                         std::string_view queue);
     void apply_job(std::uint64_t id, std::optional<std::string_view> value);
     void drop_if_empty(std::uint64_t id);
 
--- a/test/fleet/admission.cpp
+++ b/test/fleet/admission.cpp
@@ -121,7 +121,33 @@
         encode_key({.kind = entry_kind::progress, .step = {.job = 9}}),
         encode(rows), start);
     ledger_jobs.discard_progress();
-    CHECK_FALSE(plan.next(ledger_jobs, workers, members, start));
+    CHECK_FALSE(plan.next(ledger_jobs, workers, members, start, 0));
+}
+
+// Guards against advice requests that a schedule takes from work that is due.
+TEST_CASE("A node requests no advice for an occurrence that is not due",
+          "[advice]")
+{
+    job_index ledger_jobs;
+    const std::vector<std::string> members{"a"};
+    const std::vector<worker_vm> workers{{.id = "w", .service = "s"}};
+    advice_plan plan{{.member = "a"}};
+    auto record = advised_job(9);
+    record.spec.occurrences = 6;
+    record.spec.first_due_ms = 1000;
+    record.spec.interval_ms = 1000;
+    REQUIRE(ledger_jobs.apply(
+        encode_key({.kind = entry_kind::job, .step = {.job = 9}}),
+        encode(record), start));
+    CHECK_FALSE(plan.next(ledger_jobs, workers, members, start, 999));
+    CHECK(ledger_jobs.pending(record.queue.name) == 1);
+    CHECK(ledger_jobs.due(record.queue.name, 999) == 0);
+    const auto request = plan.next(ledger_jobs, workers, members, start, 1999);
+    REQUIRE(request);
+    CHECK(request->step.occurrence == 0);
+    plan.on_request_sent(request->step, start + 1s);
+    CHECK_FALSE(plan.next(ledger_jobs, workers, members, start, 1999));
+    CHECK(ledger_jobs.due(record.queue.name, 1999) == 1);
 }
 
 TEST_CASE("Steps of ended jobs are removed from the advice plan", "[advice]")
@@ -134,7 +160,7 @@
     REQUIRE(ledger_jobs.apply(
         encode_key({.kind = entry_kind::job, .step = {.job = 9}}),
         encode(record), start));
-    const auto request = plan.next(ledger_jobs, workers, members, start);
+    const auto request = plan.next(ledger_jobs, workers, members, start, 0);
     REQUIRE(request);
     plan.on_request_sent(request->step, start + 1s);
     plan.forget_ended(ledger_jobs);
--- a/test/fleet/advice_requests.cpp
+++ b/test/fleet/advice_requests.cpp
@@ -112,6 +112,73 @@
 
 } // namespace
 
+// Guards against a schedule whose future times take all slow advice requests.
+TEST_CASE("An occurrence takes no advice request before it is nearly due",
+          "[advice]")
+{
+    worker_fleet cell;
+    cell.add_workers(8, eight_cores);
+    cell.leader().set_members(node_names(4));
+    auto job = make_advised_job(1, {.tasks = 2, .demand = one_core});
+    job.queue.priority = 0;
+    job.spec.occurrences = 6;
+    job.spec.first_due_ms = to_milliseconds(cell.now.time_since_epoch()) + 5000;
+    job.spec.interval_ms = 60000;
+    cell.submit(job);
+    cell.run(3s);
+    CHECK(assigned_nodes(cell, 1).empty());
+    cell.run(1900ms);
+    REQUIRE_FALSE(cell.advice_assignments.empty());
+    CHECK(std::ranges::all_of(cell.advice_assignments, [](const auto& it) {
+        return it.request.step.occurrence == 0;
+    }));
+}
+
+// Guards against advice requests for work that no worker can run.
+TEST_CASE("A step that suits no worker takes no advice request", "[advice]")
+{
+    worker_fleet cell;
+    cell.add_workers(8, eight_cores);
+    cell.leader().set_members(node_names(4));
+    cell.submit(make_advised_job(1, {.tasks = 2,
+                                     .demand = one_core,
+                                     .required_label = "none"}));
+    cell.submit(
+        make_advised_job(2, {.tasks = 2, .demand = {9000, 1000, 0}}));
+    cell.run(3s);
+    CHECK(cell.advice_assignments.empty());
+    cell.workers.at("w3").vm.labels = {"none"};
+    cell.list_workers();
+    cell.run(100ms);
+    CHECK_FALSE(assigned_nodes(cell, 1).empty());
+    CHECK(assigned_nodes(cell, 2).empty());
+}
+
+// Guards against an account at its limit whose waiting jobs take all advice
+// requests from others.
+TEST_CASE("Steps that wait for their account's limit are advised after others",
+          "[advice]")
+{
+    limited_cell cell;
+    cell.leader().set_members(node_names(2));
+    cell.submit_limited(100, 1, 0);
+    cell.grant({.job = 100}, worker_ids(0, 60), 600s);
+    cell.run(200ms);
+    REQUIRE(cell.running(100) == 1);
+    cell.advice_assignments.clear();
+    cell.submit_limited(101, 14, 0);
+    for (std::uint64_t id = 2; id < 12; ++id) {
+        auto job = make_advised_job(id, {.tasks = 1, .demand = one_core});
+        job.account = "b";
+        cell.submit(job);
+    }
+    cell.run(20ms);
+    REQUIRE_FALSE(cell.advice_assignments.empty());
+    CHECK(std::ranges::all_of(cell.advice_assignments, [](const auto& it) {
+        return it.request.step.job < 12;
+    }));
+}
+
 TEST_CASE("A lost task of a step at tasks_per_vm is advised behind steps that "
           "wait for their account's limit",
           "[advice]")
