Track only the occurrences that are due

Cause: the leader tracked each task of all occurrences from the moment it read a job, 43 MB for 8,760 times of two steps of six tasks. Steps, tasks and occurrences were bounded one by one, not their product, and the ledger kept the progress of each occurrence until the end of the job.

Ruled out: a leak (memory grows with each such job at once and not with time); the payloads (shared); the index of the followers (it holds what was written, and nothing was).

Change: - a job tracks its occurrences from the first one that is not complete on: those that are due, up to a number of tasks, and the next one if there are none; - a ledger entry `o/JOB` has the number of completed occurrences; their progress is removed after it.

Why it works: memory, planning passes and the ledger now follow the jobs accepted and the work that is due, and what cannot be carried is not accepted.

A test of the index used a job without steps, which no node accepts; it has one step now, as a record without steps is not read any more.

--- a/src/rosemarytrail/cell/internal/node_calls.cpp
+++ b/src/rosemarytrail/cell/internal/node_calls.cpp
@@ -13,6 +13,8 @@
 
 /** @brief Retry-After of rejections that no outage of the store causes. */
 constexpr duration short_retry_after{std::chrono::seconds{1}};
+/** @brief Retry-After while the cell holds as many tasks as it can track. */
+constexpr duration full_retry_after{std::chrono::seconds{5}};
 /** @brief Maximum number of peers that a call is forwarded to, one after
  * another. */
 constexpr std::size_t max_forward_attempts = 2;
@@ -357,6 +359,11 @@
         return;
     }
     const auto now = boot_clock::now();
+    if (const auto code = fleet::check_limits(*call.job, options.jobs);
+        code != result_code::ok) {
+        done({.kind = answer_kind::malformed, .code = code});
+        return;
+    }
     if (const auto* entry = jobs.find(id);
         entry != nullptr && (entry->record || entry->outcome)) {
         done({.kind = answer_kind::accepted});
@@ -366,6 +373,14 @@
         done(store_unavailable(id, queue.policy.priority));
         return;
     }
+    if (options.max_live_tasks > 0 &&
+        jobs.live_tasks() + fleet::count_tasks(*call.job) >
+            options.max_live_tasks) {
+        done({.kind = answer_kind::unavailable,
+              .code = result_code::queue_full,
+              .retry_after = full_retry_after});
+        return;
+    }
     fleet::job_record record{.id = id,
                              .account = std::move(account),
                              .acceptor = shutting_down || !all_follow()
--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -248,6 +248,7 @@
         return;
     }
     if (!leadership || about->kind == fleet::entry_kind::progress ||
+        about->kind == fleet::entry_kind::occurrences ||
         about->kind == fleet::entry_kind::outcome) {
         return;
     }
--- a/src/rosemarytrail/cell/node.hpp
+++ b/src/rosemarytrail/cell/node.hpp
@@ -10,6 +10,7 @@
 #include <rosemarytrail/cell/relay_plan.hpp>
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/fleet/dispatcher.hpp>
+#include <rosemarytrail/fleet/job_limits.hpp>
 #include <rosemarytrail/http/client.hpp>
 #include <rosemarytrail/metrics/registry.hpp>
 
@@ -36,6 +37,10 @@
     follower_options followers;
     fleet::dispatcher_options dispatcher;
     append_limits appends;
+    fleet::job_limits jobs;
+    /** @brief Maximum number of tasks of all live jobs, counting one occurrence
+     * of each; further jobs are refused. Zero for no limit. */
+    std::uint64_t max_live_tasks{};
     /** @brief Which workers the leader calls by way of other nodes. */
     relay_plan_options relays;
     /** @brief Lifetime of a group membership that is not renewed; a leader
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -99,6 +99,9 @@
                              "1 while this node leads the cell")}
     , jobs{all.make_gauge("rosemarytrail_jobs_live",
                           "jobs that have not ended, at the leader")}
+    , tasks_tracked{all.make_gauge(
+          "rosemarytrail_tasks_tracked",
+          "tasks of the jobs and occurrences that the leader tracks")}
     , tasks_waiting{all.make_gauge("rosemarytrail_tasks_waiting",
                                    "tasks whose turn has come, at the leader")}
     , tasks_waiting_for_limit{all.make_gauge(
@@ -213,6 +216,7 @@
         gauge.set(static_cast<std::int64_t>(value));
     };
     set(jobs, counts.jobs);
+    set(tasks_tracked, counts.tracked_tasks);
     set(tasks_waiting, counts.waiting);
     set(tasks_waiting_for_limit, counts.waiting_for_limit);
     set(tasks_waiting_for_advice, counts.waiting_for_advice);
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -70,6 +70,7 @@
     metrics::counter& job_demotions;
     metrics::gauge& leading;
     metrics::gauge& jobs;
+    metrics::gauge& tasks_tracked;
     metrics::gauge& tasks_waiting;
     metrics::gauge& tasks_waiting_for_limit;
     metrics::gauge& tasks_waiting_for_advice;
--- a/src/rosemarytrail/core/result_code.cpp
+++ b/src/rosemarytrail/core/result_code.cpp
@@ -77,6 +77,13 @@
     result_code_row{result_code::job_too_large, "job_too_large", 400,
                     "the document of the job is larger than a record of the "
                     "log may be; not run"},
+    result_code_row{result_code::job_too_many_tasks, "job_too_many_tasks", 400,
+                    "the job has more steps or tasks than a cell can track; "
+                    "not run"},
+    result_code_row{result_code::job_times_out_of_range,
+                    "job_times_out_of_range", 400,
+                    "the job has too many occurrences, or one of them lies too "
+                    "far ahead; not run"},
     result_code_row{result_code::service_unknown, "service_unknown", 404,
                     "no such service"},
     result_code_row{result_code::no_upstream, "no_upstream", 503,
--- a/src/rosemarytrail/core/result_code.hpp
+++ b/src/rosemarytrail/core/result_code.hpp
@@ -48,6 +48,8 @@
     account_over_limit = 213,
     queue_full = 214,
     job_too_large = 215,
+    job_too_many_tasks = 216,
+    job_times_out_of_range = 217,
 
     // 300: requests to services
     service_unknown = 300,
--- a/src/rosemarytrail/fleet/advice_plan.cpp
+++ b/src/rosemarytrail/fleet/advice_plan.cpp
@@ -48,7 +48,8 @@
 {
     const auto ended = [&ledger_jobs](const auto& it) {
         const auto* entry = ledger_jobs.find(it.first.job);
-        return entry == nullptr || !entry->record || entry->outcome;
+        return entry == nullptr || !entry->record || entry->outcome ||
+               it.first.occurrence < entry->completed_occurrences;
     };
     std::erase_if(request_deadlines_, ended);
 }
@@ -63,11 +64,9 @@
            (it == request_deadlines_.end() || it->second <= now);
 }
 
-std::optional<advice_request>
-advice_plan::next(const job_index& ledger_jobs,
-                  std::span<const worker_vm> workers,
-                  std::span<const std::string> members, time_point now,
-                  std::int64_t unix_ms)
+std::optional<advice_request> advice_plan::next(
+    const job_index& ledger_jobs, std::span<const worker_vm> workers,
+    std::span<const std::string> members, time_point now, std::int64_t unix_ms)
 {
     const step_key* best = nullptr;
     step_key best_key;
@@ -88,8 +87,12 @@
         if (best != nullptr && !(rank < best_rank)) {
             return;
         }
-        for (std::uint32_t n = 0;
-             n < record.spec.rounds() && record.spec.due(n, unix_ms); ++n) {
+        // The leader assigns the requests of further ones.
+        const auto end =
+            std::min(record.spec.rounds(),
+                     entry.completed_occurrences + options_.max_occurrences);
+        for (auto n = entry.completed_occurrences;
+             n < end && record.spec.due(n, unix_ms); ++n) {
             for (std::uint32_t i = 0; i < record.spec.steps.size(); ++i) {
                 const step_key key{.job = id, .occurrence = n, .step = i};
                 if (due(entry, key, now)) {
--- a/src/rosemarytrail/fleet/advice_plan.hpp
+++ b/src/rosemarytrail/fleet/advice_plan.hpp
@@ -6,6 +6,7 @@
 #include <rosemarytrail/fleet/job_index.hpp>
 #include <rosemarytrail/fleet/worker_vm.hpp>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -22,6 +23,9 @@
     std::string member;
     /** @brief Maximum number of workers in one request. */
     std::size_t max_workers{max_workers_per_request};
+    /** @brief Maximum number of occurrences of a job for which this node sends
+     * requests on its own, counted from the first one that is not complete. */
+    std::uint32_t max_occurrences{16};
     /** @brief Delay before a step without candidate workers is tried again. */
     duration retry_delay{std::chrono::milliseconds{500}};
     /** @brief Requests with a higher base cost are slow. */
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -69,9 +69,12 @@
     }
     auto& job = *it->second;
     const auto per_round = job.record.spec.steps.size();
-    const auto index = key.occurrence * per_round + key.step;
-    return key.step < per_round && index < job.steps.size() ? &job.steps[index]
-                                                            : nullptr;
+    if (key.step >= per_round || key.occurrence < job.first_occurrence) {
+        return nullptr;
+    }
+    const auto index =
+        (key.occurrence - job.first_occurrence) * per_round + key.step;
+    return index < job.steps.size() ? &job.steps[index] : nullptr;
 }
 
 internal::task_state* dispatcher::state::find_task(const task_key& key)
@@ -170,7 +173,8 @@
         if (!spec.due(step.key.occurrence, unix_ms)) {
             continue;
         }
-        const auto first = step.key.occurrence * spec.steps.size();
+        const auto first =
+            (step.key.occurrence - job.first_occurrence) * spec.steps.size();
         step.ready =
             std::ranges::all_of(step.spec->depends_on, [&](std::uint32_t it) {
                 return it < spec.steps.size() &&
@@ -307,30 +311,7 @@
         static_cast<double>(job.record.queue.target_latency_ms));
     job.objective = job.accepted + std::chrono::milliseconds{objective_ms};
     job.beyond_share = job.record.beyond_share;
-    job.steps.resize(spec.steps.size() * spec.rounds());
-    for (std::size_t i = 0; i < job.steps.size(); ++i) {
-        auto& step = job.steps[i];
-        const auto n = static_cast<std::uint32_t>(i % spec.steps.size());
-        step.key = {.job = job.record.id,
-                    .occurrence =
-                        static_cast<std::uint32_t>(i / spec.steps.size()),
-                    .step = n};
-        step.spec = &spec.steps[n];
-        step.job = &job;
-        step.tasks.resize(step.spec->tasks);
-        step.waiting = step.tasks.size();
-        step.tasks_per_entry = tasks_per_entry(job.record.queue.max_attempts);
-        for (auto it = entry.progress.lower_bound({.step = step.key});
-             it != entry.progress.end() && it->first.step == step.key &&
-             it->first.index < step.tasks.size();
-             ++it) {
-            restore_tasks(step, it->first.index, it->second, now);
-        }
-        if (const auto it = entry.advice.find(step.key);
-            it != entry.advice.end()) {
-            apply_advice(step, it->second);
-        }
-    }
+    restore_occurrences(job, entry, now);
     if (spec.occurrences > 0) {
         scheduled.insert(job.record.id);
     }
@@ -355,12 +336,10 @@
     }
 }
 
-resource_amounts
-dispatcher::state::limit_of(const std::string& account) const
+resource_amounts dispatcher::state::limit_of(const std::string& account) const
 {
-    const auto* found = config && !account.empty()
-                            ? config->find_account(account)
-                            : nullptr;
+    const auto* found =
+        config && !account.empty() ? config->find_account(account) : nullptr;
     return found == nullptr ? resource_amounts{} : found->limit;
 }
 
@@ -409,7 +388,7 @@
         }
         return;
     }
-    if (!job.failed &&
+    if (!job.failed && job.next_occurrence() == job.record.spec.rounds() &&
         std::ranges::all_of(job.steps, &tracked_step::complete)) {
         finish_job(job, job_state::completed);
     }
@@ -534,6 +513,11 @@
 {
     dispatcher_counts result;
     result.jobs = state_->jobs.size();
+    for (const auto& [id, job] : state_->jobs) {
+        for (const auto& step : job->steps) {
+            result.tracked_tasks += step.tasks.size();
+        }
+    }
     result.evacuated_zones = state_->evacuated_zones.size();
     result.evacuation_left = state_->evacuation_left;
     result.demotions = state_->service_order.demotions;
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -160,6 +160,10 @@
     /** @brief How long ended jobs are tracked; late ledger entries of such a
      * job are ignored. */
     duration ended_retention{std::chrono::seconds{600}};
+    /** @brief Maximum number of tasks of the occurrences of a job that are
+     * tracked at a time; two occurrences always are. Further ones wait until
+     * earlier ones are complete. */
+    std::size_t max_open_tasks{4096};
     /** @brief Moving tasks off workers that leave. */
     relocation_options relocation;
 };
@@ -240,6 +244,8 @@
 struct dispatcher_counts
 {
     std::size_t jobs{};
+    /** @brief Tasks of the tracked occurrences of all jobs. */
+    std::size_t tracked_tasks{};
     std::size_t waiting{};
     /** @brief Waiting tasks whose account is at its limit. */
     std::size_t waiting_for_limit{};
--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -93,7 +93,8 @@
                                      time_point now) const
 {
     const auto& job = *step.job;
-    const auto first = step.key.occurrence * job.record.spec.steps.size();
+    const auto first = (step.key.occurrence - job.first_occurrence) *
+                       job.record.spec.steps.size();
     for (const auto n : step.spec->depends_on) {
         const auto& before = job.steps[first + n];
         if (before.waiting > 0) {
@@ -331,9 +332,8 @@
 {
     const auto horizon =
         typical_cost(*step.job->record.queue.advice) + options.advice_slack / 4;
-    const bool nearly_due =
-        step.job->record.spec.due(step.key.occurrence,
-                                  last_plan_unix_ms + to_milliseconds(horizon));
+    const bool nearly_due = step.job->record.spec.due(
+        step.key.occurrence, last_plan_unix_ms + to_milliseconds(horizon));
     return step.ready || (nearly_due && nearly_ready(step, horizon, now));
 }
 
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -6,6 +6,7 @@
 
 #include <boost/container/flat_set.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -240,9 +241,18 @@
     job_record record;
     std::shared_ptr<const std::string> payload;
     account_usage* account{};
-    /** @brief All steps of the first occurrence, followed by those of the next
-     * ones. */
-    std::vector<tracked_step> steps;
+    /** @brief All steps of the first tracked occurrence, followed by those of
+     * the next ones. Only occurrences that are due are tracked, and the next
+     * one if there are none. */
+    std::deque<tracked_step> steps;
+    /** @brief Number of the first tracked occurrence; all earlier ones are
+     * complete. */
+    std::uint32_t first_occurrence{};
+    /** @brief The ledger may hold the number of completed occurrences. */
+    bool occurrences_recorded{false};
+    /** @brief Progress entries of completed occurrences that the ledger may
+     * hold. */
+    std::vector<task_key> obsolete_entries;
     bool cancelled{false};
     bool failed{false};
     std::optional<job_state> outcome;
@@ -257,6 +267,19 @@
     std::size_t active{};
     job_triage triage;
 
+    /** @return Number of tracked occurrences. */
+    [[nodiscard]] std::uint32_t tracked_occurrences() const noexcept
+    {
+        return static_cast<std::uint32_t>(steps.size() /
+                                          record.spec.steps.size());
+    }
+
+    /** @return Number of the first occurrence that is not tracked yet. */
+    [[nodiscard]] std::uint32_t next_occurrence() const noexcept
+    {
+        return first_occurrence + tracked_occurrences();
+    }
+
     [[nodiscard]] bool ended() const noexcept
     {
         return cancelled || failed || outcome.has_value();
@@ -387,8 +410,10 @@
      * pass. */
     boost::container::flat_set<tracked_step*> ready;
     boost::container::flat_set<tracked_step*> dirty;
-    /** @brief Jobs with occurrences that are not all due yet. */
+    /** @brief Jobs with occurrences. */
     std::set<std::uint64_t> scheduled;
+    /** @brief Jobs whose number of completed occurrences is to be recorded. */
+    std::set<std::uint64_t> advanced_jobs;
     std::vector<tracked_job*> finished;
     std::vector<start_request> starts;
     std::vector<stop_request> stops;
@@ -487,6 +512,16 @@
     void back_to_waiting(tracked_step& step, std::uint32_t index,
                          time_point now);
     void set_done(tracked_step& step, std::uint32_t index);
+    // internal/occurrences.cpp
+    void track_next_occurrence(tracked_job& job);
+    [[nodiscard]] bool tracks_next(const tracked_job& job,
+                                   std::int64_t unix_ms) const;
+    void drop_first_occurrence(tracked_job& job);
+    void update_occurrences(tracked_job& job, std::int64_t unix_ms);
+    void restore_occurrences(tracked_job& job, const job_entry& entry,
+                             time_point now);
+    void add_occurrences(tracked_job& job, std::vector<ledger_entry>& entries);
+
     void update_ready(tracked_job& job, std::int64_t unix_ms);
     void drop_ended_jobs();
     void count_waiting(const tracked_step& step, time_point now,
--- a/src/rosemarytrail/fleet/internal/ledger_batches.cpp
+++ b/src/rosemarytrail/fleet/internal/ledger_batches.cpp
@@ -116,6 +116,14 @@
     if (job.cancelled) {
         remove({.kind = entry_kind::cancellation, .step = {.job = id}});
     }
+    if (job.occurrences_recorded) {
+        remove({.kind = entry_kind::occurrences, .step = {.job = id}});
+    }
+    for (const auto& it : job.obsolete_entries) {
+        remove({.kind = entry_kind::progress,
+                .step = it.step,
+                .first_task = it.index});
+    }
     for (const auto& step : job.steps) {
         for (const auto first : step.recorded_entries) {
             remove({.kind = entry_kind::progress,
@@ -142,6 +150,13 @@
     for (const auto& id : open.workers) {
         result.entries.push_back(self.worker_entry(id, true));
     }
+    for (const auto id : self.advanced_jobs) {
+        if (const auto it = self.jobs.find(id);
+            it != self.jobs.end() && !it->second->outcome) {
+            self.add_occurrences(*it->second, result.entries);
+        }
+    }
+    self.advanced_jobs.clear();
     for (auto* step : self.dirty) {
         if (!step->job->outcome) {
             self.add_progress(*step, result.entries);
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -73,8 +73,7 @@
 
 bool dispatcher::state::may_start(tracked_step& step) const
 {
-    return suits_a_worker(step) &&
-           within_limit(*step.job, step.spec->demand) &&
+    return suits_a_worker(step) && within_limit(*step.job, step.spec->demand) &&
            std::ranges::any_of(step.tasks, [this](const auto& it) {
                return it.phase == internal::task_phase::waiting &&
                       !awaits_crash_proof(it);
@@ -281,6 +280,7 @@
         if (job == it.jobs.end() || job->second->ended()) {
             return true;
         }
+        it.update_occurrences(*job->second, unix_ms);
         it.update_ready(*job->second, unix_ms);
         return false;
     });
--- a/src/rosemarytrail/fleet/internal/work_order.cpp
+++ b/src/rosemarytrail/fleet/internal/work_order.cpp
@@ -207,10 +207,10 @@
     }
     const auto& queue = job.record.queue;
     const auto& spec = job.record.spec;
-    const auto due =
-        spec.first_due_ms +
-        static_cast<std::int64_t>(first / std::max<std::size_t>(n, 1)) *
-            spec.interval_ms;
+    const auto occurrence =
+        job.first_occurrence + first / std::max<std::size_t>(n, 1);
+    const auto due = spec.first_due_ms +
+                     static_cast<std::int64_t>(occurrence) * spec.interval_ms;
     const auto begin =
         spec.occurrences == 0
             ? job.accepted
--- a/src/rosemarytrail/fleet/job_index.cpp
+++ b/src/rosemarytrail/fleet/job_index.cpp
@@ -1,5 +1,7 @@
 #include <rosemarytrail/fleet/job_index.hpp>
 
+#include <rosemarytrail/fleet/job_limits.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -16,7 +18,8 @@
 
 bool job_entry::has_started() const noexcept
 {
-    return started || std::ranges::any_of(progress, [](const auto& step) {
+    return started || completed_occurrences > 0 ||
+           std::ranges::any_of(progress, [](const auto& step) {
                return std::ranges::any_of(
                    step.second, [](const auto& task) { return task.run > 0; });
            });
@@ -60,6 +63,23 @@
     }
 }
 
+// The progress of these occurrences is removed by records of its own.
+void job_index::apply_occurrences(job_entry& entry, std::uint32_t completed)
+{
+    entry.completed_occurrences = completed;
+    std::erase_if(entry.advice, [completed](const auto& it) {
+        return it.first.occurrence < completed;
+    });
+}
+
+std::uint64_t job_index::count_live_tasks(std::uint64_t id) const
+{
+    const auto it = jobs_.find(id);
+    const bool live =
+        it != jobs_.end() && it->second.record && !it->second.outcome;
+    return live ? count_tasks(it->second.record->spec) : 0;
+}
+
 void job_index::drop_if_empty(std::uint64_t id)
 {
     const auto it = jobs_.find(id);
@@ -68,7 +88,8 @@
     }
     const auto& entry = it->second;
     if (!entry.record && !entry.outcome && !entry.cancelled &&
-        (entry.progress.empty() || !keeps_progress_) && entry.advice.empty()) {
+        (entry.progress.empty() || !keeps_progress_) && entry.advice.empty() &&
+        entry.completed_occurrences == 0) {
         jobs_.erase(it);
     }
 }
@@ -83,6 +104,7 @@
         return std::nullopt;
     }
     const auto id = decoded_key->step.job;
+    const auto live_tasks_before = count_live_tasks(id);
     bool readable = true;
     switch (decoded_key->kind) {
     case entry_kind::batch_mark:
@@ -143,6 +165,12 @@
             readable = !value;
         }
         break;
+    case entry_kind::occurrences: {
+        const auto it = value ? decode_occurrences(*value) : std::nullopt;
+        readable = !value || it;
+        apply_occurrences(jobs_[id], it.value_or(0));
+        break;
+    }
     case entry_kind::outcome:
         jobs_[id].outcome = value ? decode_outcome(*value) : std::nullopt;
         readable = !value || jobs_[id].outcome;
@@ -151,6 +179,7 @@
         }
         break;
     }
+    live_tasks_ = live_tasks_ - live_tasks_before + count_live_tasks(id);
     drop_if_empty(id);
     return readable ? decoded_key : std::nullopt;
 }
--- a/src/rosemarytrail/fleet/job_index.hpp
+++ b/src/rosemarytrail/fleet/job_index.hpp
@@ -39,6 +39,8 @@
     /** @brief Progress of tasks, by the first task of each entry. */
     std::map<task_key, std::vector<task_progress>> progress;
     std::map<step_key, ledger_advice> advice;
+    /** @brief Number of completed occurrences, from the first on. */
+    std::uint32_t completed_occurrences{};
     bool cancelled{false};
     /** @brief A task has been started; set without `progress` while the index
      * keeps none. */
@@ -138,6 +140,13 @@
     [[nodiscard]] std::vector<std::uint64_t>
     outcomes_before(std::int64_t before_unix_ms) const;
 
+    /** @return Number of tasks of the jobs without an outcome, counting one
+     * occurrence of each. */
+    [[nodiscard]] std::uint64_t live_tasks() const noexcept
+    {
+        return live_tasks_;
+    }
+
     /** @return The last recorded leader. */
     [[nodiscard]] const leader_record& leader() const noexcept
     {
@@ -173,8 +182,12 @@
                                          std::string_view queue);
     void apply_job(std::uint64_t id, std::optional<std::string_view> value);
     void drop_if_empty(std::uint64_t id);
+    void apply_occurrences(job_entry& entry, std::uint32_t completed);
+
+    [[nodiscard]] std::uint64_t count_live_tasks(std::uint64_t id) const;
 
     std::unordered_map<std::uint64_t, job_entry> jobs_;
+    std::uint64_t live_tasks_{};
     bool keeps_progress_{true};
     leader_record leader_;
     std::map<std::string, ledger_worker> workers_;
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -22,7 +22,8 @@
 constexpr std::uint32_t max_tasks = 1'000'000;
 constexpr std::uint32_t max_occurrences = 1'000'000;
 
-constexpr char kind_letters[] = {'j', 'c', 's', 'a', 'f', 'l', 'b', 'w', 'r'};
+constexpr char kind_letters[] = {'j', 'c', 's', 'a', 'f',
+                                 'l', 'b', 'w', 'r', 'o'};
 
 [[nodiscard]] json pack_amounts(const resource_amounts& it)
 {
@@ -141,7 +142,8 @@
  * tasks, and steps are found by their number. */
 [[nodiscard]] bool is_trackable(const job_spec& it)
 {
-    if (it.steps.size() > max_steps || it.occurrences > max_occurrences) {
+    if (it.steps.empty() || it.steps.size() > max_steps ||
+        it.occurrences > max_occurrences) {
         return false;
     }
     for (std::size_t i = 0; i < it.steps.size(); ++i) {
@@ -272,6 +274,17 @@
     return pack(rows);
 }
 
+std::string encode_occurrences(std::uint32_t completed)
+{
+    return pack(json::array({completed}));
+}
+
+std::optional<std::uint32_t> decode_occurrences(std::string_view bytes)
+{
+    return unpack(bytes,
+                  [](const json& it) { return it.at(0).get<std::uint32_t>(); });
+}
+
 std::string encode(const advice_grant& it)
 {
     json rows = json::array();
--- a/src/rosemarytrail/fleet/ledger_codec.hpp
+++ b/src/rosemarytrail/fleet/ledger_codec.hpp
@@ -28,7 +28,10 @@
     /** @brief Last epoch whose leader may have renewed a worker's lease. */
     worker,
     /** @brief Observed run times of images and queues. */
-    run_times
+    run_times,
+    /** @brief Number of completed occurrences of a job, from the first on; the
+     * ledger holds no progress of these. */
+    occurrences
 };
 
 /** @brief Key of a ledger entry; only some kinds use `step`. */
@@ -127,6 +130,13 @@
  */
 [[nodiscard]] std::string encode(std::span<const task_progress> it);
 
+/**
+ * @brief Encodes the number of completed occurrences of a job.
+ * @param completed Number of occurrences.
+ * @return Encoded bytes.
+ */
+[[nodiscard]] std::string encode_occurrences(std::uint32_t completed);
+
 /** @copydoc encode(const job_record&) */
 [[nodiscard]] std::string encode(const advice_grant& it);
 
@@ -156,6 +166,10 @@
 [[nodiscard]] std::optional<std::vector<task_progress>>
 decode_progress(std::string_view bytes);
 
+/** @copydoc decode_job */
+[[nodiscard]] std::optional<std::uint32_t>
+decode_occurrences(std::string_view bytes);
+
 /** @copydoc decode_job */
 [[nodiscard]] std::optional<advice_grant> decode_advice(std::string_view bytes);
 
--- a/test/cell/node.cpp
+++ b/test/cell/node.cpp
@@ -26,7 +26,7 @@
 /** @brief Nodes that share one store and one worker. */
 struct model_cell
 {
-    explicit model_cell(std::size_t count, const follower_options& followers)
+    model_cell(std::size_t count, const node_options& common)
     {
         store.put(feed::configuration, "c", "1");
         store.put(feed::workers, "w1", "1");
@@ -34,12 +34,11 @@
             workers.push_back(std::make_unique<test::model_workers>(loop));
             const auto name = "n" + std::to_string(n);
             const auto address = name + ":1";
-            node_options options{.name = name,
-                                 .member = to_text({.incarnation = name,
-                                                    .address = address,
-                                                    .cpu_millis = 250}),
-                                 .cpu_millis = 250,
-                                 .followers = followers};
+            auto options = common;
+            options.name = name;
+            options.member = to_text(
+                {.incarnation = name, .address = address, .cpu_millis = 250});
+            options.cpu_millis = 250;
             nodes.push_back(std::make_unique<node>(
                 options, loop, store, *workers[n], peers, advice, formats,
                 metrics.emplace_back()));
@@ -72,8 +71,8 @@
 /** @brief Two nodes, which both follow the ledger. */
 struct two_nodes : model_cell
 {
-    two_nodes()
-        : model_cell{2, {}}
+    explicit two_nodes(const node_options& common = {})
+        : model_cell{2, common}
     {}
 
     /** @return True if one of the nodes polls the worker. */
@@ -84,7 +83,7 @@
 struct six_nodes : model_cell
 {
     six_nodes()
-        : model_cell{6, {.small_cell = 3, .followers = 2}}
+        : model_cell{6, {.followers = {.small_cell = 3, .followers = 2}}}
     {}
 
     [[nodiscard]] bool all_ready() const
@@ -366,6 +365,34 @@
     CHECK(result->code == result_code::job_too_large);
 }
 
+// Guards against a leader that is over its memory limit with the jobs that were
+// accepted.
+TEST_CASE("A job is refused while the live jobs have too many tasks", "[node]")
+{
+    constexpr std::uint64_t limit = 3;
+    two_nodes cell{{.max_live_tasks = limit}};
+    cell.start();
+    REQUIRE(cell.loop.run_until([&] { return cell.led(); }, timeout));
+    const auto submit = [&cell](std::uint64_t id) {
+        auto call = submission(id);
+        call.job->steps[0].demand.cpu_millis = 1000000;
+        std::optional<client_answer> result;
+        cell.nodes[0]->serve(std::move(call),
+                             [&](const client_answer& it) { result = it; });
+        REQUIRE(
+            cell.loop.run_until([&] { return result.has_value(); }, timeout));
+        return *result;
+    };
+    for (std::uint64_t id = 1; id <= limit; ++id) {
+        CHECK(submit(id).kind == answer_kind::accepted);
+    }
+    const auto refused = submit(limit + 1);
+    CHECK(refused.kind == answer_kind::unavailable);
+    CHECK(refused.code == result_code::queue_full);
+    CHECK(refused.retry_after);
+    CHECK(submit(1).kind == answer_kind::accepted);
+}
+
 TEST_CASE("An advice request reaches a node that has not read the job",
           "[node]")
 {
--- a/test/fleet/advice_requests.cpp
+++ b/test/fleet/advice_requests.cpp
@@ -140,11 +140,9 @@
     worker_fleet cell;
     cell.add_workers(8, eight_cores);
     cell.leader().set_members(node_names(4));
-    cell.submit(make_advised_job(1, {.tasks = 2,
-                                     .demand = one_core,
-                                     .required_label = "none"}));
-    cell.submit(
-        make_advised_job(2, {.tasks = 2, .demand = {9000, 1000, 0}}));
+    cell.submit(make_advised_job(
+        1, {.tasks = 2, .demand = one_core, .required_label = "none"}));
+    cell.submit(make_advised_job(2, {.tasks = 2, .demand = {9000, 1000, 0}}));
     cell.run(3s);
     CHECK(cell.advice_assignments.empty());
     cell.workers.at("w3").vm.labels = {"none"};
--- a/test/fleet/dispatcher.cpp
+++ b/test/fleet/dispatcher.cpp
@@ -60,6 +60,78 @@
     CHECK(cell.violations.empty());
 }
 
+// Guards against memory and ledger entries that grow with the times to come.
+TEST_CASE("Only occurrences that are due are tracked", "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.add_workers(2, eight_cores);
+    auto job = make_job(1, {{.tasks = 2, .demand = one_core},
+                            {.tasks = 1, .demand = one_core}});
+    job.spec.occurrences = 8760;
+    job.spec.interval_ms = 2000;
+    job.spec.first_due_ms = to_milliseconds(cell.now.time_since_epoch()) + 1000;
+    cell.submit(job);
+    cell.run(500ms);
+    CHECK(cell.leader().count(cell.now).tracked_tasks == 3);
+    CHECK(cell.starts.empty());
+    cell.run(20s);
+    CHECK(cell.starts.size() == 30);
+    CHECK(cell.leader().count(cell.now).tracked_tasks <= 6);
+    CHECK(cell.entry(1).progress.size() <= 4);
+    CHECK(cell.entry(1).completed_occurrences >= 9);
+    CHECK(cell.violations.empty());
+}
+
+// Guards against occurrences that run again, or never, under another leader.
+TEST_CASE("A new leader continues a schedule where its predecessor was",
+          "[dispatcher]")
+{
+    worker_fleet cell;
+    cell.add_workers(2, eight_cores);
+    auto job = make_job(1, {{.tasks = 2, .demand = one_core},
+                            {.tasks = 1, .demand = one_core}});
+    job.spec.occurrences = 9;
+    job.spec.interval_ms = 700;
+    job.spec.first_due_ms = to_milliseconds(cell.now.time_since_epoch());
+    cell.submit(job);
+    for (int i = 0; i < 8; ++i) {
+        cell.run(830ms);
+        cell.take_over();
+    }
+    cell.run(15s);
+    CHECK(cell.state(1) == job_state::completed);
+    CHECK(cell.starts.size() == 27);
+    CHECK(std::ranges::all_of(cell.starts,
+                              [](const auto& it) { return it.second == 1; }));
+    CHECK(cell.entry(1).progress.empty());
+    CHECK(cell.entry(1).completed_occurrences == 0);
+    CHECK(cell.violations.empty());
+}
+
+// Guards against a schedule whose times pass faster than its work.
+TEST_CASE("Occurrences that are due wait for earlier ones beyond a number of "
+          "tasks",
+          "[dispatcher]")
+{
+    constexpr std::size_t limit = 100;
+    worker_fleet cell;
+    cell.options.max_open_tasks = limit;
+    cell.take_over();
+    cell.add_workers(2, eight_cores);
+    auto job = make_job(1, {{.tasks = 4, .demand = one_core}});
+    job.spec.occurrences = 100000;
+    job.spec.interval_ms = 0;
+    job.spec.first_due_ms = to_milliseconds(cell.now.time_since_epoch());
+    cell.submit(job);
+    for (int i = 0; i < 40; ++i) {
+        cell.run(100ms);
+        CHECK(cell.leader().count(cell.now).tracked_tasks <= limit);
+    }
+    // Sixteen tasks fit, for half a second each.
+    CHECK(cell.starts.size() > 80);
+    CHECK(cell.violations.empty());
+}
+
 // Guards against a progress entry that grows with the tasks of a step.
 TEST_CASE("The progress of a step of many tasks is kept in entries of limited "
           "size",
--- a/test/fleet/ledger.cpp
+++ b/test/fleet/ledger.cpp
@@ -260,7 +260,7 @@
     job_index it;
     const auto add_job = [&](std::uint64_t job) {
         it.apply(encode_key({.kind = entry_kind::job, .step = {.job = job}}),
-                 encode(job_record{.id = job}), now);
+                 encode(job_record{.id = job, .spec = {.steps = {{}}}}), now);
     };
     const auto add_progress = [&](std::uint64_t job) {
         const std::vector<task_progress> rows{{.run = 1, .worker = "w"}};
