Probe a quarantined worker with tasks that no other worker can run

Cause: each quarantine within a minute of the last is twice as long, up to 30 s, and `accepts_work` had no way round one for a step that nobody else may run. The time reserved for small tasks came on top.

Ruled out: the number of workers in quarantine (2 of 24, under the quarter); the lease or a stop (none is open); advice (the queue needs none).

Change: such a step is itself a probe: a task that lasts 1.5 s after the last bad run of the worker, as it has any number of attempts, and any other 4 s after it. A task that lasts may do so as soon as the other workers are full. A worker in quarantine ranks after all others. A probe that ends well ends the quarantine.

Weighed: quarantines that grow no more (workers that fail for long get more runs to fail, of jobs that others could run); none for the only workers of a label (each task of a job would use up its attempts within a second).

--- a/src/rosemarytrail/fleet/internal/candidate_selection.cpp
+++ b/src/rosemarytrail/fleet/internal/candidate_selection.cpp
@@ -27,10 +27,10 @@
                                               const tracked_step& step,
                                               time_point now) const
 {
-    if (!is_usable(worker, step, now)) {
+    if (!is_reachable(worker) || !is_of_kind(worker, step)) {
         return 0;
     }
-    if (worker.health.on_probation()) {
+    if (worker.health.set_aside(now)) {
         if (!can_accept(worker, step, now)) {
             return 0;
         }
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -558,9 +558,18 @@
     [[nodiscard]] static bool is_probe(const tracked_worker& worker,
                                        const tracked_step& step,
                                        std::uint32_t index);
+    [[nodiscard]] static bool has_pending_probe(const tracked_worker& worker,
+                                                const tracked_step& step);
     [[nodiscard]] bool accepts_probe(const tracked_worker& worker,
                                      const tracked_step& step,
                                      time_point now) const;
+    [[nodiscard]] bool accepts_last_resort(const tracked_worker& worker,
+                                           const tracked_step& step,
+                                           time_point now) const;
+    /** @return True if a worker that is not set aside could run the step if
+     * the worker were empty. */
+    [[nodiscard]] bool has_sound_worker(const tracked_step& step,
+                                        time_point now) const;
     void check_progress(tracked_worker& worker, tracked_step& step,
                         const running_row& row, time_point sent_at);
     void compare_running(tracked_worker& worker, const poll_response& response,
@@ -694,11 +703,13 @@
     [[nodiscard]] bool can_accept(const tracked_worker& worker,
                                   const tracked_step& step,
                                   time_point now) const;
-    [[nodiscard]] bool accepts_work(const tracked_worker& worker,
-                                    time_point now) const;
-    [[nodiscard]] bool is_usable(const tracked_worker& worker,
-                                 const tracked_step& step,
-                                 time_point now) const;
+    [[nodiscard]] static bool is_reachable(const tracked_worker& worker);
+    [[nodiscard]] static bool accepts_work(const tracked_worker& worker,
+                                           time_point now);
+    /** @return True if the worker belongs to the service of the step and has
+     * the label that it requires. */
+    [[nodiscard]] static bool is_of_kind(const tracked_worker& worker,
+                                         const tracked_step& step);
     [[nodiscard]] std::span<tracked_worker* const>
     allowed_workers(tracked_step& step);
     [[nodiscard]] bool within_limit(const tracked_job& job,
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -31,32 +31,28 @@
     return urgent ? std::max(rank, 0) : -std::max(rank, 0);
 }
 
-/** @return True if the worker belongs to the service of the step and has the
- * label that it requires. */
-[[nodiscard]] bool is_of_kind(const internal::tracked_worker& worker,
-                              const tracked_step& step)
-{
-    const auto& label = step.spec->required_label;
-    return worker.vm.service == step.job->record.queue.service &&
-           (label.empty() || std::ranges::find(worker.vm.labels, label) !=
-                                 worker.vm.labels.end());
-}
-
 } // namespace
 
-bool dispatcher::state::accepts_work(const tracked_worker& worker,
-                                     time_point now) const
+bool dispatcher::state::is_reachable(const tracked_worker& worker)
 {
     return worker.listed && !worker.closing() && worker.renewable &&
            worker.unanswered == 0 && worker.untracked_runs == 0 &&
-           !worker.health.quarantined(now) && worker.clock_ms.has_value();
+           worker.clock_ms.has_value();
 }
 
-bool dispatcher::state::is_usable(const tracked_worker& worker,
-                                  const tracked_step& step,
-                                  time_point now) const
+bool dispatcher::state::accepts_work(const tracked_worker& worker,
+                                     time_point now)
+{
+    return is_reachable(worker) && !worker.health.quarantined(now);
+}
+
+bool dispatcher::state::is_of_kind(const tracked_worker& worker,
+                                   const tracked_step& step)
 {
-    return accepts_work(worker, now) && is_of_kind(worker, step);
+    const auto& label = step.spec->required_label;
+    return worker.vm.service == step.job->record.queue.service &&
+           (label.empty() || std::ranges::find(worker.vm.labels, label) !=
+                                 worker.vm.labels.end());
 }
 
 bool dispatcher::state::suits_a_worker(tracked_step& step) const
@@ -85,10 +81,10 @@
                                    time_point now) const
 {
     return step.spec->reserved().fits(worker.available()) &&
-           is_usable(worker, step, now) &&
-           (!worker.health.on_probation() ||
-            accepts_probe(worker, step, now)) &&
-           internal::tasks_allowed_on(worker, step) > 0;
+           is_reachable(worker) && is_of_kind(worker, step) &&
+           internal::tasks_allowed_on(worker, step) > 0 &&
+           (!worker.health.set_aside(now) || accepts_probe(worker, step, now) ||
+            accepts_last_resort(worker, step, now));
 }
 
 bool dispatcher::state::within_limit(const tracked_job& job,
@@ -130,7 +126,7 @@
     const auto& task = step.tasks[index];
     const bool apart = task.crashes.counted() > 0;
     tracked_worker* best = nullptr;
-    std::tuple<bool, bool, std::size_t, std::size_t, bool, bool, int,
+    std::tuple<bool, bool, bool, std::size_t, std::size_t, bool, bool, int,
                std::int64_t>
         best_rank;
     const auto consider = [&](tracked_worker& it) {
@@ -141,7 +137,7 @@
         // scavenger task prefers the worker with the most idle CPU.
         const auto left = it.available().cpu_millis - demand.cpu_millis;
         const std::tuple rank{
-            task.refused_by.contains(it.vm.id),
+            it.health.quarantined(now), task.refused_by.contains(it.vm.id),
             // A bad run there would end the whole gang.
             spec.gang && it.health.on_probation(),
             apart ? count_new_runs(it) : std::size_t{it.isolated_run ? 1U : 0U},
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -65,7 +65,10 @@
         return start_obstacle::incomplete_gang;
     }
     const auto worker = workers.find(task.worker);
-    if (worker == workers.end() || !is_usable(worker->second, step, now)) {
+    if (worker == workers.end() || !is_reachable(worker->second) ||
+        !is_of_kind(worker->second, step) ||
+        (worker->second.health.quarantined(now) &&
+         !is_probe(worker->second, step, index))) {
         return start_obstacle::worker;
     }
     // The capacity may have shrunk since the task was placed.
--- a/src/rosemarytrail/fleet/internal/worker_quarantine.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_quarantine.cpp
@@ -25,6 +25,8 @@
     if (probe) {
         worker.probe.reset();
     }
+    probe_times.insert(now + options.health.last_resort_wait);
+    probe_times.insert(now + options.health.last_resort_wait_lasting);
     if (images.is_faulty(image, options.health, now) ||
         !worker.health.record_bad_run(task.step.job, probe, options.health,
                                       now)) {
@@ -63,15 +65,45 @@
     }
 }
 
+// The probe may have been lost or stopped.
+bool dispatcher::state::has_pending_probe(const tracked_worker& worker,
+                                          const tracked_step& step)
+{
+    return worker.probe && worker.load.contains(*worker.probe) &&
+           !(step.spec->gang && worker.probe->step == step.key);
+}
+
 bool dispatcher::state::accepts_probe(const tracked_worker& worker,
                                       const tracked_step& step,
                                       time_point now) const
 {
-    // The probe may have been lost or stopped.
-    const bool pending = worker.probe && worker.load.contains(*worker.probe) &&
-                         !(step.spec->gang && worker.probe->step == step.key);
-    return !pending && worker.health.accepts_probe(
-                           *step.spec, worker.vm.capacity, options.health, now);
+    return !has_pending_probe(worker, step) &&
+           worker.health.accepts_probe(*step.spec, worker.vm.capacity,
+                                       options.health, now);
+}
+
+// A task that lasts may go to a worker that was set aside as soon as the others
+// are full, as it has any number of attempts.
+bool dispatcher::state::accepts_last_resort(const tracked_worker& worker,
+                                            const tracked_step& step,
+                                            time_point now) const
+{
+    const bool lasting = step.spec->long_running;
+    return !has_pending_probe(worker, step) &&
+           worker.health.accepts_last_resort(lasting, options.health, now) &&
+           (lasting || !has_sound_worker(step, now));
+}
+
+bool dispatcher::state::has_sound_worker(const tracked_step& step,
+                                         time_point now) const
+{
+    return std::ranges::any_of(workers, [&](const auto& it) {
+        const auto& worker = it.second;
+        return worker.listed && !worker.closing() &&
+               !worker.health.set_aside(now) && is_of_kind(worker, step) &&
+               step.spec->reserved().fits(worker.vm.capacity) &&
+               !step.refused.contains(it.first);
+    });
 }
 
 // A worker may hang what it starts and still respond to polls.
--- a/src/rosemarytrail/fleet/worker_health.cpp
+++ b/src/rosemarytrail/fleet/worker_health.cpp
@@ -22,6 +22,7 @@
         bad_.pop_front();
     }
     bad_.push_back({.at = now, .job = job});
+    last_bad_ = now;
     while (bad_.size() > 2 * options.max_bad_runs) {
         bad_.pop_front();
     }
@@ -44,6 +45,7 @@
 {
     if (probe) {
         on_probation_ = false;
+        quarantined_until_ = std::min(quarantined_until_, started);
         bad_.clear();
     } else if (!bad_.empty() && bad_.front().at < started) {
         bad_.pop_front();
@@ -80,6 +82,15 @@
     return small || now - quarantined_until_ >= options.small_probe_wait;
 }
 
+bool worker_health::accepts_last_resort(bool lasting,
+                                        const worker_health_options& options,
+                                        time_point now) const
+{
+    const auto wait =
+        lasting ? options.last_resort_wait_lasting : options.last_resort_wait;
+    return !quarantined(now) || now - last_bad_ >= wait;
+}
+
 void image_health::record(const std::string& image, const std::string& worker,
                           bool good, const worker_health_options& options,
                           time_point now)
--- a/src/rosemarytrail/fleet/worker_health.hpp
+++ b/src/rosemarytrail/fleet/worker_health.hpp
@@ -35,6 +35,11 @@
     /** @brief After this time without a small task, any task is the probe, and
      * of a gang all members on the worker. */
     duration small_probe_wait{std::chrono::milliseconds{3000}};
+    /** @brief Time since the last bad run after which a task that no other
+     * worker can run is the probe, also in a quarantine. A task that lasts has
+     * any number of attempts. */
+    duration last_resort_wait{std::chrono::milliseconds{4000}};
+    duration last_resort_wait_lasting{std::chrono::milliseconds{1500}};
     /** @brief A run without progress for this multiple of its declared
      * duration, and at least `min_stall`, stands still. */
     double stall_factor{2.0};
@@ -86,7 +91,7 @@
 
     /**
      * @brief Records a run that ended well or is stable. It offsets one bad run
-     * that preceded its start.
+     * that preceded its start; that of a probe ends a quarantine.
      * @param started Start of the run.
      * @param probe The run was the probe after a quarantine.
      */
@@ -110,6 +115,16 @@
         return now < quarantined_until_;
     }
 
+    /**
+     * @brief Checks whether the worker gets a probe at most.
+     * @param now Current time.
+     * @return True from the start of a quarantine until a probe ends well.
+     */
+    [[nodiscard]] bool set_aside(time_point now) const noexcept
+    {
+        return quarantined(now) || on_probation_;
+    }
+
     /** @return True from a quarantine until a probe ends well. */
     [[nodiscard]] bool on_probation() const noexcept { return on_probation_; }
 
@@ -127,6 +142,19 @@
                                      const worker_health_options& options,
                                      time_point now) const;
 
+    /**
+     * @brief Checks whether a task that no other worker can run may be the
+     * probe. Unlike others, it does not wait for the end of a quarantine, which
+     * may exceed the length of the fault by far.
+     * @param lasting The task runs until its job is cancelled.
+     * @param options Limits.
+     * @param now Current time.
+     * @return True if the worker may get this task.
+     */
+    [[nodiscard]] bool accepts_last_resort(bool lasting,
+                                           const worker_health_options& options,
+                                           time_point now) const;
+
     /** @return Number of bad runs that count. */
     [[nodiscard]] std::size_t bad_runs() const noexcept { return bad_.size(); }
 
@@ -138,6 +166,7 @@
     };
 
     std::deque<occurrence> bad_;
+    time_point last_bad_;
     time_point quarantined_until_;
     duration last_quarantine_{};
     bool on_probation_{false};
