Refuse calls to a previous incarnation, and allow for their leases

Cause: a worker that is back under its id takes calls that were sent to its previous incarnation. A renewal then has its end on the clock of that one, far ahead on the new clock, and the worker shortens it to its maximum of 10 s. The leader allowed for that only if it knew of runs on the worker when it noticed the restart, and only for calls that arrived until then; its successor not at all. So a run on a worker without runs before, which was cut off then, went on for up to 10 s, and its task was started elsewhere after 4.8 s.

Evidence: in the report the run lapses 10.13 s after the restart, and the other run starts 5.0 s after the cut. In virtual time the first test below shows both runs.

Ruled out: a start that was meant for the previous incarnation (it is stopped or lost with the list of the new one before its task may go elsewhere; a test shows it); the leader's own renewals (their end is on the clock that it has read); clocks (4.8 s of 4.5 s allow for their rate).

Change: - the fencing token of a call has, below the epoch, the number of restarts of the worker that the leader has noticed. Once the new incarnation has answered a call, it refuses those sent before; a refusal of such a call does not end the leadership; - the bound of 10.4 s counts from that answer, whether the worker has runs or not; - the record of the worker says that it has restarted, until that time is over, and a successor allows for it. An incarnation in the directory that is newer than the record counts as a restart for all workers, also those without runs; - a task that lasts prefers workers that have not just restarted.

Why it works: no call of before takes effect after the answer from which the bound counts, and each leader that may give up a run knows the bound.

Open: a start without an answer to a worker that restarts and is cut off before it answers, or is listed, again; nothing tells of the restart then.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -426,6 +426,12 @@
         if (!worker.unexplained_losses.empty() && worker.losses_expire < now) {
             self.explain_losses(worker, false, now);
         }
+        if (worker.recorded_as_restarted && worker.renewable &&
+            worker.previous_clock_lease_until < now) {
+            // A successor need not allow for the restart any more.
+            worker.recorded_as_restarted = false;
+            self.newly_renewed.push_back(id);
+        }
         const bool needed = worker.listed || !worker.load.empty() ||
                             !worker.unexplained_losses.empty();
         if (worker.vm.address.empty() || worker.poll_in_flight ||
@@ -443,6 +449,7 @@
         poll_request request{
             .worker = {.id = worker.vm.id, .address = worker.vm.address},
             .epoch = options.epoch,
+            .restarts = worker.restarts,
             .acknowledged =
                 worker.unanswered > 0 ? 0 : worker.last_recorded_end,
             .lease_end_ms = std::nullopt,
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -309,6 +309,10 @@
     bool replaced{false};
     /** @brief It has restarted, and its new incarnation has not responded. */
     bool restarted{false};
+    /** @brief Number of its restarts that this leader has noticed. */
+    std::uint32_t restarts{};
+    /** @brief Calls to its previous incarnation may still take effect. */
+    bool previous_calls_possible{false};
     /** @brief Tasks whose runs were lost with it, until it is known whether it
      * crashed. */
     std::set<task_key> unexplained_losses;
@@ -327,6 +331,8 @@
     /** @brief Bound on leases whose end was set on the clock of an earlier
      * incarnation. */
     time_point previous_clock_lease_until;
+    /** @brief The ledger names that bound. */
+    bool recorded_as_restarted{false};
     /** @brief Highest sequence number of an ended run that was read, and that
      * was recorded and is acknowledged. */
     std::uint64_t last_seen_end{};
@@ -401,6 +407,8 @@
     std::shared_ptr<const cell_config> config;
     std::unordered_map<std::uint64_t, std::unique_ptr<tracked_job>> jobs;
     std::map<std::string, tracked_worker> workers;
+    /** @brief Ledger records of the workers at the start of this leader. */
+    std::map<std::string, ledger_worker> recorded_workers;
     std::set<std::string> evacuated_zones;
     /** @brief Incremented when workers are added or removed, or one of them
      * changes its kind. */
@@ -494,6 +502,9 @@
     [[nodiscard]] ledger_entry worker_entry(const std::string& worker,
                                             bool renewing);
     void restore_lease_bounds(const job_index& ledger_jobs, time_point now);
+    void restore_worker(tracked_worker& worker,
+                        const ledger_worker& known) const;
+    [[nodiscard]] duration worst_case_previous_lease() const;
     /** @return Limit of an account; zero for none. */
     [[nodiscard]] resource_amounts limit_of(const std::string& account) const;
     void add_job(const job_entry& entry, time_point now, std::int64_t unix_ms);
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -126,8 +126,8 @@
     const auto& task = step.tasks[index];
     const bool apart = task.crashes.counted() > 0;
     tracked_worker* best = nullptr;
-    std::tuple<bool, bool, bool, std::size_t, std::size_t, bool, bool, int,
-               std::int64_t>
+    std::tuple<bool, bool, bool, bool, std::size_t, std::size_t, bool, bool,
+               int, std::int64_t>
         best_rank;
     const auto consider = [&](tracked_worker& it) {
         if (!can_accept(it, step, now)) {
@@ -138,6 +138,8 @@
         const auto left = it.available().cpu_millis - demand.cpu_millis;
         const std::tuple rank{
             it.health.quarantined(now), task.refused_by.contains(it.vm.id),
+            // If it were lost, the task would wait for a long lease.
+            spec.long_running && it.previous_clock_lease_until > now,
             // A bad run there would end the whole gang.
             spec.gang && it.health.on_probation(),
             apart ? count_new_runs(it) : std::size_t{it.isolated_run ? 1U : 0U},
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -22,12 +22,14 @@
         task.stop_acknowledged.reset();
     }
     task.stop_sent = now;
-    const auto& vm = workers[task.worker].vm;
+    const auto& worker = workers[task.worker];
+    const auto& vm = worker.vm;
     if (!vm.address.empty()) {
         stops.push_back({.worker = {.id = vm.id, .address = vm.address},
                          .task = {.step = step.key, .index = index},
                          .run = task.run,
-                         .epoch = options.epoch});
+                         .epoch = options.epoch,
+                         .restarts = worker.restarts});
     }
 }
 
@@ -172,6 +174,7 @@
          .payload = step->job->payload,
          .lease_end_ms = lease_end(worker, now),
          .epoch = options.epoch,
+         .restarts = worker.restarts,
          .checkpoint = step->spec->checkpoints ? task.checkpoint : "",
          .ticket = std::move(ticket)});
 }
@@ -228,7 +231,9 @@
     task.refused_by.insert(request.worker.id);
     switch (result) {
     case start_result::fenced:
-        self.superseded = true;
+        // Otherwise, the request was meant for a previous incarnation.
+        self.superseded =
+            self.superseded || request.restarts == worker.restarts;
         break;
     case start_result::ticket_refused:
         // All tickets of one response expire together.
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -13,20 +13,33 @@
 void dispatcher::state::restore_lease_bounds(const job_index& ledger_jobs,
                                              time_point now)
 {
+    recorded_workers = ledger_jobs.workers();
     for (auto& [id, it] : workers) {
-        const auto known = ledger_jobs.workers().find(id);
-        if (known == ledger_jobs.workers().end()) {
+        const auto known = recorded_workers.find(id);
+        if (known == recorded_workers.end()) {
             it.lease_until = now;
             continue;
         }
+        restore_worker(it, known->second);
         const auto& [record, read_at] = known->second;
-        it.vm.address = record.address;
-        it.vm.incarnation = record.incarnation;
-        it.lease_until =
+        const auto usual =
             record.renewing
                 ? ledger_jobs.claimed_at(record.epoch + 1).value_or(now) +
                       options.renewal_timeout + worst_case_lease()
                 : read_at + worst_case_lease();
+        it.lease_until = std::max(usual, it.previous_clock_lease_until);
+    }
+}
+
+void dispatcher::state::restore_worker(tracked_worker& worker,
+                                       const ledger_worker& known) const
+{
+    worker.vm.address = known.record.address;
+    worker.vm.incarnation = known.record.incarnation;
+    worker.recorded_as_restarted = known.record.restarted;
+    if (known.record.restarted) {
+        worker.previous_clock_lease_until =
+            known.read_at + worst_case_previous_lease();
     }
 }
 
@@ -44,6 +57,13 @@
     return worst_case(options.lease);
 }
 
+// A lease end on the clock of a previous incarnation may lie far ahead on that
+// of the present one, which grants no longer lease than the maximum.
+duration dispatcher::state::worst_case_previous_lease() const
+{
+    return worst_case(options.max_lease);
+}
+
 void dispatcher::set_workers(std::span<const worker_vm> vms, time_point now)
 {
     auto& self = *state_;
@@ -54,6 +74,10 @@
     bool kind_changed = false;
     for (const auto& vm : vms) {
         auto& it = self.workers[vm.id];
+        if (const auto before = self.recorded_workers.find(vm.id);
+            it.vm.address.empty() && before != self.recorded_workers.end()) {
+            self.restore_worker(it, before->second);
+        }
         const bool known = !it.vm.address.empty();
         if (known && vm.incarnation != 0 && it.vm.incarnation != 0 &&
             vm.incarnation > it.vm.incarnation) {
@@ -259,7 +283,8 @@
                 {.worker = {.id = worker.vm.id, .address = worker.vm.address},
                  .task = row.task,
                  .run = row.run,
-                 .epoch = options.epoch});
+                 .epoch = options.epoch,
+                 .restarts = worker.restarts});
             continue;
         }
         reported.insert(row.task);
@@ -361,7 +386,8 @@
              .task = row.task,
              .run = row.run,
              .percent = task->cpu_limit_percent,
-             .epoch = options.epoch});
+             .epoch = options.epoch,
+             .restarts = worker.restarts});
     }
 }
 
@@ -397,25 +423,26 @@
     worker.clock_ms.reset();
 }
 
-// A start may reach the new incarnation before its restart is noticed, so only
-// the worker's own report tells what it runs. Such a start carries a lease end
-// on the clock of the previous incarnation, which may lie far ahead on the new
-// clock.
+// A call may reach the new incarnation before its restart is noticed, so only
+// the worker's own report tells what it runs. Such a call carries a lease end
+// on the clock of the previous incarnation, so the bound on it counts from the
+// first response to a call that was sent to the new one.
 void dispatcher::state::on_restarted(tracked_worker& worker, time_point now)
 {
     log_decision(0, "worker restarted",
                  worker.vm.id + " tasks " + std::to_string(worker.load.size()));
     remember_losses(worker, false, now);
+    ++worker.restarts;
+    worker.previous_calls_possible = true;
     worker.restarted = !worker.vm.draining;
     worker.replaced = false;
     for (const auto& key : worker.load) {
         find_task(key)->stop_acknowledged.reset();
     }
-    if (!worker.load.empty()) {
-        worker.previous_clock_lease_until = now + worst_case(options.max_lease);
-        worker.lease_until =
-            std::max(worker.lease_until, worker.previous_clock_lease_until);
-    }
+    worker.previous_clock_lease_until = now + worst_case_previous_lease();
+    worker.lease_until =
+        std::max(worker.lease_until, worker.previous_clock_lease_until);
+    worker.recorded_as_restarted = false;
     reset_session(worker);
     worker.next_poll = now;
     replan = true;
@@ -435,13 +462,16 @@
 ledger_entry dispatcher::state::worker_entry(const std::string& worker,
                                              bool renewing)
 {
+    auto& it = workers[worker];
+    it.recorded_as_restarted = it.previous_clock_lease_until > last_plan;
     return {.key = encode_key(
                 {.kind = entry_kind::worker, .step = {}, .worker = worker}),
-            .value = encode(
-                worker_record{.epoch = options.epoch,
-                              .address = workers[worker].vm.address,
-                              .renewing = renewing,
-                              .incarnation = workers[worker].vm.incarnation})};
+            .value =
+                encode(worker_record{.epoch = options.epoch,
+                                     .address = it.vm.address,
+                                     .renewing = renewing,
+                                     .incarnation = it.vm.incarnation,
+                                     .restarted = it.recorded_as_restarted})};
 }
 
 void dispatcher::on_poll_result(const poll_request& request, poll_result result,
@@ -460,6 +490,12 @@
         self.on_replaced(worker, now);
         return;
     }
+    // The call may have reached either incarnation.
+    const bool outdated = request.restarts != worker.restarts;
+    if (result == poll_result::fenced && outdated) {
+        worker.next_poll = now;
+        return;
+    }
     if (result != poll_result::answered) {
         self.on_unanswered(worker);
         worker.next_poll = now + (worker.listed || !worker.load.empty()
@@ -478,6 +514,11 @@
     if (response.incarnation) {
         worker.vm.incarnation = *response.incarnation;
     }
+    if (request.restarts != worker.restarts) {
+        // Calls to the previous incarnation may still take effect.
+        worker.next_poll = now;
+        return;
+    }
     if (worker.unanswered > 0 || !worker.fenced) {
         self.replan = true;
         if (worker.unanswered >= self.options.unresponsive_after) {
@@ -485,7 +526,12 @@
         }
     }
     if (!worker.fenced) {
-        // From here on, no previous leader can renew the lease.
+        // From here on, neither a previous leader nor a call to a previous
+        // incarnation can extend the lease.
+        if (std::exchange(worker.previous_calls_possible, false)) {
+            worker.previous_clock_lease_until =
+                now + self.worst_case_previous_lease();
+        }
         worker.lease_until = std::max(
             worker.previous_clock_lease_until,
             std::min(worker.lease_until, now + self.worst_case_lease()));
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -307,8 +307,8 @@
 
 std::string encode(const worker_record& it)
 {
-    return pack(
-        json::array({it.epoch, it.address, it.renewing, it.incarnation}));
+    return pack(json::array(
+        {it.epoch, it.address, it.renewing, it.incarnation, it.restarted}));
 }
 
 std::optional<worker_record> decode_worker(std::string_view bytes)
@@ -318,7 +318,8 @@
                              .address = it.at(1).get<std::string>(),
                              .renewing = it.at(2),
                              .incarnation =
-                                 it.size() > 3 ? it[3].get<std::int64_t>() : 0};
+                                 it.size() > 3 ? it[3].get<std::int64_t>() : 0,
+                             .restarted = it.size() > 4 && it[4].get<bool>()};
     });
 }
 
--- a/src/rosemarytrail/fleet/ledger_codec.hpp
+++ b/src/rosemarytrail/fleet/ledger_codec.hpp
@@ -68,6 +68,9 @@
     /** @brief Start time of the incarnation, in Unix milliseconds; zero if
      * unknown. */
     std::int64_t incarnation{};
+    /** @brief Calls to the previous incarnation, whose clock was another one,
+     * may have extended the lease of this one up to the maximum length. */
+    bool restarted{false};
 };
 
 /** @brief Leader node and its fencing epoch. */
--- a/src/rosemarytrail/fleet/worker_calls.hpp
+++ b/src/rosemarytrail/fleet/worker_calls.hpp
@@ -4,6 +4,7 @@
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/fleet/job.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -23,6 +24,24 @@
                            const worker_address&) = default;
 };
 
+/**
+ * @brief Returns the fencing token of a call to a worker.
+ *
+ * A worker that restarts under its id takes calls that were sent to its
+ * previous incarnation. Once it has seen the token of a call that was sent to
+ * the present one, it refuses them, as it refuses calls of earlier leaders.
+ * @param epoch Epoch of the leader.
+ * @param restarts Number of restarts of the worker that the leader has noticed.
+ * @return Token; larger for a later epoch or a later incarnation.
+ */
+[[nodiscard]] constexpr std::uint64_t fencing_token(std::uint64_t epoch,
+                                                    std::uint32_t restarts)
+{
+    constexpr unsigned restart_bits = 16;
+    constexpr std::uint32_t max_restarts = (1U << restart_bits) - 1;
+    return epoch << restart_bits | std::min(restarts, max_restarts);
+}
+
 /** @brief Request to start one run of a task. */
 struct start_request
 {
@@ -34,6 +53,8 @@
     /** @brief End of the lease on the worker's own clock, in milliseconds. */
     std::int64_t lease_end_ms{};
     std::uint64_t epoch{};
+    /** @brief Restarts of the worker before the incarnation that is meant. */
+    std::uint32_t restarts{};
     /** @brief Checkpoint to resume from; empty for none. */
     std::string checkpoint;
     /** @brief Ticket from the advice service; empty if none is required. */
@@ -47,6 +68,8 @@
     task_key task;
     std::uint32_t run{};
     std::uint64_t epoch{};
+    /** @brief Restarts of the worker before the incarnation that is meant. */
+    std::uint32_t restarts{};
 };
 
 /** @brief Request to limit the CPU use of a running task to a percentage. */
@@ -57,6 +80,8 @@
     std::uint32_t run{};
     std::uint32_t percent{100};
     std::uint64_t epoch{};
+    /** @brief Restarts of the worker before the incarnation that is meant. */
+    std::uint32_t restarts{};
 };
 
 /** @brief Long poll that renews a worker's lease and returns its running and
@@ -65,6 +90,8 @@
 {
     worker_address worker;
     std::uint64_t epoch{};
+    /** @brief Restarts of the worker before the incarnation that is meant. */
+    std::uint32_t restarts{};
     /** @brief The worker may discard ended runs up to this number; they are
      * recorded in the ledger. */
     std::uint64_t acknowledged{};
--- /dev/null
+++ b/test/fleet/worker_restarts.cpp
@@ -0,0 +1,141 @@
+#include <test/lib/worker_fleet.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace rosemarytrail::fleet {
+
+namespace {
+
+using namespace std::chrono_literals;
+using test::make_job;
+using test::task_outcome;
+using test::worker_fleet;
+
+constexpr resource_amounts eight_cores{8000, 16000, 0};
+constexpr resource_amounts one_core{1000, 1000, 0};
+
+/** @brief Worker w0, and w1 that only the later tasks can use. */
+struct restarting_fleet : worker_fleet
+{
+    restarting_fleet()
+    {
+        scripted_outcome = [](const task_key&) {
+            return task_outcome{.length = 60s};
+        };
+        add_workers(1, eight_cores);
+        run(3s);
+    }
+
+    /** @brief Restarts w0 while a poll is on its way, which the new incarnation
+     * takes. */
+    void restart_during_poll()
+    {
+        workers["w0"].delay_poll_responses = true;
+        run(2s);
+        restart("w0");
+        workers["w0"].delay_poll_responses = false;
+        run(100ms);
+    }
+
+    /** @brief Cuts w0 off, and adds w1 for its tasks. */
+    void cut()
+    {
+        workers["w0"].unreachable = true;
+        add_workers(1, eight_cores);
+    }
+};
+
+} // namespace
+
+// Guards against a task that runs twice, as the lease of a worker that restarts
+// is longer than its leader allows for.
+TEST_CASE(
+    "A renewal that reaches the next incarnation of an idle worker counts",
+    "[worker_restarts]")
+{
+    restarting_fleet cell;
+    cell.restart_during_poll();
+    cell.submit(make_job(1, {{.demand = one_core}}));
+    cell.run(200ms);
+    REQUIRE(cell.running_on("w0") == 1);
+    cell.cut();
+    cell.run(20s);
+    CHECK(cell.running_on("w1") == 1);
+    CHECK(cell.violations.empty());
+}
+
+// Guards against the same under a successor of that leader.
+TEST_CASE("A new leader allows for the lease of a worker that has restarted",
+          "[worker_restarts]")
+{
+    restarting_fleet cell;
+    cell.restart_during_poll();
+    cell.submit(make_job(1, {{.demand = one_core}}));
+    cell.run(200ms);
+    REQUIRE(cell.running_on("w0") == 1);
+    cell.cut();
+    cell.take_over();
+    cell.run(20s);
+    CHECK(cell.running_on("w1") == 1);
+    CHECK(cell.violations.empty());
+}
+
+// Guards against a record that makes each later leader wait.
+TEST_CASE("The record of a restart is taken back once the lease is over",
+          "[worker_restarts]")
+{
+    restarting_fleet cell;
+    cell.restart_during_poll();
+    CHECK(cell.recorded("w0").restarted);
+    cell.run(12s);
+    CHECK_FALSE(cell.recorded("w0").restarted);
+}
+
+// Guards against a renewal that extends the lease of the next incarnation after
+// its leader has allowed for all that were sent before.
+TEST_CASE("A renewal that was sent to a previous incarnation is refused",
+          "[worker_restarts]")
+{
+    restarting_fleet cell;
+    auto& w0 = cell.workers["w0"];
+    w0.poll_delay = 3s;
+    cell.run(50ms);
+    w0.poll_delay = {};
+    cell.restart("w0");
+    cell.list_workers();
+    cell.run(500ms);
+    cell.submit(make_job(1, {{.demand = one_core}}));
+    cell.run(3s);
+    REQUIRE(w0.delayed_polls.empty());
+    REQUIRE(cell.running_on("w0") == 1);
+    CHECK_FALSE(cell.leader().superseded());
+    cell.cut();
+    cell.run(20s);
+    CHECK(cell.running_on("w1") == 1);
+    CHECK(cell.violations.empty());
+}
+
+// Guards against a start that takes effect in the next incarnation of a worker,
+// after its task was started again.
+TEST_CASE("A start that was sent to a previous incarnation has no effect",
+          "[worker_restarts]")
+{
+    restarting_fleet cell;
+    cell.workers["w0"].start_delay = 800ms;
+    cell.submit(make_job(1, {{.demand = one_core}}));
+    cell.run(100ms);
+    cell.restart("w0");
+    cell.workers["w0"].start_delay = {};
+    cell.list_workers();
+    cell.run(200ms);
+    CHECK(cell.running_on("w0") == 1);
+    cell.run(2s);
+    CHECK(cell.starts.begin()->second == 1);
+    CHECK(cell.running_on("w0") == 1);
+    CHECK_FALSE(cell.leader().superseded());
+    CHECK(cell.violations.empty());
+}
+
+} // namespace rosemarytrail::fleet
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -77,6 +77,7 @@
     it.ended.clear();
     it.next_end = 1;
     it.highest.clear();
+    it.clock_start = now;
     ++it.vm.incarnation;
 }
 
@@ -236,6 +237,7 @@
             ++i;
         }
     }
+    execute_delayed_polls(it);
     std::vector<std::pair<fleet::task_key, run_end>> ends;
     for (const auto& [task, run] : it.running) {
         if (it.lease < now) {
@@ -252,6 +254,20 @@
     }
 }
 
+void worker_fleet::execute_delayed_polls(model_worker& it)
+{
+    std::erase_if(it.delayed_polls, [&](const auto& delayed) {
+        const auto& [at, request] = delayed;
+        if (at > now) {
+            return false;
+        }
+        if (accept_token(it, request) && request.lease_end_ms) {
+            extend_lease(it, *request.lease_end_ms);
+        }
+        return true;
+    });
+}
+
 void worker_fleet::check(model_worker& it)
 {
     fleet::resource_amounts used;
@@ -322,16 +338,35 @@
     }
 }
 
+std::int64_t worker_fleet::clock_of(const model_worker& it) const
+{
+    return to_milliseconds(now - it.clock_start);
+}
+
+void worker_fleet::extend_lease(model_worker& it, std::int64_t end_ms) const
+{
+    const duration length = std::chrono::milliseconds{end_ms - clock_of(it)};
+    it.lease = std::max(it.lease, now + std::min(length, options.max_lease));
+}
+
+template <typename Request>
+bool worker_fleet::accept_token(model_worker& it, const Request& request)
+{
+    const auto token = fleet::fencing_token(request.epoch, request.restarts);
+    const bool accepted = token >= it.token;
+    it.token = std::max(it.token, token);
+    return accepted;
+}
+
 start_result worker_fleet::handle_start(model_worker& it,
                                         const fleet::start_request& request)
 {
     if (it.replaced_at) {
         return start_result::wrong_incarnation;
     }
-    if (request.epoch < it.token) {
+    if (!accept_token(it, request)) {
         return start_result::fenced;
     }
-    it.token = request.epoch;
     if (refuse_tickets) {
         ++refused_starts;
         return start_result::ticket_refused;
@@ -340,11 +375,10 @@
         ++refused_starts;
         return start_result::unhealthy;
     }
-    if (request.lease_end_ms < clock_ms()) {
+    if (request.lease_end_ms < clock_of(it)) {
         return start_result::lease_expired;
     }
-    it.lease = std::max(
-        it.lease, time_point{std::chrono::milliseconds{request.lease_end_ms}});
+    extend_lease(it, request.lease_end_ms);
     if (const auto found = it.highest.find(request.task);
         found != it.highest.end() && found->second >= request.run) {
         return start_result::outdated_run;
@@ -357,10 +391,9 @@
 void worker_fleet::handle_stop(model_worker& it,
                                const fleet::stop_request& request)
 {
-    if (request.epoch < it.token) {
+    if (!accept_token(it, request)) {
         return;
     }
-    it.token = request.epoch;
     it.highest[request.task] = std::max(it.highest[request.task], request.run);
     const auto found = it.running.find(request.task);
     if (found == it.running.end() || found->second.stopping) {
@@ -389,15 +422,13 @@
                                     sent, now + tick);
         return;
     }
-    if (request.epoch < it.token) {
+    if (!accept_token(it, request)) {
         dispatcher_->on_poll_result(request, fleet::poll_result::fenced, {},
                                     sent, now + tick);
         return;
     }
-    it.token = request.epoch;
     if (request.lease_end_ms) {
-        it.lease = std::max(it.lease, time_point{std::chrono::milliseconds{
-                                          *request.lease_end_ms}});
+        extend_lease(it, *request.lease_end_ms);
     }
     std::erase_if(it.ended, [&](const fleet::ended_row& row) {
         const bool known = row.number <= request.acknowledged;
@@ -406,7 +437,7 @@
         }
         return known;
     });
-    fleet::poll_response response{.clock_ms = clock_ms(),
+    fleet::poll_response response{.clock_ms = clock_of(it),
                                   .incarnation = it.vm.incarnation,
                                   .running = {},
                                   .ended = it.ended,
@@ -485,10 +516,15 @@
             polls.emplace_back(now, it);
         }
         for (const auto& [sent, it] : polls) {
-            if (workers.at(it.worker.id).delay_poll_responses) {
+            auto& worker = workers.at(it.worker.id);
+            if (worker.delay_poll_responses) {
                 pending_polls_.emplace_back(sent, it);
+            } else if (worker.poll_delay > duration{}) {
+                worker.delayed_polls.emplace_back(now + worker.poll_delay, it);
+                dispatcher_->on_poll_result(it, fleet::poll_result::failed, {},
+                                            sent, now);
             } else {
-                handle_poll(workers.at(it.worker.id), it, sent);
+                handle_poll(worker, it, sent);
             }
         }
     }
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -38,6 +38,8 @@
     fleet::worker_vm vm;
     std::uint64_t token{};
     time_point lease;
+    /** @brief When its clock was zero. */
+    time_point clock_start;
     std::map<fleet::task_key, model_run> running;
     std::vector<fleet::ended_row> ended;
     std::uint64_t next_end{1};
@@ -51,6 +53,8 @@
     bool delay_poll_responses{false};
     /** @brief Start requests time out and are executed after this delay. */
     duration start_delay{};
+    /** @brief Polls time out and are executed after this delay. */
+    duration poll_delay{};
     /** @brief Every run on it fails. */
     bool fails_all{false};
     /** @brief Runs that start on it make no progress. */
@@ -65,6 +69,7 @@
     /** @brief It ends all runs and is gone from then on. */
     std::optional<time_point> leaves_at;
     std::vector<std::pair<time_point, fleet::start_request>> delayed;
+    std::vector<std::pair<time_point, fleet::poll_request>> delayed_polls;
 };
 
 /** @brief Duration of a task's run and how it ends. */
@@ -154,6 +159,12 @@
     {
         return *ledger_jobs_.find(id);
     }
+    /** @return Ledger record of a worker. */
+    [[nodiscard]] const fleet::worker_record&
+    recorded(const std::string& worker) const
+    {
+        return ledger_jobs_.workers().at(worker).record;
+    }
     [[nodiscard]] std::size_t running(std::uint64_t id) const;
     [[nodiscard]] std::size_t running_on(const std::string& worker) const;
     /** @return Last worker that runs a task of the job; empty if none does. */
@@ -164,6 +175,7 @@
     void apply(const std::vector<fleet::ledger_entry>& entries);
     void append();
     void advance(model_worker& it);
+    void execute_delayed_polls(model_worker& it);
     void replace_crashed();
     void remove_departed();
     void start(model_worker& it, const fleet::start_request& request);
@@ -175,6 +187,11 @@
     void end(model_worker& it, const fleet::task_key& task, fleet::run_end how);
     void check(model_worker& it);
     [[nodiscard]] std::int64_t clock_ms() const;
+    [[nodiscard]] std::int64_t clock_of(const model_worker& it) const;
+    void extend_lease(model_worker& it, std::int64_t end_ms) const;
+    template <typename Request>
+    [[nodiscard]] static bool accept_token(model_worker& it,
+                                           const Request& request);
 
     fleet::job_index ledger_jobs_;
     std::unique_ptr<fleet::dispatcher> dispatcher_;
