--- a/src/rosemarytrail/cell/internal/node_leadership.cpp
+++ b/src/rosemarytrail/cell/internal/node_leadership.cpp
@@ -583,13 +583,11 @@
     leadership->batch_maybe_recorded = false;
     leadership->parts.on_appended();
     drop_rejected_entries();
-    const auto done = leadership->parts.complete()
-                          ? std::exchange(leadership->batch_peer_entries, {})
-                          : std::vector<leader_state::peer_entries>{};
-    const auto dropped = leadership->parts.complete()
-                             ? std::exchange(leadership->dropped_keys, {})
-                             : std::set<std::string>{};
+    std::vector<leader_state::peer_entries> done;
+    std::set<std::string> dropped;
     if (leadership->parts.complete()) {
+        done.swap(leadership->batch_peer_entries);
+        dropped.swap(leadership->dropped_keys);
         leadership->decisions.on_recorded(leadership->batch->number, now);
         leadership->batch.reset();
     } else {
