Plan again for a last resort only after bad runs of workers that are set aside

Each bad run caused two more planning passes, also those of tasks that can never be done, on sound workers. Found in reading; the tests of the fleet pass.

--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -566,6 +566,9 @@
                         bad_run cause, time_point now);
     void record_good_run(tracked_worker& worker, const task_key& task,
                          time_point now);
+    /** @brief Has tasks that no other worker can run tried again after the bad
+     * run of a worker that is set aside. */
+    void expect_last_resort(const tracked_worker& worker, time_point now);
     [[nodiscard]] static bool is_probe(const tracked_worker& worker,
                                        const tracked_step& step,
                                        std::uint32_t index);
--- a/src/rosemarytrail/fleet/internal/worker_quarantine.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_quarantine.cpp
@@ -25,11 +25,10 @@
     if (probe) {
         worker.probe.reset();
     }
-    probe_times.insert(now + options.health.last_resort_wait);
-    probe_times.insert(now + options.health.last_resort_wait_lasting);
     if (images.is_faulty(image, options.health, now) ||
         !worker.health.record_bad_run(task.step.job, probe, options.health,
                                       now)) {
+        expect_last_resort(worker, now);
         return;
     }
     const auto quarantined =
@@ -44,6 +43,7 @@
     const auto length = worker.health.quarantine(options.health, now);
     probe_times.insert(now + length);
     probe_times.insert(now + length + options.health.small_probe_wait);
+    expect_last_resort(worker, now);
     log_decision(
         task.step.job, "worker set aside",
         worker.vm.id + " for " + std::to_string(to_milliseconds(length)) +
@@ -52,6 +52,15 @@
             ", workers set aside " + std::to_string(quarantined));
 }
 
+void dispatcher::state::expect_last_resort(const tracked_worker& worker,
+                                           time_point now)
+{
+    if (worker.health.set_aside(now)) {
+        probe_times.insert(now + options.health.last_resort_wait);
+        probe_times.insert(now + options.health.last_resort_wait_lasting);
+    }
+}
+
 void dispatcher::state::record_good_run(tracked_worker& worker,
                                         const task_key& task, time_point now)
 {
