Keep the restarts of a worker that is listed again

What callers would see: a takeover each time that a worker which had restarted is forgotten, as it was not listed for a while, and then listed again.

Cause: the number of restarts, which is part of the fencing token, was kept with the tracked worker and began at zero again with it. The worker refuses the lower tokens, and the leader takes that for a newer leader and steps down.

Change: the number of a worker that is removed is kept for as long as the leader leads, and taken up again.

Before and after: "A restarted worker that is listed again after a while accepts calls" fails before (superseded, no task runs) and passes now, as do all tests of the fleet.

--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -409,6 +409,9 @@
     std::map<std::string, tracked_worker> workers;
     /** @brief Ledger records of the workers at the start of this leader. */
     std::map<std::string, ledger_worker> recorded_workers;
+    /** @brief Restarts of workers that are tracked no more; a worker that is
+     * listed again has seen the tokens of these. */
+    std::map<std::string, std::uint32_t> restarts_of_removed;
     std::set<std::string> evacuated_zones;
     /** @brief Incremented when workers are added or removed, or one of them
      * changes its kind. */
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -78,6 +78,9 @@
             it.vm.address.empty() && before != self.recorded_workers.end()) {
             self.restore_worker(it, before->second);
         }
+        if (const auto before = self.restarts_of_removed.extract(vm.id)) {
+            it.restarts = before.mapped();
+        }
         const bool known = !it.vm.address.empty();
         if (known && vm.incarnation != 0 && it.vm.incarnation != 0 &&
             vm.incarnation > it.vm.incarnation) {
@@ -112,6 +115,9 @@
                                    worker.unexplained_losses.empty() &&
                                    !worker.poll_in_flight &&
                                    worker.lease_until < now;
+            if (removable && worker.restarts > 0) {
+                self.restarts_of_removed[it.first] = worker.restarts;
+            }
             if (removable) {
                 self.removals.push_back(
                     {.key = encode_key(
--- a/test/fleet/worker_restarts.cpp
+++ b/test/fleet/worker_restarts.cpp
@@ -16,7 +16,7 @@
 constexpr resource_amounts eight_cores{8000, 16000, 0};
 constexpr resource_amounts one_core{1000, 1000, 0};
 
-/** @brief Worker w0, and w1 that only the later tasks can use. */
+/** @brief Worker w0, to which w1 is added once w0 is cut off. */
 struct restarting_fleet : worker_fleet
 {
     restarting_fleet()
@@ -117,6 +117,29 @@
     CHECK(cell.violations.empty());
 }
 
+// Guards against a leader that gives up leadership, as a worker refuses calls
+// with a token that it has seen surpassed.
+TEST_CASE("A restarted worker that is listed again after a while accepts calls",
+          "[worker_restarts]")
+{
+    restarting_fleet cell;
+    cell.restart("w0");
+    cell.list_workers();
+    cell.run(12s);
+    const auto away = cell.workers.extract("w0");
+    cell.list_workers();
+    // It is forgotten once its lease is over.
+    cell.run(6s);
+    cell.list_workers();
+    REQUIRE(cell.leader().count(cell.now).workers == 0);
+    cell.workers["w0"] = away.mapped();
+    cell.list_workers();
+    cell.submit(make_job(1, {{.demand = one_core}}));
+    cell.run(1s);
+    CHECK_FALSE(cell.leader().superseded());
+    CHECK(cell.running_on("w0") == 1);
+}
+
 // Guards against a start that takes effect in the next incarnation of a worker,
 // after its task was started again.
 TEST_CASE("A start that was sent to a previous incarnation has no effect",
