--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -44,11 +44,7 @@
     });
     state_->restore_lease_bounds(ledger_jobs, now);
     ledger_jobs.each_leftover([this](const task_key& first) {
-        state_->removals.push_back(
-            {.key = encode_key({.kind = entry_kind::progress,
-                                .step = first.step,
-                                .first_task = first.index}),
-             .value = std::nullopt});
+        state_->removals.push_back(progress_removal(first));
     });
 }
 
@@ -72,8 +68,7 @@
     if (key.step >= per_round || key.occurrence < job.first_occurrence) {
         return nullptr;
     }
-    const auto index =
-        (key.occurrence - job.first_occurrence) * per_round + key.step;
+    const auto index = job.first_step_of(key.occurrence) + key.step;
     return index < job.steps.size() ? &job.steps[index] : nullptr;
 }
 
@@ -173,8 +168,7 @@
         if (!spec.due(step.key.occurrence, unix_ms)) {
             continue;
         }
-        const auto first =
-            (step.key.occurrence - job.first_occurrence) * spec.steps.size();
+        const auto first = job.first_step_of(step.key.occurrence);
         step.ready =
             std::ranges::all_of(step.spec->depends_on, [&](std::uint32_t it) {
                 return it < spec.steps.size() &&
--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -93,8 +93,7 @@
                                      time_point now) const
 {
     const auto& job = *step.job;
-    const auto first = (step.key.occurrence - job.first_occurrence) *
-                       job.record.spec.steps.size();
+    const auto first = job.first_step_of(step.key.occurrence);
     for (const auto n : step.spec->depends_on) {
         const auto& before = job.steps[first + n];
         if (before.waiting > 0) {
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -274,6 +274,17 @@
                                           record.spec.steps.size());
     }
 
+    /**
+     * @brief Returns where the steps of an occurrence begin in `steps`.
+     * @param occurrence Number of a tracked occurrence, or of a later one.
+     * @return Index of its first step.
+     */
+    [[nodiscard]] std::size_t
+    first_step_of(std::uint32_t occurrence) const noexcept
+    {
+        return (occurrence - first_occurrence) * record.spec.steps.size();
+    }
+
     /** @return Number of the first occurrence that is not tracked yet. */
     [[nodiscard]] std::uint32_t next_occurrence() const noexcept
     {
@@ -727,6 +738,9 @@
      * the label that it requires. */
     [[nodiscard]] static bool is_of_kind(const tracked_worker& worker,
                                          const tracked_step& step);
+    /** @return True if the worker could run the step if it were empty. */
+    [[nodiscard]] static bool suits(const tracked_worker& worker,
+                                    const tracked_step& step);
     [[nodiscard]] std::span<tracked_worker* const>
     allowed_workers(tracked_step& step);
     [[nodiscard]] bool within_limit(const tracked_job& job,
--- a/src/rosemarytrail/fleet/internal/ledger_batches.cpp
+++ b/src/rosemarytrail/fleet/internal/ledger_batches.cpp
@@ -120,15 +120,12 @@
         remove({.kind = entry_kind::occurrences, .step = {.job = id}});
     }
     for (const auto& it : job.obsolete_entries) {
-        remove({.kind = entry_kind::progress,
-                .step = it.step,
-                .first_task = it.index});
+        entries.push_back(progress_removal(it));
     }
     for (const auto& step : job.steps) {
         for (const auto first : step.recorded_entries) {
-            remove({.kind = entry_kind::progress,
-                    .step = step.key,
-                    .first_task = first});
+            entries.push_back(
+                progress_removal({.step = step.key, .index = first}));
         }
     }
 }
--- a/src/rosemarytrail/fleet/internal/occurrences.cpp
+++ b/src/rosemarytrail/fleet/internal/occurrences.cpp
@@ -115,10 +115,7 @@
                        .value = encode_occurrences(job.first_occurrence)});
     job.occurrences_recorded = true;
     for (const auto& it : job.obsolete_entries) {
-        entries.push_back({.key = encode_key({.kind = entry_kind::progress,
-                                              .step = it.step,
-                                              .first_task = it.index}),
-                           .value = std::nullopt});
+        entries.push_back(progress_removal(it));
     }
     job.obsolete_entries.clear();
 }
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -55,14 +55,19 @@
                                  worker.vm.labels.end());
 }
 
+bool dispatcher::state::suits(const tracked_worker& worker,
+                              const tracked_step& step)
+{
+    return is_of_kind(worker, step) &&
+           step.spec->reserved().fits(worker.vm.capacity);
+}
+
 bool dispatcher::state::suits_a_worker(tracked_step& step) const
 {
     if (step.suits_as_of != workers_version) {
         step.suits_as_of = workers_version;
-        step.suits_a_worker = std::ranges::any_of(workers, [&](const auto& it) {
-            return is_of_kind(it.second, step) &&
-                   step.spec->reserved().fits(it.second.vm.capacity);
-        });
+        step.suits_a_worker = std::ranges::any_of(
+            workers, [&](const auto& it) { return suits(it.second, step); });
     }
     return step.suits_a_worker;
 }
--- a/src/rosemarytrail/fleet/internal/worker_quarantine.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_quarantine.cpp
@@ -109,8 +109,7 @@
     return std::ranges::any_of(workers, [&](const auto& it) {
         const auto& worker = it.second;
         return worker.listed && !worker.closing() &&
-               !worker.health.set_aside(now) && is_of_kind(worker, step) &&
-               step.spec->reserved().fits(worker.vm.capacity) &&
+               !worker.health.set_aside(now) && suits(worker, step) &&
                !step.refused.contains(it.first);
     });
 }
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -169,6 +169,14 @@
     return static_cast<std::uint32_t>(std::max<std::uint64_t>(n, 1));
 }
 
+ledger_entry progress_removal(const task_key& first)
+{
+    return {.key = encode_key({.kind = entry_kind::progress,
+                               .step = first.step,
+                               .first_task = first.index}),
+            .value = std::nullopt};
+}
+
 std::string encode_key(const entry_key& it)
 {
     std::string letter(1, kind_letters[static_cast<int>(it.kind)]);
--- a/src/rosemarytrail/fleet/ledger_codec.hpp
+++ b/src/rosemarytrail/fleet/ledger_codec.hpp
@@ -104,6 +104,13 @@
     std::optional<std::string> value;
 };
 
+/**
+ * @brief Returns the entry that removes the progress of some tasks.
+ * @param first First task of the progress entry.
+ * @return Entry without a value.
+ */
+[[nodiscard]] ledger_entry progress_removal(const task_key& first);
+
 /**
  * @brief Encodes a key.
  * @param it Key.
--- a/test/fleet/worker_restarts.cpp
+++ b/test/fleet/worker_restarts.cpp
@@ -45,6 +45,17 @@
         workers["w0"].unreachable = true;
         add_workers(1, eight_cores);
     }
+
+    /** @brief Starts job 1 on w0, whose lease a poll for its previous
+     * incarnation has extended, and cuts w0 off. */
+    void cut_with_long_lease()
+    {
+        restart_during_poll();
+        submit(make_job(1, {{.demand = one_core}}));
+        run(200ms);
+        REQUIRE(running_on("w0") == 1);
+        cut();
+    }
 };
 
 } // namespace
@@ -56,11 +67,7 @@
     "[worker_restarts]")
 {
     restarting_fleet cell;
-    cell.restart_during_poll();
-    cell.submit(make_job(1, {{.demand = one_core}}));
-    cell.run(200ms);
-    REQUIRE(cell.running_on("w0") == 1);
-    cell.cut();
+    cell.cut_with_long_lease();
     cell.run(20s);
     CHECK(cell.running_on("w1") == 1);
     CHECK(cell.violations.empty());
@@ -71,11 +78,7 @@
           "[worker_restarts]")
 {
     restarting_fleet cell;
-    cell.restart_during_poll();
-    cell.submit(make_job(1, {{.demand = one_core}}));
-    cell.run(200ms);
-    REQUIRE(cell.running_on("w0") == 1);
-    cell.cut();
+    cell.cut_with_long_lease();
     cell.take_over();
     cell.run(20s);
     CHECK(cell.running_on("w1") == 1);
