Visit steps without a view that the linter cannot read

Change: `each_step` visits the steps of all occurrences, as `each_live` does for jobs. `is_complete` says in one place when an occurrence is complete. The scan of one step for advice is a function of its own.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -308,7 +308,7 @@
         scheduled.insert(job.record.id);
     }
     jobs.emplace(job.record.id, std::move(owned));
-    for (const auto& step : job.steps()) {
+    job.each_step([&](const tracked_step& step) {
         for (const auto& task : step.tasks) {
             const bool out_of_attempts =
                 !step.spec->long_running &&
@@ -317,7 +317,7 @@
                 job.failed = true;
             }
         }
-    }
+    });
     if (entry.cancelled) {
         cancel_job(job, now);
     } else if (job.failed) {
@@ -381,7 +381,7 @@
         return;
     }
     if (!job.failed && job.next_occurrence() == job.record.spec.rounds() &&
-        std::ranges::all_of(job.steps(), &tracked_step::complete)) {
+        std::ranges::all_of(job.occurrences, internal::is_complete)) {
         finish_job(job, job_state::completed);
     }
 }
@@ -513,9 +513,9 @@
     dispatcher_counts result;
     result.jobs = state_->jobs.size();
     for (const auto& [id, job] : state_->jobs) {
-        for (const auto& step : job->steps()) {
+        job->each_step([&](const internal::tracked_step& step) {
             result.tracked_tasks += step.tasks.size();
-        }
+        });
     }
     result.evacuated_zones = state_->evacuated_zones.size();
     result.evacuation_left = state_->evacuation_left;
--- a/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
+++ b/src/rosemarytrail/fleet/internal/advice_scheduling.cpp
@@ -231,42 +231,42 @@
     }
     last_advice_scan = now;
     candidate_checks_left = options.candidate_checks_per_scan;
-    duration fast_backlog{};
-    advice_candidates fast;
-    advice_candidates slow;
+    advice_scan scan;
     for (auto& [id, job] : jobs) {
-        const auto& policy = job->record.queue.advice;
-        if (!policy) {
-            continue;
-        }
-        const bool is_slow = policy->base_ms > options.slow_advice_ms;
-        for (auto& step : job->steps()) {
-            close_if_stale(step, now);
-            if (step.waiting == 0 || job->ended()) {
-                continue;
-            }
-            const bool expired =
-                !is_slow && step.ready && step.tickets_until <= now;
-            const bool wanted = is_slow ? wants_slow_advice(step, now)
-                                        : wants_fast_advice(step, now);
-            if (!(expired || wanted) || !suits_a_worker(step)) {
-                continue;
-            }
-            const bool startable = may_start(step);
-            if (expired && startable) {
-                fast_backlog += typical_cost(*policy);
-            }
-            if (wanted) {
-                auto& to = is_slow ? slow : fast;
-                (startable ? to.startable : to.blocked)
-                    .push_back(
-                        {.rank = internal::rank_of(step), .step = &step});
-            }
+        if (job->record.queue.advice) {
+            job->each_step(
+                [&](tracked_step& it) { scan_for_advice(it, scan, now); });
         }
     }
-    request_fast_advice(order_for_advice(std::move(fast)), now);
-    request_slow_advice(order_for_advice(std::move(slow)),
-                        slow_nodes(fast_backlog, now), now);
+    request_fast_advice(order_for_advice(std::move(scan.fast)), now);
+    request_slow_advice(order_for_advice(std::move(scan.slow)),
+                        slow_nodes(scan.fast_backlog, now), now);
+}
+
+void dispatcher::state::scan_for_advice(tracked_step& step, advice_scan& scan,
+                                        time_point now)
+{
+    const auto& policy = *step.job->record.queue.advice;
+    const bool is_slow = policy.base_ms > options.slow_advice_ms;
+    close_if_stale(step, now);
+    if (step.waiting == 0 || step.job->ended()) {
+        return;
+    }
+    const bool expired = !is_slow && step.ready && step.tickets_until <= now;
+    const bool wanted =
+        is_slow ? wants_slow_advice(step, now) : wants_fast_advice(step, now);
+    if (!(expired || wanted) || !suits_a_worker(step)) {
+        return;
+    }
+    const bool startable = may_start(step);
+    if (expired && startable) {
+        scan.fast_backlog += typical_cost(policy);
+    }
+    if (wanted) {
+        auto& to = is_slow ? scan.slow : scan.fast;
+        (startable ? to.startable : to.blocked)
+            .push_back({.rank = internal::rank_of(step), .step = &step});
+    }
 }
 
 // An account at its limit may have any number of steps that wait for it. Some
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -6,6 +6,7 @@
 
 #include <boost/container/flat_set.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -13,7 +14,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <ranges>
 #include <set>
 #include <span>
 #include <string>
@@ -236,6 +236,16 @@
     }
 };
 
+/**
+ * @brief Checks whether an occurrence is complete.
+ * @param steps Its steps.
+ * @return True if all tasks are done.
+ */
+[[nodiscard]] inline bool is_complete(std::span<const tracked_step> steps)
+{
+    return std::ranges::all_of(steps, &tracked_step::complete);
+}
+
 /** @brief Job as tracked by the dispatcher. */
 struct tracked_job
 {
@@ -267,11 +277,26 @@
     std::size_t active{};
     job_triage triage;
 
-    /** @return Steps of all tracked occurrences. */
-    [[nodiscard]] auto steps() { return std::views::join(occurrences); }
+    /**
+     * @brief Visits the steps of all tracked occurrences.
+     * @param visit Called with each step.
+     */
+    template <typename Visit>
+    void each_step(const Visit& visit)
+    {
+        for (auto& steps : occurrences) {
+            std::ranges::for_each(steps, visit);
+        }
+    }
 
-    /** @copydoc steps() */
-    [[nodiscard]] auto steps() const { return std::views::join(occurrences); }
+    /** @copydoc each_step(const Visit&) */
+    template <typename Visit>
+    void each_step(const Visit& visit) const
+    {
+        for (const auto& steps : occurrences) {
+            std::ranges::for_each(steps, visit);
+        }
+    }
 
     /** @return Number of the first occurrence that is not tracked yet. */
     [[nodiscard]] std::uint32_t next_occurrence() const noexcept
@@ -667,6 +692,16 @@
          * limit. */
         std::vector<ranked_step> blocked;
     };
+    /** @brief What a scan for steps that need advice has found. */
+    struct advice_scan
+    {
+        advice_candidates fast;
+        advice_candidates slow;
+        /** @brief Time that the fast requests of steps which could start with
+         * their responses take. */
+        duration fast_backlog{};
+    };
+    void scan_for_advice(tracked_step& step, advice_scan& scan, time_point now);
     /** @brief Orders steps by rank; those that cannot start come last. */
     [[nodiscard]] std::vector<ranked_step>
     order_for_advice(advice_candidates steps) const;
--- a/src/rosemarytrail/fleet/internal/ledger_batches.cpp
+++ b/src/rosemarytrail/fleet/internal/ledger_batches.cpp
@@ -14,7 +14,7 @@
     job_timing result{.total = elapsed(job.accepted, last_plan),
                       .in_time = last_plan <= job.objective,
                       .steps = {}};
-    for (const auto& step : job.steps()) {
+    job.each_step([&](const tracked_step& step) {
         // Steps placed by a previous leader have no recorded times.
         if (step.done_at != time_point{} && step.placed_at != time_point{}) {
             result.steps.push_back(
@@ -23,7 +23,7 @@
                                       step.placed_at),
                  .run = elapsed(step.placed_at, step.done_at)});
         }
-    }
+    });
     return result;
 }
 
@@ -55,9 +55,7 @@
     remember_ended(job.record.id);
     finished.push_back(&job);
     replan = true;
-    for (auto& step : job.steps()) {
-        ready.erase(&step);
-    }
+    job.each_step([&](tracked_step& step) { ready.erase(&step); });
 }
 
 void dispatcher::state::remember_ended(std::uint64_t id)
@@ -122,12 +120,12 @@
     for (const auto& it : job.obsolete_entries) {
         entries.push_back(progress_removal(it));
     }
-    for (const auto& step : job.steps()) {
+    job.each_step([&](const tracked_step& step) {
         for (const auto first : step.recorded_entries) {
             entries.push_back(
                 progress_removal({.step = step.key, .index = first}));
         }
-    }
+    });
 }
 
 ledger_batch dispatcher::take_batch(std::int64_t unix_ms)
@@ -186,11 +184,11 @@
         if (it == jobs.end() || it->second->active > 0) {
             return it == jobs.end();
         }
-        for (auto& step : it->second->steps()) {
+        it->second->each_step([&](tracked_step& step) {
             close_request(step);
             dirty.erase(&step);
             ready.erase(&step);
-        }
+        });
         jobs.erase(it);
         return true;
     });
--- a/src/rosemarytrail/fleet/internal/occurrences.cpp
+++ b/src/rosemarytrail/fleet/internal/occurrences.cpp
@@ -61,9 +61,8 @@
 void dispatcher::state::update_occurrences(tracked_job& job,
                                            std::int64_t unix_ms)
 {
-    while (
-        job.first_occurrence + 1 < job.record.spec.rounds() &&
-        std::ranges::all_of(job.occurrences.front(), &tracked_step::complete)) {
+    while (job.first_occurrence + 1 < job.record.spec.rounds() &&
+           internal::is_complete(job.occurrences.front())) {
         drop_first_occurrence(job);
         if (job.occurrences.empty()) {
             track_next_occurrence(job);
@@ -93,7 +92,7 @@
             track_next_occurrence(job);
         }
     }
-    for (auto& step : job.steps()) {
+    job.each_step([&](tracked_step& step) {
         for (auto it = entry.progress.lower_bound({.step = step.key});
              it != entry.progress.end() && it->first.step == step.key &&
              it->first.index < step.tasks.size();
@@ -104,7 +103,7 @@
             it != entry.advice.end()) {
             apply_advice(step, it->second);
         }
-    }
+    });
 }
 
 // The number precedes the removals: if only a part of them is appended, a
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -35,14 +35,14 @@
 
 void dispatcher::state::stop_all(tracked_job& job, time_point now)
 {
-    for (auto& step : job.steps()) {
+    job.each_step([&](tracked_step& step) {
         ready.erase(&step);
         for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
             if (step.tasks[i].occupies_worker()) {
                 stop_task(step, i, now);
             }
         }
-    }
+    });
 }
 
 std::int64_t dispatcher::state::lease_end(tracked_worker& worker,
--- a/src/rosemarytrail/fleet/internal/work_order.cpp
+++ b/src/rosemarytrail/fleet/internal/work_order.cpp
@@ -13,7 +13,6 @@
 using internal::order_criterion;
 using internal::service_group;
 using internal::tracked_job;
-using internal::tracked_step;
 
 /** @brief Largest slowness of a worker in estimates; one that hangs its tasks
  * tells nothing about their run time. */
@@ -55,9 +54,7 @@
 [[nodiscard]] std::size_t current_round(const tracked_job& job)
 {
     const auto it =
-        std::ranges::find_if_not(job.occurrences, [](const auto& steps) {
-            return std::ranges::all_of(steps, &tracked_step::complete);
-        });
+        std::ranges::find_if_not(job.occurrences, internal::is_complete);
     return it == job.occurrences.end()
                ? 0
                : static_cast<std::size_t>(it - job.occurrences.begin());
@@ -412,9 +409,12 @@
 
 bool dispatcher::state::is_at_limit(const tracked_job& job) const
 {
-    return std::ranges::any_of(job.steps(), [&](const auto& step) {
+    const auto waits = [&](const tracked_step& step) {
         return step.ready && step.waiting > 0 &&
                !within_limit(job, step.spec->demand);
+    };
+    return std::ranges::any_of(job.occurrences, [&waits](const auto& steps) {
+        return std::ranges::any_of(steps, waits);
     });
 }
 
