Log which incarnation of a worker answers, and why its tasks are given up

Cause of that: the response to a start names no incarnation, and its clock was not read; `tasks lost` did not say what the leader last knew of the worker, and a run that a worker lists while its task runs elsewhere left no line at all.

Change, without one of decisions: - a response to a start is a type of its own with the worker's clock, also when a relay has made the call; - the leader compares it with the clock that it knows. A clock that has begun anew is that of a later incarnation; one that is further on than the time since the known incarnation was last alive is that of the known one; else it stays undecided. The first leaves the line "start answered by a later incarnation"; - `tasks lost` and `worker restarted` say when the worker was last known to be alive, and the latter what told of the restart; "worker unresponsive" and "untracked run" are new.

Ruled out: reading `born` there, which responses to starts do not have.

Evidence: the tests of fleet, cell and platform pass; "A response to a start carries the worker's clock" does not build before.

--- a/src/rosemarytrail/cell/internal/node_leadership.cpp
+++ b/src/rosemarytrail/cell/internal/node_leadership.cpp
@@ -673,12 +673,12 @@
     }
     for (const auto& it : requests.starts) {
         workers.start(it, [this, it, sent = now, number = leadership_number](
-                              fleet::start_result result) {
-            if (result == fleet::start_result::started) {
+                              const fleet::start_response& response) {
+            if (response.result == fleet::start_result::started) {
                 metrics.start_call.add(boot_clock::now() - sent);
             }
             if (leadership && number == leadership_number) {
-                leadership->decisions.on_start_result(it, result,
+                leadership->decisions.on_start_result(it, response,
                                                       boot_clock::now());
                 run();
             }
--- a/src/rosemarytrail/cell/ports.hpp
+++ b/src/rosemarytrail/cell/ports.hpp
@@ -260,10 +260,10 @@
     /**
      * @brief Starts a run of a task.
      * @param request Start request.
-     * @param done Called once with the result.
+     * @param done Called once with the response.
      */
     virtual void start(const fleet::start_request& request,
-                       std::function<void(fleet::start_result)> done) = 0;
+                       std::function<void(fleet::start_response)> done) = 0;
 
     /**
      * @brief Stops a run of a task.
--- a/src/rosemarytrail/cell/relayed_workers.cpp
+++ b/src/rosemarytrail/cell/relayed_workers.cpp
@@ -124,7 +124,7 @@
 }
 
 void relayed_workers::start(const fleet::start_request& request,
-                            std::function<void(fleet::start_result)> done)
+                            std::function<void(fleet::start_response)> done)
 {
     if (!enqueue(request, done, {})) {
         direct_.start(request, std::move(done));
@@ -166,12 +166,12 @@
     const auto done = std::move(found->second.done);
     const bool maybe_made = found->second.maybe_made;
     open_.erase(found);
-    if (const auto* it = std::get_if<fleet::start_result>(&result.result)) {
+    if (const auto* it = std::get_if<fleet::start_response>(&result.result)) {
         const bool conclusive = !maybe_made ||
-                                *it == fleet::start_result::started ||
-                                *it == fleet::start_result::fenced;
-        std::get<std::function<void(fleet::start_result)>>(done)(
-            conclusive ? *it : fleet::start_result::unknown);
+                                it->result == fleet::start_result::started ||
+                                it->result == fleet::start_result::fenced;
+        std::get<std::function<void(fleet::start_response)>>(done)(
+            conclusive ? *it : fleet::start_response{});
     } else if (const auto* acknowledged = std::get_if<bool>(&result.result)) {
         std::get<std::function<void(bool)>>(done)(*acknowledged);
     } else {
--- a/src/rosemarytrail/cell/relayed_workers.hpp
+++ b/src/rosemarytrail/cell/relayed_workers.hpp
@@ -75,7 +75,7 @@
     ~relayed_workers() override;
 
     void start(const fleet::start_request& request,
-               std::function<void(fleet::start_result)> done) override;
+               std::function<void(fleet::start_response)> done) override;
     void stop(const fleet::stop_request& request,
               std::function<void(bool)> done) override;
     void throttle(const fleet::throttle_request& request,
@@ -114,7 +114,7 @@
     using poll_callback =
         std::function<void(fleet::poll_result, fleet::poll_response)>;
     /** @brief In the order of the results in `worker_call_result`. */
-    using callback = std::variant<std::function<void(fleet::start_result)>,
+    using callback = std::variant<std::function<void(fleet::start_response)>,
                                   std::function<void(bool)>, poll_callback>;
 
     /** @brief Call without a result. */
--- a/src/rosemarytrail/cell/worker_batch.cpp
+++ b/src/rosemarytrail/cell/worker_batch.cpp
@@ -204,10 +204,11 @@
 [[nodiscard]] json pack_result(const worker_call_result& result)
 {
     return std::visit(
-        overloaded{[&](fleet::start_result it) {
-                       return json::array({result.id,
-                                           static_cast<int>(call_type::start),
-                                           static_cast<int>(it)});
+        overloaded{[&](const fleet::start_response& it) {
+                       return json::array(
+                           {result.id, static_cast<int>(call_type::start),
+                            static_cast<int>(it.result),
+                            it.clock_ms ? json(*it.clock_ms) : json()});
                    },
                    [&](bool it) {
                        return json::array(
@@ -226,9 +227,16 @@
 {
     worker_call_result result{.id = row.at(0), .result = false};
     switch (static_cast<call_type>(row.at(1).get<int>())) {
-    case call_type::start:
-        result.result = static_cast<fleet::start_result>(row.at(2).get<int>());
+    case call_type::start: {
+        fleet::start_response start{
+            .result = static_cast<fleet::start_result>(row.at(2).get<int>()),
+            .clock_ms = std::nullopt};
+        if (row.at(3).is_number()) {
+            start.clock_ms = row.at(3).get<std::int64_t>();
+        }
+        result.result = start;
         break;
+    }
     case call_type::poll:
         result.result = poll_answer{
             .result = static_cast<fleet::poll_result>(row.at(2).get<int>()),
--- a/src/rosemarytrail/cell/worker_batch.hpp
+++ b/src/rosemarytrail/cell/worker_batch.hpp
@@ -38,7 +38,7 @@
     std::uint64_t id{};
     /** @brief For a stop or a throttle request: whether the worker acknowledged
      * it. */
-    std::variant<fleet::start_result, bool, poll_answer> result;
+    std::variant<fleet::start_response, bool, poll_answer> result;
 };
 
 /** @brief Calls that a leader sends to a relay in one message. */
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -348,11 +348,11 @@
     /**
      * @brief Handles the result of a start request.
      * @param request Request that was sent.
-     * @param result Its result.
+     * @param response Its response.
      * @param now Current time.
      */
-    void on_start_result(const start_request& request, start_result result,
-                         time_point now);
+    void on_start_result(const start_request& request,
+                         const start_response& response, time_point now);
 
     /**
      * @brief Handles the result of a stop request.
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -164,6 +164,15 @@
 
 struct tracked_job;
 
+/** @brief Which incarnation of a worker has responded, as its clock tells. */
+enum class responder : std::uint8_t
+{
+    known,
+    /** @brief A later one: each begins with a clock of its own. */
+    later,
+    undecided
+};
+
 /** @brief Resources that a client account uses. */
 struct account_usage
 {
@@ -350,6 +359,10 @@
     std::uint64_t counted_in{};
     std::optional<std::int64_t> clock_ms;
     time_point clock_at;
+    /** @brief The known incarnation was alive then, at the earliest, when its
+     * clock showed `alive_clock_ms`. */
+    time_point alive_at;
+    std::int64_t alive_clock_ms{};
     /** @brief No run of this or an earlier leader continues there after this
      * time. */
     time_point lease_until;
@@ -580,6 +593,8 @@
     void abort_gang(tracked_step& step, time_point now);
     void lose_run(tracked_step& step, std::uint32_t index, time_point now);
     void send_start(const placed_run& it, time_point now);
+    void observe_response(const start_request& request,
+                          const start_response& response, time_point now);
     void on_ended(tracked_worker& worker, const ended_row& row, time_point now);
     void on_late_end(const tracked_worker& worker, tracked_step& step,
                      const ended_row& row, time_point now);
@@ -612,6 +627,8 @@
                                         time_point now) const;
     void check_progress(tracked_worker& worker, tracked_step& step,
                         const running_row& row, time_point sent_at);
+    void log_untracked(const tracked_worker& worker, const running_row& row,
+                       const task_state* task);
     void compare_running(tracked_worker& worker, const poll_response& response,
                          time_point sent_at, time_point now);
     void throttle_scavengers(tracked_worker& worker,
@@ -632,7 +649,14 @@
     void lose_tasks(tracked_worker& worker, time_point now,
                     std::string_view cause);
     void reset_session(tracked_worker& worker);
-    void on_restarted(tracked_worker& worker, time_point now);
+    [[nodiscard]] internal::responder
+    identify_responder(const tracked_worker& worker, std::int64_t clock_ms,
+                       time_point sent_at, time_point now) const;
+    static void observe_alive(tracked_worker& worker, std::int64_t clock_ms,
+                              time_point sent_at);
+    /** @param source What tells of the restart. */
+    void on_restarted(tracked_worker& worker, time_point now,
+                      std::string_view source);
     [[nodiscard]] std::int64_t lease_end(tracked_worker& worker,
                                          time_point now) const;
     void log_decision(std::uint64_t job, std::string_view what,
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -176,13 +176,44 @@
          .epoch = options.epoch,
          .restarts = worker.restarts,
          .checkpoint = step->spec->checkpoints ? task.checkpoint : "",
-         .ticket = std::move(ticket)});
+         .ticket = std::move(ticket),
+         .requested_at = now});
+}
+
+void dispatcher::state::observe_response(const start_request& request,
+                                         const start_response& response,
+                                         time_point now)
+{
+    const auto found = workers.find(request.worker.id);
+    if (found == workers.end() || !response.clock_ms ||
+        request.restarts != found->second.restarts) {
+        return;
+    }
+    auto& worker = found->second;
+    switch (identify_responder(worker, *response.clock_ms, request.requested_at,
+                               now)) {
+    case internal::responder::known:
+        observe_alive(worker, *response.clock_ms, request.requested_at);
+        break;
+    case internal::responder::later:
+        log_decision(request.task.step.job,
+                     "start answered by a later incarnation",
+                     to_text(request.task) + " run " +
+                         std::to_string(request.run) + " on " + worker.vm.id +
+                         ", clock " + std::to_string(*response.clock_ms) +
+                         " ms after " + std::to_string(*worker.clock_ms));
+        break;
+    case internal::responder::undecided:
+        break;
+    }
 }
 
 void dispatcher::on_start_result(const start_request& request,
-                                 start_result result, time_point now)
+                                 const start_response& response, time_point now)
 {
     auto& self = *state_;
+    const auto result = response.result;
+    self.observe_response(request, response, now);
     auto* step = self.find_step(request.task.step);
     if (step == nullptr) {
         return;
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -6,6 +6,17 @@
 
 namespace rosemarytrail::fleet {
 
+namespace {
+
+[[nodiscard]] std::string describe_age(time_point since, time_point now)
+{
+    return since == time_point{}
+               ? "an unknown time"
+               : std::to_string(to_milliseconds(now - since)) + " ms";
+}
+
+} // namespace
+
 // A previous leader renews a lease only once the ledger names its epoch for the
 // worker, and only while its evidence of leadership is fresh. It obtains none
 // after the claim of the next epoch, which bounds the leases that it may have
@@ -64,6 +75,48 @@
     return worst_case(options.max_lease);
 }
 
+// Decides by the clock in a response to a call that was sent at `sent_at`.
+// Responses may overtake each other.
+internal::responder
+dispatcher::state::identify_responder(const tracked_worker& worker,
+                                      std::int64_t clock_ms, time_point sent_at,
+                                      time_point now) const
+{
+    constexpr std::int64_t tolerance_ms = 20;
+    if (!worker.clock_ms) {
+        return internal::responder::undecided;
+    }
+    const auto passed = sent_at - worker.clock_at;
+    const auto least = passed > duration{}
+                           ? std::chrono::duration_cast<duration>(
+                                 passed * (1 - options.clock_drift))
+                           : passed;
+    if (clock_ms < *worker.clock_ms + to_milliseconds(least) - tolerance_ms) {
+        return internal::responder::later;
+    }
+    // A later incarnation started after the known one was last alive.
+    return clock_ms > to_milliseconds(now - worker.alive_at) + tolerance_ms
+               ? internal::responder::known
+               : internal::responder::undecided;
+}
+
+// A worker's clock is not faster than the leader's, so at least the time that
+// it shows has passed between two responses.
+void dispatcher::state::observe_alive(tracked_worker& worker,
+                                      std::int64_t clock_ms, time_point sent_at)
+{
+    const auto by_clock =
+        worker.alive_at +
+        std::chrono::milliseconds{clock_ms - worker.alive_clock_ms};
+    const auto alive_at = worker.alive_at == time_point{}
+                              ? sent_at
+                              : std::max<time_point>(sent_at, by_clock);
+    if (alive_at > worker.alive_at) {
+        worker.alive_at = alive_at;
+        worker.alive_clock_ms = clock_ms;
+    }
+}
+
 void dispatcher::set_workers(std::span<const worker_vm> vms, time_point now)
 {
     auto& self = *state_;
@@ -84,7 +137,7 @@
         const bool known = !it.vm.address.empty();
         if (known && vm.incarnation != 0 && it.vm.incarnation != 0 &&
             vm.incarnation > it.vm.incarnation) {
-            self.on_restarted(it, now);
+            self.on_restarted(it, now, "the directory");
         }
         // The directory repeats the record as long as it does not change.
         if (!vm.draining || vm.remaining_ms <= 0) {
@@ -273,6 +326,19 @@
     check_finished(*step->job);
 }
 
+void dispatcher::state::log_untracked(const tracked_worker& worker,
+                                      const running_row& row,
+                                      const task_state* task)
+{
+    auto detail = to_text(row.task) + " run " + std::to_string(row.run) +
+                  " on " + worker.vm.id;
+    if (task != nullptr && task->occupies_worker()) {
+        detail +=
+            ", newest run " + std::to_string(task->run) + " on " + task->worker;
+    }
+    log_decision(row.task.step.job, "untracked run", std::move(detail));
+}
+
 void dispatcher::state::compare_running(tracked_worker& worker,
                                         const poll_response& response,
                                         time_point sent_at, time_point now)
@@ -285,6 +351,7 @@
         if (task == nullptr || task->worker != worker.vm.id ||
             task->run != row.run) {
             ++worker.untracked_runs;
+            log_untracked(worker, row, task);
             stops.push_back(
                 {.worker = {.id = worker.vm.id, .address = worker.vm.address},
                  .task = row.task,
@@ -413,7 +480,10 @@
     if (!load.empty()) {
         log_decision(0, "tasks lost",
                      worker.vm.id + " tasks " + std::to_string(load.size()) +
-                         ": " + std::string{cause});
+                         ": " + std::string{cause} + ", last alive " +
+                         describe_age(worker.alive_at, now) +
+                         " ago, restarts noticed " +
+                         std::to_string(worker.restarts));
     }
     reset_session(worker);
 }
@@ -427,16 +497,20 @@
     worker.last_recorded_end = 0;
     worker.in_batch.clear();
     worker.clock_ms.reset();
+    worker.alive_at = {};
 }
 
 // A call may reach the new incarnation before its restart is noticed, so only
 // the worker's own report tells what it runs. Such a call carries a lease end
 // on the clock of the previous incarnation, so the bound on it counts from the
 // first response to a call that was sent to the new one.
-void dispatcher::state::on_restarted(tracked_worker& worker, time_point now)
+void dispatcher::state::on_restarted(tracked_worker& worker, time_point now,
+                                     std::string_view source)
 {
     log_decision(0, "worker restarted",
-                 worker.vm.id + " tasks " + std::to_string(worker.load.size()));
+                 worker.vm.id + " tasks " + std::to_string(worker.load.size()) +
+                     ", known from " + std::string{source} + ", last alive " +
+                     describe_age(worker.alive_at, now) + " ago");
     remember_losses(worker, false, now);
     ++worker.restarts;
     worker.previous_calls_possible = true;
@@ -459,6 +533,11 @@
 void dispatcher::state::on_unanswered(tracked_worker& worker)
 {
     ++worker.unanswered;
+    if (worker.unanswered == options.unresponsive_after) {
+        log_decision(0, "worker unresponsive",
+                     worker.vm.id + " tasks " +
+                         std::to_string(worker.load.size()));
+    }
     if (worker.unanswered == options.unresponsive_after && worker.renewable) {
         worker.renewable = false;
         newly_unresponsive.push_back(worker.vm.id);
@@ -515,7 +594,7 @@
         if (*response.incarnation < worker.vm.incarnation) {
             return;
         }
-        self.on_restarted(worker, now);
+        self.on_restarted(worker, now, "a poll");
     }
     if (response.incarnation) {
         worker.vm.incarnation = *response.incarnation;
@@ -551,6 +630,7 @@
     worker.unanswered = 0;
     worker.clock_ms = response.clock_ms;
     worker.clock_at = now;
+    self.observe_alive(worker, response.clock_ms, sent_at);
     worker.next_poll = now + self.options.poll_interval;
     for (const auto& row : response.ended) {
         if (row.number > worker.last_seen_end) {
--- a/src/rosemarytrail/fleet/worker_calls.hpp
+++ b/src/rosemarytrail/fleet/worker_calls.hpp
@@ -59,6 +59,8 @@
     std::string checkpoint;
     /** @brief Ticket from the advice service; empty if none is required. */
     std::string ticket;
+    /** @brief When the dispatcher requested it; not sent along. */
+    time_point requested_at;
 };
 
 /** @brief Request to stop one run of a task. */
@@ -126,6 +128,14 @@
     unknown
 };
 
+/** @brief Response to a start request. */
+struct start_response
+{
+    start_result result{start_result::unknown};
+    /** @brief The worker's own clock in milliseconds, if it responded. */
+    std::optional<std::int64_t> clock_ms;
+};
+
 /** @brief How a run ended. */
 enum class run_end : std::uint8_t
 {
--- a/test/cell/relayed_workers.cpp
+++ b/test/cell/relayed_workers.cpp
@@ -83,9 +83,9 @@
     /** @brief Starts a run; counts the results of each run. */
     void start(std::uint32_t run)
     {
-        port.start(start_of(run), [this, run](fleet::start_result it) {
+        port.start(start_of(run), [this, run](const fleet::start_response& it) {
             ++answers[run];
-            last = it;
+            last = it.result;
         });
     }
 
@@ -127,7 +127,10 @@
 [[nodiscard]] worker_result_batch started(std::uint64_t id)
 {
     return {.leader = leader,
-            .results = {{.id = id, .result = fleet::start_result::started}}};
+            .results = {
+                {.id = id,
+                 .result = fleet::start_response{
+                     .result = fleet::start_result::started, .clock_ms = 5}}}};
 }
 
 /** @brief Relay of a leader. */
@@ -258,8 +261,10 @@
     for (const std::uint64_t id : {1, 2}) {
         CHECK(it.port.receive(
             {.leader = leader,
-             .results = {
-                 {.id = id, .result = fleet::start_result::not_sent}}}));
+             .results = {{.id = id,
+                          .result = fleet::start_response{
+                              .result = fleet::start_result::not_sent,
+                              .clock_ms = std::nullopt}}}}));
         CHECK(it.last == (id == 1 ? fleet::start_result::unknown
                                   : fleet::start_result::not_sent));
     }
--- a/test/cell/worker_batch.cpp
+++ b/test/cell/worker_batch.cpp
@@ -89,7 +89,11 @@
     const worker_result_batch batch{
         .leader = "l",
         .results = {
-            {.id = 1, .result = fleet::start_result::ticket_refused},
+            {.id = 1,
+             .result =
+                 fleet::start_response{.result =
+                                           fleet::start_result::ticket_refused,
+                                       .clock_ms = 77}},
             {.id = 2, .result = true},
             {.id = 3,
              .result = poll_answer{
@@ -111,8 +115,9 @@
     REQUIRE(it);
     CHECK(it->leader == "l");
     REQUIRE(it->results.size() == 3);
-    CHECK(std::get<fleet::start_result>(it->results[0].result) ==
-          fleet::start_result::ticket_refused);
+    const auto& start = std::get<fleet::start_response>(it->results[0].result);
+    CHECK(start.result == fleet::start_result::ticket_refused);
+    CHECK(start.clock_ms == 77);
     CHECK(std::get<bool>(it->results[1].result));
     const auto& poll = std::get<poll_answer>(it->results[2].result);
     CHECK(poll.result == fleet::poll_result::answered);
--- a/test/fleet/worker_restarts.cpp
+++ b/test/fleet/worker_restarts.cpp
@@ -159,8 +159,9 @@
     REQUIRE(cell.running_on("w0") == 1);
     REQUIRE(cell.unanswered_starts.size() == 1);
     cell.add_workers(1, eight_cores);
-    cell.leader().on_start_result(cell.unanswered_starts.front(),
-                                  start_result::fenced, cell.now);
+    cell.leader().on_start_result(
+        cell.unanswered_starts.front(),
+        {.result = start_result::fenced, .clock_ms = std::nullopt}, cell.now);
     cell.run(200ms);
     w0.delay_poll_responses = false;
     cell.run(2s);
--- a/test/lib/model_cell.cpp
+++ b/test/lib/model_cell.cpp
@@ -8,6 +8,16 @@
 
 using namespace std::chrono_literals;
 
+namespace {
+
+/** @return Clock of all workers, in milliseconds. */
+[[nodiscard]] std::int64_t clock_ms()
+{
+    return to_milliseconds(boot_clock::now().time_since_epoch());
+}
+
+} // namespace
+
 void stepped_loop::fetch(http::client_request /*outgoing*/, callback done)
 {
     post([done = std::move(done)] { done({}); });
@@ -245,10 +255,12 @@
 }
 
 void model_workers::start(const fleet::start_request& request,
-                          std::function<void(fleet::start_result)> done)
+                          std::function<void(fleet::start_response)> done)
 {
     starts.push_back(request);
-    loop_.post([result = answer, done = std::move(done)] { done(result); });
+    loop_.post([result = answer, done = std::move(done)] {
+        done({.result = result, .clock_ms = clock_ms()});
+    });
 }
 
 void model_workers::stop(const fleet::stop_request& /*request*/,
@@ -268,19 +280,19 @@
     std::function<void(fleet::poll_result, fleet::poll_response)> done)
 {
     polls.push_back(request);
-    fleet::poll_response response{.clock_ms = 1000,
-                                  .incarnation = std::nullopt,
-                                  .running = {},
-                                  .ended = {}};
+    fleet::poll_response response{
+        .clock_ms = 0, .incarnation = std::nullopt, .running = {}, .ended = {}};
     for (const auto& it : starts) {
         if (it.worker == request.worker) {
             response.running.push_back({.task = it.task, .run = it.run});
         }
     }
-    loop_.post_at(boot_clock::now() + std::min<duration>(request.wait, 50ms),
-                  [done = std::move(done), response = std::move(response)] {
-                      done(fleet::poll_result::answered, response);
-                  });
+    loop_.post_at(
+        boot_clock::now() + std::min<duration>(request.wait, 50ms),
+        [done = std::move(done), response = std::move(response)]() mutable {
+            response.clock_ms = clock_ms();
+            done(fleet::poll_result::answered, response);
+        });
 }
 
 void model_advice::advise(const fleet::step_key& step,
--- a/test/lib/model_cell.hpp
+++ b/test/lib/model_cell.hpp
@@ -129,7 +129,7 @@
     {}
 
     void start(const fleet::start_request& request,
-               std::function<void(fleet::start_result)> done) override;
+               std::function<void(fleet::start_response)> done) override;
     void stop(const fleet::stop_request& request,
               std::function<void(bool)> done) override;
     void throttle(const fleet::throttle_request& request,
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -388,6 +388,16 @@
                                                     : start_result::started;
 }
 
+fleet::start_response worker_fleet::respond(const model_worker& it,
+                                            start_result result) const
+{
+    fleet::start_response response{.result = result, .clock_ms = std::nullopt};
+    if (result != start_result::unknown) {
+        response.clock_ms = clock_of(it);
+    }
+    return response;
+}
+
 void worker_fleet::handle_stop(model_worker& it,
                                const fleet::stop_request& request)
 {
@@ -510,7 +520,7 @@
             if (worker.withholds_start_results) {
                 unanswered_starts.push_back(it);
             } else {
-                dispatcher_->on_start_result(it, result, now);
+                dispatcher_->on_start_result(it, respond(worker, result), now);
             }
         }
         throttles.insert(throttles.end(), requests.throttles.begin(),
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -185,6 +185,9 @@
     void start(model_worker& it, const fleet::start_request& request);
     [[nodiscard]] fleet::start_result
     handle_start(model_worker& it, const fleet::start_request& request);
+    /** @return Response with the worker's clock, unless it is lost. */
+    [[nodiscard]] fleet::start_response
+    respond(const model_worker& it, fleet::start_result result) const;
     void handle_stop(model_worker& it, const fleet::stop_request& request);
     void handle_poll(model_worker& it, const fleet::poll_request& request,
                      time_point sent);
--- a/test/platform/worker_client.cpp
+++ b/test/platform/worker_client.cpp
@@ -38,10 +38,33 @@
     std::optional<fleet::poll_result> polled;
     client.poll({}, [&](fleet::poll_result it, const auto&) { polled = it; });
     CHECK(polled == fleet::poll_result::failed);
-    std::optional<fleet::start_result> started;
+    std::optional<fleet::start_response> started;
     client.start({.payload = std::make_shared<const std::string>("x")},
-                 [&](fleet::start_result it) { started = it; });
-    CHECK(started == fleet::start_result::invalid);
+                 [&](const fleet::start_response& it) { started = it; });
+    REQUIRE(started);
+    CHECK(started->result == fleet::start_result::invalid);
+    CHECK_FALSE(started->clock_ms);
+}
+
+// Guards against a restart that goes unnoticed, as the clock in the response to
+// a start is not read.
+TEST_CASE("A response to a start carries the worker's clock", "[platform]")
+{
+    const auto [status, body, result] =
+        GENERATE(table<int, std::string, fleet::start_result>(
+            {{200, R"({"clockMs":482113})", fleet::start_result::started},
+             {409, R"({"clockMs":482113,"reason":"room"})",
+              fleet::start_result::no_capacity}}));
+    scripted_http http;
+    http.answer.status = status;
+    http.answer.body = body;
+    worker_client client{http};
+    std::optional<fleet::start_response> started;
+    client.start({.payload = std::make_shared<const std::string>("x")},
+                 [&](const fleet::start_response& it) { started = it; });
+    REQUIRE(started);
+    CHECK(started->result == result);
+    CHECK(started->clock_ms == 482113);
 }
 
 // Runs that a response lists nowhere are taken for lost if it is complete.
