Reproduce restarts without notice on real processes

What callers saw: a task runs twice at the same time (TWICE). Its worker restarts under its old id, answers starts before anyone knows of the restart and is cut off; the task starts again elsewhere some 4 s after the cut, while it runs on for up to 10 s.

Cause, as far as known: the deadline of a start lies on the clock of the incarnation that the leader knows. The next one begins its clock at zero, so the same deadline is a lease of up to 10 s there. The leader sees an answered start and counts on 4.8 s. Two more causes show only where calls are carried out late: a start without an answer, whose stop the previous incarnation answered, runs on the next one, and a late poll acknowledges ends that nobody has taken note of.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -10,8 +10,9 @@
 class Job:
     """Job as its client handed it in, and what became of it."""
 
-    def __init__(self, job_id, spec, steps, rng: random.Random):
+    def __init__(self, job_id, spec, steps, rng: random.Random, advised=True):
         self.id = job_id
+        self.advised = advised  # starts on its queue need a ticket
         self.spec = spec
         self.steps = steps
         self.accepted = False
@@ -36,26 +37,50 @@
         self.late = ""  # the breach, until it is known who renews next
 
 
+class DoneEnd:
+    """Run that ended `done`; `later` are the starts between its end and its acknowledgement."""
+
+    def __init__(self, worker, run):
+        self.at = time.monotonic()
+        self.worker, self.born, self.run = worker, worker.born, run
+        self.text = f"run {run} on {worker.name} ended"
+        self.acknowledged = False
+        self.lapsed = False  # the worker's lease, before the acknowledgement
+        self.later = []
+
+
 class Promises:
     """Ledger of all starts and ends; collects the promises that were broken."""
 
     def __init__(self, rng):
         self.rng = rng
         self.jobs = {}
-        self.running = {}  # task: worker
-        self.done = set()
-        self.acknowledged = set()
+        self.running = {}  # task: {worker: what is known of the start}
+        self.done = {}  # task: DoneEnds
         self.failures = {}
         self.starts = 0
         self.broken = []
+        self.events = []
+        self.lapse_excuses = False  # an end counts only if the lease held until it was acknowledged
+        self.wasted = 0  # starts after an end that such a lapse excuses
+        self.lost = {}  # task: when and how its worker was lost
+        self.waits = {}  # how a worker was lost: seconds until its tasks started again
         self.begun = time.monotonic()
         self.renewals = {}  # worker: Renewal
         self.leader_of = lambda epoch: "unknown"
 
     def breach(self, rule, text):
         self.broken.append(f"{rule}: {text}")
+        self.note(self.broken[-1])
+
+    def note(self, text):
+        self.events.append(f"{int(time.time() * 1000)} {text}")
+
+    def takes_ticket(self, task):
+        job = self.jobs.get(task.split(".")[0])
+        return job is None or job.advised
 
-    def on_start(self, worker, task, spec):
+    def on_start(self, worker, task, spec, run):
         """Checks a start; returns how long the run takes and how it ends."""
         self.starts += 1
         job_id, _, step, _ = task.split(".")
@@ -65,10 +90,22 @@
             return 0.1, "done"
         if not job.accepted and not job.maybe_taken:
             self.breach("REFUSED", f"{task} started, all submissions were refused")
-        if task in self.running:
-            self.breach("TWICE", f"{task} on {self.running[task].name} and {worker.name}")
-        if task in self.acknowledged:
-            self.breach("TWICE", f"{task} on {worker.name} after its end was acknowledged")
+        up_s = worker.clock / 1000
+        text = f"run {run} on {worker.name}, up {up_s:.1f} s, {self.text(time.monotonic())}"
+        text += worker.late
+        self.note(f"{worker.name} start {task} {text}, lease {worker.deadline / 1000 - up_s:.1f} s")
+        for other in self.running.get(task, {}).values():
+            self.breach("TWICE", f"{task} {text}, during {other}")
+        for end in self.done.get(task, []):
+            if not end.acknowledged:
+                end.later.append(text)
+            elif end.lapsed and self.lapse_excuses:
+                self.wasted += 1
+            else:
+                self.breach("TWICE", f"{task} {text}, after {end.text}, acknowledged")
+        if task in self.lost:
+            at, how = self.lost.pop(task)
+            self.waits.setdefault(how, []).append(time.monotonic() - at)
         step = job.steps[int(step)]
         for before in step.get("dependsOn", []):
             for index in range(job.steps[before]["count"]):
@@ -78,7 +115,7 @@
         used = sum(self.cpu_of(it) for it in worker.running) + step["cpu"]
         if used > worker.cpu:
             self.breach("LIMIT", f"{used} of {worker.cpu} on {worker.name}")
-        self.running[task] = worker
+        self.running.setdefault(task, {})[worker] = text
         if step.get("longRunning"):
             return 1e9, "done"
         failing = self.rng.random() < 0.02
@@ -88,13 +125,16 @@
         job_id, _, step, _ = task.split(".")
         return self.jobs[job_id].steps[int(step)]["cpu"] if job_id in self.jobs else 0
 
-    def on_end(self, worker, task, how):
-        if self.running.get(task) is worker:
-            del self.running[task]
+    def on_end(self, worker, task, how, run):
+        self.note(f"{worker.name} end {task} run {run} {how}")
+        if worker in self.running.get(task, {}):
+            del self.running[task][worker]
+            if not self.running[task]:
+                del self.running[task]
         if how == "lapsed":
             self.renewals[worker].lapsed.append(task)
         elif how == "done":
-            self.done.add(task)
+            self.done.setdefault(task, []).append(DoneEnd(worker, run))
         elif how == "failed":
             self.failures[task] = self.failures.get(task, 0) + 1
 
@@ -135,9 +175,21 @@
     def text(self, at):
         return f"at {at - self.begun:.2f} s"
 
-    def on_acknowledged(self, task, how):
-        if how == "done":
-            self.acknowledged.add(task)
+    def on_acknowledged(self, worker, task, run, how):
+        self.note(f"{worker.name} acknowledged {task} run {run} {how}")
+        for end in self.done.get(task, []) if how == "done" else []:
+            if (end.worker, end.born, end.run) == (worker, worker.born, run):
+                self.lost.pop(task, None)
+                end.acknowledged, end.lapsed = True, worker.lapsed_at >= end.at
+                if not end.lapsed:
+                    for it in end.later:
+                        self.breach("TWICE", f"{task} {it}, after {end.text}, acknowledged later")
+
+    def on_lost(self, worker, how):
+        """Takes note of the tasks of a worker that restarts or is cut off."""
+        self.note(f"{worker.name} {how}")
+        for task in worker.running:
+            self.lost.setdefault(task, (time.monotonic(), how))
 
     def on_state(self, job, state):
         """Checks the state of a job that a client was shown."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -12,8 +12,8 @@
         self.silent_to = False  # bytes to the target are held back
         self.silent_from = False  # bytes from the target are held back
         self.refusing = False
-        self.writers = set()
-        self.stuck = set()  # connections that stay silent for good
+        self.pairs = set()  # the two ends of each connection
+        self.stuck = set()  # writers of connections that stay silent for good
         self.server = None
 
     async def start(self, host, port):
@@ -36,12 +36,27 @@
 
     def reset(self):
         """Resets all connections."""
-        for writer in list(self.writers):
-            writer.transport.abort()
+        for pair in list(self.pairs):
+            self._reset(pair)
 
     def silence_open(self):
         """Leaves the open connections silent for good; new ones work."""
-        self.stuck |= self.writers
+        for pair in self.pairs:
+            self.stuck |= pair
+
+    def abandon_open(self, rng, silent_share):
+        """Ends all faults; leaves some open connections silent for good, resets the others."""
+        for pair in list(self.pairs):
+            if rng.random() < silent_share:
+                self.stuck |= pair
+            elif not pair & self.stuck:
+                self._reset(pair)
+        self.delay, self.silent_to, self.silent_from, self.refusing = 0.0, False, False, False
+
+    @staticmethod
+    def _reset(pair):
+        for writer in pair:
+            writer.transport.abort()
 
     async def _accept(self, reader, writer):
         if self.refusing:
@@ -52,13 +67,13 @@
         except OSError:
             writer.transport.abort()
             return
-        pair = {writer, far_writer}
-        self.writers |= pair
+        pair = frozenset((writer, far_writer))
+        self.pairs.add(pair)
         await asyncio.gather(
             self._pump(reader, far_writer, lambda: self.silent_to),
             self._pump(far_reader, writer, lambda: self.silent_from),
         )
-        self.writers -= pair
+        self.pairs.discard(pair)
         self.stuck -= pair
 
     async def _pump(self, reader, writer, silenced):
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -22,11 +22,12 @@
 from http_io import Client, serve
 from promises import LEASE_MS, Job, Promises
 from proxy import Proxy
+from restarts import Restarts
 from store_model import SLOW, Store
 from worker_model import Advice, Worker
 
 HOST = "queue.example"
-PREFIX = "/jobs/"
+PREFIX, PLAIN_PREFIX = "/jobs/", "/plain/"  # queues with advice and without
 KEY = "key-of-the-soak"
 CLIENT_PORT, READY_PORT, INNER_PORT = 8183, 8184, 7420
 BEAT_S = 0.5
@@ -56,6 +57,7 @@
         self.process = None
         self.paused = False
         self.ending = False
+        self.client_port = CLIENT_PORT
         self.turn = asyncio.Lock()  # faults that end and start it take turns
         self.store = self.advice = None
 
@@ -150,6 +152,8 @@
         self.folder = Path(tempfile.mkdtemp(prefix="rosemarytrail-soak-"))
         self.stopping = self.crowd_leaves = False
         self.version = 0
+        self.pause_s = CLIENT_PAUSE_S
+        self.restarts = Restarts(self) if options.restarts else None
 
     def say(self, text):
         print(f"{time.monotonic() - self.begun:7.2f} {text}", flush=True)
@@ -157,12 +161,14 @@
     def publish(self):
         """Writes the next configuration, as the operator does."""
         self.version += self.rng.randint(1, 3)
+        queue = {
+            "host": HOST, "service": "work", "priority": 0,
+            "maxAttempts": 20, "slackFactor": 2.0, "targetLatencyMs": 500,
+        }  # fmt: skip
+        advice = {"decideMs": 5.0, "eachMs": 0.1, "validMs": 2500}
         routes = [
-            {
-                "name": "jobs", "host": HOST, "pathPrefix": PREFIX, "service": "work",
-                "priority": 0, "maxAttempts": 20, "slackFactor": 2.0, "targetLatencyMs": 500,
-                "advice": {"decideMs": 5.0, "eachMs": 0.1, "validMs": 2500},
-            },
+            {**queue, "name": "jobs", "pathPrefix": PREFIX, "advice": advice},
+            {**queue, "name": "plain", "pathPrefix": PLAIN_PREFIX},
             {"name": f"v{self.version}", "host": HOST, "pathPrefix": "/other/", "service": "work"},
         ]  # fmt: skip
         self.store.put("keyed.op", "config", {
@@ -205,7 +211,7 @@
                 worker.advance()
                 own = max(0.0, passed - OWN_PAUSE_S)
                 self.promises.excuse(worker, passed if self.lease_excused(name) else own)
-                if now - last >= BEAT_S and self.store.mode == "up":
+                if now - last >= BEAT_S and self.store.mode == "up" and now >= worker.listed_from:
                     address = f"127.0.0.1:{self.worker_proxies[name].port}"
                     self.store.put("keyed.servers", name, worker.entry(address))
             last = now if now - last >= BEAT_S else last
@@ -255,8 +261,9 @@
                         await node.start()
             await asyncio.sleep(0.1)
 
-    async def call(self, clients, method, path, body=b""):
-        """Calls one of the nodes; status None if no answer came."""
+    async def call(self, clients, method, job, body=b""):
+        """Calls one of the nodes about a job; status None if no answer came."""
+        path = (PREFIX if job.advised else PLAIN_PREFIX) + job.id
         headers = {"Host": HOST, "Authorization": f"Bearer {KEY}"}
         index = self.rng.randrange(len(clients))
         return await clients[index].call(method, path, headers, body, SUBMIT_DEADLINE_S)
@@ -270,6 +277,8 @@
     def make_job(self):
         if self.service_rng.random() < SERVICE_SHARE:
             return self.make_service()
+        if self.options.restarts:
+            return self.restarts.make_job()
         steps = []
         for n in range(self.rng.randint(1, 3)):
             step = {
@@ -289,7 +298,7 @@
         for _ in range(4):
             # Set before the call: a start may be seen before its answer.
             job.maybe_taken = True
-            status, _ = await self.call(clients, "POST", PREFIX + job.id, body)
+            status, _ = await self.call(clients, "POST", job, body)
             if status == 200:
                 job.accepted = True
                 return
@@ -301,12 +310,16 @@
                     self.promises.breach("CONFIG", f"{job.id} was answered {status}")
             await asyncio.sleep(self.rng.uniform(0.1, 0.6))
 
+    async def submit_new(self, clients):
+        job = self.make_job()
+        self.promises.jobs[job.id] = job
+        await self.submit(clients, job)
+        return job
+
     async def client(self):
         clients = [Client(node.ip, CLIENT_PORT) for node in self.nodes]
         while not self.stopping:
-            job = self.make_job()
-            self.promises.jobs[job.id] = job
-            await self.submit(clients, job)
+            job = await self.submit_new(clients)
             if not job.accepted:
                 continue
             if self.rng.random() < 0.1:
@@ -314,7 +327,7 @@
             elif self.rng.random() < 0.2:
                 # A repeat that arrives late changes nothing.
                 await self.submit(clients, job)
-            await asyncio.sleep(self.rng.uniform(0, CLIENT_PAUSE_S))
+            await asyncio.sleep(self.rng.uniform(0, self.pause_s))
             await self.look(clients, job)
         for client in clients:
             client.close()
@@ -322,13 +335,13 @@
     async def cancel(self, clients, job):
         job.cancelled = True
         for _ in range(20):
-            status, _ = await self.call(clients, "DELETE", PREFIX + job.id)
+            status, _ = await self.call(clients, "DELETE", job)
             if status in (200, 410):
                 return
             await asyncio.sleep(0.3)
 
     async def look(self, clients, job):
-        status, body = await self.call(clients, "GET", PREFIX + job.id)
+        status, body = await self.call(clients, "GET", job)
         if status == 200:
             self.promises.on_state(job, body.split(b'"')[3].decode())
         elif status == 410:
@@ -484,7 +497,8 @@
             if node.paused:
                 node.resume()
         for name, worker in self.workers.items():
-            worker.late_share, worker.failing = 0.0, False
+            worker.late_share, worker.late_poll_share, worker.failing = 0.0, 0.0, False
+            worker.listed_from = 0.0
             self.worker_proxies[name].heal()
 
     async def settle_services(self, clients, until):
@@ -543,6 +557,8 @@
             until = time.monotonic() + self.options.seconds
             if self.options.takeovers:
                 await self.take_over(until)
+            if self.restarts:
+                await self.restarts.run(until)
             while time.monotonic() < until and not self.options.takeovers:
                 faults = [it for it in faults if not it.done()]
                 if len(faults) < self.options.overlap:
@@ -570,16 +586,19 @@
             f"{sum(job.accepted for job in jobs)} accepted, {states.count('completed')} completed, "
             f"{self.promises.starts} starts, {len(self.promises.broken)} broken promises"
         )
+        if self.restarts:
+            self.restarts.report()
         new = []
+        known = [it for seed, it in self.options.known_red if seed == self.options.seed]
         for line in self.promises.broken:
-            known = self.options.known_red.get(self.options.seed)
-            if known and known in line:
+            if any(it in line for it in known):
                 print(f"BROKEN, listed in KNOWN-RED.txt: {line}")
             else:
                 print(f"BROKEN {line}")
                 new.append(line)
         if self.promises.broken:
-            print(f"logs: {self.folder}")
+            print(f"{len(new)} not listed in KNOWN-RED.txt; logs: {self.folder}")
+            (self.folder / "workers.log").write_text("\n".join(self.promises.events) + "\n")
         else:
             for path in self.folder.iterdir():
                 path.unlink()
@@ -609,12 +628,15 @@
     parser.add_argument("--seeds", type=int, default=1, help="runs, each with the next seed")
     parser.add_argument("--seconds", type=float, default=10, help="time with faults, each run")
     parser.add_argument("--nodes", type=int, default=3)
-    parser.add_argument("--workers", type=int, default=6)
+    parser.add_argument("--workers", type=int, help="6 by default, 16 with --restarts")
     parser.add_argument("--clients", type=int, default=6)
     parser.add_argument("--overlap", type=int, default=3, help="faults at the same time")
     parser.add_argument(
         "--takeovers", action="store_true", help="stop whoever leads while the store is slow"
     )
+    parser.add_argument(
+        "--restarts", action="store_true", help="restart workers under their old ids, then cut them"
+    )
     parser.add_argument(
         "--slowness", type=float, default=SLOW, help="factor on the store's times with --takeovers"
     )
@@ -627,7 +649,7 @@
         help="a listed failure, which is printed and does not fail the run",
     )
     options = parser.parse_args()
-    options.known_red = dict(options.known_red)
+    options.workers = options.workers or (16 if options.restarts else 6)
     failed = []
     for seed in range(options.seed, options.seed + options.seeds):
         options.seed = seed
--- a/soak/worker_model.py
+++ b/soak/worker_model.py
@@ -21,7 +21,10 @@
         self.rng = rng
         self.ledger = ledger  # told of starts, ends and acknowledgements
         self.rate = rng.uniform(0.98, 1.0)
-        self.late_share = 0.0
+        self.late_share = 0.0  # of orders that are carried out late, without answer
+        self.late_poll_share = 0.0
+        self.late = ""  # how late the call comes that it carries out
+        self.listed_from = 0.0  # its entry in the directory is not updated before
         self.failing = False
         self.beat = 0
         self.restart()
@@ -29,10 +32,11 @@
     def restart(self):
         """A crash: it runs nothing and has seen no fencing token."""
         for task in list(getattr(self, "running", {})):
-            self.ledger.on_end(self, task, "crashed")
+            self.ledger.on_end(self, task, "crashed", self.running[task][0])
         self.born = int(time.time() * 1000)
         self.origin = time.monotonic()
         self.token, self.deadline, self.beat = 0, 0, 0
+        self.lapsed_at = 0.0  # when the lease was last seen to be over
         self.ledger.on_restart(self)
         self.running, self.highest = {}, {}
         self.finished, self.next_end = [], 1
@@ -54,7 +58,9 @@
     def advance(self):
         """Ends what is done, and all once the lease has lapsed."""
         now = time.monotonic()
-        lapsed = self.running and self.deadline <= self.clock
+        lapsed = self.deadline <= self.clock
+        if lapsed:
+            self.lapsed_at = now
         for task, (_, ends, how) in list(self.running.items()):
             if lapsed:
                 self._end(task, "lapsed")
@@ -66,7 +72,7 @@
         self.highest[task] = max(self.highest.get(task, 0), run)
         self.finished.append([self.next_end, task, run, how, ""])
         self.next_end += 1
-        self.ledger.on_end(self, task, how)
+        self.ledger.on_end(self, task, how, run)
         self.ended.set()
         self.ended = asyncio.Event()
 
@@ -77,20 +83,17 @@
         call = json.loads(body)
         if headers.get("rosemarytrail-expect-instance", self.name) != self.name:
             return reply(421, {})
-        if path != "/-/hold" and self.rng.random() < self.late_share:
-            delay = self.rng.uniform(0.5, 6)
-            asyncio.get_running_loop().call_later(delay, self._order, path, call)
+        polls = path == "/-/hold"
+        if self.rng.random() < (self.late_poll_share if polls else self.late_share):
+            delay = self.rng.uniform(0.3, 6)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, self._carry_out_late, path, call, self.born)
             return SILENT
-        if path != "/-/hold":
+        if not polls:
             return self._order(path, call)
-        refused = self._fence(call)
+        refused = self._poll(path, call)
         if refused:
             return refused
-        self._extend(call)
-        for row in self.finished:
-            if row[0] <= call["ackCursor"]:
-                self.ledger.on_acknowledged(row[1], row[3])
-        self.finished = [row for row in self.finished if row[0] > call["ackCursor"]]
         if not self.finished and call.get("waitMs"):
             try:
                 await asyncio.wait_for(self.ended.wait(), call["waitMs"] / 1000)
@@ -100,6 +103,27 @@
         rows = [[task, run, "", 10, 0] for task, (run, _, _) in self.running.items()]
         return self._answer(200, running=rows, finished=self.finished[:500])
 
+    def _carry_out_late(self, path, call, born):
+        """Carries out a call in whatever incarnation there is by now."""
+        self.late = " late" if born == self.born else " late, sent to its predecessor"
+        carry_out = self._poll if path == "/-/hold" else self._order
+        status, _ = carry_out(path, call) or (200, b"")
+        self.ledger.note(f"{self.name}{self.late}: {status} for {path} {call}")
+        self.late = ""
+
+    def _poll(self, path, call):
+        """Renews the lease and forgets ends; returns an answer only if refused."""
+        refused = self._fence(call)
+        if refused:
+            return refused
+        self.advance()
+        self._extend(call)
+        for row in self.finished:
+            if row[0] <= call["ackCursor"]:
+                self.ledger.on_acknowledged(self, row[1], row[2], row[3])
+        self.finished = [row for row in self.finished if row[0] > call["ackCursor"]]
+        return None
+
     def _fence(self, call):
         token = call.get("fencingToken", 0)
         if token < self.token:
@@ -134,9 +158,10 @@
             return self._answer(200)
         if run <= self.highest.get(task, 0) or task in self.running:
             return self._answer(409, reason="old")
-        if not call.get("ticket", "").endswith(f"{self.name}.{self.born}"):
+        ticket = call.get("ticket", "")
+        if self.ledger.takes_ticket(task) and not ticket.endswith(f"{self.name}.{self.born}"):
             return self._answer(409, reason="ticket")
-        length, how = self.ledger.on_start(self, task, call["spec"])
+        length, how = self.ledger.on_start(self, task, call["spec"], run)
         self.running[task] = (run, time.monotonic() + length, how)
         return self._answer(200)
 
