Keep polls from acting on runs of an incarnation that the leader does not know

Cause: a poll carries the end of a lease and the number up to which ends are acknowledged, both of the incarnation that the leader knows. One that a later incarnation takes extends the lease of what runs there beyond the leader's bound, and makes it forget ends that nobody has read; their runs are then missing from its list, and start again. The next poll after a restart that is not noticed does that at once, one that is carried out late does so seconds later.

Ruled out: an end in an open batch (it is reset with the restart).

Change: - the low half of the fencing token is the generation of the leader's calls to a worker. It rises with each restart that is noticed, and with the first start after a poll. An incarnation that has executed the start refuses the polls that were sent before; - while a start has no response from the known incarnation, polls neither renew nor acknowledge. A poll waits for such a response, for 0.5 s at most; - polls are sent before the starts that are sent with them; - a stop counts as acknowledged only by a response to a call that was sent after the last restart; - a refusal of a call of an earlier generation does not end the leadership.

Why it works: what runs in an incarnation that the leader does not know was started by it, and that start has a higher token than each poll that was sent before, while a poll that was sent after it carries nothing that acts.

The generation has 32 bits, as it may rise with each poll; 16 would be used up in hours. Nodes of one cell have to be replaced together, as before.

Before and after: "A poll sent before a start acknowledges none of its ends" and "A poll sent before a start does not renew its lease" fail without the generation of starts, "Polls neither renew nor acknowledge while a start is unanswered" fails without the second change.

--- a/src/rosemarytrail/cell/internal/node_leadership.cpp
+++ b/src/rosemarytrail/cell/internal/node_leadership.cpp
@@ -662,6 +662,18 @@
 {
     auto requests = leadership->decisions.take_requests(now);
     send_advice_assignments(requests.advice_assignments);
+    // A worker that has executed the starts refuses these polls.
+    for (const auto& it : requests.polls) {
+        workers.poll(it, [this, it, sent = now, number = leadership_number](
+                             fleet::poll_result result,
+                             const fleet::poll_response& response) {
+            if (leadership && number == leadership_number) {
+                leadership->decisions.on_poll_result(it, result, response, sent,
+                                                     boot_clock::now());
+                run();
+            }
+        });
+    }
     for (const auto& it : requests.stops) {
         workers.stop(it, [this, it, number = leadership_number](bool answered) {
             if (leadership && number == leadership_number) {
@@ -687,17 +699,6 @@
     for (const auto& it : requests.throttles) {
         workers.throttle(it, [](bool) {});
     }
-    for (const auto& it : requests.polls) {
-        workers.poll(it, [this, it, sent = now, number = leadership_number](
-                             fleet::poll_result result,
-                             const fleet::poll_response& response) {
-            if (leadership && number == leadership_number) {
-                leadership->decisions.on_poll_result(it, result, response, sent,
-                                                     boot_clock::now());
-                run();
-            }
-        });
-    }
 }
 
 } // namespace rosemarytrail::cell
--- a/src/rosemarytrail/cell/worker_batch.cpp
+++ b/src/rosemarytrail/cell/worker_batch.cpp
@@ -76,19 +76,19 @@
                 row.insert(row.end(),
                            {pack_task(it.task), it.run,
                             payloads.add(it.payload), it.lease_end_ms, it.epoch,
-                            it.checkpoint, it.ticket, it.restarts});
+                            it.checkpoint, it.ticket, it.generation});
                 return row;
             },
             [&](const fleet::stop_request& it) {
                 auto row = head(call_type::stop, it.worker);
-                row.insert(row.end(),
-                           {pack_task(it.task), it.run, it.epoch, it.restarts});
+                row.insert(row.end(), {pack_task(it.task), it.run, it.epoch,
+                                       it.generation});
                 return row;
             },
             [&](const fleet::throttle_request& it) {
                 auto row = head(call_type::throttle, it.worker);
                 row.insert(row.end(), {pack_task(it.task), it.run, it.percent,
-                                       it.epoch, it.restarts});
+                                       it.epoch, it.generation});
                 return row;
             },
             [&](const fleet::poll_request& it) {
@@ -96,7 +96,7 @@
                 row.insert(row.end(),
                            {it.epoch, it.acknowledged,
                             it.lease_end_ms ? json(*it.lease_end_ms) : json(),
-                            to_milliseconds(it.wait), it.restarts});
+                            to_milliseconds(it.wait), it.generation});
                 return row;
             }},
         call.request);
@@ -118,7 +118,7 @@
                                  .payload = payloads.at(row.at(6)),
                                  .lease_end_ms = row.at(7),
                                  .epoch = row.at(8),
-                                 .restarts = row.at(11),
+                                 .generation = row.at(11),
                                  .checkpoint = row.at(9).get<std::string>(),
                                  .ticket = row.at(10).get<std::string>()};
         break;
@@ -127,7 +127,7 @@
                                              .task = read_task(row.at(4)),
                                              .run = row.at(5),
                                              .epoch = row.at(6),
-                                             .restarts = row.at(7)};
+                                             .generation = row.at(7)};
         break;
     case call_type::throttle:
         result.request = fleet::throttle_request{.worker = worker,
@@ -135,13 +135,13 @@
                                                  .run = row.at(5),
                                                  .percent = row.at(6),
                                                  .epoch = row.at(7),
-                                                 .restarts = row.at(8)};
+                                                 .generation = row.at(8)};
         break;
     default:
         fleet::poll_request poll{
             .worker = worker,
             .epoch = row.at(4),
-            .restarts = row.at(8),
+            .generation = row.at(8),
             .acknowledged = row.at(5),
             .lease_end_ms = std::nullopt,
             .wait = std::chrono::milliseconds{row.at(7).get<std::int64_t>()}};
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -443,30 +443,43 @@
         if (to_record && !renewal_due) {
             continue;
         }
+        if (self.awaits_start_response(worker) &&
+            now < worker.next_poll + options.max_poll_hold) {
+            continue;
+        }
+        // A later incarnation may run what was started since the known one was
+        // last alive: the poll must not renew that, nor acknowledge its end.
+        const bool unconfirmed = worker.last_start_at > worker.alive_at;
         // An unresponsive worker may have restarted and numbers its ended runs
         // from one again.
         poll_request request{
             .worker = {.id = worker.vm.id, .address = worker.vm.address},
             .epoch = options.epoch,
+            .generation = worker.generation,
             .restarts = worker.restarts,
-            .acknowledged =
-                worker.unanswered > 0 ? 0 : worker.last_recorded_end,
+            .acknowledged = worker.unanswered > 0 || unconfirmed
+                                ? 0
+                                : worker.last_recorded_end,
             .lease_end_ms = std::nullopt,
-            .wait = to_record || !worker.fenced ? duration{}
-                                                : options.poll_timeout};
+            .wait = to_record || !worker.fenced || unconfirmed
+                        ? duration{}
+                        : options.poll_timeout};
         // The lease of an unresponsive worker is not renewed, so that it
         // expires.
-        if (worker.renewable && worker.unanswered == 0 && worker.clock_ms) {
+        if (worker.renewable && worker.unanswered == 0 && worker.clock_ms &&
+            !unconfirmed) {
             request.lease_end_ms = self.lease_end(worker, now);
         }
         worker.last_renewal = now;
         worker.poll_in_flight = true;
+        worker.polled_in_generation = true;
         result.polls.push_back(std::move(request));
     }
     result.starts.swap(self.starts);
     result.stops.swap(self.stops);
     result.throttles.swap(self.throttles);
     result.advice_assignments.swap(self.advice_assignments);
+    self.set_generations(result);
     return result;
 }
 
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -50,6 +50,8 @@
      * ticket limits it; a worker may execute a request that it has not answered
      * seconds later. */
     duration max_start_delay{std::chrono::milliseconds{9000}};
+    /** @brief How long a poll waits for the responses to starts. */
+    duration max_poll_hold{std::chrono::milliseconds{500}};
     /** @brief Runs that are declared shorter, and last no longer, are not
      * recorded as confirmed by their worker. */
     duration short_run{std::chrono::milliseconds{1000}};
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -351,6 +351,10 @@
     bool restarted{false};
     /** @brief Number of its restarts that this leader has noticed. */
     std::uint32_t restarts{};
+    /** @brief Generation of calls to it: raised by each restart, and by the
+     * first start after a poll. */
+    std::uint32_t generation{};
+    bool polled_in_generation{false};
     /** @brief A clock has told of the last restart; the incarnation in `vm` is
      * the one before. */
     bool incarnation_outdated{false};
@@ -378,7 +382,9 @@
     /** @brief The same for a run that a later incarnation may execute, as the
      * known one has not confirmed it. */
     time_point unconfirmed_until;
-    /** @brief When the last start without a response was requested. */
+    /** @brief When the last start was requested, and the last one without a
+     * response. */
+    time_point last_start_at;
     time_point unanswered_start_at;
     /** @brief Bound on leases whose end was set on the clock of an earlier
      * incarnation. */
@@ -466,8 +472,9 @@
     {
         std::string address;
         std::int64_t incarnation{};
-        /** @brief If it is listed again, it has seen the tokens of these. */
         std::uint32_t restarts{};
+        /** @brief If it is listed again, it has seen the tokens of these. */
+        std::uint32_t generation{};
     };
     std::map<std::string, removed_worker> removed_workers;
     std::set<std::string> evacuated_zones;
@@ -661,6 +668,10 @@
                               time_point sent_at);
     void observe_response(const start_request& request,
                           const start_response& response, time_point now);
+    static void begin_generation(tracked_worker& worker);
+    /** @return True if the last start may still be answered. */
+    [[nodiscard]] static bool awaits_start_response(const tracked_worker& it);
+    void set_generations(dispatcher_requests& requests);
     void confirm_run(tracked_step& step, std::uint32_t index, time_point now);
     [[nodiscard]] bool may_run_in_later_incarnation(const task_key& key);
     [[nodiscard]] duration start_delay_limit(const tracked_step& step,
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -28,8 +28,7 @@
         stops.push_back({.worker = {.id = vm.id, .address = vm.address},
                          .task = {.step = step.key, .index = index},
                          .run = task.run,
-                         .epoch = options.epoch,
-                         .restarts = worker.restarts});
+                         .epoch = options.epoch});
     }
 }
 
@@ -199,10 +198,10 @@
         return;
     }
     auto& worker = self.workers[request.worker.id];
-    // A request to a previous incarnation is refused, but a copy of it may have
+    // A request of an earlier generation is refused, but a copy of it may have
     // been executed before.
-    const bool outdated =
-        result == start_result::fenced && request.restarts != worker.restarts;
+    const bool outdated = result == start_result::fenced &&
+                          request.generation != worker.generation;
     const bool start_sent = task.phase == task_phase::start_sent;
     const bool stopping = task.phase == task_phase::stopping;
     if (result == start_result::started) {
@@ -272,14 +271,16 @@
                                 time_point now)
 {
     auto* task = state_->find_task(request.task);
-    if (task != nullptr && answered && task->run == request.run &&
-        task->phase == task_phase::stopping && !task->stop_acknowledged) {
+    const auto worker = state_->workers.find(request.worker.id);
+    if (task == nullptr || worker == state_->workers.end() || !answered ||
+        request.restarts != worker->second.restarts) {
+        return;
+    }
+    if (task->run == request.run && task->phase == task_phase::stopping &&
+        !task->stop_acknowledged) {
         task->stop_acknowledged = now;
         // The next poll returns the ended run.
-        if (const auto it = state_->workers.find(request.worker.id);
-            it != state_->workers.end()) {
-            it->second.next_poll = now;
-        }
+        worker->second.next_poll = now;
     }
 }
 
--- a/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
@@ -111,6 +111,42 @@
     }
 }
 
+void dispatcher::state::begin_generation(tracked_worker& worker)
+{
+    ++worker.generation;
+    worker.polled_in_generation = false;
+}
+
+bool dispatcher::state::awaits_start_response(const tracked_worker& it)
+{
+    return it.fenced &&
+           it.last_start_at > std::max(it.alive_at, it.unanswered_start_at);
+}
+
+// The incarnation that executes a start refuses the polls sent before it, which
+// would renew or acknowledge runs of another one.
+void dispatcher::state::set_generations(dispatcher_requests& requests)
+{
+    for (const auto& it : requests.starts) {
+        auto& worker = workers[it.worker.id];
+        worker.last_start_at = it.requested_at;
+        if (worker.polled_in_generation) {
+            begin_generation(worker);
+        }
+    }
+    const auto set = [this](auto& calls) {
+        for (auto& it : calls) {
+            it.generation = workers[it.worker.id].generation;
+        }
+    };
+    set(requests.starts);
+    set(requests.stops);
+    set(requests.throttles);
+    for (auto& it : requests.stops) {
+        it.restarts = workers[it.worker.id].restarts;
+    }
+}
+
 // Most short runs are over before a successor could need the confirmation.
 void dispatcher::state::confirm_run(tracked_step& step, std::uint32_t index,
                                     time_point now)
@@ -217,6 +253,7 @@
     const std::vector<task_key> load{worker.load.begin(), worker.load.end()};
     remember_losses(worker, load, false, now);
     ++worker.restarts;
+    begin_generation(worker);
     worker.previous_calls_possible = true;
     worker.restarted = !worker.vm.draining;
     worker.replaced = false;
@@ -224,7 +261,10 @@
         find_task(key)->stop_acknowledged.reset();
     }
     worker.previous_clock_lease_until = now + worst_case_previous_lease();
-    if (std::ranges::any_of(load, [this](const task_key& key) {
+    // A start without a response extends the lease of all runs, even if its own
+    // run is refused.
+    if (worker.last_start_at > worker.alive_at ||
+        std::ranges::any_of(load, [this](const task_key& key) {
             return may_run_in_later_incarnation(key);
         })) {
         worker.previous_clock_lease_until = std::max(
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -80,6 +80,7 @@
         }
         if (const auto before = self.removed_workers.extract(vm.id)) {
             it.restarts = before.mapped().restarts;
+            it.generation = before.mapped().generation;
             it.vm.address = before.mapped().address;
             it.vm.incarnation = before.mapped().incarnation;
         }
@@ -118,10 +119,11 @@
                                    !worker.poll_in_flight &&
                                    worker.lease_until < now;
             if (removable) {
-                self.removed_workers[it.first] = {.address = worker.vm.address,
-                                                  .incarnation =
-                                                      worker.vm.incarnation,
-                                                  .restarts = worker.restarts};
+                self.removed_workers[it.first] = {
+                    .address = worker.vm.address,
+                    .incarnation = worker.vm.incarnation,
+                    .restarts = worker.restarts,
+                    .generation = worker.generation};
                 self.removals.push_back(
                     {.key = encode_key(
                          {.kind = entry_kind::worker, .worker = it.first}),
@@ -306,8 +308,7 @@
                 {.worker = {.id = worker.vm.id, .address = worker.vm.address},
                  .task = row.task,
                  .run = row.run,
-                 .epoch = options.epoch,
-                 .restarts = worker.restarts});
+                 .epoch = options.epoch});
             continue;
         }
         reported.insert(row.task);
@@ -410,8 +411,7 @@
              .task = row.task,
              .run = row.run,
              .percent = task->cpu_limit_percent,
-             .epoch = options.epoch,
-             .restarts = worker.restarts});
+             .epoch = options.epoch});
     }
 }
 
@@ -474,8 +474,7 @@
         self.on_replaced(worker, now);
         return;
     }
-    // The call may have reached either incarnation.
-    const bool outdated = request.restarts != worker.restarts;
+    const bool outdated = request.generation != worker.generation;
     if (result == poll_result::fenced && outdated) {
         worker.next_poll = now;
         return;
--- a/src/rosemarytrail/fleet/worker_calls.hpp
+++ b/src/rosemarytrail/fleet/worker_calls.hpp
@@ -4,8 +4,8 @@
 #include <rosemarytrail/core/time.hpp>
 #include <rosemarytrail/fleet/job.hpp>
 
-#include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,19 +27,18 @@
 /**
  * @brief Returns the fencing token of a call to a worker.
  *
- * A worker that restarts under its id takes calls that were sent to its
- * previous incarnation. Once it has seen the token of a call that was sent to
- * the present one, it refuses them, as it refuses calls of earlier leaders.
+ * A worker refuses calls with a token lower than the highest that it has seen,
+ * as those of earlier leaders. It forgets that token when it restarts, and then
+ * takes calls that were sent to its previous incarnation, until it has seen one
+ * of a later generation.
  * @param epoch Epoch of the leader.
- * @param restarts Number of restarts of the worker that the leader has noticed.
- * @return Token; larger for a later epoch or a later incarnation.
+ * @param generation Generation of the leader's calls to the worker.
+ * @return Token; larger for a later epoch or a later generation.
  */
 [[nodiscard]] constexpr std::uint64_t fencing_token(std::uint64_t epoch,
-                                                    std::uint32_t restarts)
+                                                    std::uint32_t generation)
 {
-    constexpr unsigned restart_bits = 16;
-    constexpr std::uint32_t max_restarts = (1U << restart_bits) - 1;
-    return epoch << restart_bits | std::min(restarts, max_restarts);
+    return epoch << std::numeric_limits<std::uint32_t>::digits | generation;
 }
 
 /** @brief Request to start one run of a task. */
@@ -53,7 +52,10 @@
     /** @brief End of the lease on the worker's own clock, in milliseconds. */
     std::int64_t lease_end_ms{};
     std::uint64_t epoch{};
-    /** @brief Restarts of the worker before the incarnation that is meant. */
+    /** @brief Generation of the leader's calls to the worker. */
+    std::uint32_t generation{};
+    /** @brief Restarts of the worker that the leader had noticed; not sent
+     * along. */
     std::uint32_t restarts{};
     /** @brief Checkpoint to resume from; empty for none. */
     std::string checkpoint;
@@ -70,7 +72,10 @@
     task_key task;
     std::uint32_t run{};
     std::uint64_t epoch{};
-    /** @brief Restarts of the worker before the incarnation that is meant. */
+    /** @brief Generation of the leader's calls to the worker. */
+    std::uint32_t generation{};
+    /** @brief Restarts of the worker that the leader had noticed; not sent
+     * along. */
     std::uint32_t restarts{};
 };
 
@@ -82,7 +87,10 @@
     std::uint32_t run{};
     std::uint32_t percent{100};
     std::uint64_t epoch{};
-    /** @brief Restarts of the worker before the incarnation that is meant. */
+    /** @brief Generation of the leader's calls to the worker. */
+    std::uint32_t generation{};
+    /** @brief Restarts of the worker that the leader had noticed; not sent
+     * along. */
     std::uint32_t restarts{};
 };
 
@@ -92,7 +100,10 @@
 {
     worker_address worker;
     std::uint64_t epoch{};
-    /** @brief Restarts of the worker before the incarnation that is meant. */
+    /** @brief Generation of the leader's calls to the worker. */
+    std::uint32_t generation{};
+    /** @brief Restarts of the worker that the leader had noticed; not sent
+     * along. */
     std::uint32_t restarts{};
     /** @brief The worker may discard ended runs up to this number; they are
      * recorded in the ledger. */
--- a/test/cell/worker_batch.cpp
+++ b/test/cell/worker_batch.cpp
@@ -30,21 +30,21 @@
                                  .payload = payload,
                                  .lease_end_ms = 4711,
                                  .epoch = 9,
-                                 .restarts = 3,
+                                 .generation = 3,
                                  .checkpoint = "c",
                                  .ticket = "t"});
     }
     add(fleet::stop_request{
-        .worker = worker, .task = task, .run = 4, .epoch = 9, .restarts = 4});
+        .worker = worker, .task = task, .run = 4, .epoch = 9, .generation = 4});
     add(fleet::throttle_request{.worker = worker,
                                 .task = task,
                                 .run = 5,
                                 .percent = 25,
                                 .epoch = 9,
-                                .restarts = 5});
+                                .generation = 5});
     add(fleet::poll_request{.worker = worker,
                             .epoch = 9,
-                            .restarts = 6,
+                            .generation = 6,
                             .acknowledged = 12,
                             .lease_end_ms = 815,
                             .wait = 1s});
@@ -63,22 +63,22 @@
     CHECK(*start.payload == *payload);
     CHECK(start.lease_end_ms == 4711);
     CHECK(start.epoch == 9);
-    CHECK(start.restarts == 3);
+    CHECK(start.generation == 3);
     CHECK(start.checkpoint == "c");
     CHECK(start.ticket == "t");
     const auto& stop = std::get<fleet::stop_request>(it->calls[3]->request);
     CHECK(stop.task == task);
     CHECK(stop.run == 4);
     CHECK(stop.epoch == 9);
-    CHECK(stop.restarts == 4);
+    CHECK(stop.generation == 4);
     const auto& throttle =
         std::get<fleet::throttle_request>(it->calls[4]->request);
     CHECK(throttle.run == 5);
     CHECK(throttle.percent == 25);
     CHECK(throttle.epoch == 9);
-    CHECK(throttle.restarts == 5);
+    CHECK(throttle.generation == 5);
     const auto& poll = std::get<fleet::poll_request>(it->calls[5]->request);
-    CHECK(poll.restarts == 6);
+    CHECK(poll.generation == 6);
     CHECK(poll.acknowledged == 12);
     CHECK(poll.lease_end_ms == 815);
     CHECK(poll.wait == duration{1s});
--- a/test/fleet/worker_restarts.cpp
+++ b/test/fleet/worker_restarts.cpp
@@ -165,6 +165,88 @@
     CHECK(cell.violations.empty());
 }
 
+// Guards against a task that runs again though it is done, as a poll for the
+// previous incarnation acknowledges the end before it is read.
+TEST_CASE("A poll sent before a start acknowledges none of its ends",
+          "[worker_restarts]")
+{
+    restarting_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 200ms};
+    };
+    cell.submit(make_job(1, {{.tasks = 4, .demand = one_core}}));
+    cell.run(1s);
+    REQUIRE(cell.state(1) == job_state::completed);
+    auto& w0 = cell.workers["w0"];
+    w0.delay_poll_responses = true;
+    cell.run(20ms);
+    REQUIRE(cell.last_polls["w0"].acknowledged == 4);
+    cell.restart("w0");
+    cell.submit(make_job(2, {{.demand = one_core}}));
+    cell.run(300ms);
+    REQUIRE(w0.ended.size() == 1);
+    w0.delay_poll_responses = false;
+    cell.run(3s);
+    CHECK(cell.state(2) == job_state::completed);
+    CHECK(cell.violations.empty());
+}
+
+// Guards against a lease that is longer than the leader allows for, as a poll
+// for the previous incarnation renews it late.
+TEST_CASE("A poll sent before a start does not renew its lease",
+          "[worker_restarts]")
+{
+    restarting_fleet cell;
+    auto& w0 = cell.workers["w0"];
+    w0.delay_poll_responses = true;
+    w0.poll_delay = 5s;
+    cell.run(20ms);
+    REQUIRE(w0.delayed_polls.size() == 1);
+    w0.poll_delay = {};
+    cell.restart("w0");
+    w0.listed_late = true;
+    cell.submit(make_advised_job(1, {.demand = one_core}));
+    cell.grant({.job = 1}, {"w0"}, 2500ms);
+    cell.run(200ms);
+    REQUIRE(cell.running_on("w0") == 1);
+    w0.delay_poll_responses = false;
+    cell.cut();
+    cell.run(8s);
+    cell.grant({.job = 1}, {"w0", "w1"}, 60s);
+    cell.run(25s);
+    CHECK(cell.running_on("w1") == 1);
+    CHECK(cell.violations.empty());
+}
+
+// Guards against the same for polls sent after a start that was not answered.
+TEST_CASE("Polls neither renew nor acknowledge while a start is unanswered",
+          "[worker_restarts]")
+{
+    restarting_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 200ms};
+    };
+    cell.submit(make_job(1, {{.tasks = 4, .demand = one_core}}));
+    cell.run(1s);
+    auto& w0 = cell.workers["w0"];
+    REQUIRE(cell.last_polls["w0"].acknowledged == 4);
+    REQUIRE(cell.last_polls["w0"].lease_end_ms);
+    w0.start_delay = 2s;
+    cell.submit(make_job(2, {{.demand = one_core}}));
+    cell.run(cell.options.max_poll_hold + 1s);
+    w0.delay_poll_responses = true;
+    cell.submit(make_job(3, {{.demand = one_core}}));
+    cell.run(cell.options.max_poll_hold + 1s);
+    CHECK(cell.last_polls["w0"].acknowledged == 0);
+    CHECK_FALSE(cell.last_polls["w0"].lease_end_ms);
+    w0.delay_poll_responses = false;
+    w0.start_delay = {};
+    cell.run(5s);
+    CHECK(cell.last_polls["w0"].acknowledged > 0);
+    CHECK(cell.last_polls["w0"].lease_end_ms);
+    CHECK(cell.violations.empty());
+}
+
 // Guards against a task that waits for longer than its worker's lease, though
 // only an incarnation that has answered can run it.
 TEST_CASE("A confirmed run is given up with the usual lease",
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -268,8 +268,8 @@
         if (at > now) {
             return false;
         }
-        if (accept_token(it, request) && request.lease_end_ms) {
-            extend_lease(it, *request.lease_end_ms);
+        if (accept_token(it, request)) {
+            execute_poll(it, request);
         }
         return true;
     });
@@ -359,7 +359,7 @@
 template <typename Request>
 bool worker_fleet::accept_token(model_worker& it, const Request& request)
 {
-    const auto token = fleet::fencing_token(request.epoch, request.restarts);
+    const auto token = fleet::fencing_token(request.epoch, request.generation);
     const bool accepted = token >= it.token;
     it.token = std::max(it.token, token);
     return accepted;
@@ -425,6 +425,21 @@
     found->second.ends = std::min(found->second.ends, now + stop_time);
 }
 
+void worker_fleet::execute_poll(model_worker& it,
+                                const fleet::poll_request& request)
+{
+    if (request.lease_end_ms) {
+        extend_lease(it, *request.lease_end_ms);
+    }
+    std::erase_if(it.ended, [&](const fleet::ended_row& row) {
+        const bool known = row.number <= request.acknowledged;
+        if (known && row.how == run_end::done) {
+            acknowledged_.insert(row.task);
+        }
+        return known;
+    });
+}
+
 void worker_fleet::handle_poll(model_worker& it,
                                const fleet::poll_request& request,
                                time_point sent)
@@ -445,16 +460,7 @@
                                     sent, now + tick);
         return;
     }
-    if (request.lease_end_ms) {
-        extend_lease(it, *request.lease_end_ms);
-    }
-    std::erase_if(it.ended, [&](const fleet::ended_row& row) {
-        const bool known = row.number <= request.acknowledged;
-        if (known && row.how == run_end::done) {
-            acknowledged_.insert(row.task);
-        }
-        return known;
-    });
+    execute_poll(it, request);
     fleet::poll_response response{.clock_ms = clock_of(it),
                                   .incarnation = it.vm.incarnation,
                                   .running = {},
@@ -509,6 +515,25 @@
         advice_assignments.insert(advice_assignments.end(),
                                   requests.advice_assignments.begin(),
                                   requests.advice_assignments.end());
+        auto polls = std::exchange(pending_polls_, {});
+        for (const auto& it : requests.polls) {
+            polls.emplace_back(now, it);
+            last_polls[it.worker.id] = it;
+        }
+        for (const auto& [sent, it] : polls) {
+            auto& worker = workers.at(it.worker.id);
+            if (worker.poll_delay > duration{} && sent == now) {
+                worker.delayed_polls.emplace_back(now + worker.poll_delay, it);
+            }
+            if (worker.delay_poll_responses) {
+                pending_polls_.emplace_back(sent, it);
+            } else if (worker.poll_delay > duration{}) {
+                dispatcher_->on_poll_result(it, fleet::poll_result::failed, {},
+                                            sent, now);
+            } else {
+                handle_poll(worker, it, sent);
+            }
+        }
         for (const auto& it : requests.stops) {
             auto& worker = workers.at(it.worker.id);
             const bool reached = !worker.unreachable && !worker.replaced_at;
@@ -536,22 +561,6 @@
         }
         throttles.insert(throttles.end(), requests.throttles.begin(),
                          requests.throttles.end());
-        auto polls = std::exchange(pending_polls_, {});
-        for (const auto& it : requests.polls) {
-            polls.emplace_back(now, it);
-        }
-        for (const auto& [sent, it] : polls) {
-            auto& worker = workers.at(it.worker.id);
-            if (worker.delay_poll_responses) {
-                pending_polls_.emplace_back(sent, it);
-            } else if (worker.poll_delay > duration{}) {
-                worker.delayed_polls.emplace_back(now + worker.poll_delay, it);
-                dispatcher_->on_poll_result(it, fleet::poll_result::failed, {},
-                                            sent, now);
-            } else {
-                handle_poll(worker, it, sent);
-            }
-        }
     }
 }
 
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -131,6 +131,8 @@
     /** @brief Workers refuse all tickets while it is set. */
     bool refuse_tickets{false};
     std::size_t refused_starts{};
+    /** @brief Last poll of each worker. */
+    std::map<std::string, fleet::poll_request> last_polls;
     /** @brief Start requests that were executed without a response. */
     std::vector<fleet::start_request> unanswered_starts;
     /** @brief Advice requests that the dispatcher has assigned. */
@@ -182,6 +184,7 @@
     void append();
     void advance(model_worker& it);
     void execute_delayed_polls(model_worker& it);
+    void execute_poll(model_worker& it, const fleet::poll_request& request);
     void replace_crashed();
     void remove_departed();
     void start(model_worker& it, const fleet::start_request& request);
