Keep a task at the worker that may still execute the start of its former run

Cause: a start without a response is given up once a stop of its run is acknowledged and the worker does not list the run. That holds as long as the worker remembers the stop. If it restarts, it executes the start after all, while the next run goes on elsewhere; a successor gives such a run up with the first list, without a stop.

Ruled out: steps with tickets. A ticket is valid in one incarnation only, and that the known incarnation has answered a later call shows that it is not of a later one.

Change: after such a start the task goes to the same worker only, for as long as the start may be executed (9 s), and then until the worker has answered a poll or the longest lease is over. The ledger names the worker, so that a successor does the same. A worker that lists an earlier run of a task has that stopped before the task is placed again. If another incarnation under another id is at the address, the start is void.

Weighed: leaving the task unplaced for 9 s, which every start without a response would cost although its worker has not restarted; the same worker can take the next run at once, since its restart ends that run as well.

Why it works: a worker executes the start late only after a restart, and that ends the next run, too; its task is given up only after the longer bound, which each start of the worker extends.

Before and after: "A start without an answer or ticket ties its task to the worker" fails without the change ("already running"), with and without a takeover; with it the test holds for eight combinations of takeovers and delays.

Open: a copy of a start without a ticket that a lost relay has left, while the other one is confirmed; and calls without a ticket that are carried out over 9 s late.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -128,6 +128,7 @@
                                         time_point now)
 {
     auto& task = step.tasks[index];
+    remember_start(step, index, now);
     release(step, index);
     if (task.phase == task_phase::running ||
         task.phase == task_phase::unknown) {
@@ -206,6 +207,13 @@
         task.checkpoint = row.checkpoint;
         task.confirmed = row.confirmed;
         task.confirmation_recorded = row.confirmed;
+        task.start_unanswered = !row.confirmed;
+        if (!row.earlier_start.empty()) {
+            task.earlier_start = {.worker = row.earlier_start,
+                                  .executed_until =
+                                      now + options.max_start_delay};
+            expect_start(*task.earlier_start);
+        }
         task.since = now;
         task.resumed = true;
         // The previous leader may have lost an earlier run just now.
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -106,6 +106,15 @@
     stable
 };
 
+/** @brief Start that a worker may still execute, though its run was given
+ * up. */
+struct pending_start
+{
+    std::string worker;
+    /** @brief It is not executed after this time. */
+    time_point executed_until;
+};
+
 /** @brief Task as tracked by the dispatcher. */
 struct task_state
 {
@@ -122,6 +131,11 @@
     /** @brief This leader sent the start request. */
     bool start_seen{false};
     time_point start_requested_at;
+    /** @brief The start has no response yet. */
+    bool start_unanswered{false};
+    /** @brief Start of an earlier run. A stop is forgotten when its worker
+     * restarts, but so is a run there, so the task goes to no other worker. */
+    std::optional<pending_start> earlier_start;
     /** @brief The known incarnation of its worker has executed the start, so
      * that the run ends with it. */
     bool confirmed{false};
@@ -401,6 +415,8 @@
     time_point next_poll;
     time_point last_renewal;
     std::uint32_t unanswered{};
+    /** @brief When the last poll was sent whose response was accepted. */
+    time_point list_requested_at;
     /** @brief Reported runs that the dispatcher does not track. */
     std::size_t untracked_runs{};
     worker_health health;
@@ -542,9 +558,10 @@
     /** @brief Wall-clock time of the last planning pass. */
     std::int64_t last_plan_unix_ms{};
     time_point next_relocation;
-    /** @brief When workers that were set aside accept a probe, and a larger
-     * one. */
-    std::set<time_point> probe_times;
+    /** @brief When tasks may become placeable: workers that were set aside
+     * accept a probe, or a larger one, or a start can have no effect any
+     * more. */
+    std::set<time_point> replan_times;
     evacuation_budget evacuation_moves;
     relocation_counts relocated;
     withheld_starts withheld;
@@ -672,6 +689,14 @@
     /** @return True if the last start may still be answered. */
     [[nodiscard]] static bool awaits_start_response(const tracked_worker& it);
     void set_generations(dispatcher_requests& requests);
+    void remember_start(tracked_step& step, std::uint32_t index,
+                        time_point now);
+    /** @brief Has a task planned again once the start can have no effect. */
+    void expect_start(const internal::pending_start& start);
+    /** @return Start of an earlier run that its worker may execute, or of which
+     * it may have the run. */
+    [[nodiscard]] const internal::pending_start*
+    open_start(const task_state& task, time_point now);
     void confirm_run(tracked_step& step, std::uint32_t index, time_point now);
     [[nodiscard]] bool may_run_in_later_incarnation(const task_key& key);
     [[nodiscard]] duration start_delay_limit(const tracked_step& step,
--- a/src/rosemarytrail/fleet/internal/ledger_batches.cpp
+++ b/src/rosemarytrail/fleet/internal/ledger_batches.cpp
@@ -87,7 +87,10 @@
                                               ? task.checkpoint
                                               : std::string{},
                             .crashes = task.crashes,
-                            .confirmed = task.confirmed});
+                            .confirmed = task.confirmed,
+                            .earlier_start = task.earlier_start
+                                                 ? task.earlier_start->worker
+                                                 : std::string{}});
         }
         entries.push_back({.key = encode_key({.kind = entry_kind::progress,
                                               .step = step.key,
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -187,6 +187,12 @@
             best_rank = rank;
         }
     };
+    if (const auto* start = open_start(task, now)) {
+        if (const auto it = workers.find(start->worker); it != workers.end()) {
+            consider(it->second);
+        }
+        return best;
+    }
     if (!step.job->record.queue.advice) {
         for (auto& [id, it] : workers) {
             consider(it);
@@ -209,6 +215,9 @@
     task.evidence = internal::run_evidence::none;
     task.confirmed = false;
     task.confirmation_recorded = false;
+    if (open_start(task, now) == nullptr) {
+        task.earlier_start.reset();
+    }
     ++task.run;
     if (step.waiting == 0 && step.placed_at == time_point{}) {
         step.placed_at = now;
@@ -239,11 +248,12 @@
             break;
         }
         auto* worker = choose_worker(step, i, now);
-        if (worker == nullptr) {
+        if (worker != nullptr) {
+            place(step, i, *worker, now);
+            ++n;
+        } else if (!step.tasks[i].earlier_start) {
             break;
         }
-        place(step, i, *worker, now);
-        ++n;
     }
     if (n > 0) {
         log_decision(step.key.job, "placed",
@@ -319,8 +329,8 @@
         it.update_ready(*job->second, unix_ms);
         return false;
     });
-    while (!it.probe_times.empty() && *it.probe_times.begin() <= now) {
-        it.probe_times.erase(it.probe_times.begin());
+    while (!it.replan_times.empty() && *it.replan_times.begin() <= now) {
+        it.replan_times.erase(it.replan_times.begin());
         it.replan = true;
     }
     it.update_order(now);
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -167,6 +167,7 @@
     task.resumed = step->spec->checkpoints && !task.checkpoint.empty();
     task.start_seen = true;
     task.start_requested_at = now;
+    task.start_unanswered = true;
     worker.unconfirmed_until =
         std::max(worker.unconfirmed_until, now + start_delay_limit(*step, now) +
                                                worst_case_previous_lease());
@@ -202,6 +203,10 @@
     // been executed before.
     const bool outdated = result == start_result::fenced &&
                           request.generation != worker.generation;
+    // A lost relay may have left a copy of a start without a clock.
+    task.start_unanswered =
+        result == start_result::unknown || outdated ||
+        (result == start_result::started && !response.clock_ms);
     const bool start_sent = task.phase == task_phase::start_sent;
     const bool stopping = task.phase == task_phase::stopping;
     if (result == start_result::started) {
--- a/src/rosemarytrail/fleet/internal/worker_crashes.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_crashes.cpp
@@ -114,9 +114,9 @@
     const bool crashed = !worker.vm.draining;
     const std::vector<task_key> lost{worker.load.begin(), worker.load.end()};
     remember_losses(worker, lost, false, now);
+    worker.replaced = true;
     lose_tasks(worker, lost, now, "worker replaced");
     explain_losses(worker, crashed, now);
-    worker.replaced = true;
     worker.lease_until = now;
 }
 
--- a/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
@@ -147,6 +147,45 @@
     }
 }
 
+// A ticket rules this out once a call was answered after the start.
+void dispatcher::state::remember_start(tracked_step& step, std::uint32_t index,
+                                       time_point now)
+{
+    auto& task = step.tasks[index];
+    if (step.job->record.queue.advice || task.worker.empty() ||
+        task.phase == task_phase::placed || task.confirmed ||
+        !task.start_unanswered || workers[task.worker].replaced) {
+        return;
+    }
+    const auto sent = task.start_seen ? task.start_requested_at : task.since;
+    const auto until = sent + options.max_start_delay;
+    if (until > now) {
+        task.earlier_start = {.worker = task.worker, .executed_until = until};
+        expect_start(*task.earlier_start);
+    }
+}
+
+void dispatcher::state::expect_start(const internal::pending_start& start)
+{
+    replan_times.insert(start.executed_until);
+    replan_times.insert(start.executed_until + worst_case_previous_lease());
+}
+
+const internal::pending_start*
+dispatcher::state::open_start(const task_state& task, time_point now)
+{
+    const auto& start = task.earlier_start;
+    if (!start || start->executed_until + worst_case_previous_lease() <= now) {
+        return nullptr;
+    }
+    const auto found = workers.find(start->worker);
+    const bool lists_no_run =
+        found != workers.end() &&
+        found->second.list_requested_at > start->executed_until &&
+        found->second.untracked_runs == 0;
+    return lists_no_run ? nullptr : &*start;
+}
+
 // Most short runs are over before a successor could need the confirmation.
 void dispatcher::state::confirm_run(tracked_step& step, std::uint32_t index,
                                     time_point now)
@@ -168,6 +207,9 @@
 {
     const auto& step = *find_step(key.step);
     const auto& task = step.tasks[key.index];
+    if (task.earlier_start && task.earlier_start->worker == task.worker) {
+        return true;
+    }
     if (task.confirmed || task.phase == task_phase::placed) {
         return false;
     }
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -296,6 +296,7 @@
                                         time_point sent_at, time_point now)
 {
     std::set<task_key> reported;
+    std::set<task_key> earlier_runs;
     worker.untracked_runs = 0;
     for (const auto& row : response.running) {
         auto* step = find_step(row.task.step);
@@ -304,6 +305,7 @@
             task->run != row.run) {
             ++worker.untracked_runs;
             log_untracked(worker, row, task);
+            earlier_runs.insert(row.task);
             stops.push_back(
                 {.worker = {.id = worker.vm.id, .address = worker.vm.address},
                  .task = row.task,
@@ -335,7 +337,8 @@
     const std::vector<task_key> load{worker.load.begin(), worker.load.end()};
     for (const auto& key : load) {
         auto* step = find_step(key.step);
-        if (step == nullptr || reported.contains(key)) {
+        if (step == nullptr || reported.contains(key) ||
+            earlier_runs.contains(key)) {
             continue;
         }
         auto& task = step->tasks[key.index];
@@ -530,6 +533,7 @@
     }
     worker.fenced = true;
     worker.unanswered = 0;
+    worker.list_requested_at = sent_at;
     worker.clock_ms = response.clock_ms;
     worker.clock_at = now;
     self.observe_alive(worker, response.clock_ms, sent_at);
--- a/src/rosemarytrail/fleet/job.hpp
+++ b/src/rosemarytrail/fleet/job.hpp
@@ -301,6 +301,9 @@
     /** @brief The incarnation of the worker that the leader knew has executed
      * the start, so that the run ends with it. */
     bool confirmed{false};
+    /** @brief Worker that may still execute the start of an earlier run; empty
+     * for none. */
+    std::string earlier_start;
 
     friend bool operator==(const task_progress&,
                            const task_progress&) = default;
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -132,11 +132,15 @@
 [[nodiscard]] json pack_task(const task_progress& it)
 {
     json row = json::array({it.run, it.failed_runs, it.worker, it.checkpoint});
-    if (!it.crashes.empty() || it.confirmed) {
+    const bool has_starts = it.confirmed || !it.earlier_start.empty();
+    if (!it.crashes.empty() || has_starts) {
         row.push_back(it.crashes.empty() ? json() : pack_crashes(it.crashes));
     }
-    if (it.confirmed) {
-        row.push_back(true);
+    if (has_starts) {
+        row.push_back(it.confirmed);
+    }
+    if (!it.earlier_start.empty()) {
+        row.push_back(it.earlier_start);
     }
     return row;
 }
@@ -417,7 +421,10 @@
                               .crashes = row.size() > 4 && !row[4].is_null()
                                              ? read_crashes(row[4])
                                              : crash_history{},
-                              .confirmed = row.size() > 5 && row[5]});
+                              .confirmed = row.size() > 5 && row[5],
+                              .earlier_start = row.size() > 6
+                                                   ? row[6].get<std::string>()
+                                                   : std::string{}});
         }
         return result;
     });
--- a/test/fleet/worker_restarts.cpp
+++ b/test/fleet/worker_restarts.cpp
@@ -165,6 +165,44 @@
     CHECK(cell.violations.empty());
 }
 
+// Guards against a task that runs twice, as its start without an answer was
+// given up by a stop that a restart makes the worker forget.
+TEST_CASE("A start without an answer or ticket ties its task to the worker",
+          "[worker_restarts]")
+{
+    // The start is given up by this leader, or by the next one.
+    const bool taken_over_early = GENERATE(false, true);
+    const bool taken_over_late = GENERATE(false, true);
+    const duration delay = GENERATE(2000ms, 8500ms);
+    CAPTURE(taken_over_early, taken_over_late, delay.count());
+    restarting_fleet cell;
+    cell.add_workers(1, {});
+    auto& w0 = cell.workers["w0"];
+    w0.start_delay = delay;
+    cell.submit(one_task());
+    while (w0.delayed.empty()) {
+        cell.run(cell.tick);
+    }
+    w0.start_delay = {};
+    // It forgets the stop when it restarts, and accepts no other task.
+    w0.vm.draining = true;
+    cell.workers["w1"].vm.capacity = eight_cores;
+    if (taken_over_early) {
+        cell.take_over();
+    }
+    cell.list_workers();
+    cell.run(1s);
+    if (taken_over_late) {
+        cell.take_over();
+    }
+    cell.restart("w0");
+    w0.unreachable = true;
+    w0.listed_late = true;
+    cell.run(40s);
+    CHECK(cell.running_on("w1") == 1);
+    CHECK(cell.violations.empty());
+}
+
 // Guards against a task that runs again though it is done, as a poll for the
 // previous incarnation acknowledges the end before it is read.
 TEST_CASE("A poll sent before a start acknowledges none of its ends",
