Take the result of a run that was given up

What callers saw: a job waits for a second, third and fourth run of a task whose first run has completed, and their work is thrown away. In runs of real processes with cut workers, tasks started again after an end as `done` that was acknowledged.

Cause: when a worker is reached again after its lease counted as over, it lists the first run as done. The end was taken only if no newer run had been sent, else it was logged as "late end not taken" and acknowledged all the same. The result was then known to nobody: the task depended on the newer run, and started again when that was lost or failed.

Ruled out: that the end was dropped for its number or lost with its batch, since "late end not taken" is logged for these tasks; a successor, since one leader suffices; not acknowledging the end, which only delays the same.

Change: the end of a run of a task that does not last is always taken. If a newer run was sent, the ledger holds the task as done from the batch that precedes the acknowledgement on, the run is stopped, and its worker and account stay charged until it is over. However it ends, the task is then done: `back_to_waiting`, which all losses pass, completes it. Failed ends and crashes no longer count for it, nor does its duration for the statistics. One member's end stands for its gang, as it does for an end in time.

At a successor the task is done at once and the newer run is one that it does not track. Nothing was placed on such a worker after that run was over until something else happened, so the end of the last such run now starts a planning pass. A job whose only recorded tasks are done was shown as not started; it now counts as started.

Why it works: the acknowledgement of a `done` end implies that the ledger, or the leader that is writing it, has the task as done, so no later loss can make it wait again.

No test covers that the duration of a stopped run stays out of the statistics.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -128,6 +128,11 @@
                                         time_point now)
 {
     auto& task = step.tasks[index];
+    if (task.result_known) {
+        set_done(step, index);
+        check_complete(step, now);
+        return;
+    }
     remember_start(step, index, now);
     release(step, index);
     if (task.phase == task_phase::running ||
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -120,6 +120,9 @@
 {
     task_phase phase{task_phase::waiting};
     std::uint32_t run{};
+    /** @brief An earlier run has completed; the task is done once the current
+     * one is over. */
+    bool result_known{false};
     /** @brief Numbers of the runs that ended as failed; a worker may list an
      * end more than once. Unused if the task lasts. */
     std::vector<std::uint32_t> failed_runs;
@@ -174,11 +177,23 @@
         return phase != task_phase::waiting && phase != task_phase::done;
     }
 
+    /** @return True if the start of the current run was sent and the run may
+     * not be over. */
+    [[nodiscard]] bool was_sent() const noexcept
+    {
+        return occupies_worker() && phase != task_phase::placed;
+    }
+
+    /** @return True if a run of it has completed. */
+    [[nodiscard]] bool has_result() const noexcept
+    {
+        return phase == task_phase::done || result_known;
+    }
+
     /** @return True if the worker may crash because of the current run. */
     [[nodiscard]] bool may_crash_worker() const noexcept
     {
-        return occupies_worker() && phase != task_phase::placed &&
-               evidence != run_evidence::stable;
+        return was_sent() && evidence != run_evidence::stable;
     }
 };
 
@@ -606,6 +621,8 @@
     void allocate(tracked_step& step, std::uint32_t index,
                   const std::string& worker);
     void release(tracked_step& step, std::uint32_t index);
+    /** @brief Returns the task of a run that is over to waiting, or completes
+     * it if an earlier run has. */
     void back_to_waiting(tracked_step& step, std::uint32_t index,
                          time_point now);
     void set_done(tracked_step& step, std::uint32_t index);
@@ -641,7 +658,9 @@
     void on_ended(tracked_worker& worker, const ended_row& row, time_point now);
     void on_late_end(const tracked_worker& worker, tracked_step& step,
                      const ended_row& row, time_point now);
+    void take_result(tracked_step& step, std::uint32_t index, time_point now);
     void complete_task(tracked_step& step, std::uint32_t index, time_point now);
+    void check_complete(tracked_step& step, time_point now);
     void on_run_failed(tracked_worker& worker, tracked_step& step,
                        std::uint32_t index, time_point now);
     void count_failed_run(tracked_step& step, std::uint32_t index,
--- a/src/rosemarytrail/fleet/internal/ledger_batches.cpp
+++ b/src/rosemarytrail/fleet/internal/ledger_batches.cpp
@@ -79,7 +79,7 @@
         for (std::size_t i = first; i < end; ++i) {
             auto& task = step.tasks[i];
             task.confirmation_recorded = task.confirmed;
-            rows.push_back({.done = task.phase == task_phase::done,
+            rows.push_back({.done = task.has_result(),
                             .run = task.run,
                             .failed_runs = task.failed_runs,
                             .worker = task.worker,
--- a/src/rosemarytrail/fleet/internal/worker_crashes.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_crashes.cpp
@@ -23,7 +23,7 @@
     for (const auto& key : lost) {
         auto& step = *find_step(key.step);
         auto& task = step.tasks[key.index];
-        if (!task.may_crash_worker()) {
+        if (!task.may_crash_worker() || task.result_known) {
             continue;
         }
         // A worker may restart and be lost again before it responds.
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -168,7 +168,7 @@
                                          std::uint32_t index, std::uint32_t run,
                                          time_point now)
 {
-    if (step.spec->long_running) {
+    if (step.spec->long_running || step.tasks[index].has_result()) {
         return;
     }
     const auto first = step.spec->gang ? 0 : index;
@@ -206,6 +206,11 @@
             }
         }
     }
+    check_complete(step, now);
+}
+
+void dispatcher::state::check_complete(tracked_step& step, time_point now)
+{
     if (step.complete() && !step.job->ended()) {
         step.done_at = now;
         update_speeds(step);
@@ -214,30 +219,49 @@
     }
 }
 
-// A run that was treated as lost may have completed all the same. Its result is
-// accepted unless the start of a later run has been sent.
+// The capacity of a later run that was sent stays allocated until that run is
+// over.
+void dispatcher::state::take_result(tracked_step& step, std::uint32_t index,
+                                    time_point now)
+{
+    auto& task = step.tasks[index];
+    if (!task.was_sent()) {
+        set_done(step, index);
+        return;
+    }
+    task.result_known = true;
+    task.crashes = {};
+    mark_dirty(step, index);
+    if (task.phase != task_phase::stopping) {
+        stop_task(step, index, now);
+    }
+}
+
+// A run that was treated as lost may have completed all the same. The end of
+// one member completes its gang.
 void dispatcher::state::on_late_end(const tracked_worker& worker,
                                     tracked_step& step, const ended_row& row,
                                     time_point now)
 {
-    const auto unsent = [](const task_state& it) {
-        return it.phase == task_phase::waiting ||
-               it.phase == task_phase::placed;
-    };
     const auto index = row.task.index;
-    const bool accepted =
-        !step.spec->long_running &&
-        (step.spec->gang ? std::ranges::all_of(step.tasks, unsent)
-                         : unsent(step.tasks[index]));
+    const bool accepted = !step.spec->long_running;
     log_decision(row.task.step.job,
                  accepted ? "late end taken" : "late end not taken",
                  to_text(row.task) + " run " + std::to_string(row.run) +
                      " on " + worker.vm.id + ", newest run " +
                      std::to_string(step.tasks[index].run));
-    if (accepted) {
-        complete_task(step, index, now);
-        check_finished(*step.job);
+    if (!accepted) {
+        return;
     }
+    if (step.spec->gang) {
+        for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+            take_result(step, i, now);
+        }
+    } else {
+        take_result(step, index, now);
+    }
+    check_complete(step, now);
+    check_finished(*step.job);
 }
 
 void dispatcher::state::on_ended(tracked_worker& worker, const ended_row& row,
@@ -250,10 +274,9 @@
     const auto index = row.task.index;
     auto& task = step->tasks[index];
     if (task.worker != worker.vm.id || task.run != row.run) {
-        if (row.how == run_end::done && task.phase != task_phase::done) {
+        if (row.how == run_end::done && !task.has_result()) {
             on_late_end(worker, *step, row, now);
-        } else if (row.how == run_end::failed &&
-                   task.phase != task_phase::done && row.run <= task.run) {
+        } else if (row.how == run_end::failed && row.run <= task.run) {
             count_failed_run(*step, index, row.run, now);
         }
         return;
@@ -264,7 +287,8 @@
     if (row.how == run_end::done || row.how == run_end::failed) {
         clear_crashes(*step, index);
     }
-    if (row.how == run_end::done && !step->spec->long_running) {
+    if (row.how == run_end::done && !step->spec->long_running &&
+        !task.result_known) {
         record_good_run(worker, row.task, now);
         task.completed_on = worker.vm.id;
         task.run_duration = now - task.since;
@@ -297,7 +321,7 @@
 {
     std::set<task_key> reported;
     std::set<task_key> earlier_runs;
-    worker.untracked_runs = 0;
+    const bool had_untracked = std::exchange(worker.untracked_runs, 0) > 0;
     for (const auto& row : response.running) {
         auto* step = find_step(row.task.step);
         auto* task = find_task(row.task);
@@ -333,6 +357,8 @@
         }
         observe_running(worker, row.task, sent_at);
     }
+    // Nothing is placed there as long as there are any.
+    replan = replan || (had_untracked && worker.untracked_runs == 0);
     std::size_t missing = 0;
     const std::vector<task_key> load{worker.load.begin(), worker.load.end()};
     for (const auto& key : load) {
--- a/src/rosemarytrail/fleet/job_index.cpp
+++ b/src/rosemarytrail/fleet/job_index.cpp
@@ -20,8 +20,9 @@
 {
     return started || completed_occurrences > 0 ||
            std::ranges::any_of(progress, [](const auto& step) {
-               return std::ranges::any_of(
-                   step.second, [](const auto& task) { return task.run > 0; });
+               return std::ranges::any_of(step.second, [](const auto& task) {
+                   return task.run > 0 || task.done;
+               });
            });
 }
 
