Count restarts of workers by what told of them, overtaken polls and late results

A poll that is sent again as a start has overtaken it is a retry, which needs a counter; restarts by what told of them first show how often starts go to a worker before its restart is known, which nothing counted.

--- a/src/rosemarytrail/cell/node.cpp
+++ b/src/rosemarytrail/cell/node.cpp
@@ -507,6 +507,7 @@
         metrics.add(leadership->decisions.take_timings());
         metrics.add(leadership->decisions.take_relocation_counts());
         metrics.add(leadership->decisions.take_withheld_starts());
+        metrics.add(leadership->decisions.take_restart_counts());
         for (const auto& it : leadership->decisions.take_decisions()) {
             logging::event(logging::level::info, "decision",
                            {{"job", fleet::to_text(it.job)},
--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -38,6 +38,21 @@
     , starts_withheld_ticket{all.make_counter(
           "rosemarytrail_starts_withheld_ticket_total",
           "recorded placements not started as their tickets had expired")}
+    , restarts_from_directory{all.make_counter(
+          "rosemarytrail_worker_restarts_directory_total",
+          "restarts of workers that the directory told of first")}
+    , restarts_from_poll{all.make_counter(
+          "rosemarytrail_worker_restarts_poll_total",
+          "restarts of workers that a poll told of first")}
+    , restarts_from_start{all.make_counter(
+          "rosemarytrail_worker_restarts_start_total",
+          "restarts of workers that the response to a start told of first")}
+    , overtaken_polls{all.make_counter(
+          "rosemarytrail_polls_overtaken_total",
+          "polls sent again as a start had overtaken them")}
+    , late_results{all.make_counter(
+          "rosemarytrail_late_results_total",
+          "results taken of runs that had been given up")}
     , append_retries{all.make_counter(
           "rosemarytrail_append_retries_total",
           "appends of the leader that were sent again")}
@@ -203,6 +218,15 @@
     starts_withheld_ticket.add(withheld.ticket);
 }
 
+void node_metrics::add(const fleet::restart_counts& restarts)
+{
+    restarts_from_directory.add(restarts.from_directory);
+    restarts_from_poll.add(restarts.from_poll);
+    restarts_from_start.add(restarts.from_start);
+    overtaken_polls.add(restarts.overtaken_polls);
+    late_results.add(restarts.late_results);
+}
+
 void node_metrics::update_log_losses()
 {
     const auto lost = logging::lost_events();
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -25,6 +25,8 @@
 
     /** @param withheld Recorded placements whose start was not sent. */
     void add(const fleet::withheld_starts& withheld);
+    /** @param restarts Restarts of workers, and what they have led to. */
+    void add(const fleet::restart_counts& restarts);
 
     /**
      * @brief Updates the gauges of the leader's state; all counts are zero
@@ -48,6 +50,11 @@
     metrics::counter& starts_withheld_worker;
     metrics::counter& starts_withheld_capacity;
     metrics::counter& starts_withheld_ticket;
+    metrics::counter& restarts_from_directory;
+    metrics::counter& restarts_from_poll;
+    metrics::counter& restarts_from_start;
+    metrics::counter& overtaken_polls;
+    metrics::counter& late_results;
     metrics::counter& append_retries;
     metrics::counter& grants_not_taken;
     metrics::counter& claims;
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -511,6 +511,11 @@
     return std::exchange(state_->withheld, {});
 }
 
+restart_counts dispatcher::take_restart_counts()
+{
+    return std::exchange(state_->restart_counters, {});
+}
+
 bool dispatcher::superseded() const noexcept
 {
     return state_->superseded;
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -249,6 +249,19 @@
     std::size_t ticket{};
 };
 
+/** @brief What restarts of workers and late answers of theirs have led to. */
+struct restart_counts
+{
+    /** @brief Restarts by what told of them first. */
+    std::size_t from_directory{};
+    std::size_t from_poll{};
+    std::size_t from_start{};
+    /** @brief Polls sent again, as a start had overtaken them. */
+    std::size_t overtaken_polls{};
+    /** @brief Results taken of runs that had been given up. */
+    std::size_t late_results{};
+};
+
 /** @brief Counts of the state that a dispatcher tracks. */
 struct dispatcher_counts
 {
@@ -433,6 +446,9 @@
     /** @return Starts withheld since the last call. */
     [[nodiscard]] withheld_starts take_withheld_starts();
 
+    /** @return Counts since the last call. */
+    [[nodiscard]] restart_counts take_restart_counts();
+
     /** @return Timings of the jobs that ended since the last call. */
     [[nodiscard]] std::vector<job_timing> take_timings();
 
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -580,6 +580,7 @@
     evacuation_budget evacuation_moves;
     relocation_counts relocated;
     withheld_starts withheld;
+    restart_counts restart_counters;
     evacuation_backlog evacuation_left;
     image_health images;
     std::uint64_t planning_pass{};
@@ -726,7 +727,7 @@
     void on_restarted(tracked_worker& worker, time_point now,
                       std::string_view source);
     void on_later_incarnation(tracked_worker& worker, time_point now,
-                              std::string_view source);
+                              std::string_view source, std::size_t& counter);
 
     // internal/worker_crashes.cpp
     void remember_losses(tracked_worker& worker, std::span<const task_key> lost,
--- a/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
@@ -107,6 +107,7 @@
                          ", clock " + std::to_string(*response.clock_ms) +
                          " ms after " + std::to_string(*worker.clock_ms));
         on_restarted(worker, now, "the response to a start");
+        ++restart_counters.from_start;
         worker.incarnation_outdated = true;
     }
 }
@@ -324,10 +325,12 @@
 // whose restart a clock may have told before.
 void dispatcher::state::on_later_incarnation(tracked_worker& worker,
                                              time_point now,
-                                             std::string_view source)
+                                             std::string_view source,
+                                             std::size_t& counter)
 {
     if (!std::exchange(worker.incarnation_outdated, false)) {
         on_restarted(worker, now, source);
+        ++counter;
     }
 }
 
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -87,7 +87,8 @@
         const bool known = !it.vm.address.empty();
         if (known && vm.incarnation != 0 && it.vm.incarnation != 0 &&
             vm.incarnation > it.vm.incarnation) {
-            self.on_later_incarnation(it, now, "the directory");
+            self.on_later_incarnation(it, now, "the directory",
+                                      self.restart_counters.from_directory);
         }
         // The directory repeats the record as long as it does not change.
         if (!vm.draining || vm.remaining_ms <= 0) {
@@ -253,6 +254,7 @@
     if (!accepted) {
         return;
     }
+    ++restart_counters.late_results;
     if (step.spec->gang) {
         for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
             take_result(step, i, now);
@@ -505,6 +507,7 @@
     }
     const bool outdated = request.generation != worker.generation;
     if (result == poll_result::fenced && outdated) {
+        ++self.restart_counters.overtaken_polls;
         worker.next_poll = now;
         return;
     }
@@ -521,7 +524,8 @@
         if (*response.incarnation < worker.vm.incarnation) {
             return;
         }
-        self.on_later_incarnation(worker, now, "a poll");
+        self.on_later_incarnation(worker, now, "a poll",
+                                  self.restart_counters.from_poll);
     }
     if (response.incarnation) {
         worker.vm.incarnation = *response.incarnation;
--- a/test/fleet/worker_restarts.cpp
+++ b/test/fleet/worker_restarts.cpp
@@ -120,6 +120,7 @@
     cell.submit(one_task());
     cell.run(50ms);
     REQUIRE(cell.running_on("w0") == 1);
+    CHECK(cell.leader().take_restart_counts().from_start == 1);
     cell.cut_unnoticed();
     if (taken_over) {
         cell.take_over();
