Do not send a start after a restart that was noticed since it was requested

Cause: a start is requested once its placement is recorded and sent with the next calls. If a restart is noticed in between, its lease end is on the clock of an incarnation that has ended, and it got the generation of calls to the next one, which accepts it. Before the generation of calls the token was fixed with the request, and the next one refused it.

Change: such a start is dropped and its task waits again. The generation is set for calls to known workers only.

Ruled out: stops and throttles, which carry no lease end.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -492,7 +492,7 @@
     result.stops.swap(self.stops);
     result.throttles.swap(self.throttles);
     result.advice_assignments.swap(self.advice_assignments);
-    self.set_generations(result);
+    self.set_generations(result, now);
     return result;
 }
 
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -708,7 +708,10 @@
     static void begin_generation(tracked_worker& worker);
     /** @return True if the last start may still be answered. */
     [[nodiscard]] static bool awaits_start_response(const tracked_worker& it);
-    void set_generations(dispatcher_requests& requests);
+    /** @return True if the start must not be sent. */
+    [[nodiscard]] bool drop_outdated_start(const start_request& request,
+                                           time_point now);
+    void set_generations(dispatcher_requests& requests, time_point now);
     void remember_start(tracked_step& step, std::uint32_t index,
                         time_point now);
     /** @brief Has a task planned again once the start can have no effect. */
--- a/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
@@ -125,11 +125,38 @@
 }
 
 // The incarnation that executes a start refuses the polls sent before it, which
+// The end of its lease is on the clock of an incarnation that is known to have
+// ended.
+bool dispatcher::state::drop_outdated_start(const start_request& request,
+                                            time_point now)
+{
+    const auto worker = workers.find(request.worker.id);
+    if (worker != workers.end() &&
+        worker->second.restarts == request.restarts) {
+        return false;
+    }
+    auto* step = find_step(request.task.step);
+    auto* task = find_task(request.task);
+    if (task != nullptr && task->run == request.run &&
+        task->worker == request.worker.id &&
+        (task->phase == task_phase::start_sent ||
+         task->phase == task_phase::stopping)) {
+        task->start_unanswered = false;
+        lose_run(*step, request.task.index, now);
+        check_finished(*step->job);
+    }
+    return true;
+}
+
 // would renew or acknowledge runs of another one.
-void dispatcher::state::set_generations(dispatcher_requests& requests)
+void dispatcher::state::set_generations(dispatcher_requests& requests,
+                                        time_point now)
 {
     for (const auto& it : requests.starts) {
-        auto& worker = workers[it.worker.id];
+    std::erase_if(requests.starts, [this, now](const start_request& it) {
+        return drop_outdated_start(it, now);
+    });
+        auto& worker = workers.at(it.worker.id);
         worker.last_start_at = it.requested_at;
         if (worker.polled_in_generation) {
             begin_generation(worker);
@@ -137,14 +164,17 @@
     }
     const auto set = [this](auto& calls) {
         for (auto& it : calls) {
-            it.generation = workers[it.worker.id].generation;
+            const auto worker = workers.find(it.worker.id);
+            it.generation =
+                worker == workers.end() ? 0 : worker->second.generation;
         }
     };
     set(requests.starts);
     set(requests.stops);
     set(requests.throttles);
     for (auto& it : requests.stops) {
-        it.restarts = workers[it.worker.id].restarts;
+        const auto worker = workers.find(it.worker.id);
+        it.restarts = worker == workers.end() ? 0 : worker->second.restarts;
     }
 }
 
