Keep the generation of calls to a worker whose record is written after it has left

What callers would see: a leader that gives up leadership, and a takeover.

Cause: a batch that names a worker which has been removed meanwhile makes an empty entry for it. When that is removed in turn, it replaced what was kept of the worker with a generation of zero. Listed again, the worker refused all calls for their token, which counts as a newer leader.

Change: an entry without an address leaves what was kept.

Ruled out: a worker that is listed again without such a batch ("A restarted worker that is listed again after a while accepts calls" holds before).

Before and after: "A worker that is listed again gets calls of the same generation", which follows with the other tests of the review, fails before (`superseded`).

--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -119,12 +119,14 @@
                                    worker.unexplained_losses.empty() &&
                                    !worker.poll_in_flight &&
                                    worker.lease_until < now;
-            if (removable) {
+            if (removable && !worker.vm.address.empty()) {
                 self.removed_workers[it.first] = {
                     .address = worker.vm.address,
                     .incarnation = worker.vm.incarnation,
                     .restarts = worker.restarts,
                     .generation = worker.generation};
+            }
+            if (removable) {
                 self.removals.push_back(
                     {.key = encode_key(
                          {.kind = entry_kind::worker, .worker = it.first}),
