Release a task from a worker once its earlier start can have no effect

What callers would see: tasks that wait for up to 19 s at a worker that is gone, again under each leader, or for a longer lease than theirs.

Cause: a tie was dropped only when its task was placed again. So a worker that another one has replaced still held a task, the ledger kept ties that were over, which each successor took for new, and a run that had been confirmed for minutes had the longer bound.

Change: - ties are released when they are due, and the ledger with them; - a replaced worker ties no task; - only a tie that still holds lengthens the bound of a run; - a successor counts ties from the time up to which its predecessor may have sent starts; - a list counts against an earlier start only within the session that it was read in; - a worker gets no further start after any response without a clock, as one that says that the request was not sent, before it has answered.

Ruled out: a tie that a restart of the leader loses (the ledger names it).

Open: a worker that is lost for good while a start has no answer holds that task for 13 s with a ticket, and 19.5 s without one.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -214,10 +214,9 @@
         task.confirmation_recorded = row.confirmed;
         task.start_unanswered = !row.confirmed;
         if (!row.earlier_start.empty()) {
-            task.earlier_start = {.worker = row.earlier_start,
-                                  .executed_until =
-                                      now + options.max_start_delay};
-            expect_start(*task.earlier_start);
+            tie_to_worker(step, i, row.earlier_start,
+                          now + options.renewal_timeout +
+                              options.max_start_delay);
         }
         task.since = now;
         task.resumed = true;
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -573,10 +573,11 @@
     /** @brief Wall-clock time of the last planning pass. */
     std::int64_t last_plan_unix_ms{};
     time_point next_relocation;
-    /** @brief When tasks may become placeable: workers that were set aside
-     * accept a probe, or a larger one, or a start can have no effect any
-     * more. */
-    std::set<time_point> replan_times;
+    /** @brief When workers that were set aside accept a probe, and a larger
+     * one. */
+    std::set<time_point> probe_times;
+    /** @brief When earlier starts of tasks may have no effect any more. */
+    std::set<std::pair<time_point, task_key>> ties;
     evacuation_budget evacuation_moves;
     relocation_counts relocated;
     withheld_starts withheld;
@@ -714,14 +715,17 @@
     void set_generations(dispatcher_requests& requests, time_point now);
     void remember_start(tracked_step& step, std::uint32_t index,
                         time_point now);
-    /** @brief Has a task planned again once the start can have no effect. */
-    void expect_start(const internal::pending_start& start);
+    void tie_to_worker(tracked_step& step, std::uint32_t index,
+                       const std::string& worker, time_point executed_until);
+    /** @brief Frees tasks whose earlier start can have no effect any more. */
+    void release_ties(time_point now);
     /** @return Start of an earlier run that its worker may execute, or of which
      * it may have the run. */
     [[nodiscard]] const internal::pending_start*
     open_start(const task_state& task, time_point now);
     void confirm_run(tracked_step& step, std::uint32_t index, time_point now);
-    [[nodiscard]] bool may_run_in_later_incarnation(const task_key& key);
+    [[nodiscard]] bool may_run_in_later_incarnation(const task_key& key,
+                                                    time_point now);
     [[nodiscard]] duration start_delay_limit(const tracked_step& step,
                                              time_point now) const;
     [[nodiscard]] duration longest_start_delay(const tracked_worker& worker,
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -329,10 +329,11 @@
         it.update_ready(*job->second, unix_ms);
         return false;
     });
-    while (!it.replan_times.empty() && *it.replan_times.begin() <= now) {
-        it.replan_times.erase(it.replan_times.begin());
+    while (!it.probe_times.empty() && *it.probe_times.begin() <= now) {
+        it.probe_times.erase(it.probe_times.begin());
         it.replan = true;
     }
+    it.release_ties(now);
     it.update_order(now);
     it.plan_advice(now);
     // Before placement, which leaves no capacity while tasks wait.
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -219,7 +219,7 @@
         }
         return;
     }
-    if (result == start_result::unknown) {
+    if (!response.clock_ms) {
         worker.unanswered_start_at =
             std::max(worker.unanswered_start_at, request.requested_at);
     }
--- a/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
@@ -9,6 +9,7 @@
 namespace rosemarytrail::fleet {
 
 using internal::responder;
+using internal::task_phase;
 
 namespace {
 
@@ -124,7 +125,6 @@
            it.last_start_at > std::max(it.alive_at, it.unanswered_start_at);
 }
 
-// The incarnation that executes a start refuses the polls sent before it, which
 // The end of its lease is on the clock of an incarnation that is known to have
 // ended.
 bool dispatcher::state::drop_outdated_start(const start_request& request,
@@ -148,14 +148,15 @@
     return true;
 }
 
+// The incarnation that executes a start refuses the polls sent before it, which
 // would renew or acknowledge runs of another one.
 void dispatcher::state::set_generations(dispatcher_requests& requests,
                                         time_point now)
 {
-    for (const auto& it : requests.starts) {
     std::erase_if(requests.starts, [this, now](const start_request& it) {
         return drop_outdated_start(it, now);
     });
+    for (const auto& it : requests.starts) {
         auto& worker = workers.at(it.worker.id);
         worker.last_start_at = it.requested_at;
         if (worker.polled_in_generation) {
@@ -188,18 +189,37 @@
         !task.start_unanswered || workers[task.worker].replaced) {
         return;
     }
-    const auto sent = task.start_seen ? task.start_requested_at : task.since;
-    const auto until = sent + options.max_start_delay;
-    if (until > now) {
-        task.earlier_start = {.worker = task.worker, .executed_until = until};
-        expect_start(*task.earlier_start);
+    // A previous leader may send starts until its evidence has expired.
+    const auto sent = task.start_seen ? task.start_requested_at
+                                      : task.since + options.renewal_timeout;
+    if (const auto until = sent + options.max_start_delay; until > now) {
+        tie_to_worker(step, index, task.worker, until);
     }
 }
 
-void dispatcher::state::expect_start(const internal::pending_start& start)
+void dispatcher::state::tie_to_worker(tracked_step& step, std::uint32_t index,
+                                      const std::string& worker,
+                                      time_point executed_until)
 {
-    replan_times.insert(start.executed_until);
-    replan_times.insert(start.executed_until + worst_case_previous_lease());
+    const task_key key{.step = step.key, .index = index};
+    step.tasks[index].earlier_start = {.worker = worker,
+                                       .executed_until = executed_until};
+    ties.insert({executed_until, key});
+    ties.insert({executed_until + worst_case_previous_lease(), key});
+}
+
+void dispatcher::state::release_ties(time_point now)
+{
+    while (!ties.empty() && ties.begin()->first <= now) {
+        const auto key = ties.extract(ties.begin()).value().second;
+        auto* task = find_task(key);
+        if (task != nullptr && task->earlier_start &&
+            open_start(*task, now) == nullptr) {
+            task->earlier_start.reset();
+            record_progress(*find_step(key.step), key.index);
+        }
+        replan = true;
+    }
 }
 
 const internal::pending_start*
@@ -210,11 +230,12 @@
         return nullptr;
     }
     const auto found = workers.find(start->worker);
-    const bool lists_no_run =
+    const bool ruled_out =
         found != workers.end() &&
-        found->second.list_requested_at > start->executed_until &&
-        found->second.untracked_runs == 0;
-    return lists_no_run ? nullptr : &*start;
+        (found->second.replaced ||
+         (found->second.list_requested_at > start->executed_until &&
+          found->second.untracked_runs == 0));
+    return ruled_out ? nullptr : &*start;
 }
 
 // Most short runs are over before a successor could need the confirmation.
@@ -234,11 +255,13 @@
 
 // A ticket is valid in one incarnation only. The known one has started before
 // it was granted if it has answered a later call.
-bool dispatcher::state::may_run_in_later_incarnation(const task_key& key)
+bool dispatcher::state::may_run_in_later_incarnation(const task_key& key,
+                                                     time_point now)
 {
     const auto& step = *find_step(key.step);
     const auto& task = step.tasks[key.index];
-    if (task.earlier_start && task.earlier_start->worker == task.worker) {
+    const auto* earlier = open_start(task, now);
+    if (earlier != nullptr && earlier->worker == task.worker) {
         return true;
     }
     if (task.confirmed || task.phase == task_phase::placed) {
@@ -303,7 +326,7 @@
     std::vector<task_key> lost;
     for (const auto& key : worker.load) {
         if (worker.unconfirmed_until < now ||
-            !may_run_in_later_incarnation(key)) {
+            !may_run_in_later_incarnation(key, now)) {
             lost.push_back(key);
         }
     }
@@ -337,8 +360,8 @@
     // A start without a response extends the lease of all runs, even if its own
     // run is refused.
     if (worker.last_start_at > worker.alive_at ||
-        std::ranges::any_of(load, [this](const task_key& key) {
-            return may_run_in_later_incarnation(key);
+        std::ranges::any_of(load, [this, now](const task_key& key) {
+            return may_run_in_later_incarnation(key, now);
         })) {
         worker.previous_clock_lease_until = std::max(
             worker.previous_clock_lease_until, worker.unconfirmed_until);
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -458,6 +458,7 @@
     worker.in_batch.clear();
     worker.clock_ms.reset();
     worker.alive_at = {};
+    worker.list_requested_at = {};
 }
 
 // An unresponsive worker is recorded as no longer renewed, so that a successor
--- a/src/rosemarytrail/fleet/internal/worker_quarantine.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_quarantine.cpp
@@ -41,8 +41,8 @@
     }
     const auto bad_runs = worker.health.bad_runs();
     const auto length = worker.health.quarantine(options.health, now);
-    replan_times.insert(now + length);
-    replan_times.insert(now + length + options.health.small_probe_wait);
+    probe_times.insert(now + length);
+    probe_times.insert(now + length + options.health.small_probe_wait);
     expect_last_resort(worker, now);
     log_decision(
         task.step.job, "worker set aside",
@@ -56,8 +56,8 @@
                                            time_point now)
 {
     if (worker.health.set_aside(now)) {
-        replan_times.insert(now + options.health.last_resort_wait);
-        replan_times.insert(now + options.health.last_resort_wait_lasting);
+        probe_times.insert(now + options.health.last_resort_wait);
+        probe_times.insert(now + options.health.last_resort_wait_lasting);
     }
 }
 
--- a/test/fleet/worker_restarts.cpp
+++ b/test/fleet/worker_restarts.cpp
@@ -40,6 +40,19 @@
         run(100ms);
     }
 
+    /** @brief Submits job 1, whose start on w0 is not answered and takes effect
+     * later. */
+    void submit_unanswered(duration delay)
+    {
+        auto& w0 = workers["w0"];
+        w0.start_delay = delay;
+        submit(make_job(1, {{.demand = one_core}}));
+        while (w0.delayed.empty()) {
+            run(tick);
+        }
+        w0.start_delay = {};
+    }
+
     /** @brief Cuts w0 off, and adds w1 for its tasks. */
     void cut()
     {
@@ -179,12 +192,7 @@
     restarting_fleet cell;
     cell.add_workers(1, {});
     auto& w0 = cell.workers["w0"];
-    w0.start_delay = delay;
-    cell.submit(one_task());
-    while (w0.delayed.empty()) {
-        cell.run(cell.tick);
-    }
-    w0.start_delay = {};
+    cell.submit_unanswered(delay);
     // It forgets the stop when it restarts, and accepts no other task.
     w0.vm.draining = true;
     cell.workers["w1"].vm.capacity = eight_cores;
@@ -204,6 +212,119 @@
     CHECK(cell.violations.empty());
 }
 
+// Guards against a task that waits for a worker that is gone for good.
+TEST_CASE("A replaced worker ties no task", "[worker_restarts]")
+{
+    restarting_fleet cell;
+    cell.submit_unanswered(30s);
+    cell.workers["w0"].delayed.clear();
+    cell.run(500ms);
+    REQUIRE(cell.running_on("w0") == 1);
+    cell.crash("w0");
+    cell.run(cell.replacement_delay + 2s);
+    CHECK(cell.running_on("w1") == 1);
+    CHECK(cell.violations.empty());
+}
+
+// Guards against a task that is tied anew by each leader.
+TEST_CASE("A tie that is over does not bind a successor", "[worker_restarts]")
+{
+    const bool taken_over = GENERATE(false, true);
+    CAPTURE(taken_over);
+    restarting_fleet cell;
+    cell.add_workers(1, {});
+    cell.submit_unanswered(300s);
+    cell.workers["w0"].delayed.clear();
+    cell.workers["w0"].vm.draining = true;
+    cell.list_workers();
+    cell.run(1s);
+    const auto away = cell.workers.extract("w0");
+    cell.list_workers();
+    cell.run(30s);
+    cell.list_workers();
+    if (taken_over) {
+        cell.take_over();
+    }
+    cell.workers["w1"].vm.capacity = eight_cores;
+    cell.list_workers();
+    CHECK(time_until_w1_runs(cell) < 2s);
+}
+
+// Guards against a task that waits for longer than its worker's lease, as a
+// start of it was not answered long before.
+TEST_CASE("A confirmed run after a tie is given up with the usual lease",
+          "[worker_restarts]")
+{
+    restarting_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 600s};
+    };
+    cell.submit_unanswered(300s);
+    cell.workers["w0"].delayed.clear();
+    cell.run(120s);
+    REQUIRE(cell.running_on("w0") == 1);
+    // Another start extends the bound of its worker.
+    cell.submit(make_job(2, {{.demand = one_core}}));
+    cell.run(1s);
+    cell.cut();
+    cell.run(5500ms);
+    CHECK(cell.running_on("w1") == 2);
+    CHECK(cell.violations.empty());
+}
+
+// Guards against a task that runs twice, as a start that was requested before a
+// restart was noticed gets the token of after it.
+TEST_CASE("A start that was requested before a restart is not sent after it",
+          "[worker_restarts]")
+{
+    restarting_fleet cell;
+    auto& w0 = cell.workers["w0"];
+    cell.run(cell.tick);
+    const auto unix_ms = to_milliseconds(cell.now.time_since_epoch());
+    cell.submit(one_task());
+    cell.leader().plan(cell.now, unix_ms);
+    const auto batch = cell.leader().take_batch(unix_ms);
+    w0.start_delay = 1500ms;
+    cell.leader().on_recorded(batch.number, cell.now);
+    cell.restart("w0");
+    cell.list_workers();
+    cell.run(cell.tick);
+    CHECK(w0.delayed.empty());
+    w0.start_delay = {};
+    cell.run(1s);
+    CHECK(cell.running_on("w0") == 1);
+}
+
+// Guards against a leader that gives up leadership, as a worker that is listed
+// again refuses the tokens that begin anew.
+TEST_CASE("A worker that is listed again gets calls of the same generation",
+          "[worker_restarts]")
+{
+    restarting_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 200ms};
+    };
+    cell.submit(make_job(1, {{.tasks = 4, .demand = one_core}}));
+    cell.run(1s);
+    // Its record is written only after it is removed.
+    cell.workers["w0"].unreachable = true;
+    cell.ledger_down = true;
+    cell.run(1s);
+    const auto away = cell.workers.extract("w0");
+    cell.list_workers();
+    cell.run(8s);
+    cell.list_workers();
+    REQUIRE(cell.leader().count(cell.now).workers == 0);
+    cell.ledger_down = false;
+    cell.run(100ms);
+    cell.list_workers();
+    cell.workers["w0"] = away.mapped();
+    cell.workers["w0"].unreachable = false;
+    cell.list_workers();
+    cell.run(1s);
+    CHECK_FALSE(cell.leader().superseded());
+}
+
 // Guards against a task that runs again though it is done, as a poll for the
 // previous incarnation acknowledges the end before it is read.
 TEST_CASE("A poll sent before a start acknowledges none of its ends",
