Name what the handling of restarts means, not how it works

From reading the changes as a newcomer: `set_generations` also drops outdated starts, `open_start` read as a verb, `unconfirmed` in the calls was not that of a run, and two fields shared one comment. `max_start_delay` says now that it is an assumption.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -461,7 +461,7 @@
         }
         // A later incarnation may run what was started since the known one was
         // last alive: the poll must not renew that, nor acknowledge its end.
-        const bool unconfirmed = worker.last_start_at > worker.alive_at;
+        const bool start_outstanding = worker.last_start_at > worker.alive_at;
         // An unresponsive worker may have restarted and numbers its ended runs
         // from one again.
         poll_request request{
@@ -469,17 +469,17 @@
             .epoch = options.epoch,
             .generation = worker.generation,
             .restarts = worker.restarts,
-            .acknowledged = worker.unanswered > 0 || unconfirmed
+            .acknowledged = worker.unanswered > 0 || start_outstanding
                                 ? 0
                                 : worker.last_recorded_end,
             .lease_end_ms = std::nullopt,
-            .wait = to_record || !worker.fenced || unconfirmed
+            .wait = to_record || !worker.fenced || start_outstanding
                         ? duration{}
                         : options.poll_timeout};
         // The lease of an unresponsive worker is not renewed, so that it
         // expires.
         if (worker.renewable && worker.unanswered == 0 && worker.clock_ms &&
-            !unconfirmed) {
+            !start_outstanding) {
             request.lease_end_ms = self.lease_end(worker, now);
         }
         worker.last_renewal = now;
@@ -491,7 +491,7 @@
     result.stops.swap(self.stops);
     result.throttles.swap(self.throttles);
     result.advice_assignments.swap(self.advice_assignments);
-    self.set_generations(result, now);
+    self.assign_generations(result, now);
     return result;
 }
 
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -46,11 +46,12 @@
     /** @brief Added to the end of a lease before its tasks count as
      * terminated. */
     duration lease_margin{std::chrono::milliseconds{200}};
-    /** @brief Maximum time from a start request until it takes effect, if no
-     * ticket limits it; a worker may execute a request that it has not answered
-     * seconds later. */
+    /** @brief Assumed maximum time from a start request until it takes effect,
+     * if no ticket limits it; the platform says only that a worker may execute
+     * a request that it has not answered seconds later. */
     duration max_start_delay{std::chrono::milliseconds{9000}};
-    /** @brief How long a poll waits for the responses to starts. */
+    /** @brief Maximum time for which a poll is delayed while a start has no
+     * response. */
     duration max_poll_hold{std::chrono::milliseconds{500}};
     /** @brief Runs that are declared shorter, and last no longer, are not
      * recorded as confirmed by their worker. */
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -383,6 +383,7 @@
     /** @brief Generation of calls to it: raised by each restart, and by the
      * first start after a poll. */
     std::uint32_t generation{};
+    /** @brief A poll was sent in this generation. */
     bool polled_in_generation{false};
     /** @brief A clock has told of the last restart; the incarnation in `vm` is
      * the one before. */
@@ -401,9 +402,10 @@
     std::uint64_t counted_in{};
     std::optional<std::int64_t> clock_ms;
     time_point clock_at;
-    /** @brief The known incarnation was alive then, at the earliest, when its
-     * clock showed `alive_clock_ms`. */
+    /** @brief Latest time at which the known incarnation is known to have been
+     * alive. */
     time_point alive_at;
+    /** @brief Its clock then, or later. */
     std::int64_t alive_clock_ms{};
     /** @brief No run of this or an earlier leader that the known incarnation
      * executes continues there after this time. */
@@ -411,9 +413,9 @@
     /** @brief The same for a run that a later incarnation may execute, as the
      * known one has not confirmed it. */
     time_point unconfirmed_until;
-    /** @brief When the last start was requested, and the last one without a
-     * response. */
+    /** @brief When the last start that was sent had been requested. */
     time_point last_start_at;
+    /** @brief The same of the last one without a response. */
     time_point unanswered_start_at;
     /** @brief Bound on leases whose end was set on the clock of an earlier
      * incarnation. */
@@ -712,7 +714,7 @@
     /** @return True if the start must not be sent. */
     [[nodiscard]] bool drop_outdated_start(const start_request& request,
                                            time_point now);
-    void set_generations(dispatcher_requests& requests, time_point now);
+    void assign_generations(dispatcher_requests& requests, time_point now);
     void remember_start(tracked_step& step, std::uint32_t index,
                         time_point now);
     void tie_to_worker(tracked_step& step, std::uint32_t index,
@@ -722,7 +724,7 @@
     /** @return Start of an earlier run that its worker may execute, or of which
      * it may have the run. */
     [[nodiscard]] const internal::pending_start*
-    open_start(const task_state& task, time_point now);
+    find_open_start(const task_state& task, time_point now);
     void confirm_run(tracked_step& step, std::uint32_t index, time_point now);
     [[nodiscard]] bool may_run_in_later_incarnation(const task_key& key,
                                                     time_point now);
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -187,7 +187,7 @@
             best_rank = rank;
         }
     };
-    if (const auto* start = open_start(task, now)) {
+    if (const auto* start = find_open_start(task, now)) {
         if (const auto it = workers.find(start->worker); it != workers.end()) {
             consider(it->second);
         }
@@ -215,7 +215,7 @@
     task.evidence = internal::run_evidence::none;
     task.confirmed = false;
     task.confirmation_recorded = false;
-    if (open_start(task, now) == nullptr) {
+    if (find_open_start(task, now) == nullptr) {
         task.earlier_start.reset();
     }
     ++task.run;
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -203,10 +203,11 @@
     // been executed before.
     const bool outdated = result == start_result::fenced &&
                           request.generation != worker.generation;
-    // A lost relay may have left a copy of a start without a clock.
+    // Without a clock, a lost relay may have left a copy.
+    const bool maybe_copied =
+        result == start_result::started && !response.clock_ms;
     task.start_unanswered =
-        result == start_result::unknown || outdated ||
-        (result == start_result::started && !response.clock_ms);
+        result == start_result::unknown || outdated || maybe_copied;
     const bool start_sent = task.phase == task_phase::start_sent;
     const bool stopping = task.phase == task_phase::stopping;
     if (result == start_result::started) {
--- a/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
@@ -23,8 +23,8 @@
 } // namespace
 
 // A worker that restarts under its id takes calls that were sent to its
-// previous incarnation. So no bound here rests on the incarnation that a call
-// was sent to, unless that incarnation has answered.
+// previous incarnation. So a bound may rest on an incarnation only if that one
+// has answered; a late start without a ticket is limited by `max_start_delay`.
 
 // A lease end on the clock of a previous incarnation may lie far ahead on that
 // of the present one, which grants no longer lease than the maximum.
@@ -150,8 +150,8 @@
 
 // The incarnation that executes a start refuses the polls sent before it, which
 // would renew or acknowledge runs of another one.
-void dispatcher::state::set_generations(dispatcher_requests& requests,
-                                        time_point now)
+void dispatcher::state::assign_generations(dispatcher_requests& requests,
+                                           time_point now)
 {
     std::erase_if(requests.starts, [this, now](const start_request& it) {
         return drop_outdated_start(it, now);
@@ -179,7 +179,8 @@
     }
 }
 
-// A ticket rules this out once a call was answered after the start.
+// A start without a ticket may be executed by a later incarnation, even if the
+// known one has answered since.
 void dispatcher::state::remember_start(tracked_step& step, std::uint32_t index,
                                        time_point now)
 {
@@ -214,7 +215,7 @@
         const auto key = ties.extract(ties.begin()).value().second;
         auto* task = find_task(key);
         if (task != nullptr && task->earlier_start &&
-            open_start(*task, now) == nullptr) {
+            find_open_start(*task, now) == nullptr) {
             task->earlier_start.reset();
             record_progress(*find_step(key.step), key.index);
         }
@@ -223,7 +224,7 @@
 }
 
 const internal::pending_start*
-dispatcher::state::open_start(const task_state& task, time_point now)
+dispatcher::state::find_open_start(const task_state& task, time_point now)
 {
     const auto& start = task.earlier_start;
     if (!start || start->executed_until + worst_case_previous_lease() <= now) {
@@ -260,7 +261,7 @@
 {
     const auto& step = *find_step(key.step);
     const auto& task = step.tasks[key.index];
-    const auto* earlier = open_start(task, now);
+    const auto* earlier = find_open_start(task, now);
     if (earlier != nullptr && earlier->worker == task.worker) {
         return true;
     }
--- a/test/fleet/worker_restarts.cpp
+++ b/test/fleet/worker_restarts.cpp
@@ -72,7 +72,7 @@
     }
 };
 
-/** @brief The same, while the responses to polls of w0 are lost. */
+/** @brief Worker w0 has restarted while a poll of it is open. */
 struct unnoticed_restart : restarting_fleet
 {
     explicit unnoticed_restart(duration clock = {})
