--- a/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
@@ -9,7 +9,6 @@
 namespace rosemarytrail::fleet {
 
 using internal::responder;
-using internal::task_phase;
 
 namespace {
 
