--- a/review/lib-3/cell.py
+++ b/review/lib-3/cell.py
@@ -189,6 +189,7 @@
         self.nodes, self.routes, self.tasks = [], list(routes), []
         self.tenant_cap = {}
         self.advice = Advice(self.workers)
+        self.worker_class = Worker
 
     def command(self):
         """The command of the deploy file, which is run in the repository root."""
@@ -212,7 +213,7 @@
             "tenants": [tenant],
         })  # fmt: skip
         for n in range(self.worker_count):
-            worker = Worker(f"w{n}", self.cpu, random.Random(self.seed + 10 + n), self.ledger)
+            worker = self.worker_class(f"w{n}", self.cpu, random.Random(self.seed + 10 + n), self.ledger)
             server = await serve("127.0.0.1", 0, worker.handle)
             proxy = Proxy(server.sockets[0].getsockname())
             await proxy.start("127.0.0.1", 0)
