Add case 14: jobs whose starts were refused are not counted as pending

A script hands in six jobs that only one worker of 24 may run, which answers each start with 503 for 6.5 s, and asks all nodes for `pending`.

--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 runs it without the refusals, SEED=N with other luck.
+exec python3 "$(dirname "$0")/case.py"
