Acknowledge ends only once no earlier start can be executed

Its first start had got no response, the worker restarted, a later run ended there, the worker restarted again, and that incarnation executed the first start up to 12 s late.

Cause: the end of the later run was acknowledged as soon as it was on record. What refuses a late start is the worker's memory of the highest run, and that ends with its incarnation; an acknowledged end stands for good.

Change: a worker's starts without a ticket that got no response are kept, over restarts and while the worker is not listed, and polls acknowledge nothing until the known incarnation has answered later than `max_start_delay` after the start. That is 12.5 s now, as calls are carried out up to 12 s late. Results are recorded and jobs completed as before. A new leader takes such starts from the ledger, and from ends that a worker lists though their result is on record. A list with unacknowledged ends is polled every 50 ms, and a worker that lists more than 250 gets no start without a ticket.

Why this fixes it: the late start now comes while the end is unacknowledged, or is refused by the incarnation that ended the later run, or cannot come any more.

Tests changed: "Polls neither renew nor acknowledge while a start is unanswered" asked for an acknowledgement 5 s after a late start and now for none until 12.5 s, then for one. The fixture takes a start for recorded if the ledger ever named its run: the progress of an ended job is removed, which made every start after the end of a job look unrecorded.

--- a/src/rosemarytrail/cell/node_metrics.cpp
+++ b/src/rosemarytrail/cell/node_metrics.cpp
@@ -50,6 +50,10 @@
     , overtaken_polls{all.make_counter(
           "rosemarytrail_polls_overtaken_total",
           "polls sent again as a start had overtaken them")}
+    , withheld_acknowledgements{all.make_counter(
+          "rosemarytrail_acknowledgements_withheld_total",
+          "polls that acknowledged no recorded ends, as a start without a "
+          "response may still be executed")}
     , late_results{all.make_counter(
           "rosemarytrail_late_results_total",
           "results taken of runs that had been given up")}
@@ -224,6 +228,7 @@
     restarts_from_poll.add(restarts.from_poll);
     restarts_from_start.add(restarts.from_start);
     overtaken_polls.add(restarts.overtaken_polls);
+    withheld_acknowledgements.add(restarts.withheld_acknowledgements);
     late_results.add(restarts.late_results);
 }
 
--- a/src/rosemarytrail/cell/node_metrics.hpp
+++ b/src/rosemarytrail/cell/node_metrics.hpp
@@ -54,6 +54,7 @@
     metrics::counter& restarts_from_poll;
     metrics::counter& restarts_from_start;
     metrics::counter& overtaken_polls;
+    metrics::counter& withheld_acknowledgements;
     metrics::counter& late_results;
     metrics::counter& append_retries;
     metrics::counter& grants_not_taken;
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -38,6 +38,8 @@
 {
     state_->options = options;
     state_->last_plan = now;
+    state_->previous_starts_until =
+        now + options.renewal_timeout + options.max_start_delay;
     state_->restore_run_times(ledger_jobs, now);
     ledger_jobs.each_live([&](std::uint64_t /*id*/, const job_entry& entry) {
         state_->add_job(entry, now, unix_ms);
@@ -200,6 +202,7 @@
         std::min(rows.size(), step.tasks.size() - first));
     step.recorded_entries.insert(first);
     for (std::uint32_t i = first; i < first + n; ++i) {
+        const task_key key{.step = step.key, .index = i};
         auto& task = step.tasks[i];
         const auto& row = rows[i - first];
         // Entries of earlier versions hold all tasks of a step.
@@ -214,9 +217,8 @@
         task.confirmation_recorded = row.confirmed;
         task.start_unanswered = !row.confirmed;
         if (!row.earlier_start.empty()) {
-            tie_to_worker(step, i, row.earlier_start,
-                          now + options.renewal_timeout +
-                              options.max_start_delay);
+            tie_to_worker(step, i, row.earlier_start, previous_starts_until);
+            inherit_unsettled(workers[row.earlier_start], key, 0);
         }
         task.since = now;
         task.resumed = true;
@@ -227,7 +229,7 @@
         for (const auto& it : row.crashes.unexplained) {
             auto& worker = workers[it.id];
             worker.vm.id = it.id;
-            worker.unexplained_losses.insert({.step = step.key, .index = i});
+            worker.unexplained_losses.insert(key);
             worker.losses_expire = now + options.crash_memory;
         }
         if (row.done) {
@@ -238,6 +240,9 @@
             task.phase = task_phase::unknown;
             --step.waiting;
             allocate(step, i, row.worker);
+            if (!row.confirmed && !step.job->record.queue.advice) {
+                inherit_unsettled(workers[row.worker], key, row.run);
+            }
         }
     }
 }
@@ -462,6 +467,11 @@
         // A later incarnation may run what was started since the known one was
         // last alive: the poll must not renew that, nor acknowledge its end.
         const bool start_outstanding = worker.last_start_at > worker.alive_at;
+        self.drop_settled_starts(worker);
+        const bool withheld = !worker.unsettled_starts.empty();
+        if (withheld && worker.last_recorded_end > 0) {
+            ++self.restart_counters.withheld_acknowledgements;
+        }
         // An unresponsive worker may have restarted and numbers its ended runs
         // from one again.
         poll_request request{
@@ -469,9 +479,10 @@
             .epoch = options.epoch,
             .generation = worker.generation,
             .restarts = worker.restarts,
-            .acknowledged = worker.unanswered > 0 || start_outstanding
-                                ? 0
-                                : worker.last_recorded_end,
+            .acknowledged =
+                worker.unanswered > 0 || start_outstanding || withheld
+                    ? 0
+                    : worker.last_recorded_end,
             .lease_end_ms = std::nullopt,
             .wait = to_record || !worker.fenced || start_outstanding
                         ? duration{}
--- a/src/rosemarytrail/fleet/dispatcher.hpp
+++ b/src/rosemarytrail/fleet/dispatcher.hpp
@@ -49,7 +49,7 @@
     /** @brief Assumed maximum time from a start request until it takes effect,
      * if no ticket limits it; the platform says only that a worker may execute
      * a request that it has not answered seconds later. */
-    duration max_start_delay{std::chrono::milliseconds{9000}};
+    duration max_start_delay{std::chrono::milliseconds{12500}};
     /** @brief Maximum time for which a poll is delayed while a start has no
      * response. */
     duration max_poll_hold{std::chrono::milliseconds{500}};
@@ -66,6 +66,12 @@
     /** @brief Minimum time between two polls of a worker that reports ended
      * runs. */
     duration poll_interval{std::chrono::milliseconds{10}};
+    /** @brief The same while a worker lists ended runs that are not
+     * acknowledged, so that it responds at once. */
+    duration unacknowledged_poll_interval{std::chrono::milliseconds{50}};
+    /** @brief A worker that lists more ended runs than this gets no start
+     * without a ticket until they are acknowledged. */
+    std::size_t max_unacknowledged_ends{250};
     /** @brief Tickets that expire sooner are not used for a start. */
     duration ticket_margin{std::chrono::milliseconds{60}};
     /** @brief A crash within this time of a start that the worker confirmed is
@@ -261,6 +267,9 @@
     std::size_t overtaken_polls{};
     /** @brief Results taken of runs that had been given up. */
     std::size_t late_results{};
+    /** @brief Polls that did not acknowledge recorded ends, as a start without
+     * a response may still be executed. */
+    std::size_t withheld_acknowledgements{};
 };
 
 /** @brief Counts of the state that a dispatcher tracks. */
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -115,6 +115,18 @@
     time_point executed_until;
 };
 
+/** @brief Start without a response that a worker may still execute. */
+struct unsettled_start
+{
+    task_key task;
+    std::uint32_t run{};
+    /** @brief No incarnation of the worker executes it after this time. */
+    time_point executed_until;
+    /** @brief A list with the run shows that it was executed; false if there
+     * may be copies of it. */
+    bool settled_by_list{false};
+};
+
 /** @brief Task as tracked by the dispatcher. */
 struct task_state
 {
@@ -417,6 +429,7 @@
     time_point last_start_at;
     /** @brief The same of the last one without a response. */
     time_point unanswered_start_at;
+    std::vector<unsettled_start> unsettled_starts;
     /** @brief Bound on leases whose end was set on the clock of an earlier
      * incarnation. */
     time_point previous_clock_lease_until;
@@ -426,6 +439,8 @@
      * was recorded and is acknowledged. */
     std::uint64_t last_seen_end{};
     std::uint64_t last_recorded_end{};
+    /** @brief Number of ended runs in the last list. */
+    std::size_t listed_ends{};
     /** @brief Sequence number that each open batch will record. */
     std::map<std::uint64_t, std::uint64_t> in_batch;
     bool poll_in_flight{false};
@@ -508,6 +523,7 @@
         std::uint32_t restarts{};
         /** @brief If it is listed again, it has seen the tokens of these. */
         std::uint32_t generation{};
+        std::vector<internal::unsettled_start> unsettled_starts;
     };
     std::map<std::string, removed_worker> removed_workers;
     std::set<std::string> evacuated_zones;
@@ -586,6 +602,9 @@
     restart_counts restart_counters;
     evacuation_backlog evacuation_left;
     image_health images;
+    /** @brief No worker executes a start of a previous leader after this
+     * time. */
+    time_point previous_starts_until;
     std::uint64_t planning_pass{};
     time_point last_advice_scan;
     /** @brief Remaining checks for further candidates of expired steps in this
@@ -738,6 +757,23 @@
     void on_later_incarnation(tracked_worker& worker, time_point now,
                               std::string_view source, std::size_t& counter);
 
+    // internal/unsettled_starts.cpp
+    void add_unsettled(tracked_worker& worker, const task_key& task,
+                       std::uint32_t run, time_point executed_until);
+    /** @brief Keeps a start that a previous leader may have sent.
+     * @param run Its run, or zero if that is not known. */
+    void inherit_unsettled(tracked_worker& worker, const task_key& task,
+                           std::uint32_t run);
+    /** @brief Handles an end of a task that has its result in the ledger. */
+    void on_unacknowledged_end(tracked_worker& worker, const task_key& task,
+                               time_point now);
+    static void settle_by_list(tracked_worker& worker, const task_key& task,
+                               std::uint32_t run);
+    static void drop_settled_starts(tracked_worker& worker);
+    /** @return True if the worker lists so many ends that no start without a
+     * ticket may hold back their acknowledgement for longer. */
+    [[nodiscard]] bool lists_too_many_ends(const tracked_worker& worker) const;
+
     // internal/worker_crashes.cpp
     void remember_losses(tracked_worker& worker, std::span<const task_key> lost,
                          bool expired, time_point now);
--- a/src/rosemarytrail/fleet/internal/placement.cpp
+++ b/src/rosemarytrail/fleet/internal/placement.cpp
@@ -121,6 +121,7 @@
 {
     return step.spec->reserved().fits(worker.available()) &&
            is_reachable(worker) && is_of_kind(worker, step) &&
+           (step.job->record.queue.advice || !lists_too_many_ends(worker)) &&
            internal::tasks_allowed_on(worker, step) > 0 &&
            (!worker.health.set_aside(now) || accepts_probe(worker, step, now));
 }
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -190,6 +190,12 @@
     auto& self = *state_;
     const auto result = response.result;
     self.observe_response(request, response, now);
+    const auto target = self.workers.find(request.worker.id);
+    if (target != self.workers.end() && !response.clock_ms &&
+        result != start_result::not_sent && request.ticket.empty()) {
+        self.add_unsettled(target->second, request.task, request.run,
+                           request.requested_at + self.options.max_start_delay);
+    }
     auto* step = self.find_step(request.task.step);
     if (step == nullptr) {
         return;
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -81,6 +81,7 @@
         if (const auto before = self.removed_workers.extract(vm.id)) {
             it.restarts = before.mapped().restarts;
             it.generation = before.mapped().generation;
+            it.unsettled_starts = std::move(before.mapped().unsettled_starts);
             it.vm.address = before.mapped().address;
             it.vm.incarnation = before.mapped().incarnation;
         }
@@ -124,7 +125,8 @@
                     .address = worker.vm.address,
                     .incarnation = worker.vm.incarnation,
                     .restarts = worker.restarts,
-                    .generation = worker.generation};
+                    .generation = worker.generation,
+                    .unsettled_starts = worker.unsettled_starts};
             }
             if (removable) {
                 self.removals.push_back(
@@ -271,13 +273,18 @@
 void dispatcher::state::on_ended(tracked_worker& worker, const ended_row& row,
                                  time_point now)
 {
+    settle_by_list(worker, row.task, row.run);
     auto* step = find_step(row.task.step);
     if (step == nullptr || row.task.index >= step->tasks.size()) {
+        on_unacknowledged_end(worker, row.task, now);
         return;
     }
     const auto index = row.task.index;
     auto& task = step->tasks[index];
     if (task.worker != worker.vm.id || task.run != row.run) {
+        if (task.has_result()) {
+            on_unacknowledged_end(worker, row.task, now);
+        }
         if (row.how == run_end::done && !task.has_result()) {
             on_late_end(worker, *step, row, now);
         } else if (row.how == run_end::failed && row.run <= task.run) {
@@ -327,6 +334,7 @@
     std::set<task_key> earlier_runs;
     const bool had_untracked = std::exchange(worker.untracked_runs, 0) > 0;
     for (const auto& row : response.running) {
+        settle_by_list(worker, row.task, row.run);
         auto* step = find_step(row.task.step);
         auto* task = find_task(row.task);
         if (task == nullptr || task->worker != worker.vm.id ||
@@ -455,6 +463,7 @@
     worker.untracked_runs = 0;
     worker.last_seen_end = 0;
     worker.last_recorded_end = 0;
+    worker.listed_ends = 0;
     worker.in_batch.clear();
     worker.clock_ms.reset();
     worker.alive_at = {};
@@ -570,7 +579,17 @@
     worker.clock_ms = response.clock_ms;
     worker.clock_at = now;
     self.observe_alive(worker, response.clock_ms, sent_at);
-    worker.next_poll = now + self.options.poll_interval;
+    const bool listed_too_many = self.lists_too_many_ends(worker);
+    worker.listed_ends = response.ended.size();
+    self.replan =
+        self.replan || (listed_too_many && !self.lists_too_many_ends(worker));
+    const bool lists_known_ends =
+        !response.ended.empty() &&
+        response.ended.back().number <= worker.last_seen_end;
+    worker.next_poll =
+        now + (lists_known_ends && !worker.unsettled_starts.empty()
+                   ? self.options.unacknowledged_poll_interval
+                   : self.options.poll_interval);
     for (const auto& row : response.ended) {
         if (row.number > worker.last_seen_end) {
             worker.last_seen_end = row.number;
--- a/test/fleet/worker_restarts.cpp
+++ b/test/fleet/worker_restarts.cpp
@@ -402,6 +402,9 @@
     w0.delay_poll_responses = false;
     w0.start_delay = {};
     cell.run(5s);
+    CHECK(cell.last_polls["w0"].acknowledged == 0);
+    CHECK(cell.last_polls["w0"].lease_end_ms);
+    cell.run(cell.options.max_start_delay - 5s);
     CHECK(cell.last_polls["w0"].acknowledged > 0);
     CHECK(cell.last_polls["w0"].lease_end_ms);
     CHECK(cell.violations.empty());
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -181,6 +181,7 @@
 
 private:
     void apply(const std::vector<fleet::ledger_entry>& entries);
+    void remember_runs(const fleet::entry_key& entry);
     void append();
     void advance(model_worker& it);
     void execute_delayed_polls(model_worker& it);
@@ -211,6 +212,8 @@
     /** @brief Batch that is not recorded yet, and when it will be. */
     std::optional<std::pair<time_point, fleet::ledger_batch>> pending_batch_;
     std::vector<std::pair<time_point, fleet::poll_request>> pending_polls_;
+    /** @brief Highest run of each task that the ledger has named. */
+    std::map<fleet::task_key, std::uint32_t> recorded_runs_;
     std::set<fleet::task_key> done_;
     /** @brief Tasks whose end the leader has acknowledged as recorded. */
     std::set<fleet::task_key> acknowledged_;
