Acknowledge no ends from the sending of a start until it is settled

A worker had left a start and a later poll unanswered, restarted, and carried both out in its next incarnation, where the poll acknowledged the end of the run before it was read.

Cause: the number in an acknowledgement means something in one incarnation only. Polls carried it once the known incarnation had answered the last start or a later call, but a start without a ticket may still be executed by the next incarnation, with any poll that was sent after it.

Change: a start without a ticket is unsettled from its sending on, until the known incarnation has responded to it or has answered a call late enough. The bounds on runs that may go on in a later incarnation include a poll that renews the lease late.

Why this fixes it: as long as such a start may be executed anywhere, no poll under way can make a worker forget an end.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -492,6 +492,9 @@
         if (worker.renewable && worker.unanswered == 0 && worker.clock_ms &&
             !start_outstanding) {
             request.lease_end_ms = self.lease_end(worker, now);
+            if (withheld) {
+                self.allow_for_late_renewal(worker, now);
+            }
         }
         worker.last_renewal = now;
         worker.poll_in_flight = true;
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -430,6 +430,9 @@
     /** @brief The same of the last one without a response. */
     time_point unanswered_start_at;
     std::vector<unsettled_start> unsettled_starts;
+    /** @brief A poll that was sent while there were any may renew a lease up to
+     * this time, if it is carried out late. */
+    time_point late_renewals_until;
     /** @brief Bound on leases whose end was set on the clock of an earlier
      * incarnation. */
     time_point previous_clock_lease_until;
@@ -725,8 +728,10 @@
                        time_point sent_at, time_point now) const;
     static void observe_alive(tracked_worker& worker, std::int64_t clock_ms,
                               time_point sent_at);
-    void observe_response(const start_request& request,
-                          const start_response& response, time_point now);
+    /** @return Incarnation that has responded. */
+    internal::responder observe_response(const start_request& request,
+                                         const start_response& response,
+                                         time_point now);
     static void begin_generation(tracked_worker& worker);
     /** @return True if the last start may still be answered. */
     [[nodiscard]] static bool awaits_start_response(const tracked_worker& it);
@@ -758,8 +763,13 @@
                               std::string_view source, std::size_t& counter);
 
     // internal/unsettled_starts.cpp
-    void add_unsettled(tracked_worker& worker, const task_key& task,
-                       std::uint32_t run, time_point executed_until);
+    /** @brief Handles the response to a start, or its failure. */
+    void settle_by_response(const start_request& request,
+                            const start_response& response,
+                            internal::responder by, time_point now);
+    static void erase_unsettled(tracked_worker& worker,
+                                const start_request& request);
+    void allow_for_late_renewal(tracked_worker& worker, time_point now) const;
     /** @brief Keeps a start that a previous leader may have sent.
      * @param run Its run, or zero if that is not known. */
     void inherit_unsettled(tracked_worker& worker, const task_key& task,
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -171,6 +171,12 @@
     worker.unconfirmed_until =
         std::max(worker.unconfirmed_until, now + start_delay_limit(*step, now) +
                                                worst_case_previous_lease());
+    if (ticket.empty()) {
+        worker.unsettled_starts.push_back(
+            {.task = key,
+             .run = task.run,
+             .executed_until = now + options.max_start_delay});
+    }
     starts.push_back(
         {.worker = {.id = worker.vm.id, .address = worker.vm.address},
          .task = key,
@@ -189,13 +195,8 @@
 {
     auto& self = *state_;
     const auto result = response.result;
-    self.observe_response(request, response, now);
-    const auto target = self.workers.find(request.worker.id);
-    if (target != self.workers.end() && !response.clock_ms &&
-        result != start_result::not_sent && request.ticket.empty()) {
-        self.add_unsettled(target->second, request.task, request.run,
-                           request.requested_at + self.options.max_start_delay);
-    }
+    self.settle_by_response(request, response,
+                            self.observe_response(request, response, now), now);
     auto* step = self.find_step(request.task.step);
     if (step == nullptr) {
         return;
--- a/src/rosemarytrail/fleet/internal/unsettled_starts.cpp
+++ b/src/rosemarytrail/fleet/internal/unsettled_starts.cpp
@@ -11,14 +11,47 @@
 // task would stand when the worker has forgotten the run, and that of any run
 // may reach the later incarnation and discard the end of the late one.
 
-void dispatcher::state::add_unsettled(tracked_worker& worker,
-                                      const task_key& task, std::uint32_t run,
-                                      time_point executed_until)
+void dispatcher::state::erase_unsettled(tracked_worker& worker,
+                                        const start_request& request)
 {
-    worker.unsettled_starts.push_back({.task = task,
-                                       .run = run,
-                                       .executed_until = executed_until,
-                                       .settled_by_list = false});
+    std::erase_if(worker.unsettled_starts, [&request](const auto& it) {
+        return it.task == request.task && it.run == request.run;
+    });
+}
+
+// A start is executed once, unless a lost relay has left a copy of it: then the
+// response has no clock. An incarnation other than the known one may have
+// responded; the known one has not ended before if it answers a later call.
+void dispatcher::state::settle_by_response(const start_request& request,
+                                           const start_response& response,
+                                           internal::responder by,
+                                           time_point now)
+{
+    const auto worker = workers.find(request.worker.id);
+    if (worker == workers.end()) {
+        return;
+    }
+    if (response.result == start_result::not_sent ||
+        by == internal::responder::known) {
+        erase_unsettled(worker->second, request);
+    } else if (response.clock_ms) {
+        for (auto& it : worker->second.unsettled_starts) {
+            if (it.task == request.task && it.run == request.run) {
+                it.executed_until = std::min(it.executed_until, now);
+            }
+        }
+    }
+}
+
+// The poll may reach the incarnation that executes such a start, and renew the
+// lease of its run.
+void dispatcher::state::allow_for_late_renewal(tracked_worker& worker,
+                                               time_point now) const
+{
+    worker.late_renewals_until =
+        now + options.max_start_delay + worst_case_previous_lease();
+    worker.unconfirmed_until =
+        std::max(worker.unconfirmed_until, worker.late_renewals_until);
 }
 
 void dispatcher::state::inherit_unsettled(tracked_worker& worker,
--- a/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
@@ -79,15 +79,15 @@
 }
 
 // Only a poll names the incarnation that answers.
-void dispatcher::state::observe_response(const start_request& request,
-                                         const start_response& response,
-                                         time_point now)
+responder dispatcher::state::observe_response(const start_request& request,
+                                              const start_response& response,
+                                              time_point now)
 {
     const auto found = workers.find(request.worker.id);
     if (found == workers.end() || !response.clock_ms ||
         response.result == start_result::wrong_incarnation ||
         request.restarts != found->second.restarts) {
-        return;
+        return responder::undecided;
     }
     auto& worker = found->second;
     const auto by = identify_responder(worker, *response.clock_ms,
@@ -110,6 +110,7 @@
         ++restart_counters.from_start;
         worker.incarnation_outdated = true;
     }
+    return by;
 }
 
 void dispatcher::state::begin_generation(tracked_worker& worker)
@@ -134,6 +135,9 @@
         worker->second.restarts == request.restarts) {
         return false;
     }
+    if (worker != workers.end()) {
+        erase_unsettled(worker->second, request);
+    }
     auto* step = find_step(request.task.step);
     auto* task = find_task(request.task);
     if (task != nullptr && task->run == request.run &&
@@ -213,10 +217,16 @@
     while (!ties.empty() && ties.begin()->first <= now) {
         const auto key = ties.extract(ties.begin()).value().second;
         auto* task = find_task(key);
-        if (task != nullptr && task->earlier_start &&
-            find_open_start(*task, now) == nullptr) {
-            task->earlier_start.reset();
-            record_progress(*find_step(key.step), key.index);
+        if (task != nullptr && task->earlier_start) {
+            const auto* start = find_open_start(*task, now);
+            if (start == nullptr) {
+                task->earlier_start.reset();
+                record_progress(*find_step(key.step), key.index);
+            } else if (const auto until =
+                           workers[start->worker].late_renewals_until;
+                       until > now) {
+                ties.insert({until, key});
+            }
         }
         replan = true;
     }
@@ -226,15 +236,20 @@
 dispatcher::state::find_open_start(const task_state& task, time_point now)
 {
     const auto& start = task.earlier_start;
-    if (!start || start->executed_until + worst_case_previous_lease() <= now) {
+    if (!start) {
         return nullptr;
     }
     const auto found = workers.find(start->worker);
+    auto until = start->executed_until + worst_case_previous_lease();
+    if (found != workers.end()) {
+        until = std::max(until, found->second.late_renewals_until);
+    }
     const bool ruled_out =
-        found != workers.end() &&
-        (found->second.replaced ||
-         (found->second.list_requested_at > start->executed_until &&
-          found->second.untracked_runs == 0));
+        until <= now ||
+        (found != workers.end() &&
+         (found->second.replaced ||
+          (found->second.list_requested_at > start->executed_until &&
+           found->second.untracked_runs == 0)));
     return ruled_out ? nullptr : &*start;
 }
 
--- a/test/fleet/unsettled_starts.cpp
+++ b/test/fleet/unsettled_starts.cpp
@@ -97,6 +97,79 @@
     CHECK(cell.violations.empty());
 }
 
+// Guards against a task that is started again after its end was acknowledged
+// unread, by a poll for the previous incarnation that is carried out late.
+TEST_CASE("No poll acknowledges ends from the sending of a start until the "
+          "start cannot be executed",
+          "[unsettled_starts]")
+{
+    const bool taken_over = GENERATE(false, true);
+    const bool under_way = GENERATE(false, true);
+    const bool soon = GENERATE(false, true);
+    const duration start_late = soon ? 2500ms : 11000ms;
+    const duration poll_late = soon ? 5000ms : 11900ms;
+    CAPTURE(taken_over, under_way, soon);
+    late_start_fleet cell;
+    auto& w0 = cell.workers["w0"];
+    w0.withholds_start_results = under_way;
+    cell.submit_unanswered(make_job(1, {{.demand = one_core}}), start_late);
+    w0.withholds_start_results = false;
+    // The worker answers another call after the start.
+    cell.submit(make_job(2, {{.demand = one_core}}));
+    cell.run(200ms);
+    if (taken_over) {
+        cell.take_over();
+        cell.run(300ms);
+    }
+    w0.poll_delay = poll_late;
+    while (w0.delayed_polls.empty()) {
+        cell.run(cell.tick);
+    }
+    w0.poll_delay = {};
+    if (under_way && !taken_over) {
+        cell.leader().on_start_result(cell.unanswered_starts.at(0), {},
+                                      cell.now);
+    }
+    cell.restart_behind_cut();
+    cell.run(start_late + poll_late);
+    cell.heal();
+    cell.run(40s);
+    CHECK(cell.state(1) == job_state::completed);
+    CHECK(cell.state(2) == job_state::completed);
+    CHECK(cell.violations.empty());
+}
+
+// Guards against a run that goes on beyond the bound on its lease, as a poll
+// that was sent while its start had no response renews the lease late.
+TEST_CASE("A late run is given up only once no late poll can have renewed it",
+          "[unsettled_starts]")
+{
+    const bool taken_over = GENERATE(false, true);
+    CAPTURE(taken_over);
+    late_start_fleet cell;
+    cell.scripted_outcome = [](const task_key&) {
+        return task_outcome{.length = 60s};
+    };
+    auto& w0 = cell.workers["w0"];
+    cell.submit_unanswered(make_job(1, {{.demand = one_core}}), 11900ms);
+    cell.run(9s);
+    REQUIRE(cell.running_on("w0") == 1);
+    w0.poll_delay = 11900ms;
+    while (w0.delayed_polls.empty()) {
+        cell.run(cell.tick);
+    }
+    w0.poll_delay = {};
+    REQUIRE(w0.delayed_polls.at(0).second.lease_end_ms);
+    cell.restart_behind_cut();
+    cell.add_workers(1, eight_cores);
+    if (taken_over) {
+        cell.take_over();
+    }
+    cell.run(60s);
+    CHECK(cell.running_on("w1") == 1);
+    CHECK(cell.violations.empty());
+}
+
 // Guards against a job that fails for good and is started once more, as the
 // last of its failed ends was acknowledged before.
 TEST_CASE("The end of a last attempt is acknowledged only once an earlier "
