Count a job as started only once a run of it has begun

Cause: a placement is recorded with its run number before the start is sent, and a job counted as started as soon as a row had a run number; at a node that keeps no progress, as soon as there was any row. A refusal leaves the run number.

Ruled out: that the nodes' view was old (all three were at 0 for longer than visible_ms + 2 s with links and store undisturbed); that the refusal was not recorded (it is; the run number has to stay).

Change: `task_progress::has_begun` rests on what a run leaves: done, confirmed, a failed run, or `begun`, which is written in rows that are written anyway. The last byte of a record tells whether one of its tasks has begun, for nodes that keep no progress. Requests for advice, which stop once a job is placed, have a flag of their own.

Why this fixes it: `pending`, `due`, `state` and the start rate behind Retry-After rest on the same function, which a refused, unanswered or withheld start no longer changes, and a later run that is refused doesn't change back.

Tests changed: "A job counts as started once a task was placed" expected the fault; its successor asks for queued after a placement and for running after each kind of evidence. "An index that keeps no progress knows which jobs have started" uses a confirmed run.

--- a/src/rosemarytrail/fleet/advice_plan.cpp
+++ b/src/rosemarytrail/fleet/advice_plan.cpp
@@ -59,7 +59,7 @@
 {
     const auto it = request_deadlines_.find(key);
     return entry.record->spec.steps[key.step].depends_on.empty() &&
-           !entry.started && !entry.advice.contains(key) &&
+           !entry.placed && !entry.advice.contains(key) &&
            !entry.progress.contains({.step = key}) &&
            (it == request_deadlines_.end() || it->second <= now);
 }
--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -210,6 +210,7 @@
             mark_dirty(step, i);
         }
         task.run = row.run;
+        task.begun = row.has_begun();
         task.failed_runs = row.failed_runs;
         task.crashes = row.crashes;
         task.checkpoint = row.checkpoint;
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -132,6 +132,8 @@
 {
     task_phase phase{task_phase::waiting};
     std::uint32_t run{};
+    /** @brief A run has begun. */
+    bool begun{false};
     /** @brief An earlier run has completed; the task is done once the current
      * one is over. */
     bool result_known{false};
--- a/src/rosemarytrail/fleet/internal/ledger_batches.cpp
+++ b/src/rosemarytrail/fleet/internal/ledger_batches.cpp
@@ -90,7 +90,8 @@
                             .confirmed = task.confirmed,
                             .earlier_start = task.earlier_start
                                                  ? task.earlier_start->worker
-                                                 : std::string{}});
+                                                 : std::string{},
+                            .begun = task.begun && !task.confirmed});
         }
         entries.push_back({.key = encode_key({.kind = entry_kind::progress,
                                               .step = step.key,
--- a/src/rosemarytrail/fleet/internal/task_start_stop.cpp
+++ b/src/rosemarytrail/fleet/internal/task_start_stop.cpp
@@ -218,6 +218,7 @@
     const bool start_sent = task.phase == task_phase::start_sent;
     const bool stopping = task.phase == task_phase::stopping;
     if (result == start_result::started) {
+        task.begun = true;
         task.refused_by.clear();
         task.evidence =
             std::max(task.evidence, internal::run_evidence::started);
--- a/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
@@ -263,6 +263,7 @@
                           declared < options.short_run &&
                           now - task.since < options.short_run;
     task.confirmed = true;
+    task.begun = true;
     if (!task.confirmation_recorded && !is_short) {
         record_progress(step, index);
     }
--- a/src/rosemarytrail/fleet/internal/worker_polling.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_polling.cpp
@@ -281,6 +281,7 @@
     }
     const auto index = row.task.index;
     auto& task = step->tasks[index];
+    task.begun = true;
     if (task.worker != worker.vm.id || task.run != row.run) {
         if (task.has_result()) {
             on_unacknowledged_end(worker, row.task, now);
--- a/src/rosemarytrail/fleet/job.hpp
+++ b/src/rosemarytrail/fleet/job.hpp
@@ -304,6 +304,16 @@
     /** @brief Worker that may still execute the start of an earlier run; empty
      * for none. */
     std::string earlier_start;
+    /** @brief A run has begun; false also while that is known by other
+     * fields. */
+    bool begun{false};
+
+    /** @return True if a run is known to have begun; a start that was sent may
+     * have been refused. */
+    [[nodiscard]] bool has_begun() const noexcept
+    {
+        return done || confirmed || begun || !failed_runs.empty();
+    }
 
     friend bool operator==(const task_progress&,
                            const task_progress&) = default;
--- a/src/rosemarytrail/fleet/job_index.cpp
+++ b/src/rosemarytrail/fleet/job_index.cpp
@@ -20,9 +20,8 @@
 {
     return started || completed_occurrences > 0 ||
            std::ranges::any_of(progress, [](const auto& step) {
-               return std::ranges::any_of(step.second, [](const auto& task) {
-                   return task.run > 0 || task.done;
-               });
+               return std::ranges::any_of(step.second,
+                                          &task_progress::has_begun);
            });
 }
 
@@ -141,9 +140,10 @@
         jobs_[id].cancelled = value.has_value();
         break;
     case entry_kind::progress:
-        // Progress is written once a task of the step has been placed.
         if (!keeps_progress_) {
-            jobs_[id].started = jobs_[id].started || value.has_value();
+            auto& entry = jobs_[id];
+            entry.placed = entry.placed || value.has_value();
+            entry.started = entry.started || (value && records_start(*value));
             break;
         }
         if (auto it = value ? decode_progress(*value) : std::nullopt) {
@@ -194,6 +194,7 @@
 {
     keeps_progress_ = false;
     for (auto& [id, entry] : jobs_) {
+        entry.placed = entry.placed || !entry.progress.empty();
         entry.started = entry.has_started();
         entry.progress.clear();
     }
--- a/src/rosemarytrail/fleet/job_index.hpp
+++ b/src/rosemarytrail/fleet/job_index.hpp
@@ -42,12 +42,14 @@
     /** @brief Number of completed occurrences, from the first on. */
     std::uint32_t completed_occurrences{};
     bool cancelled{false};
-    /** @brief A task has been started; set without `progress` while the index
-     * keeps none. */
+    /** @brief A task has been placed, and one has begun; set without `progress`
+     * while the index keeps none. */
+    bool placed{false};
     bool started{false};
     std::optional<job_outcome> outcome;
 
-    /** @return True once a task has been started. */
+    /** @return True once a task has begun; a placement is recorded before its
+     * start is sent, and the start may be refused. */
     [[nodiscard]] bool has_started() const noexcept;
 
     /** @return Job state as reported to clients. */
--- a/src/rosemarytrail/fleet/ledger_codec.cpp
+++ b/src/rosemarytrail/fleet/ledger_codec.cpp
@@ -132,16 +132,20 @@
 [[nodiscard]] json pack_task(const task_progress& it)
 {
     json row = json::array({it.run, it.failed_runs, it.worker, it.checkpoint});
-    const bool has_starts = it.confirmed || !it.earlier_start.empty();
+    const bool has_starts =
+        it.confirmed || it.begun || !it.earlier_start.empty();
     if (!it.crashes.empty() || has_starts) {
         row.push_back(it.crashes.empty() ? json() : pack_crashes(it.crashes));
     }
     if (has_starts) {
         row.push_back(it.confirmed);
     }
-    if (!it.earlier_start.empty()) {
+    if (it.begun || !it.earlier_start.empty()) {
         row.push_back(it.earlier_start);
     }
+    if (it.begun) {
+        row.push_back(true);
+    }
     return row;
 }
 
@@ -273,7 +277,8 @@
 }
 
 // A step is written again at each change of one of its tasks, so a task that
-// is done or was never started takes one byte.
+// is done or was never started takes one byte. The last byte tells whether a
+// task has begun.
 std::string encode(std::span<const task_progress> it)
 {
     json rows = json::array();
@@ -286,6 +291,8 @@
             rows.push_back(pack_task(task));
         }
     }
+    rows.push_back(std::ranges::any_of(it, &task_progress::has_begun) ? 1U
+                                                                      : 0U);
     return pack(rows);
 }
 
@@ -414,6 +421,9 @@
                 result.push_back({.done = row.get<bool>()});
                 continue;
             }
+            if (row.is_number() && !result.empty() && &row == &it.back()) {
+                break;
+            }
             result.push_back({.run = row.at(0),
                               .failed_runs = read_failed_runs(row.at(1)),
                               .worker = row.at(2).get<std::string>(),
@@ -424,12 +434,18 @@
                               .confirmed = row.size() > 5 && row[5],
                               .earlier_start = row.size() > 6
                                                    ? row[6].get<std::string>()
-                                                   : std::string{}});
+                                                   : std::string{},
+                              .begun = row.size() > 7 && row[7]});
         }
         return result;
     });
 }
 
+bool records_start(std::string_view bytes)
+{
+    return !bytes.empty() && bytes.back() == char{1};
+}
+
 std::optional<advice_grant> decode_advice(std::string_view bytes)
 {
     return unpack(bytes, [](const json& it) {
--- a/src/rosemarytrail/fleet/ledger_codec.hpp
+++ b/src/rosemarytrail/fleet/ledger_codec.hpp
@@ -176,6 +176,14 @@
 [[nodiscard]] std::optional<std::vector<task_progress>>
 decode_progress(std::string_view bytes);
 
+/**
+ * @brief Tells whether progress names a task of which a run has begun, without
+ * decoding it.
+ * @param bytes Encoded progress.
+ * @return True if there is one; false for values of earlier versions.
+ */
+[[nodiscard]] bool records_start(std::string_view bytes);
+
 /** @copydoc decode_job */
 [[nodiscard]] std::optional<std::uint32_t>
 decode_occurrences(std::string_view bytes);
--- a/test/fleet/ledger.cpp
+++ b/test/fleet/ledger.cpp
@@ -184,14 +184,35 @@
     CHECK_FALSE(unpack("", read));
 }
 
-TEST_CASE("A job counts as started once a task was placed", "[ledger]")
+// Guards against jobs that are shown as running, and not counted as pending,
+// though every start of theirs was refused.
+TEST_CASE("A job counts as started once a task has begun", "[ledger]")
 {
+    const bool keeps_progress = GENERATE(false, true);
+    const task_progress begun =
+        GENERATE(task_progress{.done = true},
+                 task_progress{.run = 1, .worker = "w", .confirmed = true},
+                 task_progress{.run = 2, .failed_runs = {1}},
+                 task_progress{.run = 2, .worker = "w", .begun = true},
+                 task_progress{.run = 2, .earlier_start = "w", .begun = true});
+    CAPTURE(keeps_progress);
     job_index ledger_jobs;
     REQUIRE(ledger_jobs.apply(job_key(), encode(make_record()), now));
-    const std::vector<task_progress> rows{{.run = 1, .worker = "w"}, {}};
-    REQUIRE(ledger_jobs.apply(
-        encode_key({.kind = entry_kind::progress, .step = {.job = id}}),
-        encode(rows), now));
+    if (!keeps_progress) {
+        ledger_jobs.discard_progress();
+    }
+    const auto apply = [&](const task_progress& second) {
+        const std::vector<task_progress> rows{{.run = 1, .worker = "w"},
+                                              second};
+        CHECK(decode_progress(encode(rows)) == rows);
+        return ledger_jobs.apply(
+            encode_key({.kind = entry_kind::progress, .step = {.job = id}}),
+            encode(rows), now);
+    };
+    REQUIRE(apply({.run = 1, .earlier_start = "w"}));
+    CHECK(ledger_jobs.find(id)->state() == job_state::queued);
+    CHECK(ledger_jobs.pending("q") == 1);
+    REQUIRE(apply(begun));
     CHECK(ledger_jobs.find(id)->state() == job_state::running);
     CHECK(ledger_jobs.pending("q") == 0);
 }
@@ -248,6 +269,7 @@
     REQUIRE(old);
     CHECK(old->front().failed_runs.size() == 2);
     CHECK_FALSE(decode_progress("\x91\x01"));
+    CHECK_FALSE(decode_progress("\x93\xc2\x01\xc2"));
     CHECK_FALSE(decode_progress("\x91\x91\x01"));
 }
 
@@ -263,7 +285,8 @@
                  encode(job_record{.id = job, .spec = {.steps = {{}}}}), now);
     };
     const auto add_progress = [&](std::uint64_t job) {
-        const std::vector<task_progress> rows{{.run = 1, .worker = "w"}};
+        const std::vector<task_progress> rows{
+            {.run = 1, .worker = "w", .confirmed = true}};
         it.apply(
             encode_key({.kind = entry_kind::progress, .step = {.job = job}}),
             encode(rows), now);
--- a/test/lib/worker_fleet.cpp
+++ b/test/lib/worker_fleet.cpp
@@ -143,11 +143,10 @@
 void worker_fleet::apply(const std::vector<fleet::ledger_entry>& entries)
 {
     for (const auto& it : entries) {
-        const auto about = ledger_jobs_.apply(
-            it.key,
-            it.value ? std::optional<std::string_view>{*it.value}
-                     : std::nullopt,
-            now);
+        const auto value = it.value ? std::optional<std::string_view>{*it.value}
+                                    : std::nullopt;
+        const auto about = ledger_jobs_.apply(it.key, value, now);
+        leader_jobs_.apply(it.key, value, now);
         if (!about) {
             violations.push_back("entry not decoded: " + it.key);
         } else if (about->kind == fleet::entry_kind::progress && it.value) {
--- a/test/lib/worker_fleet.hpp
+++ b/test/lib/worker_fleet.hpp
@@ -177,6 +177,16 @@
     [[nodiscard]] std::size_t running_on(const std::string& worker) const;
     /** @return Last worker that runs a task of the job; empty if none does. */
     [[nodiscard]] std::string worker_of(std::uint64_t id) const;
+    /** @return Index of a node that follows the ledger. */
+    [[nodiscard]] const fleet::job_index& follower_jobs() const
+    {
+        return ledger_jobs_;
+    }
+    /** @return Index of a node that leads, or has led. */
+    [[nodiscard]] const fleet::job_index& leader_jobs() const
+    {
+        return leader_jobs_;
+    }
     [[nodiscard]] fleet::dispatcher& leader() { return *dispatcher_; }
 
 private:
@@ -207,6 +217,7 @@
                                            const Request& request);
 
     fleet::job_index ledger_jobs_;
+    fleet::job_index leader_jobs_;
     std::unique_ptr<fleet::dispatcher> dispatcher_;
     std::map<std::uint64_t, fleet::job_record> jobs_;
     /** @brief Batch that is not recorded yet, and when it will be. */
