Compute in one place how long an earlier start binds its task

What callers saw: nothing yet; found by reading. `release_ties` looked a worker up with the operator that adds it, so a task tied to a worker that had left added one without an id, and so did a takeover that found the tie in the ledger.

Change: `open_start_until` gives the time, with the late renewals of a known worker, and `find_open_start` and `release_ties` rest on it; a worker that a tie adds at a takeover gets its id, as those of unexplained losses do. No decision changes for listed workers.

--- a/src/rosemarytrail/fleet/dispatcher.cpp
+++ b/src/rosemarytrail/fleet/dispatcher.cpp
@@ -219,7 +219,9 @@
         task.start_unanswered = !row.confirmed;
         if (!row.earlier_start.empty()) {
             tie_to_worker(step, i, row.earlier_start, previous_starts_until);
-            inherit_unsettled(workers[row.earlier_start], key, 0);
+            auto& worker = workers[row.earlier_start];
+            worker.vm.id = row.earlier_start;
+            inherit_unsettled(worker, key, 0);
         }
         task.since = now;
         task.resumed = true;
--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -747,10 +747,13 @@
                        const std::string& worker, time_point executed_until);
     /** @brief Frees tasks whose earlier start can have no effect any more. */
     void release_ties(time_point now);
+    /** @return Time until which a worker may execute the start of an earlier
+     * run, or may have that run. */
+    [[nodiscard]] time_point open_start_until(const task_state& task) const;
     /** @return Start of an earlier run that its worker may execute, or of which
      * it may have the run. */
     [[nodiscard]] const internal::pending_start*
-    find_open_start(const task_state& task, time_point now);
+    find_open_start(const task_state& task, time_point now) const;
     void confirm_run(tracked_step& step, std::uint32_t index, time_point now);
     [[nodiscard]] bool may_run_in_later_incarnation(const task_key& key,
                                                     time_point now);
--- a/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
+++ b/src/rosemarytrail/fleet/internal/worker_incarnations.cpp
@@ -218,39 +218,39 @@
         const auto key = ties.extract(ties.begin()).value().second;
         auto* task = find_task(key);
         if (task != nullptr && task->earlier_start) {
-            const auto* start = find_open_start(*task, now);
-            if (start == nullptr) {
+            if (const auto until = open_start_until(*task); until > now) {
+                ties.insert({until, key});
+            } else {
                 task->earlier_start.reset();
                 record_progress(*find_step(key.step), key.index);
-            } else if (const auto until =
-                           workers[start->worker].late_renewals_until;
-                       until > now) {
-                ties.insert({until, key});
             }
         }
         replan = true;
     }
 }
 
-const internal::pending_start*
-dispatcher::state::find_open_start(const task_state& task, time_point now)
+time_point dispatcher::state::open_start_until(const task_state& task) const
 {
-    const auto& start = task.earlier_start;
-    if (!start) {
-        return nullptr;
-    }
-    const auto found = workers.find(start->worker);
-    auto until = start->executed_until + worst_case_previous_lease();
-    if (found != workers.end()) {
-        until = std::max(until, found->second.late_renewals_until);
+    const auto& start = *task.earlier_start;
+    const auto until = start.executed_until + worst_case_previous_lease();
+    const auto found = workers.find(start.worker);
+    if (found == workers.end()) {
+        return until;
     }
+    const auto& worker = found->second;
     const bool ruled_out =
-        until <= now ||
-        (found != workers.end() &&
-         (found->second.replaced ||
-          (found->second.list_requested_at > start->executed_until &&
-           found->second.untracked_runs == 0)));
-    return ruled_out ? nullptr : &*start;
+        worker.replaced || (worker.list_requested_at > start.executed_until &&
+                            worker.untracked_runs == 0);
+    return ruled_out ? time_point{}
+                     : std::max(until, worker.late_renewals_until);
+}
+
+const internal::pending_start*
+dispatcher::state::find_open_start(const task_state& task, time_point now) const
+{
+    return task.earlier_start && open_start_until(task) > now
+               ? &*task.earlier_start
+               : nullptr;
 }
 
 // Most short runs are over before a successor could need the confirmation.
