Judge pending jobs in the soak, and carry calls out up to 12 s late

The soak's workers carried calls out up to 6 s late, the platform up to 12 s, and nobody asked the nodes how many jobs are pending.

Each node that has been undisturbed for `contactMs` is asked twice a second; MIXED is broken if it counts fewer than half of the jobs that were accepted 5 s before and have not begun.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,6 +5,7 @@
 
 # `dispatcher_options::lease`, which "outlasts a leader takeover" (docs/PLATFORM.md).
 LEASE_MS = 4500
+VISIBLE_S, PENDING_AGE_S = 3, 2  # `visible_ms`, and how old the number of pending jobs may be
 
 
 class Job:
@@ -15,7 +16,8 @@
         self.advised = advised  # starts on its queue need a ticket
         self.spec = spec
         self.steps = steps
-        self.accepted = False
+        self.accepted, self.accepted_at = False, None
+        self.begun = False  # a task of it has started
         self.unanswered = False  # a submission went without a clear answer
         self.maybe_taken = False  # the same, or a submission is under way
         self.cancelled = False
@@ -76,6 +78,19 @@
     def note(self, text):
         self.events.append(f"{int(time.time() * 1000)} {text}")
 
+    def waiting(self, advised, asked):
+        """Returns the accepted jobs of a queue that any node has to count as pending."""
+        return [
+            job for job in self.jobs.values()
+            if job.accepted and job.advised == advised and not job.cancelled and not job.begun
+            and job.accepted_at < asked - VISIBLE_S - PENDING_AGE_S
+        ]  # fmt: skip
+
+    def on_pending(self, node, pending, waiting):
+        if pending < len(waiting) / 2:
+            jobs = ", ".join(job.id for job in waiting)
+            self.breach("MIXED", f"{node} counts {pending} jobs as pending, not begun: {jobs}")
+
     def takes_ticket(self, task):
         job = self.jobs.get(task.split(".")[0])
         return job is None or job.advised
@@ -85,6 +100,8 @@
         self.starts += 1
         job_id, _, step, _ = task.split(".")
         job = self.jobs.get(job_id)
+        if job:
+            job.begun = True
         if job is None or job.spec != spec:
             self.breach("UNASKED", f"{task} on {worker.name}")
             return 0.1, "done"
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -43,6 +43,8 @@
 # Submitters of the series of takeovers, on each node.
 CROWD = 6
 CROWD_PAUSE_S = 0.05
+CONTACT_S = 3  # `contactMs`: how long a node is undisturbed before it is in touch
+ASK_PENDING_S = 0.5
 # A pause of the soak itself; longer ones excuse leases.
 OWN_PAUSE_S = 0.1
 
@@ -77,6 +79,7 @@
 
     async def start(self):
         self.ending = False
+        self.disturbed_at = time.monotonic()
         self.log_from = self.log.stat().st_size if self.log.exists() else 0
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -207,6 +210,10 @@
         while True:
             now = time.monotonic()
             passed, before = now - before, now
+            store_calm = self.store.serves and self.store.mode == "up" and self.store.slowness == 1
+            for node in self.nodes:
+                if not (store_calm and node.in_charge and node.store.delay == 0):
+                    node.disturbed_at = now
             for name, worker in self.workers.items():
                 worker.advance()
                 own = max(0.0, passed - OWN_PAUSE_S)
@@ -301,6 +308,7 @@
             status, _ = await self.call(clients, "POST", job, body)
             if status == 200:
                 job.accepted = True
+                job.accepted_at = job.accepted_at or time.monotonic()
                 return
             if status in (429, 503):
                 job.maybe_taken = job.unanswered
@@ -347,6 +355,22 @@
         elif status == 410:
             self.promises.breach("LOST", f"{job.id} is unknown")
 
+    async def ask_pending(self):
+        """Asks each node that has been in touch for its pending jobs, again and again."""
+        clients = [Client(node.ip, CLIENT_PORT) for node in self.nodes]
+        headers = {"Host": HOST, "Authorization": f"Bearer {KEY}"}
+        while True:
+            for node, client in zip(self.nodes, clients):
+                for path, advised in ((PREFIX, True), (PLAIN_PREFIX, False)):
+                    asked = time.monotonic()
+                    if asked - node.disturbed_at < CONTACT_S:
+                        continue
+                    status, body = await client.call("GET", path, headers, b"", 1)
+                    waiting = self.promises.waiting(advised, asked)
+                    if status == 200 and node.disturbed_at < asked - CONTACT_S:
+                        self.promises.on_pending(node.name, json.loads(body)["pending"], waiting)
+            await asyncio.sleep(ASK_PENDING_S)
+
     def pick(self):
         return self.rng.choice(self.nodes)
 
@@ -549,7 +573,7 @@
         self.begun = self.promises.begun = time.monotonic()
         self.promises.leader_of = self.leader_of
         await self.prepare()
-        background = [asyncio.create_task(it) for it in (self.beat(), self.watch())]
+        background = [asyncio.create_task(it) for it in (self.beat(), self.watch(), self.ask_pending())]
         faults = []
         try:
             await self.ready()
--- a/soak/worker_model.py
+++ b/soak/worker_model.py
@@ -10,6 +10,7 @@
 ADVICE_VALID_MS = 2500
 ADVICE_BASE_S = 0.005
 GRANTED_SHARE = 0.7
+LATE_S = (0.3, 12)  # the platform carries orders out up to 12 s late
 
 
 class Worker:
@@ -85,7 +86,7 @@
             return reply(421, {})
         polls = path == "/-/hold"
         if self.rng.random() < (self.late_poll_share if polls else self.late_share):
-            delay = self.rng.uniform(0.3, 6)
+            delay = self.rng.uniform(*LATE_S)
             loop = asyncio.get_running_loop()
             loop.call_later(delay, self._carry_out_late, path, call, self.born)
             return SILENT
