Do not take late calls of the soak for missing renewals

A renewal now counts if its lease ends in the future and it isn't late, also within a longer lease. Time does not count while a worker has left a call unanswered within the last 2 s, as it did not while the share of late calls was above zero.

A worker whose calls are all answered is judged as before.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -45,6 +45,7 @@
 CROWD_PAUSE_S = 0.05
 CONTACT_S = 3  # `contactMs`: how long a node is undisturbed before it is in touch
 ASK_PENDING_S = 0.5
+POLL_GIVEN_UP_S = 2  # an unanswered poll is given up and repeated within this time
 # A pause of the soak itself; longer ones excuse leases.
 OWN_PAUSE_S = 0.1
 
@@ -233,6 +234,7 @@
             or proxy.cut
             or proxy.delay > 0
             or worker.late_share > 0
+            or time.monotonic() - worker.silent_at < POLL_GIVEN_UP_S
         )
 
     def claims(self):
--- a/soak/worker_model.py
+++ b/soak/worker_model.py
@@ -25,6 +25,7 @@
         self.late_share = 0.0  # of orders that are carried out late, without answer
         self.late_poll_share = 0.0
         self.late = ""  # how late the call comes that it carries out
+        self.silent_at = 0.0  # when it last left a call unanswered
         self.listed_from = 0.0  # its entry in the directory is not updated before
         self.failing = False
         self.beat = 0
@@ -87,6 +88,7 @@
         polls = path == "/-/hold"
         if self.rng.random() < (self.late_poll_share if polls else self.late_share):
             delay = self.rng.uniform(*LATE_S)
+            self.silent_at = time.monotonic()
             loop = asyncio.get_running_loop()
             loop.call_later(delay, self._carry_out_late, path, call, self.born)
             return SILENT
@@ -135,8 +137,10 @@
     def _extend(self, call):
         if "deadlineMs" in call:
             granted = min(call["deadlineMs"], self.clock + HOLD_MAX_MS)
-            if granted > self.deadline:
-                self.deadline = granted
+            extends = granted > self.deadline
+            self.deadline = max(granted, self.deadline)
+            # After a late call the lease may be longer than the leader asks for.
+            if extends or (granted > self.clock and not self.late):
                 self.ledger.on_renewed(self)
 
     def _order(self, path, call):
