--- a/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
+++ b/src/rosemarytrail/fleet/internal/dispatcher_state.hpp
@@ -115,7 +115,8 @@
     time_point executed_until;
 };
 
-/** @brief Start without a response that a worker may still execute. */
+/** @brief Start without a ticket that an incarnation of a worker may still
+ * execute: it was sent, and the known incarnation has not responded to it. */
 struct unsettled_start
 {
     task_key task;
